--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,320 @@
+//! Types, events, actions and settings of the decision module, free of any wire.
+
+use std::sync::Arc;
+
+/// A time or a span of time, in whole microseconds.
+pub type Micros = u64;
+
+/// The name of an engine, exactly as discovery gave it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EngineId(pub Arc<str>);
+
+/// The name of a request, exactly as the host gave it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub Arc<str>);
+
+/// The number of an attempt of one request, from 0.
+pub type Attempt = u32;
+
+/// What an engine can do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Reads prompts; the read state waits in its memory.
+    Reader,
+    /// Fetches a read state and streams the answer.
+    Writer,
+    /// Does either, or both in one attempt.
+    Mixed,
+}
+
+/// A kind of machine.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// The kind's name in discovery.
+    pub name: String,
+    /// What engines of this kind do.
+    pub role: Role,
+    /// Memory of one engine in tokens, 0 if not told.
+    pub memory_tokens: u64,
+}
+
+/// The part of the fleet that drops repeats of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Every engine.
+    All,
+    /// The engines of one zone.
+    Zone,
+    /// The engines of one cell.
+    Cell,
+}
+
+/// What running a request twice would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing: it may be repeated freely.
+    Safe,
+    /// Repeats are dropped inside the group, for the window from the first send that may have run.
+    Keyed(Group, Micros),
+    /// Harm: it must not run twice.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// What a repeat would do.
+    pub effect: Effect,
+    /// The first token is wanted within this time.
+    pub aim: Micros,
+    /// The aim grows by this much for each 1,000 prompt tokens.
+    pub aim_per_1000_tokens: Micros,
+    /// The wanted gap between tokens, 0 if not told.
+    pub token_aim: Micros,
+    /// What a request, or a unit of its work, is worth.
+    pub worth: f64,
+    /// The part of the worth that a late answer earns.
+    pub late_share: f64,
+}
+
+/// A tenant and its share.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Requests a second within its share, over all nodes; 0 if not limited.
+    pub quota_per_s: f64,
+}
+
+/// How word of the fleet reaches a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    /// Changes arrive unasked.
+    Pushed,
+    /// Changes arrive only to a subscriber.
+    OnRequest,
+}
+
+/// How load reports reach a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// With outcomes and probe results.
+    Inline,
+    /// With probe results only.
+    OnProbe,
+    /// Not at all.
+    Off,
+}
+
+/// All that a node is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The node's zone.
+    pub zone: String,
+    /// How many nodes serve this fleet.
+    pub nodes: u32,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// The tenants, if any.
+    pub tenants: Vec<Tenant>,
+    /// The kinds of machine.
+    pub kinds: Vec<Kind>,
+    /// How word of the fleet comes.
+    pub discovery: Discovery,
+    /// How load reports come.
+    pub reports: Reports,
+    /// Whether registered weights compare engines.
+    pub weights: bool,
+    /// Whether attempts may be cancelled.
+    pub may_cancel: bool,
+    /// Whether engines may be probed.
+    pub may_probe: bool,
+    /// Whether refused clients heed advice on when to come back.
+    pub retry_advice: bool,
+    /// The longest advice that a client follows.
+    pub max_retry_after: Micros,
+    /// The most attempts for one request.
+    pub max_attempts: u32,
+    /// A cold engine has at least this share of its capacity.
+    pub cold_from: f64,
+    /// An engine is warm after this time at most.
+    pub warm_after: Micros,
+    /// More than this many times its capacity tips a cold engine over.
+    pub tip_multiple: f64,
+    /// The window over which that is counted.
+    pub tip_window: Micros,
+    /// What is held must be taken or let go within this time.
+    pub release_within: Micros,
+    /// Where discovery must be asked: the longest time without asking.
+    pub ask_within: Micros,
+}
+
+/// What discovery says of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// It takes work.
+    Serving,
+    /// It finishes what it has.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+/// One entry of the list of engines.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The engine.
+    pub engine: EngineId,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u64,
+    /// Its state.
+    pub listing: Listing,
+    /// Its registered weight.
+    pub weight: f64,
+    /// When it last started, if lately.
+    pub started: Option<Micros>,
+}
+
+/// How a list of engines is to be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListForm {
+    /// Changed entries only.
+    Change,
+    /// All entries; whoever is missing is gone.
+    Full,
+    /// The list could not be had; the old one holds.
+    Failed,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The answer was served.
+    Served,
+    /// The prompt is read and its state waits at the reader.
+    Read,
+    /// The engine sent an error back.
+    Error,
+    /// Turned away: slots and queue are full.
+    Full,
+    /// Turned away: there was no state to fetch.
+    NoState,
+    /// No answer came in time.
+    TimedOut,
+    /// No connection could be had.
+    Unreachable,
+    /// The connection broke.
+    Broken,
+    /// The attempt was called off.
+    Cancelled,
+    /// The attempt was never sent.
+    NeverSent,
+}
+
+/// A load report; what an engine does not report is absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Share of slots in use.
+    pub slots: Option<f64>,
+    /// Requests that wait.
+    pub queue: Option<f64>,
+    /// Share of memory held.
+    pub memory: Option<f64>,
+    /// Thousands of prompt tokens waiting to be read or fetched.
+    pub backlog: Option<f64>,
+}
+
+/// A request as the client sent it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its name.
+    pub id: RequestId,
+    /// Index into [`Settings::classes`], if the class is known.
+    pub class: Option<usize>,
+    /// Index into [`Settings::tenants`], if any.
+    pub tenant: Option<usize>,
+    /// The session.
+    pub session: u64,
+    /// The beginning that it shares with other sessions.
+    pub prefix: Option<u64>,
+    /// Prompt length in tokens.
+    pub prompt_tokens: u64,
+    /// How many of those are the shared beginning.
+    pub prefix_tokens: u64,
+    /// The most tokens that the answer may have.
+    pub max_tokens: u64,
+    /// Time until the client gives up.
+    pub patience: Micros,
+    /// The client comes back after a broken or moved stream.
+    pub resumed: bool,
+}
+
+/// What a node learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Word of the fleet.
+    Members(ListForm, Vec<Member>),
+    /// A client's request.
+    Arrived(Request),
+    /// The answer of an attempt has begun.
+    FirstToken(RequestId, Attempt),
+    /// An attempt has ended.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// The attempt.
+        attempt: Attempt,
+        /// How it ended.
+        outcome: Outcome,
+        /// The request has its final answer by this outcome or had it before.
+        last: bool,
+        /// Prompt tokens found kept.
+        kept: u64,
+        /// The engine's load.
+        load: Option<Load>,
+    },
+    /// The client has left.
+    Withdrawn(RequestId),
+    /// A probe's result: whether the engine answered, and its load.
+    Probed(EngineId, bool, Option<Load>),
+    /// A timer has come due.
+    Elapsed(Timer),
+}
+
+/// A timer's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timer {
+    /// Look at what is held back.
+    Sweep,
+    /// Look at engines and discovery.
+    Watch,
+}
+
+/// What a node does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the request to an engine, with a time-out.
+    Send(RequestId, EngineId, Micros),
+    /// Turn the request away; trying again does no harm, after the given time if any.
+    Refuse(RequestId, Option<Micros>),
+    /// Tell the client that the request failed.
+    Fail(RequestId),
+    /// Call an attempt off.
+    Cancel(RequestId, Attempt),
+    /// Let go of what is held for the request.
+    Release(RequestId),
+    /// Probe an engine.
+    Probe(EngineId),
+    /// Wake the router after this time.
+    Wake(Timer, Micros),
+    /// Subscribe to discovery.
+    Follow,
+    /// Say something to the people on call.
+    Log(String),
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,926 @@
+//! The decisions of pintally. Types, events, actions and settings: `src/interface.rs`.
+//!
+//! Ordinary path: a prompt goes to the reader expected to hold most of it, an unseen one to its
+//! hashed home, spilling along the key's ring over a bounded-load cap; after the read the
+//! least-loaded writer takes the state, near ones first. Everything else is a departure for when
+//! that path breaks. `docs/design.md` says when each acts.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::interface::*;
+
+/// The cap's factor: a reader may hold this multiple of its even share of the reads under way.
+const CAP_FACTOR: f64 = 2.0;
+/// Expected kept tokens under this count as no match (the paper's smallest block).
+const MIN_MATCH: f64 = 16.0;
+/// Table entries fade by half in this time: about the time in which sessions come again.
+const FADE_HALF: Micros = 30_000_000;
+/// Weight of a new sample in every moving mean: about the last ten samples count.
+const BLEND: f64 = 0.1;
+/// An attempt may take this many times its usual time before it is given up for another engine.
+const PATIENCE: f64 = 4.0;
+/// An engine this many times slower than its pool takes trial work only.
+const SLOW: f64 = 3.0;
+/// First and longest time for which a failing engine is left alone.
+const SHUT_FIRST: Micros = 500_000;
+const SHUT_MOST: Micros = 8_000_000;
+/// How often engines and discovery are looked after, and how often held requests are.
+const WATCH_EVERY: Micros = 500_000;
+const SWEEP_EVERY: Micros = 50_000;
+/// Share of a cold engine's budget that all nodes together plan to use.
+const COLD_SHARE: f64 = 0.6;
+/// A report of this occupancy, or a mark of fullness younger than this, counts as full.
+const FULL_FROM: f64 = 0.95;
+const FULL_FOR: Micros = 300_000;
+/// A load report counts for this long.
+const REPORT_FOR: Micros = 3_000_000;
+/// Requests before their first token that one node starts for each engine that can answer.
+const FLIGHT_EACH: usize = 3;
+
+/// A request's step at an engine, for the pools' usual times.
+const READ: usize = 0;
+const WRITE: usize = 1;
+const BOTH: usize = 2;
+
+struct Engine {
+    id: EngineId,
+    zone: String,
+    cell: u64,
+    role: Role,
+    weight: f64,
+    listing: Listing,
+    /// Cold until then: told by discovery, or seen to come back after failing.
+    cold_until: Micros,
+    started: Option<Micros>,
+    /// Own sends inside the tip window.
+    sends: VecDeque<Micros>,
+    /// Own attempts that have brought no read and no first token yet, by send time.
+    pending: BTreeSet<(Micros, u64)>,
+    /// Own attempts that answer or are to answer here.
+    streams: u32,
+    fails: u32,
+    shut_until: Micros,
+    full_until: Micros,
+    report: Option<(Micros, Load)>,
+    /// How many times slower than its pool, and when that was last seen.
+    lag: f64,
+    lag_at: Micros,
+    /// What the table says of this engine from before this time does not hold.
+    void_before: Micros,
+    misses: u32,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Pool {
+    /// Usual time of one unit of work, its deviation, and the usual tokens of an attempt.
+    time: f64,
+    deviation: f64,
+    tokens: f64,
+    samples: u32,
+    /// Sends a second by this node to one engine of the pool.
+    rate: f64,
+    sent: u32,
+}
+
+#[derive(Clone, Copy)]
+struct Out {
+    attempt: Attempt,
+    engine: usize,
+    sent: Micros,
+    serial: u64,
+    step: usize,
+    expected: f64,
+    started: bool,
+}
+
+struct Live {
+    request: Request,
+    effect: Effect,
+    arrived: Micros,
+    aim_at: Micros,
+    deadline: Micros,
+    over_share: bool,
+    attempts: u32,
+    out: Option<Out>,
+    /// The reader at which the read state waits.
+    state: Option<usize>,
+    /// The engine of the first attempt that may have run, and when it was sent.
+    ran: Option<(usize, Micros)>,
+    tried: Vec<usize>,
+    waiting: bool,
+    done: bool,
+}
+
+struct Bucket {
+    level: f64,
+    at: Micros,
+}
+
+/// Decides for one node. Feed it every event with the time at which it came.
+pub struct Router {
+    settings: Settings,
+    random: u64,
+    serial: u64,
+    engines: Vec<Engine>,
+    by_id: HashMap<EngineId, usize>,
+    pools: [Pool; 3],
+    table: HashMap<(bool, u64), Vec<(usize, u64, Micros)>>,
+    live: HashMap<RequestId, Live>,
+    waiting: Vec<RequestId>,
+    buckets: Vec<Bucket>,
+    sweeping: bool,
+    watching: bool,
+    subscribed: bool,
+    asked_at: Micros,
+    rated_at: Micros,
+}
+
+impl Router {
+    /// A router that knows its settings and nothing of the fleet.
+    pub fn new(settings: Settings, seed: u64) -> Router {
+        let buckets = settings.tenants.iter().map(|_| Bucket { level: 1.0, at: 0 }).collect();
+        Router {
+            settings,
+            random: seed,
+            serial: 0,
+            engines: Vec::new(),
+            by_id: HashMap::new(),
+            pools: [Pool::default(); 3],
+            table: HashMap::new(),
+            live: HashMap::new(),
+            waiting: Vec::new(),
+            buckets,
+            sweeping: false,
+            watching: false,
+            subscribed: false,
+            asked_at: 0,
+            rated_at: 0,
+        }
+    }
+
+    /// Takes in one event and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: Event, acts: &mut Vec<Action>) {
+        match event {
+            Event::Members(form, members) => self.members(now, form, members, acts),
+            Event::Arrived(request) => self.arrived(now, request),
+            Event::FirstToken(id, attempt) => self.first_token(now, &id, attempt),
+            Event::Ended { id, attempt, outcome, last, kept, load } => {
+                self.ended(now, id, attempt, outcome, last, kept, load, acts)
+            }
+            Event::Withdrawn(id) => self.close(&id, None, acts),
+            Event::Probed(id, answered, load) => self.probed(now, &id, answered, load),
+            Event::Elapsed(Timer::Sweep) => self.sweeping = false,
+            Event::Elapsed(Timer::Watch) => self.watch(now, acts),
+        }
+        self.pump(now, acts);
+    }
+
+    // ---- membership and cold budgets ----
+
+    fn members(&mut self, now: Micros, form: ListForm, members: Vec<Member>, acts: &mut Vec<Action>) {
+        if !self.watching {
+            self.watching = true;
+            self.rated_at = now;
+            acts.push(Action::Wake(Timer::Watch, WATCH_EVERY));
+            if self.settings.discovery == Discovery::OnRequest {
+                self.asked_at = now;
+                acts.push(Action::Follow);
+            }
+        } else {
+            self.subscribed = form != ListForm::Failed;
+        }
+        if form == ListForm::Failed {
+            return;
+        }
+        let mut seen = BTreeSet::new();
+        for member in members {
+            let Some(kind) = self.settings.kinds.iter().find(|k| k.name == member.kind) else { continue };
+            let index = match self.by_id.get(&member.engine) {
+                Some(&index) => index,
+                None => {
+                    self.by_id.insert(member.engine.clone(), self.engines.len());
+                    self.engines.push(Engine::new(&member, kind.role));
+                    self.engines.len() - 1
+                }
+            };
+            seen.insert(index);
+            let engine = &mut self.engines[index];
+            engine.listing = member.listing;
+            engine.weight = if member.weight > 0.0 { member.weight } else { 1.0 };
+            // Guards against a cold engine being pushed over, and against a table that tells of
+            // texts which a restart has wiped.
+            if member.started.is_some() && engine.started != member.started {
+                engine.started = member.started;
+                let started = member.started.unwrap_or(now);
+                engine.cold_until = engine.cold_until.max(started + self.settings.warm_after);
+                engine.void_before = engine.void_before.max(started);
+                engine.fails = 0;
+                engine.shut_until = 0;
+            }
+        }
+        if form == ListForm::Full {
+            for (index, engine) in self.engines.iter_mut().enumerate() {
+                if !seen.contains(&index) {
+                    engine.listing = Listing::Gone;
+                }
+            }
+        }
+    }
+
+    /// Whether one more send keeps a cold engine's budget. The budget is all nodes' together and no
+    /// capacity is told: what this node sends to an engine of the pool on average stands for its
+    /// part. It is too careful where the fleet idles; one send a window is always allowed.
+    fn within_cold_budget(&self, now: Micros, index: usize) -> bool {
+        let engine = &self.engines[index];
+        if now >= engine.cold_until {
+            return true;
+        }
+        let s = &self.settings;
+        let recent = engine.sends.iter().filter(|at| **at + s.tip_window > now).count();
+        let usual = self.pools[step_of(engine.role)].rate * s.tip_window as f64 / 1e6;
+        let budget = COLD_SHARE * s.cold_from * s.tip_multiple * usual;
+        recent < (budget as usize).max(1)
+    }
+
+    // ---- engine health ----
+
+    /// Guards against engines that are dead, cut off or silent, whatever the cause: each failure in
+    /// a row doubles the time for which the engine gets trial work only.
+    fn strike(&mut self, now: Micros, index: usize, acts: &mut Vec<Action>) {
+        let engine = &mut self.engines[index];
+        if engine.fails == 2 {
+            acts.push(Action::Log(format!("engine {} fails: left alone for a while", engine.id.0)));
+        }
+        let span = (SHUT_FIRST << engine.fails.min(8)).min(SHUT_MOST);
+        engine.fails += 1;
+        engine.shut_until = engine.shut_until.max(now + span);
+    }
+
+    /// An engine has answered. One that comes back after failing may have restarted unseen.
+    fn answered(&mut self, now: Micros, index: usize) {
+        let warm_after = self.settings.warm_after;
+        let engine = &mut self.engines[index];
+        if engine.fails > 1 {
+            engine.cold_until = engine.cold_until.max(now + warm_after);
+        }
+        engine.fails = 0;
+        engine.shut_until = 0;
+    }
+
+    fn shut(&self, now: Micros, index: usize) -> bool {
+        let engine = &self.engines[index];
+        now < engine.shut_until || (engine.fails > 0 && !engine.pending.is_empty())
+    }
+
+    /// How many times slower than its pool an engine is; an old finding fades, so it is tried again.
+    fn lag(&self, now: Micros, index: usize) -> f64 {
+        let engine = &self.engines[index];
+        let age = now.saturating_sub(engine.lag_at) as f64 / SHUT_MOST as f64;
+        1.0 + (engine.lag - 1.0).max(0.0) * 0.5f64.powf(age * 2.0)
+    }
+
+    /// Takes in how long an attempt took, against what its pool usually takes for as much work. A
+    /// pool that is slow as a whole makes no engine slow: the usual time moves with it.
+    fn timed(&mut self, now: Micros, index: usize, step: usize, tokens: f64, took: f64) {
+        let pool = &mut self.pools[step];
+        pool.tokens = if pool.samples == 0 { tokens } else { pool.tokens + BLEND * (tokens - pool.tokens) };
+        let unit = took / (1.0 + tokens / pool.tokens.max(1.0));
+        if pool.samples == 0 {
+            pool.time = unit;
+        }
+        pool.deviation += BLEND * ((unit - pool.time).abs() - pool.deviation);
+        let ratio = (unit / pool.time.max(1.0)).clamp(0.1, 10.0);
+        pool.time += BLEND * (unit - pool.time);
+        pool.samples += 1;
+        let engine = &mut self.engines[index];
+        engine.lag += 3.0 * BLEND * (ratio - engine.lag);
+        engine.lag_at = now;
+    }
+
+    /// The usual time of an attempt, once enough are known.
+    fn usual(&self, step: usize, tokens: f64) -> Option<f64> {
+        let pool = &self.pools[step];
+        (pool.samples >= 5).then(|| pool.time * (1.0 + tokens / pool.tokens.max(1.0)))
+    }
+
+    /// Time after which an attempt is better made elsewhere.
+    fn patience(&self, step: usize, tokens: f64) -> Option<Micros> {
+        let usual = self.usual(step, tokens)?;
+        let spread = self.pools[step].deviation * usual / self.pools[step].time.max(1.0);
+        Some((usual + spread).mul_add(PATIENCE, SWEEP_EVERY as f64) as Micros)
+    }
+
+    fn probed(&mut self, now: Micros, id: &EngineId, answered: bool, load: Option<Load>) {
+        let Some(&index) = self.by_id.get(id) else { return };
+        if let Some(load) = load {
+            self.engines[index].report = Some((now, load));
+        }
+        let engine = &mut self.engines[index];
+        if engine.fails > 0 && !answered {
+            engine.shut_until = engine.shut_until.max(now + SHUT_FIRST);
+        }
+    }
+
+    fn watch(&mut self, now: Micros, acts: &mut Vec<Action>) {
+        acts.push(Action::Wake(Timer::Watch, WATCH_EVERY));
+        let span = now.saturating_sub(self.rated_at).max(1) as f64 / 1e6;
+        self.rated_at = now;
+        for step in [READ, WRITE, BOTH] {
+            let engines = self.engines.iter().filter(|e| e.serving() && step_of(e.role) == step).count();
+            let pool = &mut self.pools[step];
+            let rate = f64::from(pool.sent) / span / engines.max(1) as f64;
+            pool.sent = 0;
+            pool.rate += BLEND * (rate - pool.rate);
+        }
+        let s = &self.settings;
+        if s.discovery == Discovery::OnRequest && (!self.subscribed || now > self.asked_at + s.ask_within / 2)
+        {
+            self.asked_at = now;
+            acts.push(Action::Follow);
+        }
+        if s.may_probe {
+            for engine in self.engines.iter().filter(|e| e.serving()) {
+                let wants = s.reports == Reports::OnProbe && engine.role != Role::Reader;
+                if wants || (engine.fails > 1 && now >= engine.shut_until.saturating_sub(WATCH_EVERY)) {
+                    acts.push(Action::Probe(engine.id.clone()));
+                }
+            }
+        }
+        if self.table.len() > 20_000 {
+            let old = now.saturating_sub(4 * FADE_HALF);
+            self.table.retain(|_, held| held.iter().any(|(_, _, at)| *at > old));
+        }
+    }
+
+    // ---- prefix table ----
+
+    fn keys(request: &Request) -> [Option<((bool, u64), u64)>; 2] {
+        let session = ((false, request.session), request.prompt_tokens);
+        let prefix = request.prefix.map(|p| ((true, p), request.prefix_tokens));
+        [Some(session), prefix]
+    }
+
+    /// Prompt tokens of the request that the engine is expected to hold.
+    fn expected(&self, now: Micros, request: &Request, index: usize) -> f64 {
+        let mut best = 0.0f64;
+        for (key, most) in Self::keys(request).into_iter().flatten() {
+            for (engine, tokens, at) in self.table.get(&key).into_iter().flatten() {
+                if *engine == index && *at >= self.engines[index].void_before {
+                    let age = now.saturating_sub(*at) as f64 / FADE_HALF as f64;
+                    best = best.max((*tokens).min(most) as f64 * 0.5f64.powf(age));
+                }
+            }
+        }
+        best
+    }
+
+    fn remember(&mut self, now: Micros, request: &Request, index: usize) {
+        for (key, tokens) in Self::keys(request).into_iter().flatten() {
+            let held = self.table.entry(key).or_default();
+            held.retain(|(engine, _, _)| *engine != index);
+            held.push((index, tokens, now));
+            if held.len() > 16 {
+                held.remove(0);
+            }
+        }
+    }
+
+    /// Guards against a table that lies (texts forgotten, evicted or wiped by a restart): two counts
+    /// in a row far under what was expected void all that is held of the engine from before.
+    fn correct(&mut self, out: &Out, kept: u64) {
+        if out.expected < MIN_MATCH {
+            return;
+        }
+        let engine = &mut self.engines[out.engine];
+        if (kept as f64) < out.expected / 4.0 {
+            engine.misses += 1;
+            if engine.misses >= 2 {
+                engine.void_before = engine.void_before.max(out.sent);
+                engine.misses = 0;
+            }
+        } else {
+            engine.misses = 0;
+        }
+    }
+
+    // ---- reader choice ----
+
+    /// The readers and mixed engines in the order of the key's ring, the home first. Every node
+    /// gets the same order from the same list, in whatever order the list came.
+    fn ring(&self, request: &Request) -> Vec<usize> {
+        let key = request.prefix.unwrap_or(request.session);
+        let readers = self.engines.iter().enumerate().filter(|(_, e)| e.serving() && e.role != Role::Writer);
+        let mut ring: Vec<_> =
+            readers.map(|(i, e)| (xxh3_64_with_seed(e.id.0.as_bytes(), key), &e.id, i)).collect();
+        ring.sort_unstable();
+        ring.into_iter().map(|(_, _, i)| i).collect()
+    }
+
+    fn choose_reader(&self, now: Micros, live: &Live) -> Option<usize> {
+        let mut ring = self.ring(&live.request);
+        let held: Vec<f64> = ring.iter().map(|&i| self.expected(now, &live.request, i)).collect();
+        let mut start = 0;
+        for (place, tokens) in held.iter().enumerate() {
+            if *tokens >= MIN_MATCH && (*tokens > held[start] || held[start] < MIN_MATCH) {
+                start = place;
+            }
+        }
+        ring.rotate_left(start);
+        ring.retain(|&i| self.lawful(now, live, i));
+        let well = |i: usize| !self.shut(now, i) && !live.tried.contains(&i);
+        let open: Vec<usize> = ring.iter().copied().filter(|&i| well(i)).collect();
+        let under = open.iter().copied().find(|&i| !self.over_cap(now, i));
+        // Where every reader is over its cap the shortest line serves; where none is well, the one
+        // that has failed least: backing off all of them would be the harm.
+        under
+            .or_else(|| {
+                open.iter().copied().min_by_key(|&i| (self.full(now, i), self.engines[i].pending.len()))
+            })
+            .or_else(|| {
+                ring.iter().copied().min_by_key(|&i| (live.tried.contains(&i), self.engines[i].shut_until))
+            })
+    }
+
+    /// The bounded-load cap. A slow engine has a smaller share; a mixed one is also bounded in
+    /// its streams, so that reads do not pile onto engines that write.
+    fn over_cap(&self, now: Micros, index: usize) -> bool {
+        let engine = &self.engines[index];
+        let (mut reads, mut readers, mut streams, mut writers) = (1.0, 0.0, 1.0, 0.0);
+        for e in self.engines.iter().filter(|e| e.serving()) {
+            if e.role != Role::Writer {
+                reads += e.pending.len() as f64;
+                readers += 1.0;
+            }
+            if e.role != Role::Reader {
+                streams += f64::from(e.streams);
+                writers += 1.0;
+            }
+        }
+        let lag = self.lag(now, index);
+        let cap = (CAP_FACTOR * reads / readers / lag).ceil().max(1.0);
+        let trial = lag > SLOW && now < engine.lag_at + SHUT_FIRST;
+        let write_cap = (CAP_FACTOR * streams / f64::max(writers, 1.0)).ceil().max(1.0);
+        let writes_over =
+            engine.role == Role::Mixed && (f64::from(engine.streams) >= write_cap || self.full(now, index));
+        engine.pending.len() as f64 >= cap || trial || writes_over
+    }
+
+    // ---- writer choice ----
+
+    /// Guards against writers without room: told by refusals and reports, or by own sends that wait
+    /// far longer than is usual for a first token.
+    fn full(&self, now: Micros, index: usize) -> bool {
+        let engine = &self.engines[index];
+        let stalled = engine.pending.first().is_some_and(|(sent, _)| now > sent + self.stall());
+        let told = engine.report.is_some_and(|(at, load)| {
+            let most = load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0));
+            now < at + REPORT_FOR / 3 && (most >= FULL_FROM || load.queue.unwrap_or(0.0) >= 1.0)
+        });
+        now < engine.full_until || (engine.role != Role::Reader && (stalled || told))
+    }
+
+    /// A wait for the first token that says that an engine has no room: a part of the tightest aim.
+    fn stall(&self) -> Micros {
+        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) / 3
+    }
+
+    /// A writer's load in this node's streams: its own, and as much again as reports tell.
+    fn load(&self, now: Micros, index: usize, scale: f64) -> f64 {
+        let engine = &self.engines[index];
+        let own = f64::from(engine.streams);
+        let told = engine.report.filter(|(at, _)| now < at + REPORT_FOR).map(|(_, load)| {
+            scale * load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0)) + load.queue.unwrap_or(0.0)
+        });
+        (own + told.unwrap_or(own)) / engine.weight * self.lag(now, index)
+    }
+
+    fn choose_writer(&mut self, now: Micros, live: &Live) -> Option<usize> {
+        let reader = live.state?;
+        let able: Vec<usize> = (0..self.engines.len())
+            .filter(|&i| self.engines[i].role != Role::Reader)
+            .filter(|&i| self.lawful(now, live, i) && !live.tried.contains(&i))
+            .collect();
+        let mut told = 0.0f64;
+        let mut own = 0.0f64;
+        for (at, load, streams) in able
+            .iter()
+            .filter_map(|&i| self.engines[i].report.map(|(at, load)| (at, load, self.engines[i].streams)))
+        {
+            if now < at + REPORT_FOR {
+                told += load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0));
+                own += f64::from(streams);
+            }
+        }
+        let scale = if told > 0.0 { own / told } else { 0.0 };
+        // Pure writers first, mixed engines only where no writer has room; a failing one last.
+        let rank = |i: usize| {
+            let mixed = self.engines[i].role == Role::Mixed;
+            (self.shut(now, i), self.full(now, i), mixed)
+        };
+        let best = able.iter().map(|&i| rank(i)).min()?;
+        let peers: Vec<(usize, f64)> =
+            able.iter().filter(|&&i| rank(i) == best).map(|&i| (i, self.load(now, i, scale))).collect();
+        let least = peers.iter().map(|p| p.1).fold(f64::INFINITY, f64::min);
+        let (cell, zone) = (self.engines[reader].cell, self.engines[reader].zone.clone());
+        let mut near: Vec<(bool, bool, usize)> = peers
+            .iter()
+            .filter(|p| p.1 <= least + 1.0)
+            .map(|&(i, _)| (self.engines[i].cell != cell, self.engines[i].zone != zone, i))
+            .collect();
+        near.sort_unstable();
+        let nearest = (near[0].0, near[0].1);
+        near.retain(|n| (n.0, n.1) == nearest);
+        let pick = self.draw() as usize % near.len();
+        Some(near[pick].2)
+    }
+
+    // ---- one request: sends, further attempts, refusals, releases ----
+
+    fn arrived(&mut self, now: Micros, request: Request) {
+        let class = request.class.and_then(|c| self.settings.classes.get(c));
+        let aim = class
+            .map_or(request.patience / 2, |c| c.aim + c.aim_per_1000_tokens * request.prompt_tokens / 1000);
+        // A class that nobody named is handled as one that must not run twice.
+        let effect = class.map_or(Effect::Unsafe, |c| c.effect);
+        let over_share = self.over_share(now, request.tenant);
+        let id = request.id.clone();
+        let live = Live {
+            effect,
+            arrived: now,
+            aim_at: now + aim.min(request.patience),
+            deadline: now + request.patience,
+            over_share,
+            request,
+            attempts: 0,
+            out: None,
+            state: None,
+            ran: None,
+            tried: Vec::new(),
+            waiting: true,
+            done: false,
+        };
+        if self.live.insert(id.clone(), live).is_none() {
+            self.waiting.push(id);
+        }
+    }
+
+    /// The one gate of every send: drains, cold budgets, effects, attempts, overlap and time left.
+    fn lawful(&self, now: Micros, live: &Live, index: usize) -> bool {
+        let engine = &self.engines[index];
+        let steps = if engine.role == Role::Reader { 2 } else { 1 };
+        let effect_kept = match (live.ran, live.effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (Some(_), Effect::Unsafe) => false,
+            (Some((first, sent)), Effect::Keyed(group, window)) => {
+                let first = &self.engines[first];
+                let inside = match group {
+                    Group::All => true,
+                    Group::Zone => first.zone == engine.zone,
+                    Group::Cell => first.cell == engine.cell,
+                };
+                inside && now < sent + window
+            }
+        };
+        engine.serving()
+            && effect_kept
+            && !live.done
+            && live.out.is_none()
+            && live.attempts + steps <= self.settings.max_attempts
+            && now < live.deadline
+            && self.within_cold_budget(now, index)
+    }
+
+    fn send(&mut self, now: Micros, id: &RequestId, index: usize, acts: &mut Vec<Action>) {
+        let Some(mut live) = self.live.remove(id) else { return };
+        let fetches = live.state.is_some();
+        let role = self.engines[index].role;
+        let step = match role {
+            Role::Reader => READ,
+            _ if fetches => WRITE,
+            _ => BOTH,
+        };
+        let expected = self.expected(now, &live.request, index);
+        let left = live.deadline - now;
+        let tokens = if fetches { 0.0 } else { live.request.prompt_tokens as f64 - expected };
+        // Time-outs guard against engines that fall silent. What might have run and must not run
+        // twice keeps the whole time: giving it up early would gain nothing.
+        let repeatable = step == READ || live.effect == Effect::Safe;
+        let timeout = match self.patience(step, tokens.max(0.0)) {
+            Some(patience) if repeatable && live.attempts + 2 < self.settings.max_attempts => {
+                patience.min(left)
+            }
+            None if repeatable => (live.aim_at.saturating_sub(now) / 2).clamp(left / 4, left),
+            _ => left,
+        };
+        self.serial += 1;
+        let serial = self.serial;
+        let out =
+            Out { attempt: live.attempts, engine: index, sent: now, serial, step, expected, started: false };
+        live.attempts += 1;
+        live.out = Some(out);
+        live.waiting = false;
+        self.pools[step_of(role)].sent += 1;
+        let window = self.settings.tip_window;
+        let engine = &mut self.engines[index];
+        engine.pending.insert((now, serial));
+        engine.sends.push_back(now);
+        while engine.sends.front().is_some_and(|at| at + window < now) {
+            engine.sends.pop_front();
+        }
+        if step != READ {
+            engine.streams += 1;
+        }
+        acts.push(Action::Send(id.clone(), engine.id.clone(), timeout));
+        if step != WRITE {
+            self.remember(now, &live.request, index);
+        }
+        self.live.insert(id.clone(), live);
+    }
+
+    fn first_token(&mut self, now: Micros, id: &RequestId, attempt: Attempt) {
+        let Some(live) = self.live.get_mut(id) else { return };
+        let Some(out) = live.out.as_mut().filter(|o| o.attempt == attempt && !o.started) else { return };
+        out.started = true;
+        live.state = None;
+        let out = *out;
+        let tokens = if out.step == BOTH { live.request.prompt_tokens as f64 - out.expected } else { 0.0 };
+        self.engines[out.engine].pending.remove(&(out.sent, out.serial));
+        self.answered(now, out.engine);
+        self.timed(now, out.engine, out.step, tokens.max(0.0), (now - out.sent) as f64);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: Attempt,
+        outcome: Outcome,
+        last: bool,
+        kept: u64,
+        load: Option<Load>,
+        acts: &mut Vec<Action>,
+    ) {
+        let Some(mut live) = self.live.remove(&id) else {
+            // An attempt of a request that is long over may still leave a state behind.
+            if outcome == Outcome::Read {
+                acts.push(Action::Release(id));
+            }
+            return;
+        };
+        let Some(out) = live.out.filter(|o| o.attempt == attempt) else {
+            self.live.insert(id, live);
+            return;
+        };
+        live.out = None;
+        let index = out.engine;
+        let engine = &mut self.engines[index];
+        engine.pending.remove(&(out.sent, out.serial));
+        if out.step != READ {
+            engine.streams = engine.streams.saturating_sub(1);
+        }
+        if let Some(load) = load {
+            engine.report = Some((now, load));
+        }
+        let took = (now - out.sent) as f64;
+        match outcome {
+            Outcome::Read => {
+                self.answered(now, index);
+                let tokens = live.request.prompt_tokens.saturating_sub(kept) as f64;
+                self.timed(now, index, out.step, tokens, took);
+                self.correct(&out, kept);
+                self.remember(now, &live.request, index);
+                live.state = Some(index);
+                live.tried.clear();
+            }
+            Outcome::Served => {
+                self.answered(now, index);
+                if out.step == BOTH {
+                    self.correct(&out, kept);
+                }
+            }
+            Outcome::Full => {
+                engine.full_until = now + FULL_FOR;
+                live.tried.push(index);
+            }
+            Outcome::NoState => live.state = None,
+            Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut | Outcome::Error => {
+                if outcome == Outcome::TimedOut {
+                    self.timed(now, index, out.step, 0.0, took);
+                }
+                // A time-out at the client's deadline tells of a long line as often as of the engine.
+                if outcome != Outcome::Error && !(outcome == Outcome::TimedOut && now >= live.deadline) {
+                    self.strike(now, index, acts);
+                }
+                live.tried.push(index);
+            }
+            Outcome::Cancelled | Outcome::NeverSent => {}
+        }
+        let harmless = matches!(
+            outcome,
+            Outcome::Read | Outcome::Full | Outcome::NoState | Outcome::Unreachable | Outcome::NeverSent
+        );
+        if !harmless && out.step != READ && live.ran.is_none() {
+            live.ran = Some((index, out.sent));
+        }
+        if live.done {
+            // The request is over; whatever this attempt has left is let go.
+            acts.push(Action::Release(id));
+            return;
+        }
+        if last {
+            if !out.started && live.state.is_some() {
+                acts.push(Action::Release(id));
+            }
+            return;
+        }
+        self.live.insert(id.clone(), live);
+        self.advance(now, &id, acts);
+    }
+
+    /// The next step of a request that has no attempt out.
+    fn advance(&mut self, now: Micros, id: &RequestId, acts: &mut Vec<Action>) {
+        let Some(live) = self.live.remove(id) else { return };
+        let reading = live.state.is_none();
+        let choice = if reading { self.choose_reader(now, &live) } else { self.choose_writer(now, &live) };
+        let waits = reading && live.ran.is_none() && now < live.aim_at;
+        let attempts_left = live.attempts + 2 <= self.settings.max_attempts;
+        self.live.insert(id.clone(), live);
+        match choice {
+            Some(index) => self.send(now, id, index, acts),
+            // Nothing may be sent to just now: wait for the list or a cold budget while it pays.
+            None if waits && attempts_left => {
+                if let Some(live) = self.live.get_mut(id).filter(|l| !l.waiting) {
+                    live.waiting = true;
+                    self.waiting.push(id.clone());
+                }
+            }
+            None => self.finish(id, acts),
+        }
+    }
+
+    /// The one exit: the final answer, as the class allows, and the release of what is held.
+    fn finish(&mut self, id: &RequestId, acts: &mut Vec<Action>) {
+        let Some(live) = self.live.get(id) else { return };
+        let refusable = match live.effect {
+            Effect::Safe | Effect::Keyed(Group::All, _) => true,
+            _ => live.ran.is_none() && live.out.is_none_or(|o| o.step == READ),
+        };
+        let answer =
+            if refusable { Action::Refuse(id.clone(), self.advice()) } else { Action::Fail(id.clone()) };
+        self.close(id, Some(answer), acts);
+    }
+
+    /// Ends a request; attempts still out are called off and watched until their outcome.
+    fn close(&mut self, id: &RequestId, answer: Option<Action>, acts: &mut Vec<Action>) {
+        let Some(live) = self.live.get_mut(id).filter(|l| !l.done) else { return };
+        acts.extend(answer);
+        live.done = true;
+        live.waiting = false;
+        match live.out {
+            Some(out) => {
+                if self.settings.may_cancel && !out.started {
+                    acts.push(Action::Cancel(id.clone(), out.attempt));
+                }
+            }
+            None => {
+                if live.state.is_some() {
+                    acts.push(Action::Release(id.clone()));
+                }
+                self.live.remove(id);
+            }
+        }
+    }
+
+    // ---- admission, tenant fairness ----
+
+    fn advice(&mut self) -> Option<Micros> {
+        let most = self.settings.max_retry_after;
+        let jitter = self.draw();
+        (self.settings.retry_advice && most > 0).then(|| most / 4 + jitter % (most / 4).max(1))
+    }
+
+    /// Whether a tenant has used up this node's part of its share.
+    fn over_share(&mut self, now: Micros, tenant: Option<usize>) -> bool {
+        let Some(index) = tenant else { return false };
+        let Some(tenant) = self.settings.tenants.get(index) else { return false };
+        let rate = tenant.quota_per_s / f64::from(self.settings.nodes);
+        if rate <= 0.0 {
+            return false;
+        }
+        let bucket = &mut self.buckets[index];
+        let depth = (2.0 * rate).max(1.0);
+        let gained = now.saturating_sub(bucket.at) as f64 / 1e6 * rate;
+        bucket.level = (bucket.level + gained).min(depth);
+        bucket.at = now;
+        bucket.level -= 1.0;
+        if bucket.level < 0.0 {
+            bucket.level = bucket.level.max(-1.0);
+            return true;
+        }
+        false
+    }
+
+    /// Requests that may still be started before earlier ones get their first tokens. Guards against
+    /// reads that land while no writer has room: held back before the read, not after.
+    fn room(&self, now: Micros) -> usize {
+        let mut open = 0;
+        let mut flight = 0;
+        let mut able = 0;
+        for (index, engine) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
+            flight += engine.pending.len();
+            if engine.role != Role::Reader && !self.shut(now, index) {
+                able += 1;
+                open += usize::from(!self.full(now, index));
+            }
+        }
+        // With every answering engine full one request each is kept on its way: as one gets its
+        // first token, the next may start.
+        (FLIGHT_EACH * open).max(able.max(1)).saturating_sub(flight)
+    }
+
+    /// Starts held requests as there is room, and gives up those that cannot be in time any more.
+    fn pump(&mut self, now: Micros, acts: &mut Vec<Action>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let live = &self.live;
+        self.waiting.retain(|id| live.get(id).is_some_and(|l| l.waiting));
+        self.waiting.sort_by_key(|id| {
+            let l = &live[id];
+            (l.over_share, !l.request.resumed, l.aim_at, l.request.id.clone())
+        });
+        let mut room = self.room(now);
+        let read = self.usual(READ, 0.0).or(self.usual(BOTH, 0.0)).unwrap_or(0.0);
+        for id in std::mem::take(&mut self.waiting) {
+            let Some(live) = self.live.get_mut(&id) else { continue };
+            let late = now + read as Micros >= live.aim_at;
+            if room > 0 && now < live.deadline && (!late || now == live.arrived) {
+                live.waiting = false;
+                let before = acts.len();
+                self.advance(now, &id, acts);
+                if acts[before..].iter().any(|a| matches!(a, Action::Send(..))) {
+                    room -= 1;
+                }
+            } else if late || now >= live.deadline {
+                self.finish(&id, acts);
+            } else {
+                self.waiting.push(id);
+            }
+        }
+        if !self.waiting.is_empty() && !self.sweeping {
+            self.sweeping = true;
+            acts.push(Action::Wake(Timer::Sweep, SWEEP_EVERY));
+        }
+    }
+
+    /// The next number of the seeded sequence (splitmix64).
+    fn draw(&mut self) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.random;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+}
+
+impl Engine {
+    fn new(member: &Member, role: Role) -> Engine {
+        Engine {
+            id: member.engine.clone(),
+            zone: member.zone.clone(),
+            cell: member.cell,
+            role,
+            weight: 1.0,
+            listing: member.listing,
+            cold_until: 0,
+            started: None,
+            sends: VecDeque::new(),
+            pending: BTreeSet::new(),
+            streams: 0,
+            fails: 0,
+            shut_until: 0,
+            full_until: 0,
+            report: None,
+            lag: 1.0,
+            lag_at: 0,
+            void_before: 0,
+            misses: 0,
+        }
+    }
+
+    fn serving(&self) -> bool {
+        self.listing == Listing::Serving
+    }
+}
+
+/// The pool of an engine's role.
+fn step_of(role: Role) -> usize {
+    match role {
+        Role::Reader => READ,
+        Role::Writer => WRITE,
+        Role::Mixed => BOTH,
+    }
+}
