Hold-back: requests before their first token limited by a target delay

Cause: lines built up at engines, where their order is fixed, so late answers spread to all classes.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,14 +36,21 @@
 const FULL_FOR: Micros = 300_000;
 /// A load report counts for this long.
 const REPORT_FOR: Micros = 3_000_000;
-/// Requests before their first token that one node starts for each engine that can answer.
-const FLIGHT_EACH: usize = 3;
+/// First tokens are to come within this part of the tightest aim; what the rest of the line would
+/// add is spent waiting at the node, where the order can still be chosen.
+const TARGET: f64 = 0.5;
+/// How fast the number of requests before their first token grows while on target, and shrinks.
+const GROW: f64 = 2.0;
+const SHRINK: f64 = 0.94;
 
 /// A request's step at an engine, for the pools' usual times.
 const READ: usize = 0;
 const WRITE: usize = 1;
 const BOTH: usize = 2;
 
+/// An engine, how many tokens of a text it was seen to hold, and when.
+type Kept = (usize, u64, Micros);
+
 struct Engine {
     id: EngineId,
     zone: String,
@@ -99,6 +106,8 @@
     request: Request,
     effect: Effect,
     arrived: Micros,
+    /// When its first attempt was sent.
+    begun: Micros,
     aim_at: Micros,
     deadline: Micros,
     over_share: bool,
@@ -126,7 +135,7 @@
     engines: Vec<Engine>,
     by_id: HashMap<EngineId, usize>,
     pools: [Pool; 3],
-    table: HashMap<(bool, u64), Vec<(usize, u64, Micros)>>,
+    table: HashMap<(bool, u64), Vec<Kept>>,
     live: HashMap<RequestId, Live>,
     waiting: Vec<RequestId>,
     buckets: Vec<Bucket>,
@@ -135,6 +144,8 @@
     subscribed: bool,
     asked_at: Micros,
     rated_at: Micros,
+    /// How many requests may be on their way to a first token.
+    flight: f64,
 }
 
 impl Router {
@@ -157,6 +168,7 @@
             subscribed: false,
             asked_at: 0,
             rated_at: 0,
+            flight: 0.0,
         }
     }
 
@@ -549,6 +561,7 @@
         let live = Live {
             effect,
             arrived: now,
+            begun: now,
             aim_at: now + aim.min(request.patience),
             deadline: now + request.patience,
             over_share,
@@ -618,6 +631,9 @@
         let serial = self.serial;
         let out =
             Out { attempt: live.attempts, engine: index, sent: now, serial, step, expected, started: false };
+        if live.attempts == 0 {
+            live.begun = now;
+        }
         live.attempts += 1;
         live.out = Some(out);
         live.waiting = false;
@@ -647,6 +663,16 @@
         let out = *out;
         let tokens = if out.step == BOTH { live.request.prompt_tokens as f64 - out.expected } else { 0.0 };
         self.engines[out.engine].pending.remove(&(out.sent, out.serial));
+        // Guards against lines that build up at engines, whatever fills them.
+        let tightest = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) as f64;
+        let aim = tightest * TARGET;
+        if ((now - live.begun) as f64) < aim {
+            self.flight += GROW / self.flight.max(1.0);
+        } else {
+            self.flight *= SHRINK;
+        }
+        let engines = self.engines.iter().filter(|e| e.serving()).count() as f64;
+        self.flight = self.flight.clamp(engines, 4.0 * engines);
         self.answered(now, out.engine);
         self.timed(now, out.engine, out.step, tokens.max(0.0), (now - out.sent) as f64);
     }
@@ -828,8 +854,9 @@
     fn room(&self, now: Micros) -> usize {
         let mut open = 0;
         let mut flight = 0;
-        let mut able = 0;
+        let (mut able, mut engines) = (0, 0);
         for (index, engine) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
+            engines += 1;
             flight += engine.pending.len();
             if engine.role != Role::Reader && !self.shut(now, index) {
                 able += 1;
@@ -838,7 +865,8 @@
         }
         // With every answering engine full one request each is kept on its way: as one gets its
         // first token, the next may start.
-        (FLIGHT_EACH * open).max(able.max(1)).saturating_sub(flight)
+        let most = if open == 0 { able } else { self.flight.max(engines as f64) as usize };
+        most.max(1).saturating_sub(flight)
     }
 
     /// Starts held requests as there is room, and gives up those that cannot be in time any more.
