--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,8 @@
 /// First tokens are to come within this part of the tightest aim; what the rest of the line would
 /// add is spent waiting at the node, where the order can still be chosen.
 const TARGET: f64 = 0.5;
+/// Writers that have up to this part more than the least load count as least loaded: near ones win.
+const NEAR: f64 = 0.25;
 /// How fast the number of requests before their first token grows while on target, and shrinks.
 const GROW: f64 = 2.0;
 const SHRINK: f64 = 0.94;
@@ -146,6 +148,8 @@
     rated_at: Micros,
     /// How many requests may be on their way to a first token.
     flight: f64,
+    /// Usual wait for a first token when the state stays in its cell and when it leaves it.
+    moves: [(f64, Micros); 2],
 }
 
 impl Router {
@@ -169,6 +173,7 @@
             asked_at: 0,
             rated_at: 0,
             flight: 0.0,
+            moves: [(0.0, 0); 2],
         }
     }
 
@@ -321,7 +326,7 @@
     fn patience(&self, step: usize, tokens: f64) -> Option<Micros> {
         let usual = self.usual(step, tokens)?;
         let spread = self.pools[step].deviation * usual / self.pools[step].time.max(1.0);
-        Some((usual + spread).mul_add(PATIENCE, SWEEP_EVERY as f64) as Micros)
+        Some((usual + spread).mul_add(PATIENCE, self.tightest() * TARGET) as Micros)
     }
 
     fn probed(&mut self, now: Micros, id: &EngineId, answered: bool, load: Option<Load>) {
@@ -485,7 +490,8 @@
     /// far longer than is usual for a first token.
     fn full(&self, now: Micros, index: usize) -> bool {
         let engine = &self.engines[index];
-        let stalled = engine.pending.first().is_some_and(|(sent, _)| now > sent + self.stall());
+        let stalled =
+            engine.pending.first().is_some_and(|(sent, _)| (now - sent) as f64 > self.tightest() / 3.0);
         let told = engine.report.is_some_and(|(at, load)| {
             let most = load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0));
             now < at + REPORT_FOR / 3 && (most >= FULL_FROM || load.queue.unwrap_or(0.0) >= 1.0)
@@ -493,9 +499,9 @@
         now < engine.full_until || (engine.role != Role::Reader && (stalled || told))
     }
 
-    /// A wait for the first token that says that an engine has no room: a part of the tightest aim.
-    fn stall(&self) -> Micros {
-        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) / 3
+    /// The tightest aim of any class.
+    fn tightest(&self) -> f64 {
+        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) as f64
     }
 
     /// A writer's load in this node's streams: its own, and as much again as reports tell.
@@ -508,6 +514,14 @@
         (own + told.unwrap_or(own)) / engine.weight * self.lag(now, index)
     }
 
+    /// How much longer first tokens take when the state leaves its cell, in parts of the target.
+    /// Guards against slow links, whatever slows them; it fades, so that far writers are tried again.
+    fn far_cost(&self, now: Micros) -> f64 {
+        let [near, far] = self.moves;
+        let age = now.saturating_sub(far.1) as f64 / SHUT_MOST as f64;
+        ((far.0 - near.0) / (self.tightest() * TARGET)).clamp(0.0, 2.0) * 0.5f64.powf(age)
+    }
+
     fn choose_writer(&mut self, now: Micros, live: &Live) -> Option<usize> {
         let reader = live.state?;
         let able: Vec<usize> = (0..self.engines.len())
@@ -535,10 +549,11 @@
         let peers: Vec<(usize, f64)> =
             able.iter().filter(|&&i| rank(i) == best).map(|&i| (i, self.load(now, i, scale))).collect();
         let least = peers.iter().map(|p| p.1).fold(f64::INFINITY, f64::min);
+        let band = 1.0 + least * (NEAR + self.far_cost(now));
         let (cell, zone) = (self.engines[reader].cell, self.engines[reader].zone.clone());
         let mut near: Vec<(bool, bool, usize)> = peers
             .iter()
-            .filter(|p| p.1 <= least + 1.0)
+            .filter(|p| p.1 <= least + band)
             .map(|&(i, _)| (self.engines[i].cell != cell, self.engines[i].zone != zone, i))
             .collect();
         near.sort_unstable();
@@ -656,16 +671,19 @@
     }
 
     fn first_token(&mut self, now: Micros, id: &RequestId, attempt: Attempt) {
+        let aim = self.tightest() * TARGET;
         let Some(live) = self.live.get_mut(id) else { return };
         let Some(out) = live.out.as_mut().filter(|o| o.attempt == attempt && !o.started) else { return };
         out.started = true;
-        live.state = None;
         let out = *out;
+        if let Some(reader) = live.state.take() {
+            let far = usize::from(self.engines[reader].cell != self.engines[out.engine].cell);
+            let usual = &mut self.moves[far];
+            *usual = (usual.0 + BLEND * ((now - out.sent) as f64 - usual.0), now);
+        }
         let tokens = if out.step == BOTH { live.request.prompt_tokens as f64 - out.expected } else { 0.0 };
         self.engines[out.engine].pending.remove(&(out.sent, out.serial));
         // Guards against lines that build up at engines, whatever fills them.
-        let tightest = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) as f64;
-        let aim = tightest * TARGET;
         if ((now - live.begun) as f64) < aim {
             self.flight += GROW / self.flight.max(1.0);
         } else {
