Held requests: newest first, given up by the usual time to first token

Cause: with the earliest aim first, every served request had waited to the brink and half came late.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -150,6 +150,8 @@
     flight: f64,
     /// Usual wait for a first token when the state stays in its cell and when it leaves it.
     moves: [(f64, Micros); 2],
+    /// Usual time from the first send to the first token, and its deviation.
+    lead: (f64, f64),
 }
 
 impl Router {
@@ -174,6 +176,7 @@
             rated_at: 0,
             flight: 0.0,
             moves: [(0.0, 0); 2],
+            lead: (0.0, 0.0),
         }
     }
 
@@ -684,7 +687,10 @@
         let tokens = if out.step == BOTH { live.request.prompt_tokens as f64 - out.expected } else { 0.0 };
         self.engines[out.engine].pending.remove(&(out.sent, out.serial));
         // Guards against lines that build up at engines, whatever fills them.
-        if ((now - live.begun) as f64) < aim {
+        let lead = (now - live.begun) as f64;
+        self.lead.1 += BLEND * ((lead - self.lead.0).abs() - self.lead.1);
+        self.lead.0 += BLEND * (lead - self.lead.0);
+        if lead < aim {
             self.flight += GROW / self.flight.max(1.0);
         } else {
             self.flight *= SHRINK;
@@ -896,13 +902,15 @@
         self.waiting.retain(|id| live.get(id).is_some_and(|l| l.waiting));
         self.waiting.sort_by_key(|id| {
             let l = &live[id];
-            (l.over_share, !l.request.resumed, l.aim_at, l.request.id.clone())
+            (l.over_share, !l.request.resumed, std::cmp::Reverse(l.arrived), l.request.id.clone())
         });
         let mut room = self.room(now);
-        let read = self.usual(READ, 0.0).or(self.usual(BOTH, 0.0)).unwrap_or(0.0);
+        // A held request is given up when its first token would come late as things go: serving it
+        // would make the next one late too.
+        let lead = (self.lead.0 + self.lead.1) as Micros;
         for id in std::mem::take(&mut self.waiting) {
             let Some(live) = self.live.get_mut(&id) else { continue };
-            let late = now + read as Micros >= live.aim_at;
+            let late = now + lead >= live.aim_at;
             if room > 0 && now < live.deadline && (!late || now == live.arrived) {
                 live.waiting = false;
                 let before = acts.len();
