--- a/src/rules.rs
+++ b/src/rules.rs
@@ -174,7 +174,7 @@
             subscribed: false,
             asked_at: 0,
             rated_at: 0,
-            flight: 0.0,
+            flight: f64::INFINITY,
             moves: [(0.0, 0); 2],
             lead: (0.0, 0.0),
         }
@@ -755,7 +755,11 @@
                 engine.full_until = now + FULL_FOR;
                 live.tried.push(index);
             }
-            Outcome::NoState => live.state = None,
+            // A state that cannot be fetched may still wait at a reader that is cut off.
+            Outcome::NoState => {
+                live.state = None;
+                acts.push(Action::Release(id.clone()));
+            }
             Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut | Outcome::Error => {
                 if outcome == Outcome::TimedOut {
                     self.timed(now, index, out.step, 0.0, took);
