--- a/src/rules.rs
+++ b/src/rules.rs
@@ -117,6 +117,8 @@
     out: Option<Out>,
     /// The reader at which the read state waits.
     state: Option<usize>,
+    /// A state was read at some time: it may outlast what the outcomes tell, so every end releases.
+    read: bool,
     /// The engine of the first attempt that may have run, and when it was sent.
     ran: Option<(usize, Micros)>,
     tried: Vec<usize>,
@@ -587,6 +589,7 @@
             attempts: 0,
             out: None,
             state: None,
+            read: false,
             ran: None,
             tried: Vec::new(),
             waiting: true,
@@ -743,6 +746,7 @@
                 self.correct(&out, kept);
                 self.remember(now, &live.request, index);
                 live.state = Some(index);
+                live.read = true;
                 live.tried.clear();
             }
             Outcome::Served => {
@@ -785,7 +789,7 @@
             return;
         }
         if last {
-            if !out.started && live.state.is_some() {
+            if !out.started && live.read {
                 acts.push(Action::Release(id));
             }
             return;
@@ -840,7 +844,7 @@
                 }
             }
             None => {
-                if live.state.is_some() {
+                if live.read {
                     acts.push(Action::Release(id.clone()));
                 }
                 self.live.remove(id);
