--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,7 +6,7 @@
 pub type Micros = u64;
 
 /// The name of an engine, exactly as discovery gave it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EngineId(pub Arc<str>);
 
 /// The name of a request, exactly as the host gave it.
@@ -17,9 +17,10 @@
 pub type Attempt = u32;
 
 /// What an engine can do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Role {
     /// Reads prompts; the read state waits in its memory.
+    #[default]
     Reader,
     /// Fetches a read state and streams the answer.
     Writer,
@@ -152,13 +153,14 @@
 }
 
 /// What discovery says of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listing {
     /// It takes work.
     Serving,
     /// It finishes what it has.
     Draining,
     /// It is gone.
+    #[default]
     Gone,
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //! least-loaded writer takes the state, near ones first. Everything else is a departure for when
 //! that path breaks. `docs/design.md` says when each acts.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -26,11 +26,13 @@
 /// First and longest time for which a failing engine is left alone.
 const SHUT_FIRST: Micros = 500_000;
 const SHUT_MOST: Micros = 8_000_000;
+/// An engine may be silent for this part of the tightest aim beyond the pool's usual time.
+const SILENT: f64 = 0.5;
 /// How often engines and discovery are looked after, and how often held requests are.
 const WATCH_EVERY: Micros = 500_000;
 const SWEEP_EVERY: Micros = 50_000;
 /// Share of a cold engine's budget that all nodes together plan to use.
-const COLD_SHARE: f64 = 0.6;
+const COLD_SHARE: f64 = 1.0;
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
 const FULL_FROM: f64 = 0.95;
 const FULL_FOR: Micros = 300_000;
@@ -53,6 +55,7 @@
 /// An engine, how many tokens of a text it was seen to hold, and when.
 type Kept = (usize, u64, Micros);
 
+#[derive(Default)]
 struct Engine {
     id: EngineId,
     zone: String,
@@ -66,9 +69,15 @@
     /// Own sends inside the tip window.
     sends: VecDeque<Micros>,
     /// Own attempts that have brought no read and no first token yet, by send time.
-    pending: BTreeSet<(Micros, u64)>,
+    pending: BTreeMap<(Micros, u64), RequestId>,
     /// Own attempts that answer or are to answer here.
     streams: u32,
+    /// When an attempt or a probe last brought an answer.
+    heard: Micros,
+    /// A failure that no answer has followed yet.
+    unheard: bool,
+    /// No connection could be had or it broke: the process may be gone.
+    down: bool,
     fails: u32,
     shut_until: Micros,
     full_until: Micros,
@@ -126,23 +135,11 @@
     done: bool,
 }
 
-struct Bucket {
-    level: f64,
-    at: Micros,
-}
-
-/// Decides for one node. Feed it every event with the time at which it came.
-pub struct Router {
-    settings: Settings,
-    random: u64,
+/// What a node has measured of itself.
+#[derive(Default)]
+struct Gauges {
     serial: u64,
-    engines: Vec<Engine>,
-    by_id: HashMap<EngineId, usize>,
-    pools: [Pool; 3],
-    table: HashMap<(bool, u64), Vec<Kept>>,
-    live: HashMap<RequestId, Live>,
-    waiting: Vec<RequestId>,
-    buckets: Vec<Bucket>,
+    /// A timer is out: for held requests, and for the watch over engines.
     sweeping: bool,
     watching: bool,
     subscribed: bool,
@@ -156,29 +153,36 @@
     lead: (f64, f64),
 }
 
+/// Decides for one node. Feed it every event with the time at which it came.
+pub struct Router {
+    settings: Settings,
+    random: u64,
+    engines: Vec<Engine>,
+    by_id: HashMap<EngineId, usize>,
+    pools: [Pool; 3],
+    table: HashMap<(bool, u64), Vec<Kept>>,
+    live: HashMap<RequestId, Live>,
+    waiting: Vec<RequestId>,
+    /// What each tenant may still send within its share, and as of when.
+    buckets: Vec<(f64, Micros)>,
+    gauges: Gauges,
+}
+
 impl Router {
     /// A router that knows its settings and nothing of the fleet.
     pub fn new(settings: Settings, seed: u64) -> Router {
-        let buckets = settings.tenants.iter().map(|_| Bucket { level: 1.0, at: 0 }).collect();
         Router {
+            buckets: vec![(1.0, 0); settings.tenants.len()],
             settings,
             random: seed,
-            serial: 0,
             engines: Vec::new(),
             by_id: HashMap::new(),
             pools: [Pool::default(); 3],
             table: HashMap::new(),
             live: HashMap::new(),
             waiting: Vec::new(),
-            buckets,
-            sweeping: false,
-            watching: false,
-            subscribed: false,
-            asked_at: 0,
-            rated_at: 0,
-            flight: f64::INFINITY,
-            moves: [(0.0, 0); 2],
-            lead: (0.0, 0.0),
+            // A fresh node may meet a burst: the limit starts wide and evidence shrinks it.
+            gauges: Gauges { flight: f64::INFINITY, ..Gauges::default() },
         }
     }
 
@@ -193,25 +197,26 @@
             }
             Event::Withdrawn(id) => self.close(&id, None, acts),
             Event::Probed(id, answered, load) => self.probed(now, &id, answered, load),
-            Event::Elapsed(Timer::Sweep) => self.sweeping = false,
+            Event::Elapsed(Timer::Sweep) => self.gauges.sweeping = false,
             Event::Elapsed(Timer::Watch) => self.watch(now, acts),
         }
+        self.silence(now, acts);
         self.pump(now, acts);
     }
 
     // ---- membership and cold budgets ----
 
     fn members(&mut self, now: Micros, form: ListForm, members: Vec<Member>, acts: &mut Vec<Action>) {
-        if !self.watching {
-            self.watching = true;
-            self.rated_at = now;
+        if !self.gauges.watching {
+            self.gauges.watching = true;
+            self.gauges.rated_at = now;
             acts.push(Action::Wake(Timer::Watch, WATCH_EVERY));
             if self.settings.discovery == Discovery::OnRequest {
-                self.asked_at = now;
+                self.gauges.asked_at = now;
                 acts.push(Action::Follow);
             }
         } else {
-            self.subscribed = form != ListForm::Failed;
+            self.gauges.subscribed = form != ListForm::Failed;
         }
         if form == ListForm::Failed {
             return;
@@ -277,6 +282,7 @@
         }
         let span = (SHUT_FIRST << engine.fails.min(8)).min(SHUT_MOST);
         engine.fails += 1;
+        engine.unheard = true;
         engine.shut_until = engine.shut_until.max(now + span);
     }
 
@@ -284,16 +290,49 @@
     fn answered(&mut self, now: Micros, index: usize) {
         let warm_after = self.settings.warm_after;
         let engine = &mut self.engines[index];
-        if engine.fails > 1 {
+        if engine.down {
             engine.cold_until = engine.cold_until.max(now + warm_after);
         }
         engine.fails = 0;
         engine.shut_until = 0;
+        engine.heard = now;
+        engine.unheard = false;
+        engine.down = false;
     }
 
+    /// Whether an engine gets no new work but one trial at a time; where probes are allowed, one of
+    /// them has to be answered before a request is risked.
     fn shut(&self, now: Micros, index: usize) -> bool {
         let engine = &self.engines[index];
-        now < engine.shut_until || (engine.fails > 0 && !engine.pending.is_empty())
+        let probing = engine.unheard && self.settings.may_probe && now < engine.shut_until + SHUT_MOST;
+        now < engine.shut_until || probing || (engine.fails > 0 && !engine.pending.is_empty())
+    }
+
+    /// Guards against engines that neither answer nor fail (hung, or behind a cut link): with sends
+    /// waiting long past the pool's usual time, not a word in between, and peers that do answer,
+    /// the waiting reads and safe requests are called off and made elsewhere. Where all are quiet
+    /// nothing is called off, as that would only add load.
+    fn silence(&mut self, now: Micros, acts: &mut Vec<Action>) {
+        for index in 0..self.engines.len() {
+            let engine = &self.engines[index];
+            let Some(((sent, _), _)) = engine.pending.first_key_value() else { continue };
+            let step = step_of(engine.role);
+            let usual = self.usual(step, self.pools[step].tokens).unwrap_or(0.0) + self.pools[step].deviation;
+            let span = (self.tightest() * SILENT + PATIENCE / 2.0 * usual) as Micros;
+            let quiet = |e: &Engine, since: Micros| now > since.max(e.heard) + span;
+            let mut peers = self.engines.iter().filter(|e| e.role == engine.role && e.serving());
+            if engine.unheard || !quiet(engine, *sent) || !peers.any(|e| e.heard > *sent) {
+                continue;
+            }
+            let waiting: Vec<RequestId> = engine.pending.values().cloned().collect();
+            self.strike(now, index, acts);
+            for id in waiting.into_iter().filter(|_| self.settings.may_cancel) {
+                let Some(live) = self.live.get(&id) else { continue };
+                if let Some(out) = live.out.filter(|o| o.step == READ || live.effect == Effect::Safe) {
+                    acts.push(Action::Cancel(id, out.attempt));
+                }
+            }
+        }
     }
 
     /// How many times slower than its pool an engine is; an old finding fades, so it is tried again.
@@ -340,15 +379,16 @@
             self.engines[index].report = Some((now, load));
         }
         let engine = &mut self.engines[index];
-        if engine.fails > 0 && !answered {
-            engine.shut_until = engine.shut_until.max(now + SHUT_FIRST);
+        if answered {
+            engine.heard = now;
+            engine.unheard = false;
         }
     }
 
     fn watch(&mut self, now: Micros, acts: &mut Vec<Action>) {
         acts.push(Action::Wake(Timer::Watch, WATCH_EVERY));
-        let span = now.saturating_sub(self.rated_at).max(1) as f64 / 1e6;
-        self.rated_at = now;
+        let span = now.saturating_sub(self.gauges.rated_at).max(1) as f64 / 1e6;
+        self.gauges.rated_at = now;
         for step in [READ, WRITE, BOTH] {
             let engines = self.engines.iter().filter(|e| e.serving() && step_of(e.role) == step).count();
             let pool = &mut self.pools[step];
@@ -357,15 +397,16 @@
             pool.rate += BLEND * (rate - pool.rate);
         }
         let s = &self.settings;
-        if s.discovery == Discovery::OnRequest && (!self.subscribed || now > self.asked_at + s.ask_within / 2)
+        if s.discovery == Discovery::OnRequest
+            && (!self.gauges.subscribed || now > self.gauges.asked_at + s.ask_within / 2)
         {
-            self.asked_at = now;
+            self.gauges.asked_at = now;
             acts.push(Action::Follow);
         }
         if s.may_probe {
             for engine in self.engines.iter().filter(|e| e.serving()) {
                 let wants = s.reports == Reports::OnProbe && engine.role != Role::Reader;
-                if wants || (engine.fails > 1 && now >= engine.shut_until.saturating_sub(WATCH_EVERY)) {
+                if wants || engine.unheard {
                     acts.push(Action::Probe(engine.id.clone()));
                 }
             }
@@ -495,8 +536,10 @@
     /// far longer than is usual for a first token.
     fn full(&self, now: Micros, index: usize) -> bool {
         let engine = &self.engines[index];
-        let stalled =
-            engine.pending.first().is_some_and(|(sent, _)| (now - sent) as f64 > self.tightest() / 3.0);
+        let stalled = engine
+            .pending
+            .first_key_value()
+            .is_some_and(|((sent, _), _)| (now - sent) as f64 > self.tightest() / 3.0);
         let told = engine.report.is_some_and(|(at, load)| {
             let most = load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0));
             now < at + REPORT_FOR / 3 && (most >= FULL_FROM || load.queue.unwrap_or(0.0) >= 1.0)
@@ -522,7 +565,7 @@
     /// How much longer first tokens take when the state leaves its cell, in parts of the target.
     /// Guards against slow links, whatever slows them; it fades, so that far writers are tried again.
     fn far_cost(&self, now: Micros) -> f64 {
-        let [near, far] = self.moves;
+        let [near, far] = self.gauges.moves;
         let age = now.saturating_sub(far.1) as f64 / SHUT_MOST as f64;
         ((far.0 - near.0) / (self.tightest() * TARGET)).clamp(0.0, 2.0) * 0.5f64.powf(age)
     }
@@ -648,8 +691,8 @@
             None if repeatable => (live.aim_at.saturating_sub(now) / 2).clamp(left / 4, left),
             _ => left,
         };
-        self.serial += 1;
-        let serial = self.serial;
+        self.gauges.serial += 1;
+        let serial = self.gauges.serial;
         let out =
             Out { attempt: live.attempts, engine: index, sent: now, serial, step, expected, started: false };
         if live.attempts == 0 {
@@ -661,7 +704,7 @@
         self.pools[step_of(role)].sent += 1;
         let window = self.settings.tip_window;
         let engine = &mut self.engines[index];
-        engine.pending.insert((now, serial));
+        engine.pending.insert((now, serial), id.clone());
         engine.sends.push_back(now);
         while engine.sends.front().is_some_and(|at| at + window < now) {
             engine.sends.pop_front();
@@ -684,22 +727,22 @@
         let out = *out;
         if let Some(reader) = live.state.take() {
             let far = usize::from(self.engines[reader].cell != self.engines[out.engine].cell);
-            let usual = &mut self.moves[far];
+            let usual = &mut self.gauges.moves[far];
             *usual = (usual.0 + BLEND * ((now - out.sent) as f64 - usual.0), now);
         }
         let tokens = if out.step == BOTH { live.request.prompt_tokens as f64 - out.expected } else { 0.0 };
         self.engines[out.engine].pending.remove(&(out.sent, out.serial));
         // Guards against lines that build up at engines, whatever fills them.
         let lead = (now - live.begun) as f64;
-        self.lead.1 += BLEND * ((lead - self.lead.0).abs() - self.lead.1);
-        self.lead.0 += BLEND * (lead - self.lead.0);
+        self.gauges.lead.1 += BLEND * ((lead - self.gauges.lead.0).abs() - self.gauges.lead.1);
+        self.gauges.lead.0 += BLEND * (lead - self.gauges.lead.0);
         if lead < aim {
-            self.flight += GROW / self.flight.max(1.0);
+            self.gauges.flight += GROW / self.gauges.flight.max(1.0);
         } else {
-            self.flight *= SHRINK;
+            self.gauges.flight *= SHRINK;
         }
         let engines = self.engines.iter().filter(|e| e.serving()).count() as f64;
-        self.flight = self.flight.clamp(engines, 4.0 * engines);
+        self.gauges.flight = self.gauges.flight.clamp(engines, 4.0 * engines);
         self.answered(now, out.engine);
         self.timed(now, out.engine, out.step, tokens.max(0.0), (now - out.sent) as f64);
     }
@@ -737,6 +780,9 @@
         if let Some(load) = load {
             engine.report = Some((now, load));
         }
+        if matches!(outcome, Outcome::Full | Outcome::NoState | Outcome::Error) {
+            engine.heard = now;
+        }
         let took = (now - out.sent) as f64;
         match outcome {
             Outcome::Read => {
@@ -772,9 +818,12 @@
                 if outcome != Outcome::Error && !(outcome == Outcome::TimedOut && now >= live.deadline) {
                     self.strike(now, index, acts);
                 }
+                let gone = matches!(outcome, Outcome::Unreachable | Outcome::Broken);
+                self.engines[index].down |= gone;
                 live.tried.push(index);
             }
-            Outcome::Cancelled | Outcome::NeverSent => {}
+            Outcome::Cancelled => live.tried.push(index),
+            Outcome::NeverSent => {}
         }
         let harmless = matches!(
             outcome,
@@ -868,17 +917,13 @@
         if rate <= 0.0 {
             return false;
         }
-        let bucket = &mut self.buckets[index];
-        let depth = (2.0 * rate).max(1.0);
-        let gained = now.saturating_sub(bucket.at) as f64 / 1e6 * rate;
-        bucket.level = (bucket.level + gained).min(depth);
-        bucket.at = now;
-        bucket.level -= 1.0;
-        if bucket.level < 0.0 {
-            bucket.level = bucket.level.max(-1.0);
-            return true;
-        }
-        false
+        let (level, at) = &mut self.buckets[index];
+        let gained = now.saturating_sub(*at) as f64 / 1e6 * rate;
+        *level = (*level + gained).min((2.0 * rate).max(1.0)) - 1.0;
+        *at = now;
+        let over = *level < 0.0;
+        *level = level.max(-1.0);
+        over
     }
 
     /// Requests that may still be started before earlier ones get their first tokens. Guards against
@@ -897,7 +942,7 @@
         }
         // With every answering engine full one request each is kept on its way: as one gets its
         // first token, the next may start.
-        let most = if open == 0 { able } else { self.flight.max(engines as f64) as usize };
+        let most = if open == 0 { able } else { self.gauges.flight.max(engines as f64) as usize };
         most.max(1).saturating_sub(flight)
     }
 
@@ -915,7 +960,7 @@
         let mut room = self.room(now);
         // A held request is given up when its first token would come late as things go: serving it
         // would make the next one late too.
-        let lead = (self.lead.0 + self.lead.1) as Micros;
+        let lead = (self.gauges.lead.0 + self.gauges.lead.1) as Micros;
         for id in std::mem::take(&mut self.waiting) {
             let Some(live) = self.live.get_mut(&id) else { continue };
             let late = now + lead >= live.aim_at;
@@ -932,8 +977,8 @@
                 self.waiting.push(id);
             }
         }
-        if !self.waiting.is_empty() && !self.sweeping {
-            self.sweeping = true;
+        if !self.waiting.is_empty() && !self.gauges.sweeping {
+            self.gauges.sweeping = true;
             acts.push(Action::Wake(Timer::Sweep, SWEEP_EVERY));
         }
     }
@@ -955,21 +1000,8 @@
             zone: member.zone.clone(),
             cell: member.cell,
             role,
-            weight: 1.0,
-            listing: member.listing,
-            cold_until: 0,
-            started: None,
-            sends: VecDeque::new(),
-            pending: BTreeSet::new(),
-            streams: 0,
-            fails: 0,
-            shut_until: 0,
-            full_until: 0,
-            report: None,
             lag: 1.0,
-            lag_at: 0,
-            void_before: 0,
-            misses: 0,
+            ..Engine::default()
         }
     }
 
