Call off the rest at an engine after a time-out with no word since its send

Kept: it answers hung and cut-off engines without harming slow ones. Harm: none on a busy engine that answers.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,8 +26,6 @@
 /// First and longest time for which a failing engine is left alone.
 const SHUT_FIRST: Micros = 500_000;
 const SHUT_MOST: Micros = 8_000_000;
-/// An engine may be silent for this part of the tightest aim beyond the pool's usual time.
-const SILENT: f64 = 0.5;
 /// How often engines and discovery are looked after, and how often held requests are.
 const WATCH_EVERY: Micros = 500_000;
 const SWEEP_EVERY: Micros = 50_000;
@@ -200,7 +198,6 @@
             Event::Elapsed(Timer::Sweep) => self.gauges.sweeping = false,
             Event::Elapsed(Timer::Watch) => self.watch(now, acts),
         }
-        self.silence(now, acts);
         self.pump(now, acts);
     }
 
@@ -308,29 +305,18 @@
         now < engine.shut_until || probing || (engine.fails > 0 && !engine.pending.is_empty())
     }
 
-    /// Guards against engines that neither answer nor fail (hung, or behind a cut link): with sends
-    /// waiting long past the pool's usual time, not a word in between, and peers that do answer,
-    /// the waiting reads and safe requests are called off and made elsewhere. Where all are quiet
-    /// nothing is called off, as that would only add load.
-    fn silence(&mut self, now: Micros, acts: &mut Vec<Action>) {
-        for index in 0..self.engines.len() {
-            let engine = &self.engines[index];
-            let Some(((sent, _), _)) = engine.pending.first_key_value() else { continue };
-            let step = step_of(engine.role);
-            let usual = self.usual(step, self.pools[step].tokens).unwrap_or(0.0) + self.pools[step].deviation;
-            let span = (self.tightest() * SILENT + PATIENCE / 2.0 * usual) as Micros;
-            let quiet = |e: &Engine, since: Micros| now > since.max(e.heard) + span;
-            let mut peers = self.engines.iter().filter(|e| e.role == engine.role && e.serving());
-            if engine.unheard || !quiet(engine, *sent) || !peers.any(|e| e.heard > *sent) {
-                continue;
-            }
-            let waiting: Vec<RequestId> = engine.pending.values().cloned().collect();
-            self.strike(now, index, acts);
-            for id in waiting.into_iter().filter(|_| self.settings.may_cancel) {
-                let Some(live) = self.live.get(&id) else { continue };
-                if let Some(out) = live.out.filter(|o| o.step == READ || live.effect == Effect::Safe) {
-                    acts.push(Action::Cancel(id, out.attempt));
-                }
+    /// Guards against engines that neither answer nor fail (hung, or behind a cut link): after a
+    /// time-out with no word since its send, what else waits there and is harmless to repeat is
+    /// called off and made elsewhere. An engine that answers others is slow, not silent.
+    fn call_off(&mut self, index: usize, since: Micros, acts: &mut Vec<Action>) {
+        let engine = &self.engines[index];
+        if engine.heard > since || !self.settings.may_cancel {
+            return;
+        }
+        for id in engine.pending.values() {
+            let out = self.live.get(id).filter(|l| !l.done).and_then(|l| l.out.map(|o| (o, l.effect)));
+            if let Some((out, _)) = out.filter(|(o, effect)| o.step == READ || *effect == Effect::Safe) {
+                acts.push(Action::Cancel(id.clone(), out.attempt));
             }
         }
     }
@@ -819,6 +805,9 @@
                     self.strike(now, index, acts);
                 }
                 let gone = matches!(outcome, Outcome::Unreachable | Outcome::Broken);
+                if outcome == Outcome::TimedOut && now < live.deadline {
+                    self.call_off(index, out.sent, acts);
+                }
                 self.engines[index].down |= gone;
                 live.tried.push(index);
             }
