--- a/src/rules.rs
+++ b/src/rules.rs
@@ -725,10 +725,10 @@
         if lead < aim {
             self.gauges.flight += GROW / self.gauges.flight.max(1.0);
         } else {
-            self.gauges.flight *= SHRINK;
+            self.gauges.flight = (self.gauges.flight * SHRINK).max(1.0);
         }
-        let engines = self.engines.iter().filter(|e| e.serving()).count() as f64;
-        self.gauges.flight = self.gauges.flight.clamp(engines, 4.0 * engines);
+        let most = self.engines.iter().filter(|e| e.serving()).count() as f64 * 4.0;
+        self.gauges.flight = self.gauges.flight.min(most);
         self.answered(now, out.engine);
         self.timed(now, out.engine, out.step, tokens.max(0.0), (now - out.sent) as f64);
     }
@@ -920,10 +920,10 @@
     fn room(&self, now: Micros) -> usize {
         let mut open = 0;
         let mut flight = 0;
-        let (mut able, mut engines) = (0, 0);
+        let (mut able, mut readers) = (0, 0);
         for (index, engine) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
-            engines += 1;
             flight += engine.pending.len();
+            readers += usize::from(engine.role != Role::Writer && !self.shut(now, index));
             if engine.role != Role::Reader && !self.shut(now, index) {
                 able += 1;
                 open += usize::from(!self.full(now, index));
@@ -931,7 +931,7 @@
         }
         // With every answering engine full one request each is kept on its way: as one gets its
         // first token, the next may start.
-        let most = if open == 0 { able } else { self.gauges.flight.max(engines as f64) as usize };
+        let most = if open == 0 { able } else { self.gauges.flight.max(readers as f64) as usize };
         most.max(1).saturating_sub(flight)
     }
 
