Slow links: near writers and mixed engines before far ones, waits mark none full

Cause: states that crossed slow cell links timed out in three of four sends, and their waits made near writers look full.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -67,7 +67,8 @@
     /// Own sends inside the tip window.
     sends: VecDeque<Micros>,
     /// Own attempts that have brought no read and no first token yet, by send time.
-    pending: BTreeMap<(Micros, u64), RequestId>,
+    /// With each: whether a state has to cross cells for it.
+    pending: BTreeMap<(Micros, u64), (RequestId, bool)>,
     /// Own attempts that answer or are to answer here.
     streams: u32,
     /// When an attempt or a probe last brought an answer.
@@ -313,7 +314,7 @@
         if engine.heard > since || !self.settings.may_cancel {
             return;
         }
-        for id in engine.pending.values() {
+        for (id, _) in engine.pending.values() {
             let out = self.live.get(id).filter(|l| !l.done).and_then(|l| l.out.map(|o| (o, l.effect)));
             if let Some((out, _)) = out.filter(|(o, effect)| o.step == READ || *effect == Effect::Safe) {
                 acts.push(Action::Cancel(id.clone(), out.attempt));
@@ -496,11 +497,12 @@
     /// its streams, so that reads do not pile onto engines that write.
     fn over_cap(&self, now: Micros, index: usize) -> bool {
         let engine = &self.engines[index];
-        let (mut reads, mut readers, mut streams, mut writers) = (1.0, 0.0, 1.0, 0.0);
+        let (mut reads, mut readers, mut streams, mut writers, mut line) = (1.0, 0.0, 1.0, 0.0, 0.0);
         for e in self.engines.iter().filter(|e| e.serving()) {
             if e.role != Role::Writer {
                 reads += e.pending.len() as f64;
                 readers += 1.0;
+                line += e.line(now);
             }
             if e.role != Role::Reader {
                 streams += f64::from(e.streams);
@@ -513,7 +515,9 @@
         let write_cap = (CAP_FACTOR * streams / f64::max(writers, 1.0)).ceil().max(1.0);
         let writes_over =
             engine.role == Role::Mixed && (f64::from(engine.streams) >= write_cap || self.full(now, index));
-        engine.pending.len() as f64 >= cap || trial || writes_over
+        // Guards against what other nodes send: a line told far longer than the readers' mean.
+        let line_over = engine.line(now) > CAP_FACTOR * (line / readers + 1.0);
+        engine.pending.len() as f64 >= cap || trial || writes_over || line_over
     }
 
     // ---- writer choice ----
@@ -522,10 +526,8 @@
     /// far longer than is usual for a first token.
     fn full(&self, now: Micros, index: usize) -> bool {
         let engine = &self.engines[index];
-        let stalled = engine
-            .pending
-            .first_key_value()
-            .is_some_and(|((sent, _), _)| (now - sent) as f64 > self.tightest() / 3.0);
+        let limit = (self.tightest() / 3.0) as Micros;
+        let stalled = engine.pending.iter().any(|((sent, _), (_, far))| !far && now > sent + limit);
         let told = engine.report.is_some_and(|(at, load)| {
             let most = load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0));
             now < at + REPORT_FOR / 3 && (most >= FULL_FROM || load.queue.unwrap_or(0.0) >= 1.0)
@@ -575,16 +577,18 @@
         }
         let scale = if told > 0.0 { own / told } else { 0.0 };
         // Pure writers first, mixed engines only where no writer has room; a failing one last.
+        let cell = self.engines[reader].cell;
+        let links_slow = self.far_cost(now) > 0.5;
         let rank = |i: usize| {
-            let mixed = self.engines[i].role == Role::Mixed;
-            (self.shut(now, i), self.full(now, i), mixed)
+            let e = &self.engines[i];
+            (self.shut(now, i), self.full(now, i), links_slow && e.cell != cell, e.role == Role::Mixed)
         };
         let best = able.iter().map(|&i| rank(i)).min()?;
         let peers: Vec<(usize, f64)> =
             able.iter().filter(|&&i| rank(i) == best).map(|&i| (i, self.load(now, i, scale))).collect();
         let least = peers.iter().map(|p| p.1).fold(f64::INFINITY, f64::min);
         let band = 1.0 + least * (NEAR + self.far_cost(now));
-        let (cell, zone) = (self.engines[reader].cell, self.engines[reader].zone.clone());
+        let zone = self.engines[reader].zone.clone();
         let mut near: Vec<(bool, bool, usize)> = peers
             .iter()
             .filter(|p| p.1 <= least + band)
@@ -689,8 +693,9 @@
         live.waiting = false;
         self.pools[step_of(role)].sent += 1;
         let window = self.settings.tip_window;
+        let far = live.state.is_some_and(|reader| self.engines[reader].cell != self.engines[index].cell);
         let engine = &mut self.engines[index];
-        engine.pending.insert((now, serial), id.clone());
+        engine.pending.insert((now, serial), (id.clone(), far));
         engine.sends.push_back(now);
         while engine.sends.front().is_some_and(|at| at + window < now) {
             engine.sends.pop_front();
@@ -711,11 +716,7 @@
         let Some(out) = live.out.as_mut().filter(|o| o.attempt == attempt && !o.started) else { return };
         out.started = true;
         let out = *out;
-        if let Some(reader) = live.state.take() {
-            let far = usize::from(self.engines[reader].cell != self.engines[out.engine].cell);
-            let usual = &mut self.gauges.moves[far];
-            *usual = (usual.0 + BLEND * ((now - out.sent) as f64 - usual.0), now);
-        }
+        let reader = live.state.take();
         let tokens = if out.step == BOTH { live.request.prompt_tokens as f64 - out.expected } else { 0.0 };
         self.engines[out.engine].pending.remove(&(out.sent, out.serial));
         // Guards against lines that build up at engines, whatever fills them.
@@ -729,10 +730,19 @@
         }
         let most = self.engines.iter().filter(|e| e.serving()).count() as f64 * 4.0;
         self.gauges.flight = self.gauges.flight.min(most);
+        self.moved(now, reader, out.engine, (now - out.sent) as f64);
         self.answered(now, out.engine);
         self.timed(now, out.engine, out.step, tokens.max(0.0), (now - out.sent) as f64);
     }
 
+    /// Takes in how long a state took to where its answer began, or did not begin.
+    fn moved(&mut self, now: Micros, reader: Option<usize>, writer: usize, took: f64) {
+        let Some(reader) = reader else { return };
+        let far = usize::from(self.engines[reader].cell != self.engines[writer].cell);
+        let usual = &mut self.gauges.moves[far];
+        *usual = (usual.0 + 2.0 * BLEND * (took - usual.0), now);
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn ended(
         &mut self,
@@ -799,6 +809,7 @@
             Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut | Outcome::Error => {
                 if outcome == Outcome::TimedOut {
                     self.timed(now, index, out.step, 0.0, took);
+                    self.moved(now, live.state, index, took);
                 }
                 // A time-out at the client's deadline tells of a long line as often as of the engine.
                 if outcome != Outcome::Error && !(outcome == Outcome::TimedOut && now >= live.deadline) {
@@ -994,6 +1005,12 @@
         }
     }
 
+    /// The line that the engine last told: thousands of prompt tokens to read, else requests.
+    fn line(&self, now: Micros) -> f64 {
+        let told = self.report.filter(|(at, _)| now < at + REPORT_FOR / 3);
+        told.and_then(|(_, load)| load.backlog.or(load.queue)).unwrap_or(0.0)
+    }
+
     fn serving(&self) -> bool {
         self.listing == Listing::Serving
     }
