--- a/src/rules.rs
+++ b/src/rules.rs
@@ -497,12 +497,11 @@
     /// its streams, so that reads do not pile onto engines that write.
     fn over_cap(&self, now: Micros, index: usize) -> bool {
         let engine = &self.engines[index];
-        let (mut reads, mut readers, mut streams, mut writers, mut line) = (1.0, 0.0, 1.0, 0.0, 0.0);
+        let (mut reads, mut readers, mut streams, mut writers) = (1.0, 0.0, 1.0, 0.0);
         for e in self.engines.iter().filter(|e| e.serving()) {
             if e.role != Role::Writer {
                 reads += e.pending.len() as f64;
                 readers += 1.0;
-                line += e.line(now);
             }
             if e.role != Role::Reader {
                 streams += f64::from(e.streams);
@@ -515,9 +514,7 @@
         let write_cap = (CAP_FACTOR * streams / f64::max(writers, 1.0)).ceil().max(1.0);
         let writes_over =
             engine.role == Role::Mixed && (f64::from(engine.streams) >= write_cap || self.full(now, index));
-        // Guards against what other nodes send: a line told far longer than the readers' mean.
-        let line_over = engine.line(now) > CAP_FACTOR * (line / readers + 1.0);
-        engine.pending.len() as f64 >= cap || trial || writes_over || line_over
+        engine.pending.len() as f64 >= cap || trial || writes_over
     }
 
     // ---- writer choice ----
@@ -1005,12 +1002,6 @@
         }
     }
 
-    /// The line that the engine last told: thousands of prompt tokens to read, else requests.
-    fn line(&self, now: Micros) -> f64 {
-        let told = self.report.filter(|(at, _)| now < at + REPORT_FOR / 3);
-        told.and_then(|(_, load)| load.backlog.or(load.queue)).unwrap_or(0.0)
-    }
-
     fn serving(&self) -> bool {
         self.listing == Listing::Serving
     }
