The cap weighs reads by the tokens they have yet to read

Cause: counted as reads, one long unseen prompt and one short turn were alike: readers held 20,000 unread tokens beside idle ones.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,7 +12,7 @@
 use crate::interface::*;
 
 /// The cap's factor: a reader may hold this multiple of its even share of the reads under way.
-const CAP_FACTOR: f64 = 2.0;
+const CAP_FACTOR: f64 = 1.25;
 /// Expected kept tokens under this count as no match (the paper's smallest block).
 const MIN_MATCH: f64 = 16.0;
 /// Table entries fade by half in this time: about the time in which sessions come again.
@@ -69,6 +69,8 @@
     /// Own attempts that have brought no read and no first token yet, by send time.
     /// With each: whether a state has to cross cells for it.
     pending: BTreeMap<(Micros, u64), (RequestId, bool)>,
+    /// Prompt tokens that own attempts have yet to read here.
+    unread: f64,
     /// Own attempts that answer or are to answer here.
     streams: u32,
     /// When an attempt or a probe last brought an answer.
@@ -108,7 +110,9 @@
     sent: Micros,
     serial: u64,
     step: usize,
+    /// Prompt tokens expected kept, and those to be read.
     expected: f64,
+    unread: f64,
     started: bool,
 }
 
@@ -481,12 +485,12 @@
         ring.retain(|&i| self.lawful(now, live, i));
         let well = |i: usize| !self.shut(now, i) && !live.tried.contains(&i);
         let open: Vec<usize> = ring.iter().copied().filter(|&i| well(i)).collect();
-        let under = open.iter().copied().find(|&i| !self.over_cap(now, i));
+        let under = open.iter().copied().find(|&i| !self.over_cap(now, &live.request, i));
         // Where every reader is over its cap the shortest line serves; where none is well, the one
         // that has failed least: backing off all of them would be the harm.
         under
             .or_else(|| {
-                open.iter().copied().min_by_key(|&i| (self.full(now, i), self.engines[i].pending.len()))
+                open.iter().copied().min_by_key(|&i| (self.full(now, i), self.engines[i].unread as u64))
             })
             .or_else(|| {
                 ring.iter().copied().min_by_key(|&i| (live.tried.contains(&i), self.engines[i].shut_until))
@@ -495,12 +499,13 @@
 
     /// The bounded-load cap. A slow engine has a smaller share; a mixed one is also bounded in
     /// its streams, so that reads do not pile onto engines that write.
-    fn over_cap(&self, now: Micros, index: usize) -> bool {
+    fn over_cap(&self, now: Micros, request: &Request, index: usize) -> bool {
         let engine = &self.engines[index];
-        let (mut reads, mut readers, mut streams, mut writers) = (1.0, 0.0, 1.0, 0.0);
-        for e in self.engines.iter().filter(|e| e.serving()) {
-            if e.role != Role::Writer {
-                reads += e.pending.len() as f64;
+        let own = request.prompt_tokens as f64 - self.expected(now, request, index);
+        let (mut unread, mut readers, mut streams, mut writers) = (own, 0.0, 1.0, 0.0);
+        for (i, e) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
+            if e.role != Role::Writer && !self.shut(now, i) {
+                unread += e.unread;
                 readers += 1.0;
             }
             if e.role != Role::Reader {
@@ -509,12 +514,12 @@
             }
         }
         let lag = self.lag(now, index);
-        let cap = (CAP_FACTOR * reads / readers / lag).ceil().max(1.0);
+        let cap = (CAP_FACTOR * unread / f64::max(readers, 1.0) / lag).max(request.prompt_tokens as f64);
         let trial = lag > SLOW && now < engine.lag_at + SHUT_FIRST;
         let write_cap = (CAP_FACTOR * streams / f64::max(writers, 1.0)).ceil().max(1.0);
         let writes_over =
             engine.role == Role::Mixed && (f64::from(engine.streams) >= write_cap || self.full(now, index));
-        engine.pending.len() as f64 >= cap || trial || writes_over
+        (engine.unread > 0.0 && engine.unread + own > cap) || trial || writes_over
     }
 
     // ---- writer choice ----
@@ -667,11 +672,11 @@
         };
         let expected = self.expected(now, &live.request, index);
         let left = live.deadline - now;
-        let tokens = if fetches { 0.0 } else { live.request.prompt_tokens as f64 - expected };
+        let unread = if fetches { 0.0 } else { (live.request.prompt_tokens as f64 - expected).max(0.0) };
         // Time-outs guard against engines that fall silent. What might have run and must not run
         // twice keeps the whole time: giving it up early would gain nothing.
         let repeatable = step == READ || live.effect == Effect::Safe;
-        let timeout = match self.patience(step, tokens.max(0.0)) {
+        let timeout = match self.patience(step, unread) {
             Some(patience) if repeatable && live.attempts + 2 < self.settings.max_attempts => {
                 patience.min(left)
             }
@@ -680,8 +685,16 @@
         };
         self.gauges.serial += 1;
         let serial = self.gauges.serial;
-        let out =
-            Out { attempt: live.attempts, engine: index, sent: now, serial, step, expected, started: false };
+        let out = Out {
+            attempt: live.attempts,
+            engine: index,
+            sent: now,
+            serial,
+            step,
+            expected,
+            unread,
+            started: false,
+        };
         if live.attempts == 0 {
             live.begun = now;
         }
@@ -693,6 +706,7 @@
         let far = live.state.is_some_and(|reader| self.engines[reader].cell != self.engines[index].cell);
         let engine = &mut self.engines[index];
         engine.pending.insert((now, serial), (id.clone(), far));
+        engine.unread += unread;
         engine.sends.push_back(now);
         while engine.sends.front().is_some_and(|at| at + window < now) {
             engine.sends.pop_front();
@@ -714,8 +728,7 @@
         out.started = true;
         let out = *out;
         let reader = live.state.take();
-        let tokens = if out.step == BOTH { live.request.prompt_tokens as f64 - out.expected } else { 0.0 };
-        self.engines[out.engine].pending.remove(&(out.sent, out.serial));
+        self.engines[out.engine].begun(&out);
         // Guards against lines that build up at engines, whatever fills them.
         let lead = (now - live.begun) as f64;
         self.gauges.lead.1 += BLEND * ((lead - self.gauges.lead.0).abs() - self.gauges.lead.1);
@@ -729,7 +742,7 @@
         self.gauges.flight = self.gauges.flight.min(most);
         self.moved(now, reader, out.engine, (now - out.sent) as f64);
         self.answered(now, out.engine);
-        self.timed(now, out.engine, out.step, tokens.max(0.0), (now - out.sent) as f64);
+        self.timed(now, out.engine, out.step, out.unread, (now - out.sent) as f64);
     }
 
     /// Takes in how long a state took to where its answer began, or did not begin.
@@ -766,7 +779,7 @@
         live.out = None;
         let index = out.engine;
         let engine = &mut self.engines[index];
-        engine.pending.remove(&(out.sent, out.serial));
+        engine.begun(&out);
         if out.step != READ {
             engine.streams = engine.streams.saturating_sub(1);
         }
@@ -1002,6 +1015,13 @@
         }
     }
 
+    /// An attempt has begun to answer, or has ended: it is in no line any more.
+    fn begun(&mut self, out: &Out) {
+        if self.pending.remove(&(out.sent, out.serial)).is_some() {
+            self.unread = if self.pending.is_empty() { 0.0 } else { self.unread - out.unread };
+        }
+    }
+
     fn serving(&self) -> bool {
         self.listing == Listing::Serving
     }
