--- a/crates/pintally-benchlink/src/wire.rs
+++ b/crates/pintally-benchlink/src/wire.rs
@@ -35,7 +35,7 @@
         txn: String,
         r#try: Attempt,
     },
-    Ended(Box<Ended>),
+    Ended(Box<EndedLine>),
     Withdrawn {
         node: u64,
         txn: String,
@@ -118,7 +118,7 @@
 }
 
 #[derive(Deserialize)]
-pub struct Ended {
+pub struct EndedLine {
     node: u64,
     txn: String,
     r#try: Attempt,
@@ -401,14 +401,14 @@
             }
             Incoming::Demand(d) => Event::Arrived(self.request(*d)),
             Incoming::HeadReceived { txn, r#try, .. } => Event::FirstToken(request_id(&txn), r#try),
-            Incoming::Ended(e) => Event::Ended {
+            Incoming::Ended(e) => Event::Ended(Ended {
                 id: request_id(&e.txn),
                 attempt: e.r#try,
                 outcome: outcome(e.state_code, e.detail)?,
                 last: e.no_more.unwrap_or(false),
                 kept: count(e.detail),
                 load: e.feedback.map(|row| self.load(&row)),
-            },
+            }),
             Incoming::Withdrawn { txn, .. } => Event::Withdrawn(request_id(&txn)),
             Incoming::Elapsed { r#ref, .. } => Event::Elapsed(match r#ref.as_str() {
                 "sweep" => Timer::Sweep,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -257,6 +257,23 @@
     pub resumed: bool,
 }
 
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The request has its final answer by this outcome or had it before.
+    pub last: bool,
+    /// Prompt tokens found kept.
+    pub kept: u64,
+    /// The engine's load.
+    pub load: Option<Load>,
+}
+
 /// What a node learns.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -267,20 +284,7 @@
     /// The answer of an attempt has begun.
     FirstToken(RequestId, Attempt),
     /// An attempt has ended.
-    Ended {
-        /// The request.
-        id: RequestId,
-        /// The attempt.
-        attempt: Attempt,
-        /// How it ended.
-        outcome: Outcome,
-        /// The request has its final answer by this outcome or had it before.
-        last: bool,
-        /// Prompt tokens found kept.
-        kept: u64,
-        /// The engine's load.
-        load: Option<Load>,
-    },
+    Ended(Ended),
     /// The client has left.
     Withdrawn(RequestId),
     /// A probe's result: whether the engine answered, and its load.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,5 +8,6 @@
 
 pub mod interface;
 pub mod rules;
+mod state;
 
 pub use rules::Router;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,11 +5,13 @@
 //! least-loaded writer takes the state, near ones first. Everything else is a departure for when
 //! that path breaks. `docs/design.md` says when each acts.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeSet, HashMap};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::interface::*;
+use crate::state::*;
 
 /// The cap's factor: a reader may hold this multiple of its even share of the reads under way.
 const CAP_FACTOR: f64 = 1.25;
@@ -45,121 +47,10 @@
 const GROW: f64 = 2.0;
 const SHRINK: f64 = 0.94;
 
-/// A request's step at an engine, for the pools' usual times.
-const READ: usize = 0;
-const WRITE: usize = 1;
-const BOTH: usize = 2;
-
-/// An engine, how many tokens of a text it was seen to hold, and when.
-type Kept = (usize, u64, Micros);
-
-#[derive(Default)]
-struct Engine {
-    id: EngineId,
-    zone: String,
-    cell: u64,
-    role: Role,
-    weight: f64,
-    listing: Listing,
-    /// Cold until then: told by discovery, or seen to come back after failing.
-    cold_until: Micros,
-    started: Option<Micros>,
-    /// Own sends inside the tip window.
-    sends: VecDeque<Micros>,
-    /// Own attempts that have brought no read and no first token yet, by send time.
-    /// With each: whether a state has to cross cells for it.
-    pending: BTreeMap<(Micros, u64), (RequestId, bool)>,
-    /// Prompt tokens that own attempts have yet to read here.
-    unread: f64,
-    /// Own attempts that answer or are to answer here.
-    streams: u32,
-    /// When an attempt or a probe last brought an answer.
-    heard: Micros,
-    /// A failure that no answer has followed yet.
-    unheard: bool,
-    /// No connection could be had or it broke: the process may be gone.
-    down: bool,
-    fails: u32,
-    shut_until: Micros,
-    full_until: Micros,
-    report: Option<(Micros, Load)>,
-    /// How many times slower than its pool, and when that was last seen.
-    lag: f64,
-    lag_at: Micros,
-    /// What the table says of this engine from before this time does not hold.
-    void_before: Micros,
-    misses: u32,
-}
-
-#[derive(Clone, Copy, Default)]
-struct Pool {
-    /// Usual time of one unit of work, its deviation, and the usual tokens of an attempt.
-    time: f64,
-    deviation: f64,
-    tokens: f64,
-    samples: u32,
-    /// Sends a second by this node to one engine of the pool.
-    rate: f64,
-    sent: u32,
-}
-
-#[derive(Clone, Copy)]
-struct Out {
-    attempt: Attempt,
-    engine: usize,
-    sent: Micros,
-    serial: u64,
-    step: usize,
-    /// Prompt tokens expected kept, and those to be read.
-    expected: f64,
-    unread: f64,
-    started: bool,
-}
-
-struct Live {
-    request: Request,
-    effect: Effect,
-    arrived: Micros,
-    /// When its first attempt was sent.
-    begun: Micros,
-    aim_at: Micros,
-    deadline: Micros,
-    over_share: bool,
-    attempts: u32,
-    out: Option<Out>,
-    /// The reader at which the read state waits.
-    state: Option<usize>,
-    /// A state was read at some time: it may outlast what the outcomes tell, so every end releases.
-    read: bool,
-    /// The engine of the first attempt that may have run, and when it was sent.
-    ran: Option<(usize, Micros)>,
-    tried: Vec<usize>,
-    waiting: bool,
-    done: bool,
-}
-
-/// What a node has measured of itself.
-#[derive(Default)]
-struct Gauges {
-    serial: u64,
-    /// A timer is out: for held requests, and for the watch over engines.
-    sweeping: bool,
-    watching: bool,
-    subscribed: bool,
-    asked_at: Micros,
-    rated_at: Micros,
-    /// How many requests may be on their way to a first token.
-    flight: f64,
-    /// Usual wait for a first token when the state stays in its cell and when it leaves it.
-    moves: [(f64, Micros); 2],
-    /// Usual time from the first send to the first token, and its deviation.
-    lead: (f64, f64),
-}
-
 /// Decides for one node. Feed it every event with the time at which it came.
 pub struct Router {
     settings: Settings,
-    random: u64,
+    random: Random,
     engines: Vec<Engine>,
     by_id: HashMap<EngineId, usize>,
     pools: [Pool; 3],
@@ -177,7 +68,7 @@
         Router {
             buckets: vec![(1.0, 0); settings.tenants.len()],
             settings,
-            random: seed,
+            random: Random(seed),
             engines: Vec::new(),
             by_id: HashMap::new(),
             pools: [Pool::default(); 3],
@@ -195,9 +86,7 @@
             Event::Members(form, members) => self.members(now, form, members, acts),
             Event::Arrived(request) => self.arrived(now, request),
             Event::FirstToken(id, attempt) => self.first_token(now, &id, attempt),
-            Event::Ended { id, attempt, outcome, last, kept, load } => {
-                self.ended(now, id, attempt, outcome, last, kept, load, acts)
-            }
+            Event::Ended(ended) => self.ended(now, ended, acts),
             Event::Withdrawn(id) => self.close(&id, None, acts),
             Event::Probed(id, answered, load) => self.probed(now, &id, answered, load),
             Event::Elapsed(Timer::Sweep) => self.gauges.sweeping = false,
@@ -240,21 +129,17 @@
             engine.weight = if member.weight > 0.0 { member.weight } else { 1.0 };
             // Guards against a cold engine being pushed over, and against a table that tells of
             // texts which a restart has wiped.
-            if member.started.is_some() && engine.started != member.started {
+            if let Some(started) = member.started.filter(|_| engine.started != member.started) {
                 engine.started = member.started;
-                let started = member.started.unwrap_or(now);
-                engine.cold_until = engine.cold_until.max(started + self.settings.warm_after);
+                engine.cold_until = engine.cold_until.max(started.saturating_add(self.settings.warm_after));
                 engine.void_before = engine.void_before.max(started);
                 engine.fails = 0;
                 engine.shut_until = 0;
             }
         }
-        if form == ListForm::Full {
-            for (index, engine) in self.engines.iter_mut().enumerate() {
-                if !seen.contains(&index) {
-                    engine.listing = Listing::Gone;
-                }
-            }
+        let missing = |index: &usize| form == ListForm::Full && !seen.contains(index);
+        for index in (0..self.engines.len()).filter(missing) {
+            self.engines[index].listing = Listing::Gone;
         }
     }
 
@@ -319,8 +204,8 @@
             return;
         }
         for (id, _) in engine.pending.values() {
-            let out = self.live.get(id).filter(|l| !l.done).and_then(|l| l.out.map(|o| (o, l.effect)));
-            if let Some((out, _)) = out.filter(|(o, effect)| o.step == READ || *effect == Effect::Safe) {
+            let Some(live) = self.live.get(id).filter(|l| !l.done) else { continue };
+            if let Some(out) = live.out.filter(|o| o.step == READ || live.effect == Effect::Safe) {
                 acts.push(Action::Cancel(id.clone(), out.attempt));
             }
         }
@@ -448,13 +333,9 @@
             return;
         }
         let engine = &mut self.engines[out.engine];
-        if (kept as f64) < out.expected / 4.0 {
-            engine.misses += 1;
-            if engine.misses >= 2 {
-                engine.void_before = engine.void_before.max(out.sent);
-                engine.misses = 0;
-            }
-        } else {
+        engine.misses = if (kept as f64) < out.expected / 4.0 { engine.misses + 1 } else { 0 };
+        if engine.misses >= 2 {
+            engine.void_before = engine.void_before.max(out.sent);
             engine.misses = 0;
         }
     }
@@ -488,13 +369,11 @@
         let under = open.iter().copied().find(|&i| !self.over_cap(now, &live.request, i));
         // Where every reader is over its cap the shortest line serves; where none is well, the one
         // that has failed least: backing off all of them would be the harm.
+        let shortest = |&i: &usize| (self.full(now, i), self.engines[i].unread as u64);
+        let least_bad = |&i: &usize| (live.tried.contains(&i), self.engines[i].shut_until);
         under
-            .or_else(|| {
-                open.iter().copied().min_by_key(|&i| (self.full(now, i), self.engines[i].unread as u64))
-            })
-            .or_else(|| {
-                ring.iter().copied().min_by_key(|&i| (live.tried.contains(&i), self.engines[i].shut_until))
-            })
+            .or_else(|| open.iter().copied().min_by_key(shortest))
+            .or_else(|| ring.iter().copied().min_by_key(least_bad))
     }
 
     /// The bounded-load cap. A slow engine has a smaller share; a mixed one is also bounded in
@@ -530,10 +409,8 @@
         let engine = &self.engines[index];
         let limit = (self.tightest() / 3.0) as Micros;
         let stalled = engine.pending.iter().any(|((sent, _), (_, far))| !far && now > sent + limit);
-        let told = engine.report.is_some_and(|(at, load)| {
-            let most = load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0));
-            now < at + REPORT_FOR / 3 && (most >= FULL_FROM || load.queue.unwrap_or(0.0) >= 1.0)
-        });
+        let queue = engine.report.map_or(0.0, |(_, load)| load.queue.unwrap_or(0.0));
+        let told = engine.told(now, REPORT_FOR / 3).is_some_and(|t| t >= FULL_FROM || queue >= 1.0);
         now < engine.full_until || (engine.role != Role::Reader && (stalled || told))
     }
 
@@ -546,10 +423,8 @@
     fn load(&self, now: Micros, index: usize, scale: f64) -> f64 {
         let engine = &self.engines[index];
         let own = f64::from(engine.streams);
-        let told = engine.report.filter(|(at, _)| now < at + REPORT_FOR).map(|(_, load)| {
-            scale * load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0)) + load.queue.unwrap_or(0.0)
-        });
-        (own + told.unwrap_or(own)) / engine.weight * self.lag(now, index)
+        let told = engine.told(now, REPORT_FOR).map_or(own, |told| told * scale);
+        (own + told) / engine.weight * self.lag(now, index)
     }
 
     /// How much longer first tokens take when the state leaves its cell, in parts of the target.
@@ -566,15 +441,11 @@
             .filter(|&i| self.engines[i].role != Role::Reader)
             .filter(|&i| self.lawful(now, live, i) && !live.tried.contains(&i))
             .collect();
-        let mut told = 0.0f64;
-        let mut own = 0.0f64;
-        for (at, load, streams) in able
-            .iter()
-            .filter_map(|&i| self.engines[i].report.map(|(at, load)| (at, load, self.engines[i].streams)))
-        {
-            if now < at + REPORT_FOR {
-                told += load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0));
-                own += f64::from(streams);
+        let (mut told, mut own) = (0.0, 0.0);
+        for engine in able.iter().map(|&i| &self.engines[i]) {
+            if let Some(share) = engine.told(now, REPORT_FOR) {
+                told += share;
+                own += f64::from(engine.streams);
             }
         }
         let scale = if told > 0.0 { own / told } else { 0.0 };
@@ -590,25 +461,22 @@
             able.iter().filter(|&&i| rank(i) == best).map(|&i| (i, self.load(now, i, scale))).collect();
         let least = peers.iter().map(|p| p.1).fold(f64::INFINITY, f64::min);
         let band = 1.0 + least * (NEAR + self.far_cost(now));
-        let zone = self.engines[reader].zone.clone();
-        let mut near: Vec<(bool, bool, usize)> = peers
-            .iter()
-            .filter(|p| p.1 <= least + band)
-            .map(|&(i, _)| (self.engines[i].cell != cell, self.engines[i].zone != zone, i))
-            .collect();
-        near.sort_unstable();
-        let nearest = (near[0].0, near[0].1);
-        near.retain(|n| (n.0, n.1) == nearest);
-        let pick = self.draw() as usize % near.len();
-        Some(near[pick].2)
+        let zone = &self.engines[reader].zone;
+        let far = |i: usize| (self.engines[i].cell != cell, self.engines[i].zone != *zone);
+        let mut near: Vec<usize> = peers.iter().filter(|p| p.1 <= least + band).map(|p| p.0).collect();
+        let nearest = near.iter().map(|&i| far(i)).min()?;
+        near.retain(|&i| far(i) == nearest);
+        let pick = self.random.draw() as usize % near.len();
+        Some(near[pick])
     }
 
     // ---- one request: sends, further attempts, refusals, releases ----
 
     fn arrived(&mut self, now: Micros, request: Request) {
         let class = request.class.and_then(|c| self.settings.classes.get(c));
-        let aim = class
-            .map_or(request.patience / 2, |c| c.aim + c.aim_per_1000_tokens * request.prompt_tokens / 1000);
+        let aim = class.map_or(request.patience / 2, |c| {
+            c.aim.saturating_add(c.aim_per_1000_tokens.saturating_mul(request.prompt_tokens) / 1000)
+        });
         // A class that nobody named is handled as one that must not run twice.
         let effect = class.map_or(Effect::Unsafe, |c| c.effect);
         let over_share = self.over_share(now, request.tenant);
@@ -617,8 +485,8 @@
             effect,
             arrived: now,
             begun: now,
-            aim_at: now + aim.min(request.patience),
-            deadline: now + request.patience,
+            aim_at: now.saturating_add(aim.min(request.patience)),
+            deadline: now.saturating_add(request.patience),
             over_share,
             request,
             attempts: 0,
@@ -630,7 +498,8 @@
             waiting: true,
             done: false,
         };
-        if self.live.insert(id.clone(), live).is_none() {
+        if let Entry::Vacant(place) = self.live.entry(id.clone()) {
+            place.insert(live);
             self.waiting.push(id);
         }
     }
@@ -671,7 +540,7 @@
             _ => BOTH,
         };
         let expected = self.expected(now, &live.request, index);
-        let left = live.deadline - now;
+        let left = live.deadline.saturating_sub(now);
         let unread = if fetches { 0.0 } else { (live.request.prompt_tokens as f64 - expected).max(0.0) };
         // Time-outs guard against engines that fall silent. What might have run and must not run
         // twice keeps the whole time: giving it up early would gain nothing.
@@ -730,7 +599,7 @@
         let reader = live.state.take();
         self.engines[out.engine].begun(&out);
         // Guards against lines that build up at engines, whatever fills them.
-        let lead = (now - live.begun) as f64;
+        let lead = now.saturating_sub(live.begun) as f64;
         self.gauges.lead.1 += BLEND * ((lead - self.gauges.lead.0).abs() - self.gauges.lead.1);
         self.gauges.lead.0 += BLEND * (lead - self.gauges.lead.0);
         if lead < aim {
@@ -740,9 +609,9 @@
         }
         let most = self.engines.iter().filter(|e| e.serving()).count() as f64 * 4.0;
         self.gauges.flight = self.gauges.flight.min(most);
-        self.moved(now, reader, out.engine, (now - out.sent) as f64);
+        self.moved(now, reader, out.engine, now.saturating_sub(out.sent) as f64);
         self.answered(now, out.engine);
-        self.timed(now, out.engine, out.step, out.unread, (now - out.sent) as f64);
+        self.timed(now, out.engine, out.step, out.unread, now.saturating_sub(out.sent) as f64);
     }
 
     /// Takes in how long a state took to where its answer began, or did not begin.
@@ -753,18 +622,8 @@
         *usual = (usual.0 + 2.0 * BLEND * (took - usual.0), now);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn ended(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        attempt: Attempt,
-        outcome: Outcome,
-        last: bool,
-        kept: u64,
-        load: Option<Load>,
-        acts: &mut Vec<Action>,
-    ) {
+    fn ended(&mut self, now: Micros, ended: Ended, acts: &mut Vec<Action>) {
+        let Ended { id, attempt, outcome, last, kept, load } = ended;
         let Some(mut live) = self.live.remove(&id) else {
             // An attempt of a request that is long over may still leave a state behind.
             if outcome == Outcome::Read {
@@ -789,7 +648,7 @@
         if matches!(outcome, Outcome::Full | Outcome::NoState | Outcome::Error) {
             engine.heard = now;
         }
-        let took = (now - out.sent) as f64;
+        let took = now.saturating_sub(out.sent) as f64;
         match outcome {
             Outcome::Read => {
                 self.answered(now, index);
@@ -817,19 +676,19 @@
                 acts.push(Action::Release(id.clone()));
             }
             Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut | Outcome::Error => {
+                // A time-out at the client's deadline tells of a long line as often as of the engine.
+                let late = outcome == Outcome::TimedOut && now >= live.deadline;
                 if outcome == Outcome::TimedOut {
                     self.timed(now, index, out.step, 0.0, took);
                     self.moved(now, live.state, index, took);
                 }
-                // A time-out at the client's deadline tells of a long line as often as of the engine.
-                if outcome != Outcome::Error && !(outcome == Outcome::TimedOut && now >= live.deadline) {
+                if outcome != Outcome::Error && !late {
                     self.strike(now, index, acts);
                 }
-                let gone = matches!(outcome, Outcome::Unreachable | Outcome::Broken);
-                if outcome == Outcome::TimedOut && now < live.deadline {
+                if outcome == Outcome::TimedOut && !late {
                     self.call_off(index, out.sent, acts);
                 }
-                self.engines[index].down |= gone;
+                self.engines[index].down |= matches!(outcome, Outcome::Unreachable | Outcome::Broken);
                 live.tried.push(index);
             }
             Outcome::Cancelled => live.tried.push(index),
@@ -883,7 +742,7 @@
         let Some(live) = self.live.get(id) else { return };
         let refusable = match live.effect {
             Effect::Safe | Effect::Keyed(Group::All, _) => true,
-            _ => live.ran.is_none() && live.out.is_none_or(|o| o.step == READ),
+            _ => live.ran.is_none(),
         };
         let answer =
             if refusable { Action::Refuse(id.clone(), self.advice()) } else { Action::Fail(id.clone()) };
@@ -915,7 +774,7 @@
 
     fn advice(&mut self) -> Option<Micros> {
         let most = self.settings.max_retry_after;
-        let jitter = self.draw();
+        let jitter = self.random.draw();
         (self.settings.retry_advice && most > 0).then(|| most / 4 + jitter % (most / 4).max(1))
     }
 
@@ -939,9 +798,7 @@
     /// Requests that may still be started before earlier ones get their first tokens. Guards against
     /// reads that land while no writer has room: held back before the read, not after.
     fn room(&self, now: Micros) -> usize {
-        let mut open = 0;
-        let mut flight = 0;
-        let (mut able, mut readers) = (0, 0);
+        let (mut open, mut flight, mut able, mut readers) = (0, 0, 0, 0);
         for (index, engine) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
             flight += engine.pending.len();
             readers += usize::from(engine.role != Role::Writer && !self.shut(now, index));
@@ -973,7 +830,7 @@
         let lead = (self.gauges.lead.0 + self.gauges.lead.1) as Micros;
         for id in std::mem::take(&mut self.waiting) {
             let Some(live) = self.live.get_mut(&id) else { continue };
-            let late = now + lead >= live.aim_at;
+            let late = now.saturating_add(lead) >= live.aim_at;
             if room > 0 && now < live.deadline && (!late || now == live.arrived) {
                 live.waiting = false;
                 let before = acts.len();
@@ -992,46 +849,4 @@
             acts.push(Action::Wake(Timer::Sweep, SWEEP_EVERY));
         }
     }
-
-    /// The next number of the seeded sequence (splitmix64).
-    fn draw(&mut self) -> u64 {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.random;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
-    }
-}
-
-impl Engine {
-    fn new(member: &Member, role: Role) -> Engine {
-        Engine {
-            id: member.engine.clone(),
-            zone: member.zone.clone(),
-            cell: member.cell,
-            role,
-            lag: 1.0,
-            ..Engine::default()
-        }
-    }
-
-    /// An attempt has begun to answer, or has ended: it is in no line any more.
-    fn begun(&mut self, out: &Out) {
-        if self.pending.remove(&(out.sent, out.serial)).is_some() {
-            self.unread = if self.pending.is_empty() { 0.0 } else { self.unread - out.unread };
-        }
-    }
-
-    fn serving(&self) -> bool {
-        self.listing == Listing::Serving
-    }
-}
-
-/// The pool of an engine's role.
-fn step_of(role: Role) -> usize {
-    match role {
-        Role::Reader => READ,
-        Role::Writer => WRITE,
-        Role::Mixed => BOTH,
-    }
 }
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,169 @@
+//! What the decision module keeps in mind: plain data and its bookkeeping, no decisions.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::interface::*;
+
+/// A request's step at an engine, for the pools' usual times.
+pub(crate) const READ: usize = 0;
+pub(crate) const WRITE: usize = 1;
+pub(crate) const BOTH: usize = 2;
+
+/// An engine, how many tokens of a text it was seen to hold, and when.
+pub(crate) type Kept = (usize, u64, Micros);
+
+#[derive(Default)]
+pub(crate) struct Engine {
+    pub(crate) id: EngineId,
+    pub(crate) zone: String,
+    pub(crate) cell: u64,
+    pub(crate) role: Role,
+    pub(crate) weight: f64,
+    pub(crate) listing: Listing,
+    /// Cold until then: told by discovery, or seen to come back after failing.
+    pub(crate) cold_until: Micros,
+    pub(crate) started: Option<Micros>,
+    /// Own sends inside the tip window.
+    pub(crate) sends: VecDeque<Micros>,
+    /// Own attempts that have brought no read and no first token yet, by send time.
+    /// With each: whether a state has to cross cells for it.
+    pub(crate) pending: BTreeMap<(Micros, u64), (RequestId, bool)>,
+    /// Prompt tokens that own attempts have yet to read here.
+    pub(crate) unread: f64,
+    /// Own attempts that answer or are to answer here.
+    pub(crate) streams: u32,
+    /// When an attempt or a probe last brought an answer.
+    pub(crate) heard: Micros,
+    /// A failure that no answer has followed yet.
+    pub(crate) unheard: bool,
+    /// No connection could be had or it broke: the process may be gone.
+    pub(crate) down: bool,
+    pub(crate) fails: u32,
+    pub(crate) shut_until: Micros,
+    pub(crate) full_until: Micros,
+    pub(crate) report: Option<(Micros, Load)>,
+    /// How many times slower than its pool, and when that was last seen.
+    pub(crate) lag: f64,
+    pub(crate) lag_at: Micros,
+    /// What the table says of this engine from before this time does not hold.
+    pub(crate) void_before: Micros,
+    pub(crate) misses: u32,
+}
+
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Pool {
+    /// Usual time of one unit of work, its deviation, and the usual tokens of an attempt.
+    pub(crate) time: f64,
+    pub(crate) deviation: f64,
+    pub(crate) tokens: f64,
+    pub(crate) samples: u32,
+    /// Sends a second by this node to one engine of the pool.
+    pub(crate) rate: f64,
+    pub(crate) sent: u32,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Out {
+    pub(crate) attempt: Attempt,
+    pub(crate) engine: usize,
+    pub(crate) sent: Micros,
+    pub(crate) serial: u64,
+    pub(crate) step: usize,
+    /// Prompt tokens expected kept, and those to be read.
+    pub(crate) expected: f64,
+    pub(crate) unread: f64,
+    pub(crate) started: bool,
+}
+
+pub(crate) struct Live {
+    pub(crate) request: Request,
+    pub(crate) effect: Effect,
+    pub(crate) arrived: Micros,
+    /// When its first attempt was sent.
+    pub(crate) begun: Micros,
+    pub(crate) aim_at: Micros,
+    pub(crate) deadline: Micros,
+    pub(crate) over_share: bool,
+    pub(crate) attempts: u32,
+    pub(crate) out: Option<Out>,
+    /// The reader at which the read state waits.
+    pub(crate) state: Option<usize>,
+    /// A state was read at some time: it may outlast what the outcomes tell, so every end releases.
+    pub(crate) read: bool,
+    /// The engine of the first attempt that may have run, and when it was sent.
+    pub(crate) ran: Option<(usize, Micros)>,
+    pub(crate) tried: Vec<usize>,
+    pub(crate) waiting: bool,
+    pub(crate) done: bool,
+}
+
+/// What a node has measured of itself.
+#[derive(Default)]
+pub(crate) struct Gauges {
+    pub(crate) serial: u64,
+    /// A timer is out: for held requests, and for the watch over engines.
+    pub(crate) sweeping: bool,
+    pub(crate) watching: bool,
+    pub(crate) subscribed: bool,
+    pub(crate) asked_at: Micros,
+    pub(crate) rated_at: Micros,
+    /// How many requests may be on their way to a first token.
+    pub(crate) flight: f64,
+    /// Usual wait for a first token when the state stays in its cell and when it leaves it.
+    pub(crate) moves: [(f64, Micros); 2],
+    /// Usual time from the first send to the first token, and its deviation.
+    pub(crate) lead: (f64, f64),
+}
+
+impl Engine {
+    pub(crate) fn new(member: &Member, role: Role) -> Engine {
+        Engine {
+            id: member.engine.clone(),
+            zone: member.zone.clone(),
+            cell: member.cell,
+            role,
+            lag: 1.0,
+            ..Engine::default()
+        }
+    }
+
+    /// An attempt has begun to answer, or has ended: it is in no line any more.
+    pub(crate) fn begun(&mut self, out: &Out) {
+        if self.pending.remove(&(out.sent, out.serial)).is_some() {
+            self.unread = if self.pending.is_empty() { 0.0 } else { self.unread - out.unread };
+        }
+    }
+
+    /// The share of slots or memory in use that the engine told within this time.
+    pub(crate) fn told(&self, now: Micros, within: Micros) -> Option<f64> {
+        let (_, load) = self.report.filter(|(at, _)| now < at + within)?;
+        Some(load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0)))
+    }
+
+    pub(crate) fn serving(&self) -> bool {
+        self.listing == Listing::Serving
+    }
+}
+
+/// The pool of an engine's role.
+pub(crate) fn step_of(role: Role) -> usize {
+    match role {
+        Role::Reader => READ,
+        Role::Writer => WRITE,
+        Role::Mixed => BOTH,
+    }
+}
+
+/// A seeded sequence of numbers (splitmix64).
+pub(crate) struct Random(pub(crate) u64);
+
+impl Random {
+    /// The next number.
+    pub(crate) fn draw(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+}
