Full by reported memory: crowded writers share with mixed engines, failed probes count

Cause: memory, not slots, fills writers; mixed engines stood half empty beside them and probes turned away left old reports standing.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,8 @@
 /// Share of a cold engine's budget that all nodes together plan to use.
 const COLD_SHARE: f64 = 1.0;
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
-const FULL_FROM: f64 = 0.95;
+const FULL_FROM: f64 = 0.9;
+const CROWDED: f64 = 0.75;
 const FULL_FOR: Micros = 300_000;
 /// A load report counts for this long.
 const REPORT_FOR: Micros = 3_000_000;
@@ -258,6 +259,9 @@
         if answered {
             engine.heard = now;
             engine.unheard = false;
+        } else {
+            // A probe that is turned away or waits too long tells of a full engine, if of none worse.
+            engine.full_until = now + WATCH_EVERY;
         }
     }
 
@@ -410,7 +414,8 @@
         let limit = (self.tightest() / 3.0) as Micros;
         let stalled = engine.pending.iter().any(|((sent, _), (_, far))| !far && now > sent + limit);
         let queue = engine.report.map_or(0.0, |(_, load)| load.queue.unwrap_or(0.0));
-        let told = engine.told(now, REPORT_FOR / 3).is_some_and(|t| t >= FULL_FROM || queue >= 1.0);
+        let most = if queue >= 1.0 { CROWDED } else { FULL_FROM };
+        let told = engine.told(now, REPORT_FOR).is_some_and(|t| t >= most);
         now < engine.full_until || (engine.role != Role::Reader && (stalled || told))
     }
 
@@ -449,12 +454,19 @@
             }
         }
         let scale = if told > 0.0 { own / told } else { 0.0 };
-        // Pure writers first, mixed engines only where no writer has room; a failing one last.
+        // Pure writers first, mixed engines only where all writers are crowded; a failing one last.
+        let writers = || able.iter().filter(|&&i| self.engines[i].role == Role::Writer);
+        let crowded = writers().all(|&i| self.engines[i].told(now, REPORT_FOR).unwrap_or(0.0) >= CROWDED);
         let cell = self.engines[reader].cell;
         let links_slow = self.far_cost(now) > 0.5;
         let rank = |i: usize| {
             let e = &self.engines[i];
-            (self.shut(now, i), self.full(now, i), links_slow && e.cell != cell, e.role == Role::Mixed)
+            (
+                self.shut(now, i),
+                self.full(now, i),
+                links_slow && e.cell != cell,
+                !crowded && e.role == Role::Mixed,
+            )
         };
         let best = able.iter().map(|&i| rank(i)).min()?;
         let peers: Vec<(usize, f64)> =
