--- a/src/rules.rs
+++ b/src/rules.rs
@@ -489,8 +489,6 @@
         let aim = class.map_or(request.patience / 2, |c| {
             c.aim.saturating_add(c.aim_per_1000_tokens.saturating_mul(request.prompt_tokens) / 1000)
         });
-        // A stream that comes back has been paid for in part: it is not given up for a late token.
-        let aim = if request.resumed { request.patience } else { aim };
         // A class that nobody named is handled as one that must not run twice.
         let effect = class.map_or(Effect::Unsafe, |c| c.effect);
         let over_share = self.over_share(now, request.tenant);
