--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,6 +58,8 @@
     table: HashMap<(bool, u64), Vec<Kept>>,
     live: HashMap<RequestId, Live>,
     waiting: Vec<RequestId>,
+    /// Prompts turned away lately, by session and length, and when they first came.
+    turned: HashMap<(u64, u64), Micros>,
     /// What each tenant may still send within its share, and as of when.
     buckets: Vec<(f64, Micros)>,
     gauges: Gauges,
@@ -76,6 +78,7 @@
             table: HashMap::new(),
             live: HashMap::new(),
             waiting: Vec::new(),
+            turned: HashMap::new(),
             // A fresh node may meet a burst: the limit starts wide and evidence shrinks it.
             gauges: Gauges { flight: f64::INFINITY, ..Gauges::default() },
         }
@@ -291,6 +294,8 @@
                 }
             }
         }
+        let old = now.saturating_sub(FADE_HALF);
+        self.turned.retain(|_, first| *first > old);
         if self.table.len() > 20_000 {
             let old = now.saturating_sub(4 * FADE_HALF);
             self.table.retain(|_, held| held.iter().any(|(_, _, at)| *at > old));
@@ -492,12 +497,17 @@
         // A class that nobody named is handled as one that must not run twice.
         let effect = class.map_or(Effect::Unsafe, |c| c.effect);
         let over_share = self.over_share(now, request.tenant);
+        // Guards against retry storms: a prompt that was turned away lately has its aim counted from
+        // its first try, so that a retry that can only be late does not go before fresh requests.
+        let prompt = (request.session, request.prompt_tokens);
+        let first = self.turned.get(&prompt).map_or(now, |first| *first);
         let id = request.id.clone();
         let live = Live {
             effect,
             arrived: now,
             begun: now,
-            aim_at: now.saturating_add(aim.min(request.patience)),
+            aim_at: first.saturating_add(aim).min(now.saturating_add(request.patience)),
+            first,
             deadline: now.saturating_add(request.patience),
             over_share,
             request,
@@ -752,6 +762,7 @@
     /// The one exit: the final answer, as the class allows, and the release of what is held.
     fn finish(&mut self, id: &RequestId, acts: &mut Vec<Action>) {
         let Some(live) = self.live.get(id) else { return };
+        self.turned.insert((live.request.session, live.request.prompt_tokens), live.first);
         let refusable = match live.effect {
             Effect::Safe | Effect::Keyed(Group::All, _) => true,
             _ => live.ran.is_none(),
@@ -834,7 +845,7 @@
         self.waiting.retain(|id| live.get(id).is_some_and(|l| l.waiting));
         self.waiting.sort_by_key(|id| {
             let l = &live[id];
-            (l.over_share, !l.request.resumed, std::cmp::Reverse(l.arrived), l.request.id.clone())
+            (l.over_share, !l.request.resumed, std::cmp::Reverse(l.first), l.request.id.clone())
         });
         let mut room = self.room(now);
         // A held request is given up when its first token would come late as things go: serving it
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,6 +79,8 @@
     pub(crate) request: Request,
     pub(crate) effect: Effect,
     pub(crate) arrived: Micros,
+    /// When the client first asked, as far as this node knows.
+    pub(crate) first: Micros,
     /// When its first attempt was sent.
     pub(crate) begun: Micros,
     pub(crate) aim_at: Micros,
