A budget of spare attempts; readers that all turn away leave no room

Cause: with every reader slow, time-outs and full answers bred further attempts, up to five a request. Kept: also guards against shared slowness and retry storms of any cause; harm: a second dead engine waits for the deadline once ten attempts have been given up in a row.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,6 +25,9 @@
 const PATIENCE: f64 = 4.0;
 /// An engine this many times slower than its pool takes trial work only.
 const SLOW: f64 = 3.0;
+/// Attempts given up for slowness may be this part of the first tokens, and so many at once.
+const SPARE: f64 = 0.1;
+const SPARE_MOST: f64 = 10.0;
 /// First and longest time for which a failing engine is left alone.
 const SHUT_FIRST: Micros = 500_000;
 const SHUT_MOST: Micros = 8_000_000;
@@ -80,7 +83,7 @@
             waiting: Vec::new(),
             turned: HashMap::new(),
             // A fresh node may meet a burst: the limit starts wide and evidence shrinks it.
-            gauges: Gauges { flight: f64::INFINITY, ..Gauges::default() },
+            gauges: Gauges { flight: f64::INFINITY, spare: SPARE_MOST, ..Gauges::default() },
         }
     }
 
@@ -566,7 +569,9 @@
         let unread = if fetches { 0.0 } else { (live.request.prompt_tokens as f64 - expected).max(0.0) };
         // Time-outs guard against engines that fall silent. What might have run and must not run
         // twice keeps the whole time: giving it up early would gain nothing.
-        let repeatable = step == READ || live.effect == Effect::Safe;
+        // Where much is slow at once, giving up only adds work: a budget of spare attempts bounds it.
+        let spare = self.gauges.spare >= 1.0;
+        let repeatable = spare && (step == READ || live.effect == Effect::Safe);
         let timeout = match self.patience(step, unread) {
             Some(patience) if repeatable && live.attempts + 2 < self.settings.max_attempts => {
                 patience.min(left)
@@ -624,6 +629,7 @@
         let lead = now.saturating_sub(live.begun) as f64;
         self.gauges.lead.1 += BLEND * ((lead - self.gauges.lead.0).abs() - self.gauges.lead.1);
         self.gauges.lead.0 += BLEND * (lead - self.gauges.lead.0);
+        self.gauges.spare = (self.gauges.spare + SPARE).min(SPARE_MOST);
         if lead < aim {
             self.gauges.flight += GROW / self.gauges.flight.max(1.0);
         } else {
@@ -708,6 +714,7 @@
                     self.strike(now, index, acts);
                 }
                 if outcome == Outcome::TimedOut && !late {
+                    self.gauges.spare -= 1.0;
                     self.call_off(index, out.sent, acts);
                 }
                 self.engines[index].down |= matches!(outcome, Outcome::Unreachable | Outcome::Broken);
@@ -824,15 +831,18 @@
         let (mut open, mut flight, mut able, mut readers) = (0, 0, 0, 0);
         for (index, engine) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
             flight += engine.pending.len();
-            readers += usize::from(engine.role != Role::Writer && !self.shut(now, index));
-            if engine.role != Role::Reader && !self.shut(now, index) {
-                able += 1;
-                open += usize::from(!self.full(now, index));
-            }
+            let (well, full) = (!self.shut(now, index), self.full(now, index));
+            readers += usize::from(engine.role != Role::Writer && well && now >= engine.full_until);
+            able += usize::from(engine.role != Role::Reader && well);
+            open += usize::from(engine.role != Role::Reader && well && !full);
         }
         // With every answering engine full one request each is kept on its way: as one gets its
         // first token, the next may start.
-        let most = if open == 0 { able } else { self.gauges.flight.max(readers as f64) as usize };
+        let most = match (open, readers) {
+            (0, _) => able,
+            (_, 0) => 0,
+            _ => self.gauges.flight.max(readers as f64) as usize,
+        };
         most.max(1).saturating_sub(flight)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,6 +111,8 @@
     pub(crate) rated_at: Micros,
     /// How many requests may be on their way to a first token.
     pub(crate) flight: f64,
+    /// Attempts that may still be given up for slowness.
+    pub(crate) spare: f64,
     /// Usual wait for a first token when the state stays in its cell and when it leaves it.
     pub(crate) moves: [(f64, Micros); 2],
     /// Usual time from the first send to the first token, and its deviation.
