--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,7 +35,7 @@
 const WATCH_EVERY: Micros = 500_000;
 const SWEEP_EVERY: Micros = 50_000;
 /// Share of a cold engine's budget that all nodes together plan to use.
-const COLD_SHARE: f64 = 1.0;
+const COLD_SHARE: f64 = 0.8;
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
 const FULL_FROM: f64 = 0.9;
 const CROWDED: f64 = 0.75;
@@ -828,17 +828,19 @@
     /// Requests that may still be started before earlier ones get their first tokens. Guards against
     /// reads that land while no writer has room: held back before the read, not after.
     fn room(&self, now: Micros) -> usize {
-        let (mut open, mut flight, mut able, mut readers) = (0, 0, 0, 0);
+        let (mut open, mut flight, mut able, mut readers, mut ready) = (0, 0, 0, 0, 0);
         for (index, engine) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
             flight += engine.pending.len();
             let (well, full) = (!self.shut(now, index), self.full(now, index));
-            readers += usize::from(engine.role != Role::Writer && well && now >= engine.full_until);
+            let reads = engine.role != Role::Writer && now >= engine.full_until;
+            ready += usize::from(reads);
+            readers += usize::from(reads && well);
             able += usize::from(engine.role != Role::Reader && well);
             open += usize::from(engine.role != Role::Reader && well && !full);
         }
         // With every answering engine full one request each is kept on its way: as one gets its
         // first token, the next may start.
-        let most = match (open, readers) {
+        let most = match (open, ready) {
             (0, _) => able,
             (_, 0) => 0,
             _ => self.gauges.flight.max(readers as f64) as usize,
@@ -860,7 +862,8 @@
         let mut room = self.room(now);
         // A held request is given up when its first token would come late as things go: serving it
         // would make the next one late too.
-        let lead = (self.gauges.lead.0 + self.gauges.lead.1) as Micros;
+        // No later than two looks before: the client's deadline must not fall between two of them.
+        let lead = ((self.gauges.lead.0 + self.gauges.lead.1) as Micros).max(2 * SWEEP_EVERY);
         for id in std::mem::take(&mut self.waiting) {
             let Some(live) = self.live.get_mut(&id) else { continue };
             let late = now.saturating_add(lead) >= live.aim_at;
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,337 @@
+//! Settings, events and a bookkeeper for the tests: it checks what a node can see of the rules.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pintally::interface::*;
+use pintally::Router;
+
+pub const MS: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+
+pub fn class(name: &str, effect: Effect) -> Class {
+    Class {
+        name: name.into(),
+        effect,
+        aim: SECOND,
+        aim_per_1000_tokens: 40 * MS,
+        token_aim: 60 * MS,
+        worth: 1.0,
+        late_share: 0.2,
+    }
+}
+
+pub fn kind(name: &str, role: Role) -> Kind {
+    Kind { name: name.into(), role, memory_tokens: 100_000 }
+}
+
+/// Classes 0 safe, 1 unsafe, 2 keyed by cell; kinds `r`, `w` and `m`.
+pub fn settings() -> Settings {
+    Settings {
+        zone: "near".into(),
+        nodes: 2,
+        classes: vec![
+            class("safe", Effect::Safe),
+            class("unsafe", Effect::Unsafe),
+            class("keyed", Effect::Keyed(Group::Cell, 2 * SECOND)),
+        ],
+        tenants: vec![],
+        kinds: vec![kind("r", Role::Reader), kind("w", Role::Writer), kind("m", Role::Mixed)],
+        discovery: Discovery::Pushed,
+        reports: Reports::Inline,
+        weights: true,
+        may_cancel: true,
+        may_probe: false,
+        retry_advice: false,
+        max_retry_after: SECOND,
+        max_attempts: 6,
+        cold_from: 0.3,
+        warm_after: 10 * SECOND,
+        tip_multiple: 2.5,
+        tip_window: 2 * SECOND,
+        release_within: 500 * MS,
+        ask_within: 10 * SECOND,
+    }
+}
+
+pub fn id(name: &str) -> RequestId {
+    RequestId(name.into())
+}
+
+pub fn engine(name: &str) -> EngineId {
+    EngineId(name.into())
+}
+
+/// An entry: the kind is the first letter of the name.
+pub fn member(name: &str, zone: &str, cell: u64) -> Member {
+    Member {
+        engine: engine(name),
+        zone: zone.into(),
+        kind: name[..1].into(),
+        cell,
+        listing: Listing::Serving,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+pub fn request(name: &str, class: usize, session: u64) -> Request {
+    Request {
+        id: id(name),
+        class: Some(class),
+        tenant: None,
+        session,
+        prefix: None,
+        prompt_tokens: 2_000,
+        prefix_tokens: 0,
+        max_tokens: 200,
+        patience: 5 * SECOND,
+        resumed: false,
+    }
+}
+
+/// A router together with what it has been told and has done.
+pub struct Node {
+    pub router: Router,
+    pub settings: Settings,
+    pub now: Micros,
+    pub acts: Vec<Action>,
+    classes: BTreeMap<RequestId, usize>,
+    deadlines: BTreeMap<RequestId, Micros>,
+    members: BTreeMap<EngineId, Member>,
+    /// Attempts by request: where, and the outcome once there is one.
+    pub attempts: BTreeMap<RequestId, Vec<(EngineId, Micros, Option<Outcome>)>>,
+    pub finals: BTreeMap<RequestId, Action>,
+    /// Served, broken or withdrawn: nothing more is owed.
+    over: BTreeSet<RequestId>,
+    /// Requests with a state that waits, and since when.
+    held: BTreeMap<RequestId, Micros>,
+    started: BTreeSet<RequestId>,
+    /// Timers that are to come due.
+    timers: Vec<(Micros, Timer)>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, members: Vec<Member>) -> Node {
+        let mut node = Node {
+            router: Router::new(settings.clone(), 7),
+            settings,
+            now: 1_000 * SECOND,
+            acts: vec![],
+            classes: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
+            members: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            finals: BTreeMap::new(),
+            over: BTreeSet::new(),
+            held: BTreeMap::new(),
+            started: BTreeSet::new(),
+            timers: vec![],
+        };
+        node.members(ListForm::Full, members);
+        node
+    }
+
+    /// Hands over an event and returns what it brought about, checked against the rules.
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut acts = vec![];
+        self.router.handle(self.now, event, &mut acts);
+        for act in &acts {
+            self.check(act);
+        }
+        for (request, since) in &self.held {
+            let out = self.attempts[request].iter().any(|a| a.2.is_none());
+            assert!(
+                out || self.now <= since + self.settings.release_within,
+                "state of {request:?} is left pinned"
+            );
+        }
+        self.acts.extend(acts.clone());
+        acts
+    }
+
+    pub fn members(&mut self, form: ListForm, members: Vec<Member>) -> Vec<Action> {
+        if form == ListForm::Full {
+            for member in self.members.values_mut() {
+                member.listing = Listing::Gone;
+            }
+        }
+        for member in &members {
+            self.members.insert(member.engine.clone(), member.clone());
+        }
+        self.tell(Event::Members(form, members))
+    }
+
+    pub fn arrive(&mut self, request: Request) -> Vec<Action> {
+        self.classes.insert(request.id.clone(), request.class.unwrap_or(usize::MAX));
+        self.deadlines.insert(request.id.clone(), self.now + request.patience);
+        self.tell(Event::Arrived(request))
+    }
+
+    /// Ends the latest attempt of a request.
+    pub fn end(&mut self, name: &str, outcome: Outcome) -> Vec<Action> {
+        let attempt = self.attempts[&id(name)].len() - 1;
+        self.end_attempt(name, attempt, outcome, 0)
+    }
+
+    pub fn end_attempt(&mut self, name: &str, attempt: usize, outcome: Outcome, kept: u64) -> Vec<Action> {
+        let request = id(name);
+        let place = &mut self.attempts.get_mut(&request).unwrap()[attempt];
+        assert!(place.2.is_none(), "an attempt ends once");
+        place.2 = Some(outcome);
+        if outcome == Outcome::Read {
+            self.held.insert(request.clone(), self.now);
+        } else if let Some(since) = self.held.get_mut(&request) {
+            *since = self.now;
+        }
+        let broke = self.started.contains(&request);
+        let last = outcome == Outcome::Served || broke || self.is_over(&request);
+        if last {
+            self.over.insert(request.clone());
+            if outcome == Outcome::Served || broke {
+                self.held.remove(&request);
+            }
+        }
+        let attempt = attempt as Attempt;
+        self.tell(Event::Ended(Ended { id: request, attempt, outcome, last, kept, load: None }))
+    }
+
+    pub fn first_token(&mut self, name: &str) -> Vec<Action> {
+        let attempt = self.attempts[&id(name)].len() as Attempt - 1;
+        self.held.remove(&id(name));
+        self.started.insert(id(name));
+        self.tell(Event::FirstToken(id(name), attempt))
+    }
+
+    pub fn withdraw(&mut self, name: &str) -> Vec<Action> {
+        self.over.insert(id(name));
+        if let Some(since) = self.held.get_mut(&id(name)) {
+            *since = self.now;
+        }
+        self.tell(Event::Withdrawn(id(name)))
+    }
+
+    pub fn sweep(&mut self) -> Vec<Action> {
+        self.tell(Event::Elapsed(Timer::Sweep))
+    }
+
+    /// Fires the timers that have come due.
+    pub fn fire(&mut self) {
+        let due: Vec<_> = self.timers.iter().filter(|t| t.0 <= self.now).cloned().collect();
+        self.timers.retain(|t| t.0 > self.now);
+        for (_, timer) in due {
+            self.tell(Event::Elapsed(timer));
+        }
+    }
+
+    /// Where the latest attempt of a request went.
+    pub fn at(&self, name: &str) -> Option<&str> {
+        self.attempts.get(&id(name)).and_then(|a| a.last()).map(|a| &*a.0 .0)
+    }
+
+    pub fn is_over(&self, request: &RequestId) -> bool {
+        self.over.contains(request) || self.finals.contains_key(request)
+    }
+
+    /// Requests that are owed a final answer.
+    pub fn owed(&self) -> Vec<RequestId> {
+        self.classes.keys().filter(|r| !self.is_over(r) && !self.started.contains(*r)).cloned().collect()
+    }
+
+    pub fn has_out(&self, request: &RequestId) -> bool {
+        self.attempts.get(request).is_some_and(|a| a.iter().any(|a| a.2.is_none()))
+    }
+
+    pub fn streams(&self, request: &RequestId) -> bool {
+        self.started.contains(request)
+    }
+
+    pub fn deadline(&self, request: &RequestId) -> Micros {
+        self.deadlines[request]
+    }
+
+    fn role(&self, engine: &EngineId) -> Role {
+        let kind = &self.members[engine].kind;
+        self.settings.kinds.iter().find(|k| k.name == *kind).unwrap().role
+    }
+
+    fn harmless(&self, attempt: &(EngineId, Micros, Option<Outcome>)) -> bool {
+        let never_ran = matches!(
+            attempt.2,
+            Some(
+                Outcome::Read | Outcome::Full | Outcome::NoState | Outcome::Unreachable | Outcome::NeverSent
+            )
+        );
+        never_ran || self.role(&attempt.0) == Role::Reader
+    }
+
+    fn effect(&self, request: &RequestId) -> Effect {
+        self.settings.classes.get(self.classes[request]).map_or(Effect::Unsafe, |c| c.effect)
+    }
+
+    fn check(&mut self, act: &Action) {
+        match act {
+            Action::Send(request, engine, timeout) => {
+                assert!(!self.is_over(request), "{request:?} is over and is sent");
+                assert!(*timeout > 0 && self.now < self.deadlines[request]);
+                let member = self.members[engine].clone();
+                assert_eq!(member.listing, Listing::Serving, "{engine:?} drains and is sent to");
+                let effect = self.effect(request);
+                let attempts = self.attempts.entry(request.clone()).or_default().clone();
+                assert!(attempts.len() < self.settings.max_attempts as usize);
+                assert!(attempts.iter().all(|a| a.2.is_some()), "two attempts of {request:?} are out");
+                if let Some(first) = attempts.iter().find(|a| !self.harmless(a)) {
+                    match effect {
+                        Effect::Safe => {}
+                        Effect::Unsafe => panic!("{request:?} may have run and is sent again"),
+                        Effect::Keyed(group, window) => {
+                            let from = &self.members[&first.0];
+                            assert!(self.now <= first.1 + window, "outside the window");
+                            assert!(match group {
+                                Group::All => true,
+                                Group::Zone => from.zone == member.zone,
+                                Group::Cell => from.cell == member.cell,
+                            });
+                        }
+                    }
+                }
+                let place = self.attempts.get_mut(request).unwrap();
+                place.push((engine.clone(), self.now, None));
+            }
+            Action::Refuse(request, _) => {
+                self.answer(request, act);
+                let attempts = self.attempts.get(request).cloned().unwrap_or_default();
+                let may_have_run = attempts.iter().any(|a| !self.harmless(a));
+                let allowed = match self.effect(request) {
+                    Effect::Safe | Effect::Keyed(Group::All, _) => true,
+                    _ => !may_have_run,
+                };
+                assert!(allowed, "{request:?} may have run and is refused");
+            }
+            Action::Fail(request) => self.answer(request, act),
+            Action::Release(request) => {
+                self.held.remove(request);
+            }
+            Action::Cancel(request, attempt) => {
+                assert!(self.settings.may_cancel);
+                assert!((*attempt as usize) < self.attempts[request].len(), "never made");
+            }
+            Action::Probe(engine) => {
+                assert!(self.settings.may_probe);
+                assert!(self.members.contains_key(engine));
+            }
+            Action::Wake(timer, after) => {
+                assert!(*after > 0);
+                self.timers.push((self.now + after, *timer));
+            }
+            Action::Follow => assert_eq!(self.settings.discovery, Discovery::OnRequest),
+            Action::Log(text) => assert!(!text.is_empty()),
+        }
+    }
+
+    fn answer(&mut self, request: &RequestId, act: &Action) {
+        assert!(!self.is_over(request), "{request:?} has two final answers");
+        assert!(self.now <= self.deadlines[request] + 16 * MS, "{request:?} is answered late");
+        self.finals.insert(request.clone(), act.clone());
+    }
+}
--- /dev/null
+++ b/tests/properties.rs
@@ -0,0 +1,182 @@
+//! The five rules, as far as a node can see them, over generated legal sequences of events. The
+//! bookkeeper in `common` asserts them at every action; there is no model of engines here.
+
+mod common;
+
+use common::*;
+use pintally::interface::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// One step of a sequence; numbers are taken modulo what there is to choose from.
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive { class: usize, session: u64, prefix: u64, tokens: u64, patience: Micros },
+    End { which: usize, outcome: usize, kept: u64 },
+    First { which: usize },
+    Withdraw { which: usize },
+    List { full: bool, engine: usize, listing: usize, restarted: bool },
+    Fire { watch: bool },
+    Pass { span: Micros },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0usize..4, 0u64..6, 0u64..4, 0u64..9_000, 50_000u64..6_000_000).prop_map(
+            |(class, session, prefix, tokens, patience)| Step::Arrive { class, session, prefix, tokens, patience }
+        ),
+        8 => (0usize..64, 0usize..12, 0u64..4_000)
+            .prop_map(|(which, outcome, kept)| Step::End { which, outcome, kept }),
+        3 => (0usize..64).prop_map(|which| Step::First { which }),
+        1 => (0usize..64).prop_map(|which| Step::Withdraw { which }),
+        1 => (any::<bool>(), 0usize..8, 0usize..3, any::<bool>()).prop_map(
+            |(full, engine, listing, restarted)| Step::List { full, engine, listing, restarted }
+        ),
+        1 => any::<bool>().prop_map(|watch| Step::Fire { watch }),
+        4 => (0u64..400_000).prop_map(|span| Step::Pass { span }),
+    ]
+}
+
+fn varied() -> impl Strategy<Value = Settings> {
+    (any::<(bool, bool, bool, bool)>(), 2u32..7, 0usize..3, 1u32..4, 0usize..3).prop_map(
+        |((may_cancel, may_probe, retry_advice, asked), max_attempts, group, nodes, reports)| {
+            let group = [Group::All, Group::Zone, Group::Cell][group];
+            let mut settings =
+                Settings { may_cancel, may_probe, retry_advice, max_attempts, nodes, ..settings() };
+            settings.classes[2] = class("keyed", Effect::Keyed(group, SECOND));
+            settings.discovery = if asked { Discovery::OnRequest } else { Discovery::Pushed };
+            settings.reports = [Reports::Inline, Reports::OnProbe, Reports::Off][reports];
+            settings.tenants = vec![Tenant { name: "t".into(), quota_per_s: 2.0 }];
+            settings
+        },
+    )
+}
+
+fn names() -> Vec<&'static str> {
+    vec!["r1", "r2", "w1", "w2", "m1", "r3", "w3", "m2"]
+}
+
+fn entry(index: usize) -> Member {
+    let zone = if index < 4 { "near" } else { "far" };
+    member(names()[index], zone, index as u64 / 2)
+}
+
+/// Requests with an attempt out, in a fixed order.
+fn out(node: &Node, streaming: bool) -> Vec<RequestId> {
+    let all = node.attempts.keys().filter(|r| node.has_out(r) && node.streams(r) == streaming);
+    all.cloned().collect()
+}
+
+fn reads(node: &Node, request: &RequestId) -> bool {
+    node.attempts[request].last().is_some_and(|a| a.0 .0.starts_with('r'))
+}
+
+/// Ends the attempts whose time is up, as a host would, and fires the timer for held requests.
+fn pass(node: &mut Node, span: Micros) {
+    let until = node.now + span;
+    while node.now < until {
+        node.now = until.min(node.now + 10 * MS);
+        for request in out(node, false) {
+            if node.now >= node.deadline(&request) {
+                node.end(&request.0, Outcome::TimedOut);
+            }
+        }
+        node.fire();
+    }
+}
+
+fn play(settings: Settings, steps: &[Step]) -> Vec<Action> {
+    let mut node = Node::new(settings, (0..5).map(entry).collect());
+    for (number, step) in steps.iter().enumerate() {
+        match step.clone() {
+            Step::Arrive { class, session, prefix, tokens, patience } => {
+                node.arrive(Request {
+                    class: (class < 3).then_some(class),
+                    tenant: (session % 2 == 0).then_some(0),
+                    prefix: (prefix > 0).then_some(prefix),
+                    prefix_tokens: tokens / 2,
+                    prompt_tokens: tokens,
+                    patience,
+                    resumed: tokens % 5 == 0,
+                    ..request(&format!("q{number:04}"), 0, session)
+                });
+            }
+            Step::End { which, outcome, kept } => {
+                let streaming = outcome >= 10;
+                let open = out(&node, streaming);
+                if open.is_empty() {
+                    continue;
+                }
+                let request = open[which % open.len()].clone();
+                let outcome = match outcome {
+                    _ if streaming => [Outcome::Served, Outcome::Broken][which % 2],
+                    0..=4 if reads(&node, &request) => Outcome::Read,
+                    0..=2 => Outcome::Served,
+                    3 | 4 => Outcome::NoState,
+                    5 => Outcome::Full,
+                    6 => Outcome::Unreachable,
+                    7 => Outcome::Broken,
+                    8 => Outcome::Error,
+                    _ => Outcome::TimedOut,
+                };
+                let attempt = node.attempts[&request].len() - 1;
+                node.end_attempt(&request.0, attempt, outcome, kept);
+            }
+            Step::First { which } => {
+                let open: Vec<_> = out(&node, false).into_iter().filter(|r| !reads(&node, r)).collect();
+                if let Some(request) = open.get(which % open.len().max(1)).filter(|r| !node.is_over(r)) {
+                    node.first_token(&request.0.clone());
+                }
+            }
+            Step::Withdraw { which } => {
+                let owed = node.owed();
+                if let Some(request) = owed.get(which % owed.len().max(1)) {
+                    node.withdraw(&request.0.clone());
+                }
+            }
+            Step::List { full, engine, listing, restarted } => {
+                let listing = [Listing::Serving, Listing::Draining, Listing::Gone][listing];
+                let started = restarted.then_some(node.now);
+                let changed = Member { listing, started, ..entry(engine) };
+                match full {
+                    true => node.members(ListForm::Full, (0..engine).map(entry).chain([changed]).collect()),
+                    false => node.members(ListForm::Change, vec![changed]),
+                };
+            }
+            Step::Fire { watch } => {
+                node.tell(Event::Elapsed(if watch { Timer::Watch } else { Timer::Sweep }));
+            }
+            Step::Pass { span } => pass(&mut node, span),
+        }
+    }
+    pass(&mut node, 8 * SECOND);
+    assert_eq!(node.owed(), Vec::<RequestId>::new(), "every request has its final answer");
+    node.acts
+}
+
+fn runner() -> TestRunner {
+    let config = Config { cases: 200, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]))
+}
+
+#[test]
+fn the_rules_hold_over_any_legal_sequence() {
+    let steps = prop::collection::vec(step(), 1..160);
+    runner()
+        .run(&(varied(), steps), |(settings, steps)| {
+            play(settings, &steps);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let steps = prop::collection::vec(step(), 1..80);
+    runner()
+        .run(&(varied(), steps), |(settings, steps)| {
+            prop_assert_eq!(play(settings.clone(), &steps), play(settings, &steps));
+            Ok(())
+        })
+        .unwrap();
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,628 @@
+//! One test for each rule, guard and departure of the decision module.
+
+mod common;
+
+use common::*;
+use pintally::interface::*;
+
+fn pair() -> Vec<Member> {
+    vec![member("r1", "near", 1), member("w1", "near", 1)]
+}
+
+fn fleet() -> Vec<Member> {
+    let mut members = vec![];
+    for i in 1..=4 {
+        members.push(member(&format!("r{i}"), "near", i % 2));
+        members.push(member(&format!("w{i}"), "near", i % 2));
+    }
+    members
+}
+
+fn serve(node: &mut Node, name: &str) {
+    node.now += 50 * MS;
+    node.end(name, Outcome::Read);
+    node.now += 20 * MS;
+    node.first_token(name);
+    node.now += 100 * MS;
+    node.end(name, Outcome::Served);
+}
+
+// ---- the ordinary path ----
+
+#[test]
+fn a_read_is_followed_by_a_write_and_the_answer() {
+    let mut node = Node::new(settings(), pair());
+    node.arrive(request("a", 0, 1));
+    assert_eq!(node.at("a"), Some("r1"));
+    node.end("a", Outcome::Read);
+    assert_eq!(node.at("a"), Some("w1"));
+    node.first_token("a");
+    node.end("a", Outcome::Served);
+    assert!(node.finals.is_empty());
+}
+
+#[test]
+fn the_home_of_an_unseen_key_is_the_same_at_every_node_and_in_every_list_order() {
+    for session in 0..50 {
+        let mut one = Node::new(settings(), fleet());
+        let mut other_list = fleet();
+        other_list.reverse();
+        let mut other = Node::new(Settings { zone: "far".into(), ..settings() }, other_list);
+        one.arrive(request("a", 0, session));
+        other.arrive(request("a", 0, session));
+        assert_eq!(one.at("a"), other.at("a"));
+    }
+}
+
+#[test]
+fn homes_spread_over_the_readers() {
+    let homes: std::collections::BTreeSet<String> = (0..60)
+        .map(|session| {
+            let mut node = Node::new(settings(), fleet());
+            node.arrive(request("a", 0, session));
+            node.at("a").unwrap().to_string()
+        })
+        .collect();
+    assert_eq!(homes.len(), 4);
+}
+
+#[test]
+fn a_session_comes_back_to_the_reader_that_holds_its_prompt() {
+    let mut node = Node::new(settings(), fleet());
+    node.arrive(request("a", 0, 1));
+    let first = node.at("a").unwrap().to_string();
+    // The home is turned away once, so that the text lies elsewhere than at home.
+    node.end("a", Outcome::Full);
+    let second = node.at("a").unwrap().to_string();
+    assert_ne!(first, second);
+    serve(&mut node, "a");
+    node.now += SECOND;
+    node.arrive(request("b", 0, 1));
+    assert_eq!(node.at("b"), Some(second.as_str()));
+}
+
+#[test]
+fn a_shared_beginning_draws_other_sessions_to_its_reader() {
+    let shared =
+        |name: &str, session| Request { prefix: Some(99), prefix_tokens: 1_500, ..request(name, 0, session) };
+    let mut node = Node::new(settings(), fleet());
+    node.arrive(shared("a", 1));
+    let home = node.at("a").unwrap().to_string();
+    serve(&mut node, "a");
+    for (i, name) in ["b", "c", "d"].iter().enumerate() {
+        node.arrive(shared(name, 10 + i as u64));
+        assert_eq!(node.at(name), Some(home.as_str()));
+        serve(&mut node, name);
+    }
+}
+
+#[test]
+fn reads_over_the_cap_spill_to_the_next_reader_of_the_ring() {
+    let mut node = Node::new(settings(), fleet());
+    // One key, new text each time: a second whole prompt is over the home's cap.
+    let unread =
+        |name: &str, session| Request { prefix: Some(5), prefix_tokens: 1, ..request(name, 0, session) };
+    node.arrive(unread("a", 1));
+    node.arrive(unread("b", 2));
+    let (first, second) = (node.at("a").unwrap().to_string(), node.at("b").unwrap().to_string());
+    assert_ne!(first, second);
+    // Without the home the next of the ring is the home: the spill followed the ring.
+    let rest = fleet().into_iter().filter(|m| *m.engine.0 != *first).collect();
+    let mut other = Node::new(settings(), rest);
+    other.arrive(unread("a", 1));
+    assert_eq!(other.at("a"), Some(second.as_str()));
+}
+
+#[test]
+fn what_is_already_kept_does_not_count_against_the_cap() {
+    let mut node = Node::new(settings(), fleet());
+    node.arrive(request("a", 0, 1));
+    let home = node.at("a").unwrap().to_string();
+    serve(&mut node, "a");
+    // Both are read but for a few tokens; together they stay under one whole prompt.
+    node.arrive(request("b", 0, 1));
+    node.arrive(request("c", 0, 1));
+    assert_eq!((node.at("b"), node.at("c")), (Some(home.as_str()), Some(home.as_str())));
+}
+
+#[test]
+fn forgotten_text_shows_in_kept_counts_and_voids_the_table() {
+    let mut node = Node::new(settings(), fleet());
+    node.arrive(request("a", 0, 1));
+    let home = node.at("a").unwrap().to_string();
+    node.end("a", Outcome::Full);
+    let holder = node.at("a").unwrap().to_string();
+    serve(&mut node, "a");
+    assert_ne!(home, holder);
+    // Two other sessions find nothing kept there although it was expected.
+    for (name, session) in [("x", 2), ("y", 3)] {
+        for turn in 0..2 {
+            let name = format!("{name}{turn}");
+            node.arrive(request(&name, 0, session));
+            while node.at(&name) != Some(holder.as_str()) {
+                node.end(&name, Outcome::Full);
+            }
+            serve(&mut node, &name);
+            node.now += SECOND;
+        }
+    }
+    node.arrive(request("b", 0, 1));
+    assert_eq!(node.at("b"), Some(home.as_str()), "the unseen key goes home again");
+}
+
+#[test]
+fn the_table_fades() {
+    let mut node = Node::new(settings(), fleet());
+    node.arrive(request("a", 0, 1));
+    let home = node.at("a").unwrap().to_string();
+    node.end("a", Outcome::Full);
+    let holder = node.at("a").unwrap().to_string();
+    serve(&mut node, "a");
+    node.now += 30 * SECOND;
+    node.arrive(request("b", 0, 1));
+    assert_eq!(node.at("b"), Some(holder.as_str()));
+    serve(&mut node, "b");
+    node.now += 600 * SECOND;
+    node.arrive(request("c", 0, 1));
+    assert_eq!(node.at("c"), Some(home.as_str()));
+}
+
+#[test]
+fn a_restarted_reader_holds_nothing() {
+    let mut node = Node::new(settings(), fleet());
+    node.arrive(request("a", 0, 1));
+    let home = node.at("a").unwrap().to_string();
+    node.end("a", Outcome::Full);
+    let holder = node.at("a").unwrap().to_string();
+    serve(&mut node, "a");
+    node.now += SECOND;
+    let started = Some(node.now - 100 * MS);
+    let restarted =
+        fleet().into_iter().find(|m| *m.engine.0 == *holder).map(|m| Member { started, ..m }).unwrap();
+    node.members(ListForm::Change, vec![restarted]);
+    node.arrive(request("b", 0, 1));
+    assert_eq!(node.at("b"), Some(home.as_str()));
+}
+
+#[test]
+fn the_writer_with_the_fewest_streams_wins_and_near_ones_break_ties() {
+    let members = vec![
+        member("r1", "near", 1),
+        member("w1", "far", 3),
+        member("w2", "near", 2),
+        member("w3", "near", 1),
+    ];
+    let mut node = Node::new(settings(), members);
+    let mut went = vec![];
+    for i in 0..6 {
+        let name = format!("s{i}");
+        node.arrive(request(&name, 0, i));
+        node.end(&name, Outcome::Read);
+        went.push(node.at(&name).unwrap().to_string());
+        node.now += 5 * MS;
+        node.first_token(&name);
+    }
+    assert_eq!(went[0], "w3", "the reader's cell first");
+    assert!(went.contains(&"w2".to_string()), "the reader's zone when the cell's has more streams");
+    assert!(went.contains(&"w1".to_string()), "and then the rest");
+}
+
+#[test]
+fn a_mixed_engine_reads_and_writes_what_it_wins() {
+    let mut node = Node::new(settings(), vec![member("m1", "near", 1)]);
+    node.arrive(request("a", 0, 1));
+    assert_eq!(node.at("a"), Some("m1"));
+    node.first_token("a");
+    node.end("a", Outcome::Served);
+    assert_eq!(node.attempts[&id("a")].len(), 1);
+}
+
+// ---- no request is lost ----
+
+#[test]
+fn with_no_engine_each_request_is_refused_while_an_answer_is_in_time() {
+    let mut node = Node::new(settings(), vec![]);
+    let odd = Request { class: None, ..request("odd", 0, 3) };
+    node.arrive(request("a", 0, 1));
+    node.arrive(request("b", 1, 2));
+    node.arrive(odd);
+    node.now += 3 * SECOND;
+    node.sweep();
+    assert_eq!(node.finals.len(), 3);
+}
+
+#[test]
+fn what_times_out_at_the_deadline_still_gets_its_answer() {
+    let mut node = Node::new(settings(), pair());
+    node.arrive(request("a", 0, 1));
+    node.end("a", Outcome::Read);
+    node.now = node.deadline(&id("a")) + 4 * MS;
+    node.end("a", Outcome::TimedOut);
+    assert!(matches!(node.finals[&id("a")], Action::Refuse(..)));
+}
+
+#[test]
+fn events_of_unknown_requests_change_nothing_but_a_state_is_let_go() {
+    let mut node = Node::new(settings(), pair());
+    let ended = |outcome| {
+        Event::Ended(Ended { id: id("ghost"), attempt: 3, outcome, last: false, kept: 0, load: None })
+    };
+    assert!(node.tell(Event::FirstToken(id("ghost"), 0)).is_empty());
+    assert!(node.tell(Event::Withdrawn(id("ghost"))).is_empty());
+    assert!(node.tell(ended(Outcome::Broken)).is_empty());
+    assert!(node.tell(Event::Probed(engine("nobody"), true, None)).is_empty());
+    assert_eq!(node.tell(ended(Outcome::Read)), vec![Action::Release(id("ghost"))]);
+}
+
+#[test]
+fn a_refusal_names_a_time_to_come_back_only_where_settings_allow_it() {
+    for advice in [false, true] {
+        let mut node = Node::new(Settings { retry_advice: advice, ..settings() }, vec![]);
+        node.arrive(request("a", 0, 1));
+        node.now += 2 * SECOND;
+        node.sweep();
+        let Action::Refuse(_, pause) = &node.finals[&id("a")] else { panic!("not refused") };
+        assert_eq!(pause.is_some(), advice);
+        assert!(pause.is_none_or(|p| p > 0 && p <= node.settings.max_retry_after));
+    }
+}
+
+// ---- no effect happens twice ----
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
+    for outcome in [Outcome::Error, Outcome::Broken, Outcome::TimedOut, Outcome::Cancelled] {
+        let mut node = Node::new(settings(), fleet());
+        node.arrive(request("a", 1, 1));
+        node.end("a", Outcome::Read);
+        let acts = node.end("a", outcome);
+        assert!(acts.contains(&Action::Fail(id("a"))), "{outcome:?}");
+        assert!(acts.contains(&Action::Release(id("a"))));
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_never_ran_goes_to_another_writer() {
+    for outcome in [Outcome::Full, Outcome::Unreachable] {
+        let mut node = Node::new(settings(), fleet());
+        node.arrive(request("a", 1, 1));
+        node.end("a", Outcome::Read);
+        let first = node.at("a").unwrap().to_string();
+        node.end("a", outcome);
+        assert_ne!(node.at("a"), Some(first.as_str()));
+        assert_eq!(node.attempts[&id("a")].len(), 3);
+    }
+}
+
+#[test]
+fn a_broken_read_of_an_unsafe_request_has_no_effect_and_is_made_elsewhere() {
+    let mut node = Node::new(settings(), fleet());
+    node.arrive(request("a", 1, 1));
+    let first = node.at("a").unwrap().to_string();
+    node.end("a", Outcome::Broken);
+    assert!(node.finals.is_empty());
+    assert_ne!(node.at("a"), Some(first.as_str()));
+}
+
+#[test]
+fn a_mixed_engine_without_a_state_may_have_run_the_request() {
+    let members = vec![member("m1", "near", 1), member("m2", "near", 1)];
+    let mut node = Node::new(settings(), members);
+    node.arrive(request("a", 1, 1));
+    node.end("a", Outcome::Broken);
+    assert_eq!(node.finals[&id("a")], Action::Fail(id("a")));
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_group_and_inside_the_window() {
+    let members = vec![member("m1", "near", 1), member("m2", "near", 1), member("m3", "near", 2)];
+    for session in 0..20 {
+        let mut node = Node::new(settings(), members.clone());
+        let name = format!("k{session}");
+        node.arrive(request(&name, 2, session));
+        let first = node.at(&name).unwrap().to_string();
+        node.end(&name, Outcome::Broken);
+        match first.as_str() {
+            "m3" => assert_eq!(node.at(&name), Some("m3"), "the only one of its group"),
+            _ => assert_ne!(node.at(&name), Some("m3")),
+        }
+        if node.has_out(&id(&name)) {
+            node.now += 3 * SECOND;
+            node.end(&name, Outcome::Unreachable);
+            assert_eq!(node.finals[&id(&name)], Action::Fail(id(&name)), "the window is over");
+        }
+    }
+}
+
+#[test]
+fn attempts_end_at_the_cap() {
+    let mut node = Node::new(Settings { max_attempts: 3, ..settings() }, fleet());
+    node.arrive(request("a", 0, 1));
+    for _ in 0..3 {
+        if node.has_out(&id("a")) {
+            node.end("a", Outcome::Broken);
+        }
+    }
+    assert!(node.attempts[&id("a")].len() <= 3);
+    assert!(node.finals.contains_key(&id("a")));
+}
+
+// ---- drains are kept ----
+
+#[test]
+fn nothing_goes_to_an_engine_that_drains_or_is_gone() {
+    let mut node = Node::new(
+        settings(),
+        vec![member("r1", "near", 1), member("r2", "near", 1), member("w1", "near", 1)],
+    );
+    node.members(ListForm::Change, vec![Member { listing: Listing::Draining, ..member("r1", "near", 1) }]);
+    for session in 0..6 {
+        let name = format!("a{session}");
+        node.arrive(request(&name, 0, session));
+        assert_eq!(node.at(&name), Some("r2"));
+        serve(&mut node, &name);
+    }
+    // A full list without an engine means that it is gone.
+    node.members(ListForm::Full, vec![member("r1", "near", 1), member("w1", "near", 1)]);
+    node.arrive(request("b", 0, 9));
+    assert_eq!(node.at("b"), Some("r1"));
+    // A list that could not be had changes nothing.
+    node.tell(Event::Members(ListForm::Failed, vec![]));
+    node.arrive(request("c", 0, 10));
+    assert_eq!(node.at("c"), Some("r1"));
+}
+
+// ---- no cold engine is pushed over ----
+
+#[test]
+fn a_cold_engine_gets_little_and_a_warm_one_its_share() {
+    let started = |node: &Node| Some(node.now);
+    let mut node = Node::new(settings(), pair());
+    let cold = Member { started: started(&node), ..member("r2", "near", 1) };
+    node.members(ListForm::Change, vec![cold]);
+    let mut sends = 0;
+    for session in 0..40 {
+        let name = format!("c{session}");
+        node.arrive(request(&name, 0, session));
+        sends += usize::from(node.at(&name) == Some("r2"));
+        serve(&mut node, &name);
+    }
+    // 40 requests in 6.8 s: four windows of 2 s at the most.
+    assert!((1..=4).contains(&sends), "{sends} sends to a cold engine");
+    node.now += 20 * SECOND;
+    let mut sends = 0;
+    for session in 0..40 {
+        let name = format!("d{session}");
+        node.arrive(request(&name, 0, 100 + session));
+        sends += usize::from(node.at(&name) == Some("r2"));
+        serve(&mut node, &name);
+    }
+    assert!(sends > 8, "{sends} sends to an engine that is warm again");
+}
+
+#[test]
+fn an_engine_that_comes_back_unannounced_is_taken_for_cold() {
+    let mut node = Node::new(settings(), vec![member("r1", "near", 1), member("w1", "near", 1)]);
+    node.arrive(request("a", 0, 1));
+    node.end("a", Outcome::Unreachable);
+    node.withdraw("a");
+    node.end("a", Outcome::Cancelled);
+    node.now += 10 * SECOND;
+    node.arrive(request("b", 0, 2));
+    serve(&mut node, "b");
+    node.arrive(request("c", 0, 3));
+    assert_eq!(node.at("c"), None, "its budget for this window is used up");
+}
+
+// ---- nothing is left pinned ----
+
+#[test]
+fn a_state_is_let_go_when_its_request_is_given_up_or_withdrawn() {
+    let mut node = Node::new(settings(), pair());
+    node.arrive(request("a", 0, 1));
+    node.end("a", Outcome::Read);
+    assert!(node.end("a", Outcome::Full).contains(&Action::Release(id("a"))));
+    node.arrive(request("b", 0, 2));
+    node.now += 10 * MS;
+    let acts = node.withdraw("b");
+    assert!(acts.contains(&Action::Cancel(id("b"), 0)));
+    assert!(node.end("b", Outcome::Read).contains(&Action::Release(id("b"))));
+}
+
+#[test]
+fn a_state_that_a_cut_off_writer_cannot_fetch_is_let_go_at_once_and_at_the_end() {
+    let mut node = Node::new(settings(), fleet());
+    node.arrive(request("a", 0, 1));
+    node.end("a", Outcome::Read);
+    assert!(node.end("a", Outcome::NoState).contains(&Action::Release(id("a"))));
+    // It is read anew; whatever becomes of that, the end lets go once more.
+    node.now = node.deadline(&id("a")) + MS;
+    assert!(node.end("a", Outcome::TimedOut).contains(&Action::Release(id("a"))));
+}
+
+// ---- health ----
+
+#[test]
+fn a_failing_engine_is_left_alone_and_wins_back_its_traffic() {
+    let mut node = Node::new(
+        settings(),
+        vec![member("r1", "near", 1), member("r2", "near", 1), member("w1", "near", 1)],
+    );
+    let session = (0..).find(|s| {
+        let mut other = Node::new(settings(), vec![member("r1", "near", 1), member("r2", "near", 1)]);
+        other.arrive(request("x", 0, *s));
+        other.at("x") == Some("r1")
+    });
+    let session = session.unwrap();
+    node.arrive(request("a", 0, session));
+    node.end("a", Outcome::Unreachable);
+    assert_eq!(node.at("a"), Some("r2"));
+    serve(&mut node, "a");
+    let key = |name: &str, s| Request { prefix: Some(session), prefix_tokens: 1, ..request(name, 0, s) };
+    node.arrive(key("b", 1_001));
+    assert_eq!(node.at("b"), Some("r2"), "left alone");
+    serve(&mut node, "b");
+    node.now += 20 * SECOND;
+    let mut went = 0;
+    for i in 0..40 {
+        let name = format!("c{i}");
+        node.arrive(key(&name, 2_000 + i));
+        went += usize::from(node.at(&name) == Some("r1"));
+        serve(&mut node, &name);
+        node.now += SECOND;
+    }
+    assert!(went > 20, "the home gets its key back once it is warm, not {went} of 40");
+}
+
+#[test]
+fn when_all_readers_fail_the_best_of_them_is_still_tried() {
+    let mut node = Node::new(settings(), vec![member("r1", "near", 1), member("w1", "near", 1)]);
+    node.arrive(request("a", 0, 1));
+    node.end("a", Outcome::TimedOut);
+    assert_eq!(node.attempts[&id("a")].len(), 2, "backing off the only reader would be the harm");
+}
+
+#[test]
+fn a_silent_engine_has_its_other_work_called_off_after_one_time_out() {
+    let mut node = Node::new(settings(), vec![member("r1", "near", 1), member("w1", "near", 1)]);
+    node.arrive(request("a", 0, 1));
+    node.arrive(request("b", 0, 2));
+    assert_eq!((node.at("a"), node.at("b")), (Some("r1"), Some("r1")));
+    node.members(ListForm::Change, vec![member("r2", "near", 1)]);
+    node.now += SECOND;
+    let acts = node.end("a", Outcome::TimedOut);
+    assert!(acts.contains(&Action::Cancel(id("b"), 0)));
+    assert_eq!(node.at("a"), Some("r2"));
+    node.end("b", Outcome::Cancelled);
+    assert_eq!(node.at("b"), Some("r2"));
+}
+
+#[test]
+fn an_engine_that_answers_others_is_slow_and_keeps_its_work() {
+    let mut node = Node::new(settings(), vec![member("r1", "near", 1), member("w1", "near", 1)]);
+    for (name, session) in [("a", 1), ("b", 2), ("c", 3)] {
+        node.arrive(request(name, 0, session));
+    }
+    node.now += 500 * MS;
+    node.end("c", Outcome::Read);
+    node.now += 500 * MS;
+    let acts = node.end("a", Outcome::TimedOut);
+    assert!(!acts.contains(&Action::Cancel(id("b"), 0)));
+}
+
+#[test]
+fn slowness_of_all_stops_giving_up_once_the_spare_attempts_are_used() {
+    let mut node = Node::new(settings(), fleet());
+    let mut last_timeout = 0;
+    for i in 0..30 {
+        let name = format!("a{i}");
+        let acts = node.arrive(request(&name, 0, i));
+        if let Some(Action::Send(_, _, timeout)) = acts.iter().find(|a| matches!(a, Action::Send(..))) {
+            last_timeout = *timeout;
+            node.now += *timeout;
+            if node.now < node.deadline(&id(&name)) {
+                node.end(&name, Outcome::TimedOut);
+            }
+        }
+        node.now += 20 * SECOND;
+    }
+    assert_eq!(last_timeout, 5 * SECOND, "the whole time is left to the attempt");
+}
+
+#[test]
+fn a_failing_engine_is_probed_before_it_gets_requests_again() {
+    let mut node = Node::new(
+        Settings { may_probe: true, ..settings() },
+        vec![member("r1", "near", 1), member("r2", "near", 1), member("w1", "near", 1)],
+    );
+    node.arrive(request("a", 0, 1));
+    let failed = node.at("a").unwrap().to_string();
+    node.end("a", Outcome::Unreachable);
+    serve(&mut node, "a");
+    node.now += SECOND;
+    let acts = node.tell(Event::Elapsed(Timer::Watch));
+    assert!(acts.contains(&Action::Probe(engine(&failed))));
+    node.arrive(request("b", 0, 1));
+    assert_ne!(node.at("b"), Some(failed.as_str()));
+    serve(&mut node, "b");
+    node.tell(Event::Probed(engine(&failed), true, None));
+    let tried = (10..40).any(|session| {
+        let name = format!("c{session}");
+        node.arrive(request(&name, 0, session));
+        let there = node.at(&name) == Some(failed.as_str());
+        serve(&mut node, &name);
+        there
+    });
+    assert!(tried, "it wins back traffic after an answered probe");
+}
+
+// ---- room, order and shares ----
+
+#[test]
+fn reads_are_held_back_while_no_writer_has_room() {
+    let mut node = Node::new(settings(), pair());
+    node.arrive(request("a", 0, 1));
+    node.end("a", Outcome::Read);
+    node.end("a", Outcome::Full);
+    // The writer is marked full: one request on its way is enough.
+    node.arrive(request("b", 0, 2));
+    node.arrive(request("c", 0, 3));
+    assert!(node.at("b").is_some() != node.at("c").is_some());
+}
+
+#[test]
+fn a_held_request_that_cannot_be_in_time_is_given_up_at_once() {
+    let mut node = Node::new(settings(), pair());
+    node.arrive(request("a", 0, 1));
+    node.end("a", Outcome::Read);
+    node.end("a", Outcome::Full);
+    node.arrive(request("b", 0, 2));
+    node.arrive(request("c", 0, 3));
+    let held = if node.at("b").is_some() { "c" } else { "b" };
+    node.now += 1_100 * MS;
+    node.sweep();
+    assert!(node.finals.contains_key(&id(held)), "long before its deadline");
+}
+
+#[test]
+fn fresh_requests_go_before_retries_and_tenants_within_share_before_others() {
+    let tenants = vec![
+        Tenant { name: "big".into(), quota_per_s: 1.0 },
+        Tenant { name: "small".into(), quota_per_s: 100.0 },
+    ];
+    let mut node = Node::new(Settings { tenants, ..settings() }, pair());
+    node.arrive(request("a", 0, 1));
+    node.end("a", Outcome::Read);
+    node.end("a", Outcome::Full);
+    node.arrive(request("b", 0, 2));
+    for i in 0..4 {
+        node.arrive(Request { tenant: Some(0), ..request(&format!("big{i}"), 0, 10 + i) });
+    }
+    node.now += MS;
+    node.arrive(Request { tenant: Some(1), ..request("small", 0, 20) });
+    node.now += MS;
+    node.arrive(Request { tenant: Some(0), ..request("big9", 0, 30) });
+    // Room comes: the tenant within its share goes first although others came later.
+    node.end("b", Outcome::Read);
+    node.first_token("b");
+    node.now += 400 * MS;
+    node.sweep();
+    assert!(node.at("small").is_some());
+}
+
+#[test]
+fn slow_links_make_near_writers_win_however_loaded() {
+    let members = vec![member("r1", "near", 1), member("w1", "near", 1), member("w2", "far", 2)];
+    let mut node = Node::new(settings(), members);
+    let mut last = String::new();
+    for i in 0..40 {
+        let name = format!("s{i}");
+        node.arrive(request(&name, 0, i));
+        node.now += 10 * MS;
+        node.end(&name, Outcome::Read);
+        last = node.at(&name).unwrap().to_string();
+        node.now += if last == "w2" { 900 * MS } else { 10 * MS };
+        node.first_token(&name);
+    }
+    assert_eq!(last, "w1");
+}
