--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,6 +34,8 @@
 /// How often engines and discovery are looked after, and how often held requests are.
 const WATCH_EVERY: Micros = 500_000;
 const SWEEP_EVERY: Micros = 50_000;
+/// What a pool's busiest engine has answered counts on, fading by this at each watch (half a minute).
+const RATE_FADE: f64 = 0.99;
 /// Share of a cold engine's budget that all nodes together plan to use.
 const COLD_SHARE: f64 = 0.8;
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
@@ -151,8 +153,8 @@
     }
 
     /// Whether one more send keeps a cold engine's budget. The budget is all nodes' together and no
-    /// capacity is told: what this node sends to an engine of the pool on average stands for its
-    /// part. It is too careful where the fleet idles; one send a window is always allowed.
+    /// capacity is told: what the busiest warm engine of the pool answers this node over some seconds
+    /// stands for this node's part. Too careful where the fleet idles; one send a window always goes.
     fn within_cold_budget(&self, now: Micros, index: usize) -> bool {
         let engine = &self.engines[index];
         if now >= engine.cold_until {
@@ -275,12 +277,16 @@
         acts.push(Action::Wake(Timer::Watch, WATCH_EVERY));
         let span = now.saturating_sub(self.gauges.rated_at).max(1) as f64 / 1e6;
         self.gauges.rated_at = now;
-        for step in [READ, WRITE, BOTH] {
-            let engines = self.engines.iter().filter(|e| e.serving() && step_of(e.role) == step).count();
-            let pool = &mut self.pools[step];
-            let rate = f64::from(pool.sent) / span / engines.max(1) as f64;
-            pool.sent = 0;
-            pool.rate += BLEND * (rate - pool.rate);
+        for pool in &mut self.pools {
+            pool.rate *= RATE_FADE;
+        }
+        for engine in &mut self.engines {
+            let rate = f64::from(std::mem::take(&mut engine.answers)) / span;
+            engine.rate += BLEND * (rate - engine.rate);
+            let pool = &mut self.pools[step_of(engine.role)];
+            if now >= engine.cold_until {
+                pool.rate = pool.rate.max(engine.rate);
+            }
         }
         let s = &self.settings;
         if s.discovery == Discovery::OnRequest
@@ -597,7 +603,6 @@
         live.attempts += 1;
         live.out = Some(out);
         live.waiting = false;
-        self.pools[step_of(role)].sent += 1;
         let window = self.settings.tip_window;
         let far = live.state.is_some_and(|reader| self.engines[reader].cell != self.engines[index].cell);
         let engine = &mut self.engines[index];
@@ -639,6 +644,7 @@
         self.gauges.flight = self.gauges.flight.min(most);
         self.moved(now, reader, out.engine, now.saturating_sub(out.sent) as f64);
         self.answered(now, out.engine);
+        self.engines[out.engine].answers += 1;
         self.timed(now, out.engine, out.step, out.unread, now.saturating_sub(out.sent) as f64);
     }
 
@@ -680,6 +686,7 @@
         match outcome {
             Outcome::Read => {
                 self.answered(now, index);
+                self.engines[index].answers += 1;
                 let tokens = live.request.prompt_tokens.saturating_sub(kept) as f64;
                 self.timed(now, index, out.step, tokens, took);
                 self.correct(&out, kept);
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,6 +28,9 @@
     /// Own attempts that have brought no read and no first token yet, by send time.
     /// With each: whether a state has to cross cells for it.
     pub(crate) pending: BTreeMap<(Micros, u64), (RequestId, bool)>,
+    /// Reads and first tokens since the last watch, and a second.
+    pub(crate) answers: u32,
+    pub(crate) rate: f64,
     /// Prompt tokens that own attempts have yet to read here.
     pub(crate) unread: f64,
     /// Own attempts that answer or are to answer here.
@@ -57,9 +60,8 @@
     pub(crate) deviation: f64,
     pub(crate) tokens: f64,
     pub(crate) samples: u32,
-    /// Sends a second by this node to one engine of the pool.
+    /// Answers a second that the busiest warm engine gave this node.
     pub(crate) rate: f64,
-    pub(crate) sent: u32,
 }
 
 #[derive(Clone, Copy)]
