Cold share 1.2 of the answered rate, rounded

Cause: an engine at half load answers half of what it can, so the budget came out at one send a window.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,7 +37,7 @@
 /// What a pool's busiest engine has answered counts on, fading by this at each watch (half a minute).
 const RATE_FADE: f64 = 0.99;
 /// Share of a cold engine's budget that all nodes together plan to use.
-const COLD_SHARE: f64 = 0.8;
+const COLD_SHARE: f64 = 1.2;
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
 const FULL_FROM: f64 = 0.9;
 const CROWDED: f64 = 0.75;
@@ -164,7 +164,7 @@
         let recent = engine.sends.iter().filter(|at| **at + s.tip_window > now).count();
         let usual = self.pools[step_of(engine.role)].rate * s.tip_window as f64 / 1e6;
         let budget = COLD_SHARE * s.cold_from * s.tip_multiple * usual;
-        recent < (budget as usize).max(1)
+        recent < (budget.round() as usize).max(1)
     }
 
     // ---- engine health ----
