--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,6 +41,8 @@
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
 const FULL_FROM: f64 = 0.9;
 const CROWDED: f64 = 0.75;
+const BUSY: f64 = 0.4;
+const LONG: f64 = 0.25;
 const FULL_FOR: Micros = 300_000;
 /// A load report counts for this long.
 const REPORT_FOR: Micros = 3_000_000;
@@ -414,8 +416,11 @@
         let cap = (CAP_FACTOR * unread / f64::max(readers, 1.0) / lag).max(request.prompt_tokens as f64);
         let trial = lag > SLOW && now < engine.lag_at + SHUT_FIRST;
         let write_cap = (CAP_FACTOR * streams / f64::max(writers, 1.0)).ceil().max(1.0);
-        let writes_over =
-            engine.role == Role::Mixed && (f64::from(engine.streams) >= write_cap || self.full(now, index));
+        // Reading slows every answer of a mixed engine: a busy one takes only what it mostly holds.
+        let busy = engine.told(now, REPORT_FOR).is_some_and(|told| told >= BUSY);
+        let long = busy && own > request.prompt_tokens as f64 * LONG;
+        let writes_over = engine.role == Role::Mixed
+            && (long || f64::from(engine.streams) >= write_cap || self.full(now, index));
         (engine.unread > 0.0 && engine.unread + own > cap) || trial || writes_over
     }
 
