--- a/src/rules.rs
+++ b/src/rules.rs
@@ -865,36 +865,28 @@
         if self.waiting.is_empty() {
             return;
         }
-        // A held request is given up when its first token would come late as things go: serving it
-        // would make the next one late too.
-        // No later than two looks before: the client's deadline must not fall between two of them.
-        let lead = ((self.gauges.lead.0 + self.gauges.lead.1) as Micros).max(2 * SWEEP_EVERY);
         let live = &self.live;
         self.waiting.retain(|id| live.get(id).is_some_and(|l| l.waiting));
         self.waiting.sort_by_key(|id| {
             let l = &live[id];
-            (
-                l.over_share,
-                !l.request.resumed,
-                now + lead >= l.aim_at,
-                std::cmp::Reverse(l.first),
-                l.request.id.clone(),
-            )
+            (l.over_share, !l.request.resumed, std::cmp::Reverse(l.first), l.request.id.clone())
         });
         let mut room = self.room(now);
+        // A held request is given up when its first token would come late as things go: serving it
+        // would make the next one late too.
+        // No later than two looks before: the client's deadline must not fall between two of them.
+        let lead = ((self.gauges.lead.0 + self.gauges.lead.1) as Micros).max(2 * SWEEP_EVERY);
         for id in std::mem::take(&mut self.waiting) {
             let Some(live) = self.live.get_mut(&id) else { continue };
-
-            let lost =
-                now.saturating_add(lead) >= live.deadline.min(live.aim_at + (live.aim_at - live.first));
-            if room > 0 && now < live.deadline {
+            let late = now.saturating_add(lead) >= live.aim_at;
+            if room > 0 && now < live.deadline && (!late || now == live.arrived) {
                 live.waiting = false;
                 let before = acts.len();
                 self.advance(now, &id, acts);
                 if acts[before..].iter().any(|a| matches!(a, Action::Send(..))) {
                     room -= 1;
                 }
-            } else if lost || now >= live.deadline {
+            } else if late || now >= live.deadline {
                 self.finish(&id, acts);
             } else {
                 self.waiting.push(id);
