--- a/src/rules.rs
+++ b/src/rules.rs
@@ -184,26 +184,6 @@
         engine.shut_until = engine.shut_until.max(now + span);
     }
 
-    /// Guards against a zone that is cut off, whose homes would keep winning until each has failed:
-    /// once two engines of another zone have failed without a word, those of that zone that have been
-    /// silent since get no new work for a while and what waits there is made elsewhere.
-    fn suspect_zone(&mut self, now: Micros, index: usize, since: Micros, acts: &mut Vec<Action>) {
-        let zone = self.engines[index].zone.clone();
-        let alike = |e: &&Engine| e.zone == zone && e.serving();
-        if zone == self.settings.zone || self.engines.iter().filter(alike).filter(|e| e.unheard).count() < 2 {
-            return;
-        }
-        for other in 0..self.engines.len() {
-            let engine = &mut self.engines[other];
-            if engine.zone == zone && !engine.unheard && engine.heard <= since {
-                engine.unheard = true;
-                engine.fails += 1;
-                engine.shut_until = engine.shut_until.max(now + SHUT_FIRST);
-                self.call_off(other, since, acts);
-            }
-        }
-    }
-
     /// An engine has answered. One that comes back after failing may have restarted unseen.
     fn answered(&mut self, now: Micros, index: usize) {
         let warm_after = self.settings.warm_after;
@@ -744,7 +724,6 @@
                 }
                 if outcome != Outcome::Error && !late {
                     self.strike(now, index, acts);
-                    self.suspect_zone(now, index, out.sent, acts);
                 }
                 if outcome == Outcome::TimedOut && !late {
                     self.gauges.spare -= 1.0;
