A prompt spills only to a reader where it is read sooner

Cause: in an incident with long sessions every spill read the same text again, the copies pushed others out of memory, and unread tokens a read rose from 700 to 4,000. Told from slow readers by their steady tokens a second. Also covers hot texts after a flush.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -386,10 +386,18 @@
         ring.retain(|&i| self.lawful(now, live, i));
         let well = |i: usize| !self.shut(now, i) && !live.tried.contains(&i);
         let open: Vec<usize> = ring.iter().copied().filter(|&i| well(i)).collect();
-        let under = open.iter().copied().find(|&i| !self.over_cap(now, &live.request, i));
+        // Guards against spills that only read the same text again: where the other line, with what
+        // would have to be read there, is no shorter, the prompt stays.
+        let whole = live.request.prompt_tokens as f64;
+        let line = |i: usize| {
+            let unread = whole - self.expected(now, &live.request, i);
+            ((self.engines[i].unread + unread) * self.lag(now, i)) as u64
+        };
+        let home = open.first().map_or(0, |&i| line(i));
+        let under = open.iter().copied().find(|&i| !self.over_cap(now, &live.request, i) && line(i) <= home);
         // Where every reader is over its cap the shortest line serves; where none is well, the one
         // that has failed least: backing off all of them would be the harm.
-        let shortest = |&i: &usize| (self.full(now, i), self.engines[i].unread as u64);
+        let shortest = |&i: &usize| (self.full(now, i), line(i));
         let least_bad = |&i: &usize| (live.tried.contains(&i), self.engines[i].shut_until);
         under
             .or_else(|| open.iter().copied().min_by_key(shortest))
