Work hung at failed engines takes no room, and its cost is no lead

Cause: after a zone was cut, requests hung at its engines filled the node's room and raised its usual lead: a node refused 30 a second and sent three. Told from overload by idle near engines.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -643,15 +643,18 @@
         let out = *out;
         let reader = live.state.take();
         self.engines[out.engine].begun(&out);
-        // Guards against lines that build up at engines, whatever fills them.
+        // Guards against lines that build up at engines, whatever fills them. What a failed attempt
+        // has cost tells nothing of the lines.
         let lead = now.saturating_sub(live.begun) as f64;
-        self.gauges.lead.1 += BLEND * ((lead - self.gauges.lead.0).abs() - self.gauges.lead.1);
-        self.gauges.lead.0 += BLEND * (lead - self.gauges.lead.0);
-        self.gauges.spare = (self.gauges.spare + SPARE).min(SPARE_MOST);
-        if lead < aim {
-            self.gauges.flight += GROW / self.gauges.flight.max(1.0);
-        } else {
-            self.gauges.flight = (self.gauges.flight * SHRINK).max(1.0);
+        let gauges = &mut self.gauges;
+        gauges.spare = (gauges.spare + SPARE).min(SPARE_MOST);
+        if live.attempts == if out.step == WRITE { 2 } else { 1 } {
+            gauges.lead.1 += BLEND * ((lead - gauges.lead.0).abs() - gauges.lead.1);
+            gauges.lead.0 += BLEND * (lead - gauges.lead.0);
+            gauges.flight = match lead < aim {
+                true => gauges.flight + GROW / gauges.flight.max(1.0),
+                false => (gauges.flight * SHRINK).max(1.0),
+            };
         }
         let most = self.engines.iter().filter(|e| e.serving()).count() as f64 * 4.0;
         self.gauges.flight = self.gauges.flight.min(most);
@@ -850,8 +853,9 @@
     fn room(&self, now: Micros) -> usize {
         let (mut open, mut flight, mut able, mut readers, mut ready) = (0, 0, 0, 0, 0);
         for (index, engine) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
-            flight += engine.pending.len();
             let (well, full) = (!self.shut(now, index), self.full(now, index));
+            // What hangs at an engine that has failed takes no room from the others.
+            flight += if well { engine.pending.len() } else { 0 };
             let reads = engine.role != Role::Writer && now >= engine.full_until;
             ready += usize::from(reads);
             readers += usize::from(reads && well);
