Flight bounded by the readers that are well

Cause: with a zone cut or readers crashed the limit still counted all engines, and one reader got fourteen prompts at once.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,6 +53,8 @@
 const NEAR: f64 = 0.25;
 /// How fast the number of requests before their first token grows while on target, and shrinks.
 const GROW: f64 = 2.0;
+/// And no more of them than this for each reader that is well.
+const FLIGHT_EACH: f64 = 5.0;
 const SHRINK: f64 = 0.94;
 
 /// Decides for one node. Feed it every event with the time at which it came.
@@ -656,8 +658,8 @@
                 false => (gauges.flight * SHRINK).max(1.0),
             };
         }
-        let most = self.engines.iter().filter(|e| e.serving()).count() as f64 * 4.0;
-        self.gauges.flight = self.gauges.flight.min(most);
+        let readers = self.engines.iter().filter(|e| e.serving() && e.role != Role::Writer).count();
+        self.gauges.flight = self.gauges.flight.min(FLIGHT_EACH * readers as f64);
         self.moved(now, reader, out.engine, now.saturating_sub(out.sent) as f64);
         self.answered(now, out.engine);
         self.engines[out.engine].answers += 1;
@@ -867,7 +869,7 @@
         let most = match (open, ready) {
             (0, _) => able,
             (_, 0) => 0,
-            _ => self.gauges.flight.max(readers as f64) as usize,
+            _ => self.gauges.flight.min(FLIGHT_EACH * readers as f64).max(readers as f64) as usize,
         };
         most.max(1).saturating_sub(flight)
     }
