--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,6 +25,8 @@
 const PATIENCE: f64 = 4.0;
 /// An engine this many times slower than its pool takes trial work only.
 const SLOW: f64 = 3.0;
+/// Answers this many times longer than usual tell of a slow engine, not of long answers.
+const DRAG: f64 = 1.6;
 /// Attempts given up for slowness may be this part of the first tokens, and so many at once.
 const SPARE: f64 = 0.1;
 const SPARE_MOST: f64 = 10.0;
@@ -239,6 +241,16 @@
         1.0 + (engine.pace - 1.0) * 0.5f64.powf(age)
     }
 
+    /// What one stream there weighs: lengths vary, so only a clear slowness counts.
+    fn drag(&self, now: Micros, index: usize) -> f64 {
+        let pace = self.pace(now, index);
+        if pace > DRAG {
+            pace
+        } else {
+            1.0
+        }
+    }
+
     /// Guards against engines that start answers in time and stream them slowly: lengths are not
     /// told, so an answer's time counts against the usual one of its class, at any engine.
     fn streamed(&mut self, now: Micros, class: usize, out: &Out) {
@@ -439,7 +451,7 @@
                 readers += 1.0;
             }
             if e.role != Role::Reader {
-                streams += f64::from(e.streams) * self.pace(now, i);
+                streams += f64::from(e.streams) * self.drag(now, i);
                 writers += 1.0;
             }
         }
@@ -452,7 +464,7 @@
         let long = busy && own > request.prompt_tokens as f64 * LONG;
         let writes_over = engine.role == Role::Mixed
             && (long
-                || f64::from(engine.streams) * self.pace(now, index) >= write_cap
+                || f64::from(engine.streams) * self.drag(now, index) >= write_cap
                 || self.full(now, index));
         (engine.unread > 0.0 && engine.unread + own > cap) || trial || writes_over
     }
@@ -481,7 +493,7 @@
         let engine = &self.engines[index];
         let own = f64::from(engine.streams);
         let told = engine.told(now, REPORT_FOR).map_or(own, |told| told * scale);
-        (own + told) / engine.weight * self.lag(now, index) * self.pace(now, index)
+        (own + told) / engine.weight * self.lag(now, index) * self.drag(now, index)
     }
 
     /// How much longer first tokens take when the state leaves its cell, in parts of the target.
