--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,8 +25,6 @@
 const PATIENCE: f64 = 4.0;
 /// An engine this many times slower than its pool takes trial work only.
 const SLOW: f64 = 3.0;
-/// Answers this many times longer than usual tell of a slow engine, not of long answers.
-const DRAG: f64 = 1.6;
 /// Attempts given up for slowness may be this part of the first tokens, and so many at once.
 const SPARE: f64 = 0.1;
 const SPARE_MOST: f64 = 10.0;
@@ -79,7 +77,6 @@
 impl Router {
     /// A router that knows its settings and nothing of the fleet.
     pub fn new(settings: Settings, seed: u64) -> Router {
-        let streams = vec![0.0; settings.classes.len().max(1)];
         Router {
             buckets: vec![(1.0, 0); settings.tenants.len()],
             settings,
@@ -92,7 +89,7 @@
             waiting: Vec::new(),
             turned: HashMap::new(),
             // A fresh node may meet a burst: the limit starts wide and evidence shrinks it.
-            gauges: Gauges { flight: f64::INFINITY, spare: SPARE_MOST, streams, ..Gauges::default() },
+            gauges: Gauges { flight: f64::INFINITY, spare: SPARE_MOST, ..Gauges::default() },
         }
     }
 
@@ -234,36 +231,6 @@
         1.0 + (engine.lag - 1.0).max(0.0) * 0.5f64.powf(age * 2.0)
     }
 
-    /// How slowly an engine's answers stream against those of all engines; fades like a lag.
-    fn pace(&self, now: Micros, index: usize) -> f64 {
-        let engine = &self.engines[index];
-        let age = now.saturating_sub(engine.pace_at) as f64 / SHUT_MOST as f64;
-        1.0 + (engine.pace - 1.0) * 0.5f64.powf(age)
-    }
-
-    /// What one stream there weighs: lengths vary, so only a clear slowness counts.
-    fn drag(&self, now: Micros, index: usize) -> f64 {
-        let pace = self.pace(now, index);
-        if pace > DRAG {
-            pace
-        } else {
-            1.0
-        }
-    }
-
-    /// Guards against engines that start answers in time and stream them slowly: lengths are not
-    /// told, so an answer's time counts against the usual one of its class, at any engine.
-    fn streamed(&mut self, now: Micros, class: usize, out: &Out) {
-        let took = now.saturating_sub(out.first) as f64;
-        let usual = &mut self.gauges.streams[class];
-        *usual = if *usual == 0.0 { took } else { *usual + BLEND * (took - *usual) };
-        let ratio = (took / usual.max(1.0)).min(4.0);
-        let before = self.pace(now, out.engine);
-        let engine = &mut self.engines[out.engine];
-        engine.pace = before + BLEND * (ratio - before);
-        engine.pace_at = now;
-    }
-
     /// Takes in how long an attempt took, against what its pool usually takes for as much work. A
     /// pool that is slow as a whole makes no engine slow: the usual time moves with it.
     fn timed(&mut self, now: Micros, index: usize, step: usize, tokens: f64, took: f64) {
@@ -451,7 +418,7 @@
                 readers += 1.0;
             }
             if e.role != Role::Reader {
-                streams += f64::from(e.streams) * self.drag(now, i);
+                streams += f64::from(e.streams);
                 writers += 1.0;
             }
         }
@@ -463,9 +430,7 @@
         let busy = engine.told(now, REPORT_FOR).is_some_and(|told| told >= BUSY);
         let long = busy && own > request.prompt_tokens as f64 * LONG;
         let writes_over = engine.role == Role::Mixed
-            && (long
-                || f64::from(engine.streams) * self.drag(now, index) >= write_cap
-                || self.full(now, index));
+            && (long || f64::from(engine.streams) >= write_cap || self.full(now, index));
         (engine.unread > 0.0 && engine.unread + own > cap) || trial || writes_over
     }
 
@@ -493,7 +458,7 @@
         let engine = &self.engines[index];
         let own = f64::from(engine.streams);
         let told = engine.told(now, REPORT_FOR).map_or(own, |told| told * scale);
-        (own + told) / engine.weight * self.lag(now, index) * self.drag(now, index)
+        (own + told) / engine.weight * self.lag(now, index)
     }
 
     /// How much longer first tokens take when the state leaves its cell, in parts of the target.
@@ -646,7 +611,6 @@
             expected,
             unread,
             started: false,
-            first: now,
         };
         if live.attempts == 0 {
             live.begun = now;
@@ -678,7 +642,6 @@
         let Some(live) = self.live.get_mut(id) else { return };
         let Some(out) = live.out.as_mut().filter(|o| o.attempt == attempt && !o.started) else { return };
         out.started = true;
-        out.first = now;
         let out = *out;
         let reader = live.state.take();
         self.engines[out.engine].begun(&out);
@@ -752,13 +715,6 @@
             }
             Outcome::Served => {
                 self.answered(now, index);
-                if out.started {
-                    self.streamed(
-                        now,
-                        live.request.class.unwrap_or(0).min(self.settings.classes.len().saturating_sub(1)),
-                        &out,
-                    );
-                }
                 if out.step == BOTH {
                     self.correct(&out, kept);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,9 +48,6 @@
     /// How many times slower than its pool, and when that was last seen.
     pub(crate) lag: f64,
     pub(crate) lag_at: Micros,
-    /// How slowly its answers stream, and when that was last seen.
-    pub(crate) pace: f64,
-    pub(crate) pace_at: Micros,
     /// What the table says of this engine from before this time does not hold.
     pub(crate) void_before: Micros,
     pub(crate) misses: u32,
@@ -78,8 +75,6 @@
     pub(crate) expected: f64,
     pub(crate) unread: f64,
     pub(crate) started: bool,
-    /// When its first token came.
-    pub(crate) first: Micros,
 }
 
 pub(crate) struct Live {
@@ -122,8 +117,6 @@
     pub(crate) spare: f64,
     /// Usual wait for a first token when the state stays in its cell and when it leaves it.
     pub(crate) moves: [(f64, Micros); 2],
-    /// Usual time from first to last token of each class.
-    pub(crate) streams: Vec<f64>,
     /// Usual time from the first send to the first token, and its deviation.
     pub(crate) lead: (f64, f64),
 }
@@ -136,7 +129,6 @@
             cell: member.cell,
             role,
             lag: 1.0,
-            pace: 1.0,
             ..Engine::default()
         }
     }
