--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,7 +41,7 @@
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
 const FULL_FROM: f64 = 0.9;
 const CROWDED: f64 = 0.75;
-const BUSY: f64 = 0.25;
+const BUSY: f64 = 0.4;
 const LONG: f64 = 0.25;
 const FULL_FOR: Micros = 300_000;
 /// A load report counts for this long.
