--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,7 +54,7 @@
 /// How fast the number of requests before their first token grows while on target, and shrinks.
 const GROW: f64 = 2.0;
 /// And no more of them than this for each reader that is well.
-const FLIGHT_EACH: f64 = 3.5;
+const FLIGHT_EACH: f64 = 5.0;
 const SHRINK: f64 = 0.94;
 
 /// Decides for one node. Feed it every event with the time at which it came.
