Streams that come back let fresh requests go first for a third of their patience

Cause: when a node stops, its streams come back at the others in one burst and held fresh requests back until these were late, though a returning stream has had its first token and has time. Harm: under lasting overload returning streams wait longer.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -518,6 +518,7 @@
         let aim = class.map_or(request.patience / 2, |c| {
             c.aim.saturating_add(c.aim_per_1000_tokens.saturating_mul(request.prompt_tokens) / 1000)
         });
+        let aim = if request.resumed { request.patience } else { aim };
         // A class that nobody named is handled as one that must not run twice.
         let effect = class.map_or(Effect::Unsafe, |c| c.effect);
         let over_share = self.over_share(now, request.tenant);
@@ -883,7 +884,11 @@
         self.waiting.retain(|id| live.get(id).is_some_and(|l| l.waiting));
         self.waiting.sort_by_key(|id| {
             let l = &live[id];
-            (l.over_share, !l.request.resumed, std::cmp::Reverse(l.first), l.request.id.clone())
+            // A stream that comes back has had its first token, and its pace leaves it some time: it
+            // lets fresh requests go first, but not for long, as half its work is done.
+            let due = now >= l.arrived + (l.deadline - l.arrived) / 3;
+            let turn = if !l.request.resumed { 1 } else { 2 * i32::from(!due) };
+            (l.over_share, turn, std::cmp::Reverse(l.first), l.request.id.clone())
         });
         let mut room = self.room(now);
         // A held request is given up when its first token would come late as things go: serving it
