--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,8 +23,6 @@
 const BLEND: f64 = 0.1;
 /// An attempt may take this many times its usual time before it is given up for another engine.
 const PATIENCE: f64 = 4.0;
-/// An engine this many times slower than its pool takes trial work only.
-const SLOW: f64 = 3.0;
 /// Attempts given up for slowness may be this part of the first tokens, and so many at once.
 const SPARE: f64 = 0.1;
 const SPARE_MOST: f64 = 10.0;
@@ -426,14 +424,13 @@
         }
         let lag = self.lag(now, index);
         let cap = (CAP_FACTOR * unread / f64::max(readers, 1.0) / lag).max(request.prompt_tokens as f64);
-        let trial = lag > SLOW && now < engine.lag_at + SHUT_FIRST;
         let write_cap = (CAP_FACTOR * streams / f64::max(writers, 1.0)).ceil().max(1.0);
         // Reading slows every answer of a mixed engine: a busy one takes only what it mostly holds.
         let busy = engine.told(now, REPORT_FOR).is_some_and(|told| told >= BUSY);
         let long = busy && own > request.prompt_tokens as f64 * LONG;
         let writes_over = engine.role == Role::Mixed
             && (long || f64::from(engine.streams) >= write_cap || self.full(now, index));
-        (engine.unread > 0.0 && engine.unread + own > cap) || trial || writes_over
+        (engine.unread > 0.0 && engine.unread + own > cap) || writes_over
     }
 
     // ---- writer choice ----
