Cold budget divided over all nodes by number and turns

The node's number and the price of a probe are settings now; a number outside the count is a plain error.

--- a/crates/pintally-benchlink/src/wire.rs
+++ b/crates/pintally-benchlink/src/wire.rs
@@ -212,7 +212,10 @@
     family_info: FamilyInfo,
     feedback: Feedback,
     machine_types: Vec<String>,
+    me: u32,
     permissions: Permissions,
+    #[serde(default)]
+    prices: Prices,
     profiles: Vec<Profile>,
     rules: Rules,
     weight_kind: String,
@@ -257,6 +260,13 @@
     retry_after: bool,
 }
 
+#[derive(Default, Deserialize)]
+struct Prices {
+    /// Where no price is told a probe is taken to be free; own traffic bounds probes all the same.
+    #[serde(default)]
+    probe: f64,
+}
+
 #[derive(Deserialize)]
 struct Profile {
     name: String,
@@ -309,6 +319,9 @@
 /// The settings of an instance; an error says what is missing or wrong.
 pub fn settings(conf: Value) -> Result<(Settings, Names), String> {
     let conf: Conf = serde_json::from_value(conf).map_err(|e| format!("settings: {e}"))?;
+    if conf.me >= conf.balancers {
+        return Err(format!("settings: `me` is {}, outside the {} of `balancers`", conf.me, conf.balancers));
+    }
     let info = &conf.family_info;
     let mut kinds = Vec::new();
     for (i, name) in conf.machine_types.iter().enumerate() {
@@ -357,7 +370,8 @@
         conf.accounts.into_iter().map(|a| Tenant { name: a.name, quota_per_s: a.quota_rps }).collect();
     let settings = Settings {
         zone: conf.zone,
-        nodes: conf.balancers.max(1),
+        node: conf.me,
+        nodes: conf.balancers,
         classes,
         tenants,
         kinds,
@@ -374,6 +388,7 @@
         weights: conf.weight_kind != "off",
         may_cancel: conf.permissions.may_cancel,
         may_probe: conf.permissions.probes,
+        probe_price: conf.prices.probe,
         retry_advice: conf.permissions.retry_after,
         max_retry_after: micros(conf.permissions.max_retry_after),
         max_attempts: conf.permissions.attempts_cap,
--- a/crates/pintally-benchlink/tests/wire.rs
+++ b/crates/pintally-benchlink/tests/wire.rs
@@ -28,7 +28,7 @@
         "discovery": "pushed", "family": "twostage", "a_new_key": {"x": 1},
         "family_info": {"aim_us_per_1000_prompt_tokens": [40000.0], "duty_by_kind": ["read", "write"],
                         "let_go_by": 0.5, "memory_tokens": [200000, 100000], "token_aim": [0.06]},
-        "feedback": {"fields": ["x0", "q"], "source": "inline"}, "machine_types": ["prefill", "decode"],
+        "feedback": {"fields": ["x0", "q"], "source": "inline"}, "me": 1, "machine_types": ["prefill", "decode"],
         "permissions": {"attempts_cap": 6, "may_cancel": true, "max_retry_after": 1.0, "retry_after": true},
         "profiles": [{"deadline": 5.0, "effect": "repeatable", "gain": 1.0, "name": "hint", "objective": 1.0}],
         "rules": {"cold_from": 0.3, "overload_for": 2.0, "tip_multiple": 2.5, "warm_after": 14.0},
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -114,6 +114,8 @@
 pub struct Settings {
     /// The node's zone.
     pub zone: String,
+    /// The node's number among them, from 0.
+    pub node: u32,
     /// How many nodes serve this fleet.
     pub nodes: u32,
     /// The classes.
@@ -132,6 +134,8 @@
     pub may_cancel: bool,
     /// Whether engines may be probed.
     pub may_probe: bool,
+    /// Points that one probe for each request costs, 0 if not told.
+    pub probe_price: f64,
     /// Whether refused clients heed advice on when to come back.
     pub retry_advice: bool,
     /// The longest advice that a client follows.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,9 +32,14 @@
 /// How often engines and discovery are looked after, and how often held requests are.
 const WATCH_EVERY: Micros = 500_000;
 const SWEEP_EVERY: Micros = 50_000;
-/// What a pool's busiest engine has answered counts on, fading by this at each watch (half a minute).
-const RATE_FADE: f64 = 0.99;
-/// Share of a cold engine's budget that all nodes together plan to use.
+/// What a pool has answered fades by this at each watch (half in twelve seconds).
+const RATE_FADE: f64 = 0.97;
+/// Rates are taken as low until engines have been seen for about this many seconds each.
+const RATE_AFTER: f64 = 5.0;
+/// Requests may crowd onto a cold engine up to this multiple of what a warm one gets.
+const COLD_CROWD: f64 = 4.0;
+/// Share of a cold engine's budget that all nodes together plan to use: what a warm engine answers on
+/// the mean is less than what it could.
 const COLD_SHARE: f64 = 1.2;
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
 const FULL_FROM: f64 = 0.9;
@@ -157,8 +162,11 @@
     }
 
     /// Whether one more send keeps a cold engine's budget. The budget is all nodes' together and no
-    /// capacity is told: what the busiest warm engine of the pool answers this node over some seconds
-    /// stands for this node's part. Too careful where the fleet idles; one send a window always goes.
+    /// capacity is told: what a warm engine of the pool answers on the mean, this node's part times
+    /// the nodes, stands for it. Each node may use an even part of the budget in a window. Where that
+    /// is no whole send, nodes take turns by their numbers, so that of all nodes only that part which
+    /// keeps the budget when requests crowd has one send each: a node's own rate is too low to tell.
+    /// Too careful where the fleet idles; could harm where far more crowd onto one engine.
     fn within_cold_budget(&self, now: Micros, index: usize) -> bool {
         let engine = &self.engines[index];
         if now >= engine.cold_until {
@@ -166,9 +174,16 @@
         }
         let s = &self.settings;
         let recent = engine.sends.iter().filter(|at| **at + s.tip_window > now).count();
-        let usual = self.pools[step_of(engine.role)].rate * s.tip_window as f64 / 1e6;
-        let budget = COLD_SHARE * s.cold_from * s.tip_multiple * usual;
-        recent < (budget.round() as usize).max(1)
+        let (nodes, window) = (f64::from(s.nodes.max(1)), s.tip_window.max(1) as f64);
+        let pool = &self.pools[step_of(engine.role)];
+        let usual = pool.answers / pool.engines.max(1.0) / (pool.watched + RATE_AFTER) * window / 1e6;
+        let share = COLD_SHARE * s.cold_from * s.tip_multiple;
+        let own = share * usual;
+        let part = if own < 1.0 { own.max(share / COLD_CROWD).min(1.0) } else { own.fract() };
+        let place = xxh3_64_with_seed(engine.id.0.as_bytes(), 0) as f64 / u64::MAX as f64;
+        let cycle = now as f64 / window * part + f64::from(s.node) / nodes + place;
+        let turn = cycle.fract() < part;
+        recent < own as usize + usize::from(turn)
     }
 
     // ---- engine health ----
@@ -279,19 +294,21 @@
 
     fn watch(&mut self, now: Micros, acts: &mut Vec<Action>) {
         acts.push(Action::Wake(Timer::Watch, WATCH_EVERY));
-        let span = now.saturating_sub(self.gauges.rated_at).max(1) as f64 / 1e6;
+        let span = now.saturating_sub(self.gauges.rated_at) as f64 / 1e6;
         self.gauges.rated_at = now;
-        for pool in &mut self.pools {
-            pool.rate *= RATE_FADE;
-        }
+        let mut warm = [0.0f64; 3];
         for engine in &mut self.engines {
-            let rate = f64::from(std::mem::take(&mut engine.answers)) / span;
-            engine.rate += BLEND * (rate - engine.rate);
-            let pool = &mut self.pools[step_of(engine.role)];
-            if now >= engine.cold_until {
-                pool.rate = pool.rate.max(engine.rate);
+            let answers = f64::from(std::mem::take(&mut engine.answers));
+            if engine.serving() && now >= engine.cold_until {
+                warm[step_of(engine.role)] += 1.0;
+                self.pools[step_of(engine.role)].answers += answers;
             }
         }
+        for (pool, warm) in self.pools.iter_mut().zip(warm) {
+            pool.answers *= RATE_FADE;
+            pool.watched = (pool.watched + span) * RATE_FADE;
+            pool.engines = warm.max(1.0);
+        }
         let s = &self.settings;
         if s.discovery == Discovery::OnRequest
             && (!self.gauges.subscribed || now > self.gauges.asked_at + s.ask_within / 2)
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,9 +28,8 @@
     /// Own attempts that have brought no read and no first token yet, by send time.
     /// With each: whether a state has to cross cells for it.
     pub(crate) pending: BTreeMap<(Micros, u64), (RequestId, bool)>,
-    /// Reads and first tokens since the last watch, and a second.
+    /// Reads and first tokens since the last watch.
     pub(crate) answers: u32,
-    pub(crate) rate: f64,
     /// Prompt tokens that own attempts have yet to read here.
     pub(crate) unread: f64,
     /// Own attempts that answer or are to answer here.
@@ -60,8 +59,10 @@
     pub(crate) deviation: f64,
     pub(crate) tokens: f64,
     pub(crate) samples: u32,
-    /// Answers a second that the busiest warm engine gave this node.
-    pub(crate) rate: f64,
+    /// What its warm engines have answered this node lately, over how many seconds, and their number.
+    pub(crate) answers: f64,
+    pub(crate) watched: f64,
+    pub(crate) engines: f64,
 }
 
 #[derive(Clone, Copy)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -29,6 +29,7 @@
 pub fn settings() -> Settings {
     Settings {
         zone: "near".into(),
+        node: 0,
         nodes: 2,
         classes: vec![
             class("safe", Effect::Safe),
@@ -42,6 +43,7 @@
         weights: true,
         may_cancel: true,
         may_probe: false,
+        probe_price: 0.003,
         retry_advice: false,
         max_retry_after: SECOND,
         max_attempts: 6,
