--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,15 +17,16 @@
 const CAP_FACTOR: f64 = 1.25;
 /// Expected kept tokens under this count as no match (the paper's smallest block).
 const MIN_MATCH: f64 = 16.0;
+/// A home is taken to hold this part of a prompt, a session's last turn, where mostly others send.
+const HOME_HELD: f64 = 0.7;
+/// Of so few nodes each sees enough of the traffic to go by its own table alone.
+const FEW_NODES: f64 = 2.5;
 /// Table entries fade by half in this time: about the time in which sessions come again.
 const FADE_HALF: Micros = 30_000_000;
 /// Weight of a new sample in every moving mean: about the last ten samples count.
 const BLEND: f64 = 0.1;
 /// An attempt may take this many times its usual time before it is given up for another engine.
 const PATIENCE: f64 = 4.0;
-/// Attempts given up for slowness may be this part of the first tokens, and so many at once.
-const SPARE: f64 = 0.1;
-const SPARE_MOST: f64 = 10.0;
 /// First and longest time for which a failing engine is left alone.
 const SHUT_FIRST: Micros = 500_000;
 const SHUT_MOST: Micros = 8_000_000;
@@ -36,15 +37,16 @@
 const RATE_FADE: f64 = 0.97;
 /// Rates are taken as low until engines have been seen for about this many seconds each.
 const RATE_AFTER: f64 = 5.0;
-/// Requests may crowd onto a cold engine up to this multiple of what a warm one gets.
-const COLD_CROWD: f64 = 4.0;
-/// Share of a cold engine's budget that all nodes together plan to use: what a warm engine answers on
-/// the mean is less than what it could.
+/// Nodes in turn may make this multiple of the budget if all of them want one cold engine at once: few
+/// do where homes are spread by keys (a read), but an empty writer is everybody's least loaded.
+const COLD_RUSH: f64 = 8.0;
+const COLD_HERD: f64 = 0.75;
+/// Share of a cold engine's budget in use: a warm engine answers less on the mean than it could.
 const COLD_SHARE: f64 = 1.2;
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
 const FULL_FROM: f64 = 0.9;
 const CROWDED: f64 = 0.75;
-const BUSY: f64 = 0.4;
+const BUSY: f64 = 0.2;
 const LONG: f64 = 0.25;
 const FULL_FOR: Micros = 300_000;
 /// A load report counts for this long.
@@ -52,15 +54,26 @@
 /// First tokens are to come within this part of the tightest aim; what the rest of the line would
 /// add is spent waiting at the node, where the order can still be chosen.
 const TARGET: f64 = 0.5;
+/// A full engine's report weighs at least as much as this many own streams.
+const STREAMS_LEAST: f64 = 8.0;
+/// What a request's probes may cost, in points, and the most of them.
+const PROBE_COST: f64 = 0.01;
+const PROBES: f64 = 3.0;
+/// A prompt waits this long for word of the engines that could read it.
+const LOOK: Micros = 30_000;
 /// Writers that have up to this part more than the least load count as least loaded: near ones win.
 const NEAR: f64 = 0.25;
 /// How fast the number of requests before their first token grows while on target, and shrinks.
 const GROW: f64 = 2.0;
 /// This part of the requests has its first token within the time that counts as the usual lead.
 const LEAD: f64 = 0.75;
-/// And no more of them than this for each reader that is well.
-const FLIGHT_EACH: f64 = 5.0;
 const SHRINK: f64 = 0.94;
+/// And no more and no fewer of them than these for each reader that is well, over all nodes.
+const FLIGHT_EACH: f64 = 15.0;
+const FLIGHT_LEAST: f64 = 2.5;
+/// First tokens further apart than this count as several, up to so many.
+const SAMPLE_EVERY: f64 = 100_000.0;
+const SAMPLES_MOST: f64 = 5.0;
 
 /// Decides for one node. Feed it every event with the time at which it came.
 pub struct Router {
@@ -94,7 +107,7 @@
             waiting: Vec::new(),
             turned: HashMap::new(),
             // A fresh node may meet a burst: the limit starts wide and evidence shrinks it.
-            gauges: Gauges { flight: f64::INFINITY, spare: SPARE_MOST, ..Gauges::default() },
+            gauges: Gauges { flight: f64::INFINITY, ..Gauges::default() },
         }
     }
 
@@ -165,24 +178,28 @@
     /// capacity is told: what a warm engine of the pool answers on the mean, this node's part times
     /// the nodes, stands for it. Each node may use an even part of the budget in a window. Where that
     /// is no whole send, nodes take turns by their numbers, so that of all nodes only that part which
-    /// keeps the budget when requests crowd has one send each: a node's own rate is too low to tell.
-    /// Too careful where the fleet idles; could harm where far more crowd onto one engine.
-    fn within_cold_budget(&self, now: Micros, index: usize) -> bool {
+    /// bounds a rush of all at once has one send each: a node's own rate is too low to tell.
+    /// Too careful where the fleet idles; could harm where all nodes go on wanting one engine.
+    fn within_cold_budget(&self, now: Micros, live: &Live, index: usize) -> bool {
         let engine = &self.engines[index];
         if now >= engine.cold_until {
             return true;
         }
+        // What other engines turned away must not crowd onto the cold ones.
+        if !live.tried.is_empty() {
+            return false;
+        }
         let s = &self.settings;
         let recent = engine.sends.iter().filter(|at| **at + s.tip_window > now).count();
-        let (nodes, window) = (f64::from(s.nodes.max(1)), s.tip_window.max(1) as f64);
+        let window = s.tip_window.max(1) as f64;
         let pool = &self.pools[step_of(engine.role)];
         let usual = pool.answers / pool.engines.max(1.0) / (pool.watched + RATE_AFTER) * window / 1e6;
-        let share = COLD_SHARE * s.cold_from * s.tip_multiple;
-        let own = share * usual;
-        let part = if own < 1.0 { own.max(share / COLD_CROWD).min(1.0) } else { own.fract() };
+        let own = (COLD_SHARE * s.cold_from * s.tip_multiple * usual).max(1.0 / f64::from(s.nodes.max(1)));
+        let rush = if engine.role == Role::Writer { COLD_HERD } else { COLD_RUSH };
+        let part = if own < 1.0 { (own * rush).min(1.0) } else { own.fract() };
         let place = xxh3_64_with_seed(engine.id.0.as_bytes(), 0) as f64 / u64::MAX as f64;
-        let cycle = now as f64 / window * part + f64::from(s.node) / nodes + place;
-        let turn = cycle.fract() < part;
+        let number = f64::from(s.node) / f64::from(s.nodes.max(1));
+        let turn = (now as f64 / window * part + number + place).fract() < part;
         recent < own as usize + usize::from(turn)
     }
 
@@ -197,7 +214,6 @@
         }
         let span = (SHUT_FIRST << engine.fails.min(8)).min(SHUT_MOST);
         engine.fails += 1;
-        engine.unheard = true;
         engine.shut_until = engine.shut_until.max(now + span);
     }
 
@@ -210,33 +226,13 @@
         }
         engine.fails = 0;
         engine.shut_until = 0;
-        engine.heard = now;
-        engine.unheard = false;
         engine.down = false;
     }
 
-    /// Whether an engine gets no new work but one trial at a time; where probes are allowed, one of
-    /// them has to be answered before a request is risked.
+    /// Whether an engine gets no new work but one trial at a time.
     fn shut(&self, now: Micros, index: usize) -> bool {
         let engine = &self.engines[index];
-        let probing = engine.unheard && self.settings.may_probe && now < engine.shut_until + SHUT_MOST;
-        now < engine.shut_until || probing || (engine.fails > 0 && !engine.pending.is_empty())
-    }
-
-    /// Guards against engines that neither answer nor fail (hung, or behind a cut link): after a
-    /// time-out with no word since its send, what else waits there and is harmless to repeat is
-    /// called off and made elsewhere. An engine that answers others is slow, not silent.
-    fn call_off(&mut self, index: usize, since: Micros, acts: &mut Vec<Action>) {
-        let engine = &self.engines[index];
-        if engine.heard > since || !self.settings.may_cancel {
-            return;
-        }
-        for (id, _) in engine.pending.values() {
-            let Some(live) = self.live.get(id).filter(|l| !l.done) else { continue };
-            if let Some(out) = live.out.filter(|o| o.step == READ || live.effect == Effect::Safe) {
-                acts.push(Action::Cancel(id.clone(), out.attempt));
-            }
-        }
+        now < engine.shut_until || (engine.fails > 0 && !engine.pending.is_empty())
     }
 
     /// How many times slower than its pool an engine is; an old finding fades, so it is tried again.
@@ -282,13 +278,9 @@
         if let Some(load) = load {
             self.engines[index].report = Some((now, load));
         }
-        let engine = &mut self.engines[index];
-        if answered {
-            engine.heard = now;
-            engine.unheard = false;
-        } else {
+        if !answered {
             // A probe that is turned away or waits too long tells of a full engine, if of none worse.
-            engine.full_until = now + WATCH_EVERY;
+            self.engines[index].full_until = now + WATCH_EVERY;
         }
     }
 
@@ -316,12 +308,13 @@
             self.gauges.asked_at = now;
             acts.push(Action::Follow);
         }
-        if s.may_probe {
-            for engine in self.engines.iter().filter(|e| e.serving()) {
-                let wants = s.reports == Reports::OnProbe && engine.role != Role::Reader;
-                if wants || engine.unheard {
-                    acts.push(Action::Probe(engine.id.clone()));
-                }
+        if s.may_probe && s.reports == Reports::OnProbe {
+            // All engines that write, where own traffic pays for it: over many nodes it would outweigh it.
+            let wants = |i: &usize| self.engines[*i].serving() && self.engines[*i].role != Role::Reader;
+            let all: Vec<usize> = (0..self.engines.len()).filter(wants).collect();
+            if self.gauges.probes >= all.len() as f64 {
+                self.gauges.probes -= all.len() as f64;
+                self.probe(now, all, acts);
             }
         }
         let old = now.saturating_sub(FADE_HALF);
@@ -340,9 +333,14 @@
         [Some(session), prefix]
     }
 
-    /// Prompt tokens of the request that the engine is expected to hold.
-    fn expected(&self, now: Micros, request: &Request, index: usize) -> f64 {
+    /// Prompt tokens of the request that the engine is expected to hold: by this node's own table, and
+    /// at its home also what other nodes have probably left there.
+    /// Without this a node among many would follow the one text it knows away from the session's.
+    fn expected(&self, now: Micros, request: &Request, index: usize, home: Option<usize>) -> f64 {
         let mut best = 0.0f64;
+        if home == Some(index) {
+            best = (1.0 - self.few()) * HOME_HELD * request.prompt_tokens as f64;
+        }
         for (key, most) in Self::keys(request).into_iter().flatten() {
             for (engine, tokens, at) in self.table.get(&key).into_iter().flatten() {
                 if *engine == index && *at >= self.engines[index].void_before {
@@ -365,20 +363,6 @@
         }
     }
 
-    /// Guards against a table that lies (texts forgotten, evicted or wiped by a restart): two counts
-    /// in a row far under what was expected void all that is held of the engine from before.
-    fn correct(&mut self, out: &Out, kept: u64) {
-        if out.expected < MIN_MATCH {
-            return;
-        }
-        let engine = &mut self.engines[out.engine];
-        engine.misses = if (kept as f64) < out.expected / 4.0 { engine.misses + 1 } else { 0 };
-        if engine.misses >= 2 {
-            engine.void_before = engine.void_before.max(out.sent);
-            engine.misses = 0;
-        }
-    }
-
     // ---- reader choice ----
 
     /// The readers and mixed engines in the order of the key's ring, the home first. Every node
@@ -394,7 +378,8 @@
 
     fn choose_reader(&self, now: Micros, live: &Live) -> Option<usize> {
         let mut ring = self.ring(&live.request);
-        let held: Vec<f64> = ring.iter().map(|&i| self.expected(now, &live.request, i)).collect();
+        let home = ring.first().copied();
+        let held: Vec<f64> = ring.iter().map(|&i| self.expected(now, &live.request, i, home)).collect();
         let mut start = 0;
         for (place, tokens) in held.iter().enumerate() {
             if *tokens >= MIN_MATCH && (*tokens > held[start] || held[start] < MIN_MATCH) {
@@ -408,12 +393,12 @@
         // Guards against spills that only read the same text again: where the other line, with what
         // would have to be read there, is no shorter, the prompt stays.
         let whole = live.request.prompt_tokens as f64;
-        let line = |i: usize| {
-            let unread = whole - self.expected(now, &live.request, i);
-            ((self.engines[i].unread + unread) * self.lag(now, i)) as u64
-        };
-        let home = open.first().map_or(0, |&i| line(i));
-        let under = open.iter().copied().find(|&i| !self.over_cap(now, &live.request, i) && line(i) <= home);
+        let own = |i: usize| whole - self.expected(now, &live.request, i, home);
+        let line = |i: usize| ((self.line(now, i) + own(i)) * self.lag(now, i)) as u64;
+        let first = open.first().map_or(0, |&i| line(i));
+        let sums = self.sums(now);
+        let fits = |&i: &usize| !self.over_cap(now, &live.request, i, own(i), sums) && line(i) <= first;
+        let under = open.iter().copied().find(fits);
         // Where every reader is over its cap the shortest line serves; where none is well, the one
         // that has failed least: backing off all of them would be the harm.
         let shortest = |&i: &usize| (self.full(now, i), line(i));
@@ -425,13 +410,35 @@
 
     /// The bounded-load cap. A slow engine has a smaller share; a mixed one is also bounded in
     /// its streams, so that reads do not pile onto engines that write.
-    fn over_cap(&self, now: Micros, request: &Request, index: usize) -> bool {
+    fn over_cap(&self, now: Micros, request: &Request, index: usize, own: f64, sums: [f64; 2]) -> bool {
         let engine = &self.engines[index];
-        let own = request.prompt_tokens as f64 - self.expected(now, request, index);
-        let (mut unread, mut readers, mut streams, mut writers) = (own, 0.0, 1.0, 0.0);
+        let [lines, streams] = sums;
+        let (lag, line) = (self.lag(now, index), self.line(now, index));
+        let cap = (CAP_FACTOR * (lines + own) / lag).max(request.prompt_tokens as f64);
+        let write_cap = (CAP_FACTOR * streams).ceil().max(1.0);
+        // Reading slows every answer of a mixed engine: a busy one takes only what it mostly holds.
+        let busy = engine.told(now, REPORT_FOR).is_some_and(|told| told >= BUSY);
+        let long = busy && own > request.prompt_tokens as f64 * LONG;
+        let writes_over = engine.role == Role::Mixed
+            && (long || f64::from(engine.streams) >= write_cap || self.full(now, index));
+        (line > 0.0 && line + own > cap) || writes_over
+    }
+
+    /// Tokens that wait to be read at an engine: this node's, or what it has told just now of all
+    /// nodes'. Guards against keys and engines that are hot by what others send.
+    fn line(&self, now: Micros, index: usize) -> f64 {
+        let engine = &self.engines[index];
+        let load = engine.report.filter(|(at, _)| now <= at + WATCH_EVERY).map(|(_, load)| load);
+        let queue = load.and_then(|l| l.queue).map(|q| q * self.pools[READ].tokens);
+        engine.unread.max(queue.unwrap_or(0.0))
+    }
+
+    /// The mean line of the readers that are well, and the mean of own streams at engines that write.
+    fn sums(&self, now: Micros) -> [f64; 2] {
+        let (mut lines, mut readers, mut streams, mut writers) = (0.0, 0.0f64, 1.0, 0.0f64);
         for (i, e) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
             if e.role != Role::Writer && !self.shut(now, i) {
-                unread += e.unread;
+                lines += self.line(now, i);
                 readers += 1.0;
             }
             if e.role != Role::Reader {
@@ -439,15 +446,7 @@
                 writers += 1.0;
             }
         }
-        let lag = self.lag(now, index);
-        let cap = (CAP_FACTOR * unread / f64::max(readers, 1.0) / lag).max(request.prompt_tokens as f64);
-        let write_cap = (CAP_FACTOR * streams / f64::max(writers, 1.0)).ceil().max(1.0);
-        // Reading slows every answer of a mixed engine: a busy one takes only what it mostly holds.
-        let busy = engine.told(now, REPORT_FOR).is_some_and(|told| told >= BUSY);
-        let long = busy && own > request.prompt_tokens as f64 * LONG;
-        let writes_over = engine.role == Role::Mixed
-            && (long || f64::from(engine.streams) >= write_cap || self.full(now, index));
-        (engine.unread > 0.0 && engine.unread + own > cap) || writes_over
+        [lines / readers.max(1.0), streams / writers.max(1.0)]
     }
 
     // ---- writer choice ----
@@ -464,17 +463,27 @@
         now < engine.full_until || (engine.role != Role::Reader && (stalled || told))
     }
 
+    /// How far a node sees the fleet's traffic in its own: 1 for few nodes, next to 0 for many.
+    fn few(&self) -> f64 {
+        (FEW_NODES / f64::from(self.settings.nodes.max(1))).min(1.0)
+    }
+
     /// The tightest aim of any class.
     fn tightest(&self) -> f64 {
         self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) as f64
     }
 
-    /// A writer's load in this node's streams: its own, and as much again as reports tell.
-    fn load(&self, now: Micros, index: usize, scale: f64) -> f64 {
+    /// A writer's load in this node's streams: its own, and as much again as reports tell. An old
+    /// report says less and less, and where none is known the mean of the others stands for it.
+    fn load(&self, now: Micros, index: usize, mean: Option<f64>, scale: f64) -> f64 {
         let engine = &self.engines[index];
         let own = f64::from(engine.streams);
-        let told = engine.told(now, REPORT_FOR).map_or(own, |told| told * scale);
-        (own + told) / engine.weight * self.lag(now, index)
+        let told = mean.map(|mean| {
+            let at = engine.report.map_or(0, |(at, _)| at);
+            let fresh = 0.5f64.powf(now.saturating_sub(at) as f64 / REPORT_FOR as f64);
+            (mean + (engine.told(now, Micros::MAX).unwrap_or(mean) - mean) * fresh) * scale
+        });
+        (own + told.unwrap_or(own)) / engine.weight * self.lag(now, index)
     }
 
     /// How much longer first tokens take when the state leaves its cell, in parts of the target.
@@ -491,31 +500,27 @@
             .filter(|&i| self.engines[i].role != Role::Reader)
             .filter(|&i| self.lawful(now, live, i) && !live.tried.contains(&i))
             .collect();
-        let (mut told, mut own) = (0.0, 0.0);
+        let (mut told, mut own, mut known) = (0.0, 0.0, 0.0);
         for engine in able.iter().map(|&i| &self.engines[i]) {
-            if let Some(share) = engine.told(now, REPORT_FOR) {
+            if let Some(share) = engine.told(now, FADE_HALF) {
                 told += share;
                 own += f64::from(engine.streams);
+                known += 1.0;
             }
         }
-        let scale = if told > 0.0 { own / told } else { 0.0 };
-        // Pure writers first, mixed engines only where all writers are crowded; a failing one last.
-        let writers = || able.iter().filter(|&&i| self.engines[i].role == Role::Writer);
-        let crowded = writers().all(|&i| self.engines[i].told(now, REPORT_FOR).unwrap_or(0.0) >= CROWDED);
+        // Of many nodes each has next to no streams: reports keep a least weight against them.
+        let scale = if told > 0.0 { (own / told).max(STREAMS_LEAST) } else { 0.0 };
+        let mean = (known > 0.0).then(|| told / known);
+        // Pure writers first; a failing one last.
         let cell = self.engines[reader].cell;
         let links_slow = self.far_cost(now) > 0.5;
         let rank = |i: usize| {
             let e = &self.engines[i];
-            (
-                self.shut(now, i),
-                self.full(now, i),
-                links_slow && e.cell != cell,
-                !crowded && e.role == Role::Mixed,
-            )
+            (self.shut(now, i), self.full(now, i), links_slow && e.cell != cell, e.role == Role::Mixed)
         };
         let best = able.iter().map(|&i| rank(i)).min()?;
         let peers: Vec<(usize, f64)> =
-            able.iter().filter(|&&i| rank(i) == best).map(|&i| (i, self.load(now, i, scale))).collect();
+            able.iter().filter(|&&i| rank(i) == best).map(|&i| (i, self.load(now, i, mean, scale))).collect();
         let least = peers.iter().map(|p| p.1).fold(f64::INFINITY, f64::min);
         let band = 1.0 + least * (NEAR + self.far_cost(now));
         let zone = &self.engines[reader].zone;
@@ -543,24 +548,8 @@
         let prompt = (request.session, request.prompt_tokens);
         let first = self.turned.get(&prompt).map_or(now, |first| *first);
         let id = request.id.clone();
-        let live = Live {
-            effect,
-            arrived: now,
-            begun: now,
-            aim_at: first.saturating_add(aim).min(now.saturating_add(request.patience)),
-            first,
-            deadline: now.saturating_add(request.patience),
-            over_share,
-            request,
-            attempts: 0,
-            out: None,
-            state: None,
-            read: false,
-            ran: None,
-            tried: Vec::new(),
-            waiting: true,
-            done: false,
-        };
+        let aim_at = first.saturating_add(aim).min(now.saturating_add(request.patience));
+        let live = Live::new(now, request, effect, first, aim_at, over_share);
         if let Entry::Vacant(place) = self.live.entry(id.clone()) {
             place.insert(live);
             self.waiting.push(id);
@@ -590,7 +579,7 @@
             && live.out.is_none()
             && live.attempts + steps <= self.settings.max_attempts
             && now < live.deadline
-            && self.within_cold_budget(now, index)
+            && self.within_cold_budget(now, live, index)
     }
 
     fn send(&mut self, now: Micros, id: &RequestId, index: usize, acts: &mut Vec<Action>) {
@@ -602,35 +591,25 @@
             _ if fetches => WRITE,
             _ => BOTH,
         };
-        let expected = self.expected(now, &live.request, index);
+        let home = self.ring(&live.request).first().copied();
+        let expected = self.expected(now, &live.request, index, home);
         let left = live.deadline.saturating_sub(now);
         let unread = if fetches { 0.0 } else { (live.request.prompt_tokens as f64 - expected).max(0.0) };
         // Time-outs guard against engines that fall silent. What might have run and must not run
         // twice keeps the whole time: giving it up early would gain nothing.
-        // Where much is slow at once, giving up only adds work: a budget of spare attempts bounds it.
-        let spare = self.gauges.spare >= 1.0;
-        let repeatable = spare && (step == READ || live.effect == Effect::Safe);
+        let repeatable = step == READ || live.effect == Effect::Safe;
         let timeout = match self.patience(step, unread) {
-            Some(patience) if repeatable && live.attempts + 2 < self.settings.max_attempts => {
-                patience.min(left)
-            }
+            Some(span) if repeatable && live.attempts + 2 < self.settings.max_attempts => span.min(left),
             None if repeatable => (live.aim_at.saturating_sub(now) / 2).clamp(left / 4, left),
             _ => left,
         };
         self.gauges.serial += 1;
         let serial = self.gauges.serial;
-        let out = Out {
-            attempt: live.attempts,
-            engine: index,
-            sent: now,
-            serial,
-            step,
-            expected,
-            unread,
-            started: false,
-        };
+        let (attempt, engine, sent, started) = (live.attempts, index, now, false);
+        let out = Out { attempt, engine, sent, serial, step, unread, started };
         if live.attempts == 0 {
             live.begun = now;
+            self.gauges.begun_at = now;
         }
         live.attempts += 1;
         live.out = Some(out);
@@ -652,6 +631,45 @@
             self.remember(now, &live.request, index);
         }
         self.live.insert(id.clone(), live);
+        if step == READ {
+            self.look_ahead(now, index, acts);
+        }
+    }
+
+    /// Guards against a choice of writer by reports that are old or missing: while a prompt is read
+    /// a few likely writers are probed, near ones first, as far as the price allows.
+    fn look_ahead(&mut self, now: Micros, reader: usize, acts: &mut Vec<Action>) {
+        let s = &self.settings;
+        if !s.may_probe || s.reports == Reports::Off {
+            return;
+        }
+        let each = self.probes_each();
+        let writers = self.engines.iter().filter(|e| e.serving() && e.role != Role::Reader).count() as f64;
+        self.gauges.probes = (self.gauges.probes + each).min(writers.max(each));
+        let (cell, zone) = (self.engines[reader].cell, self.engines[reader].zone.clone());
+        let seed = self.random.draw();
+        let mut likely: Vec<_> = (0..self.engines.len())
+            .filter(|&i| self.engines[i].serving() && self.engines[i].role == Role::Writer)
+            .filter(|&i| !self.shut(now, i) && now > self.engines[i].probed + WATCH_EVERY)
+            .map(|i| {
+                let e = &self.engines[i];
+                (e.cell != cell, e.zone != zone, xxh3_64_with_seed(e.id.0.as_bytes(), seed), i)
+            })
+            .collect();
+        likely.sort_unstable();
+        // The last one is looked for outside the cell, so that there is a choice.
+        let most = (each as usize).min(self.gauges.probes as usize);
+        let outside = likely.iter().position(|l| l.0).filter(|&at| at >= most).into_iter();
+        let picks: Vec<usize> = outside.chain(0..likely.len()).take(most).map(|at| likely[at].3).collect();
+        self.gauges.probes -= picks.len() as f64;
+        self.probe(now, picks, acts);
+    }
+
+    fn probe(&mut self, now: Micros, engines: Vec<usize>, acts: &mut Vec<Action>) {
+        for index in engines {
+            self.engines[index].probed = now;
+            acts.push(Action::Probe(self.engines[index].id.clone()));
+        }
     }
 
     fn first_token(&mut self, now: Micros, id: &RequestId, attempt: Attempt) {
@@ -666,24 +684,34 @@
         // has cost tells nothing of the lines.
         let lead = now.saturating_sub(live.begun) as f64;
         let gauges = &mut self.gauges;
-        gauges.spare = (gauges.spare + SPARE).min(SPARE_MOST);
         if live.attempts == if out.step == WRITE { 2 } else { 1 } {
             // A quantile: a few engines that take far longer do not make every request late.
             let step = if lead > gauges.lead { BLEND * LEAD } else { BLEND * (LEAD - 1.0) };
             gauges.lead = if gauges.lead == 0.0 { lead } else { gauges.lead * (1.0 + step) };
-            gauges.flight = match lead < aim {
-                true => gauges.flight + GROW / gauges.flight.max(1.0),
-                false => (gauges.flight * SHRINK).max(1.0),
-            };
+            self.paced(now, lead < aim);
         }
-        let readers = self.engines.iter().filter(|e| e.serving() && e.role != Role::Writer).count();
-        self.gauges.flight = self.gauges.flight.min(FLIGHT_EACH * readers as f64);
         self.moved(now, reader, out.engine, now.saturating_sub(out.sent) as f64);
         self.answered(now, out.engine);
         self.engines[out.engine].answers += 1;
         self.timed(now, out.engine, out.step, out.unread, now.saturating_sub(out.sent) as f64);
     }
 
+    /// Takes in whether a first token came on target. A node that has few of them takes longer steps.
+    fn paced(&mut self, now: Micros, on_target: bool) {
+        let readers = self.engines.iter().filter(|e| e.serving() && e.role != Role::Writer).count() as f64;
+        let nodes = f64::from(self.settings.nodes.max(1));
+        let most_steps = SAMPLES_MOST - (SAMPLES_MOST - 1.0) * self.few();
+        let gauges = &mut self.gauges;
+        let many = (now.saturating_sub(gauges.paced_at) as f64 / SAMPLE_EVERY).clamp(1.0, most_steps);
+        gauges.paced_at = now;
+        gauges.flight = match on_target {
+            true => gauges.flight + (GROW / gauges.flight.max(1.0)).min(gauges.flight / 2.0),
+            false => gauges.flight * SHRINK.powf(many),
+        };
+        let (least, most) = (FLIGHT_LEAST * readers / nodes, FLIGHT_EACH * readers / nodes);
+        gauges.flight = gauges.flight.max(least).min(most.max(FLIGHT_LEAST));
+    }
+
     /// Takes in how long a state took to where its answer began, or did not begin.
     fn moved(&mut self, now: Micros, reader: Option<usize>, writer: usize, took: f64) {
         let Some(reader) = reader else { return };
@@ -715,9 +743,6 @@
         if let Some(load) = load {
             engine.report = Some((now, load));
         }
-        if matches!(outcome, Outcome::Full | Outcome::NoState | Outcome::Error) {
-            engine.heard = now;
-        }
         let took = now.saturating_sub(out.sent) as f64;
         match outcome {
             Outcome::Read => {
@@ -725,18 +750,12 @@
                 self.engines[index].answers += 1;
                 let tokens = live.request.prompt_tokens.saturating_sub(kept) as f64;
                 self.timed(now, index, out.step, tokens, took);
-                self.correct(&out, kept);
                 self.remember(now, &live.request, index);
                 live.state = Some(index);
                 live.read = true;
                 live.tried.clear();
             }
-            Outcome::Served => {
-                self.answered(now, index);
-                if out.step == BOTH {
-                    self.correct(&out, kept);
-                }
-            }
+            Outcome::Served => self.answered(now, index),
             Outcome::Full => {
                 engine.full_until = now + FULL_FOR;
                 live.tried.push(index);
@@ -756,10 +775,6 @@
                 if outcome != Outcome::Error && !late {
                     self.strike(now, index, acts);
                 }
-                if outcome == Outcome::TimedOut && !late {
-                    self.gauges.spare -= 1.0;
-                    self.call_off(index, out.sent, acts);
-                }
                 self.engines[index].down |= matches!(outcome, Outcome::Unreachable | Outcome::Broken);
                 live.tried.push(index);
             }
@@ -797,6 +812,7 @@
         let attempts_left = live.attempts + 2 <= self.settings.max_attempts;
         self.live.insert(id.clone(), live);
         match choice {
+            Some(index) if reading && waits && self.looks(now, id, index, acts) => {}
             Some(index) => self.send(now, id, index, acts),
             // Nothing may be sent to just now: wait for the list or a cold budget while it pays.
             None if waits && attempts_left => {
@@ -809,6 +825,38 @@
         }
     }
 
+    /// Guards against engines that other nodes fill, which one of many nodes cannot see: before a read
+    /// the engine and the next ones are probed, and the prompt waits a moment for their word.
+    fn looks(&mut self, now: Micros, id: &RequestId, index: usize, acts: &mut Vec<Action>) -> bool {
+        let stale = |e: &Engine| e.report.is_none_or(|(at, _)| now > at + WATCH_EVERY);
+        let Some(live) = self.live.get(id) else { return false };
+        let blind = self.few() < 0.5 && self.settings.may_probe && self.settings.reports != Reports::Off;
+        let fresh = live.attempts == 0 && !live.request.resumed;
+        let waited = live.looked.is_some_and(|at| now >= at + LOOK);
+        if !blind || !fresh || waited || !stale(&self.engines[index]) {
+            return false;
+        }
+        if live.looked.is_none() {
+            let mut ring = self.ring(&live.request);
+            let start = ring.iter().position(|&i| i == index).unwrap_or(0);
+            ring.rotate_left(start);
+            ring.retain(|&i| !self.shut(now, i) && stale(&self.engines[i]));
+            ring.truncate(self.probes_each() as usize);
+            self.probe(now, ring, acts);
+        }
+        if let Some(live) = self.live.get_mut(id) {
+            live.looked = live.looked.or(Some(now));
+            live.waiting = true;
+            self.waiting.push(id.clone());
+        }
+        true
+    }
+
+    /// How many probes the price leaves a request.
+    fn probes_each(&self) -> f64 {
+        (PROBE_COST / self.settings.probe_price.max(PROBE_COST / PROBES)).min(PROBES)
+    }
+
     /// The one exit: the final answer, as the class allows, and the release of what is held.
     fn finish(&mut self, id: &RequestId, acts: &mut Vec<Action>) {
         let Some(live) = self.live.get(id) else { return };
@@ -870,26 +918,34 @@
 
     /// Requests that may still be started before earlier ones get their first tokens. Guards against
     /// reads that land while no writer has room: held back before the read, not after.
+    /// Of many nodes each may have less than one on its way: then there is time between its starts.
     fn room(&self, now: Micros) -> usize {
-        let (mut open, mut flight, mut able, mut readers, mut ready) = (0, 0, 0, 0, 0);
+        // What is late at a slow engine takes no room from others, where each node has but little.
+        let recent = now.saturating_sub(self.tightest() as Micros);
+        let (mut open, mut flight, mut late, mut able, mut readers, mut ready) = (0, 0, 0, 0u32, 0u32, 0);
         for (index, engine) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
             let (well, full) = (!self.shut(now, index), self.full(now, index));
             // What hangs at an engine that has failed takes no room from the others.
-            flight += if well { engine.pending.len() } else { 0 };
+            let fresh = engine.pending.range((recent, 0)..).count();
+            flight += if well { fresh } else { 0 };
+            late += if well { engine.pending.len() - fresh } else { 0 };
             let reads = engine.role != Role::Writer && now >= engine.full_until;
             ready += usize::from(reads);
-            readers += usize::from(reads && well);
-            able += usize::from(engine.role != Role::Reader && well);
+            readers += u32::from(reads && well);
+            able += u32::from(engine.role != Role::Reader && well);
             open += usize::from(engine.role != Role::Reader && well && !full);
         }
-        // With every answering engine full one request each is kept on its way: as one gets its
-        // first token, the next may start.
+        // With every answering engine full a few each are kept on their way, to see when that ends.
+        let part = FLIGHT_LEAST / f64::from(self.settings.nodes.max(1));
         let most = match (open, ready) {
-            (0, _) => able,
-            (_, 0) => 0,
-            _ => self.gauges.flight.min(FLIGHT_EACH * readers as f64).max(readers as f64) as usize,
+            (0, _) => part * f64::from(able),
+            (_, 0) => 0.0,
+            _ => self.gauges.flight.max(part * f64::from(readers)),
         };
-        most.max(1).saturating_sub(flight)
+        let most = most.max(part);
+        let gap = self.gauges.lead.max(self.tightest() * TARGET) / most.fract();
+        let one_more = now.saturating_sub(self.gauges.begun_at) as f64 >= gap;
+        (most as usize + usize::from(one_more)).saturating_sub(flight + (late as f64 * self.few()) as usize)
     }
 
     /// Starts held requests as there is room, and gives up those that cannot be in time any more.
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,10 +34,8 @@
     pub(crate) unread: f64,
     /// Own attempts that answer or are to answer here.
     pub(crate) streams: u32,
-    /// When an attempt or a probe last brought an answer.
-    pub(crate) heard: Micros,
-    /// A failure that no answer has followed yet.
-    pub(crate) unheard: bool,
+    /// When it was last probed.
+    pub(crate) probed: Micros,
     /// No connection could be had or it broke: the process may be gone.
     pub(crate) down: bool,
     pub(crate) fails: u32,
@@ -49,7 +47,6 @@
     pub(crate) lag_at: Micros,
     /// What the table says of this engine from before this time does not hold.
     pub(crate) void_before: Micros,
-    pub(crate) misses: u32,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -72,8 +69,7 @@
     pub(crate) sent: Micros,
     pub(crate) serial: u64,
     pub(crate) step: usize,
-    /// Prompt tokens expected kept, and those to be read.
-    pub(crate) expected: f64,
+    /// Prompt tokens expected to be read.
     pub(crate) unread: f64,
     pub(crate) started: bool,
 }
@@ -99,6 +95,8 @@
     pub(crate) ran: Option<(usize, Micros)>,
     pub(crate) tried: Vec<usize>,
     pub(crate) waiting: bool,
+    /// When engines were probed for it before its read.
+    pub(crate) looked: Option<Micros>,
     pub(crate) done: bool,
 }
 
@@ -112,16 +110,51 @@
     pub(crate) subscribed: bool,
     pub(crate) asked_at: Micros,
     pub(crate) rated_at: Micros,
+    /// When the last request was started, and when a first token was last taken in.
+    pub(crate) begun_at: Micros,
+    pub(crate) paced_at: Micros,
     /// How many requests may be on their way to a first token.
     pub(crate) flight: f64,
-    /// Attempts that may still be given up for slowness.
-    pub(crate) spare: f64,
+    /// Probes that own traffic has paid for.
+    pub(crate) probes: f64,
     /// Usual wait for a first token when the state stays in its cell and when it leaves it.
     pub(crate) moves: [(f64, Micros); 2],
     /// Usual time from the first send to the first token.
     pub(crate) lead: f64,
 }
 
+impl Live {
+    /// A request that waits for its first attempt.
+    pub(crate) fn new(
+        now: Micros,
+        request: Request,
+        effect: Effect,
+        first: Micros,
+        aim_at: Micros,
+        over_share: bool,
+    ) -> Live {
+        Live {
+            effect,
+            arrived: now,
+            begun: now,
+            aim_at,
+            first,
+            deadline: now.saturating_add(request.patience),
+            over_share,
+            request,
+            attempts: 0,
+            out: None,
+            state: None,
+            read: false,
+            ran: None,
+            tried: Vec::new(),
+            waiting: true,
+            looked: None,
+            done: false,
+        }
+    }
+}
+
 impl Engine {
     pub(crate) fn new(member: &Member, role: Role) -> Engine {
         Engine {
@@ -143,7 +176,7 @@
 
     /// The share of slots or memory in use that the engine told within this time.
     pub(crate) fn told(&self, now: Micros, within: Micros) -> Option<f64> {
-        let (_, load) = self.report.filter(|(at, _)| now < at + within)?;
+        let (_, load) = self.report.filter(|(at, _)| now < at.saturating_add(within))?;
         Some(load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0)))
     }
 
