--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,7 +39,7 @@
 const RATE_AFTER: f64 = 5.0;
 /// Nodes in turn may make this multiple of the budget if all of them want one cold engine at once: few
 /// do where homes are spread by keys (a read), but an empty writer is everybody's least loaded.
-const COLD_RUSH: f64 = 8.0;
+const COLD_RUSH: f64 = 12.0;
 const COLD_HERD: f64 = 0.75;
 /// Share of a cold engine's budget in use: a warm engine answers less on the mean than it could.
 const COLD_SHARE: f64 = 1.2;
@@ -195,7 +195,7 @@
         let pool = &self.pools[step_of(engine.role)];
         let usual = pool.answers / pool.engines.max(1.0) / (pool.watched + RATE_AFTER) * window / 1e6;
         let own = (COLD_SHARE * s.cold_from * s.tip_multiple * usual).max(1.0 / f64::from(s.nodes.max(1)));
-        let rush = if engine.role == Role::Writer { COLD_HERD } else { COLD_RUSH };
+        let rush = if live.state.is_some() { COLD_HERD } else { COLD_RUSH };
         let part = if own < 1.0 { (own * rush).min(1.0) } else { own.fract() };
         let place = xxh3_64_with_seed(engine.id.0.as_bytes(), 0) as f64 / u64::MAX as f64;
         let number = f64::from(s.node) / f64::from(s.nodes.max(1));
@@ -705,7 +705,7 @@
         let many = (now.saturating_sub(gauges.paced_at) as f64 / SAMPLE_EVERY).clamp(1.0, most_steps);
         gauges.paced_at = now;
         gauges.flight = match on_target {
-            true => gauges.flight + (GROW / gauges.flight.max(1.0)).min(gauges.flight / 2.0),
+            true => gauges.flight + (GROW * many / gauges.flight.max(1.0)).min(gauges.flight / 2.0),
             false => gauges.flight * SHRINK.powf(many),
         };
         let (least, most) = (FLIGHT_LEAST * readers / nodes, FLIGHT_EACH * readers / nodes);
@@ -808,7 +808,8 @@
         let Some(live) = self.live.remove(id) else { return };
         let reading = live.state.is_none();
         let choice = if reading { self.choose_reader(now, &live) } else { self.choose_writer(now, &live) };
-        let waits = reading && live.ran.is_none() && now < live.aim_at;
+        // No request is held that could not be looked at again in its time.
+        let waits = reading && live.ran.is_none() && now + 2 * SWEEP_EVERY < live.aim_at;
         let attempts_left = live.attempts + 2 <= self.settings.max_attempts;
         self.live.insert(id.clone(), live);
         match choice {
@@ -920,8 +921,8 @@
     /// reads that land while no writer has room: held back before the read, not after.
     /// Of many nodes each may have less than one on its way: then there is time between its starts.
     fn room(&self, now: Micros) -> usize {
-        // What is late at a slow engine takes no room from others, where each node has but little.
-        let recent = now.saturating_sub(self.tightest() as Micros);
+        // What is over the target at a slow engine takes no room from others, where a node has but little.
+        let recent = now.saturating_sub((self.tightest() * TARGET) as Micros);
         let (mut open, mut flight, mut late, mut able, mut readers, mut ready) = (0, 0, 0, 0u32, 0u32, 0);
         for (index, engine) in self.engines.iter().enumerate().filter(|(_, e)| e.serving()) {
             let (well, full) = (!self.shut(now, index), self.full(now, index));
