--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,8 +17,6 @@
 const CAP_FACTOR: f64 = 1.25;
 /// Expected kept tokens under this count as no match (the paper's smallest block).
 const MIN_MATCH: f64 = 16.0;
-/// A home is taken to hold this part of a prompt, a session's last turn, where mostly others send.
-const HOME_HELD: f64 = 0.7;
 /// Of so few nodes each sees enough of the traffic to go by its own table alone.
 const FEW_NODES: f64 = 2.5;
 /// Table entries fade by half in this time: about the time in which sessions come again.
@@ -334,12 +332,12 @@
     }
 
     /// Prompt tokens of the request that the engine is expected to hold: by this node's own table, and
-    /// at its home also what other nodes have probably left there.
-    /// Without this a node among many would follow the one text it knows away from the session's.
+    /// at its home also the shared beginning, which of many nodes another has probably sent there.
+    /// Guards against each node following its own few sends away from the home that all others use.
     fn expected(&self, now: Micros, request: &Request, index: usize, home: Option<usize>) -> f64 {
         let mut best = 0.0f64;
         if home == Some(index) {
-            best = (1.0 - self.few()) * HOME_HELD * request.prompt_tokens as f64;
+            best = (1.0 - self.few()) * request.prefix.map_or(0.0, |_| request.prefix_tokens as f64);
         }
         for (key, most) in Self::keys(request).into_iter().flatten() {
             for (engine, tokens, at) in self.table.get(&key).into_iter().flatten() {
@@ -424,13 +422,14 @@
         (line > 0.0 && line + own > cap) || writes_over
     }
 
-    /// Tokens that wait to be read at an engine: this node's, or what it has told just now of all
+    /// Tokens that wait to be read at an engine: this node's, or what it has told lately of all
     /// nodes'. Guards against keys and engines that are hot by what others send.
     fn line(&self, now: Micros, index: usize) -> f64 {
         let engine = &self.engines[index];
-        let load = engine.report.filter(|(at, _)| now <= at + WATCH_EVERY).map(|(_, load)| load);
-        let queue = load.and_then(|l| l.queue).map(|q| q * self.pools[READ].tokens);
-        engine.unread.max(queue.unwrap_or(0.0))
+        let Some((at, load)) = engine.report else { return engine.unread };
+        let queue = load.queue.map(|q| q * self.pools[READ].tokens);
+        let told = load.backlog.map(|b| b * 1000.0).or(queue).unwrap_or(0.0) * (1.0 - self.few());
+        engine.unread.max(told * 0.5f64.powf(now.saturating_sub(at) as f64 / WATCH_EVERY as f64))
     }
 
     /// The mean line of the readers that are well, and the mean of own streams at engines that write.
