--- a/crates/pintally-benchlink/tests/wire.rs
+++ b/crates/pintally-benchlink/tests/wire.rs
@@ -137,7 +137,13 @@
 
 #[test]
 fn settings_that_lack_a_key_are_answered_with_its_name() {
-    for (group, key) in [("", "profiles"), ("rules", "cold_from"), ("family_info", "duty_by_kind")] {
+    for (group, key) in [
+        ("", "profiles"),
+        ("", "me"),
+        ("", "balancers"),
+        ("rules", "cold_from"),
+        ("family_info", "duty_by_kind"),
+    ] {
         let mut conf = conf();
         let holder = if group.is_empty() { &mut conf } else { &mut conf[group] };
         holder.as_object_mut().unwrap().remove(key);
@@ -150,6 +156,19 @@
     }
 }
 
+#[test]
+fn a_number_outside_the_count_is_answered_with_a_plain_message() {
+    for (me, balancers) in [(2, 2), (0, 0), (7, 3)] {
+        let mut conf = conf();
+        conf["me"] = json!(me);
+        conf["balancers"] = json!(balancers);
+        let lines = lines(&run(&batch(1.0, 1, &begin(7, &conf))));
+        assert_eq!(lines[0]["t"], "broken");
+        let reason = lines[0]["reason_text"].as_str().unwrap();
+        assert!(reason.contains("`me`") && reason.contains("`balancers`"), "{reason}");
+    }
+}
+
 #[test]
 fn an_instance_that_was_stopped_forgets_everything() {
     let stop = format!("{}\n{}", json!({"t": "teardown", "node": 3}), begin(3, &conf()));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -834,3 +834,134 @@
         assert_eq!(held, patience > SECOND, "with {patience} us left");
     }
 }
+
+/// One of many nodes, at a site where probes are allowed.
+fn one_of_many() -> Settings {
+    Settings { nodes: 100, may_probe: true, ..settings() }
+}
+
+fn probes(acts: &[Action]) -> Vec<&str> {
+    acts.iter().filter_map(|a| if let Action::Probe(e) = a { Some(&*e.0) } else { None }).collect()
+}
+
+#[test]
+fn one_of_many_nodes_probes_no_more_than_its_own_traffic_pays_for() {
+    let shape = Settings { reports: Reports::OnProbe, ..one_of_many() };
+    let members = (0..60).map(|i| member(&format!("w{i}"), "near", i % 9)).chain(fleet()).collect();
+    let mut node = Node::new(shape, members);
+    let mut all = 0;
+    for _ in 0..100 {
+        node.now += 500 * MS;
+        all += probes(&node.tell(Event::Elapsed(Timer::Watch))).len();
+    }
+    assert_eq!(all, 0, "without traffic there are no probes");
+    for i in 0..100 {
+        let name = format!("a{i}");
+        let arrival = node.arrive(request(&name, 0, i));
+        all += probes(&arrival).len();
+        node.now += 60 * MS;
+        all += probes(&node.sweep()).len();
+        node.end(&name, Outcome::Read);
+        node.now += 500 * MS;
+        all += probes(&node.tell(Event::Elapsed(Timer::Watch))).len();
+    }
+    assert!((100..=600).contains(&all), "{all} probes for 100 requests");
+}
+
+#[test]
+fn one_of_many_nodes_looks_before_a_read_and_passes_by_a_line_of_others() {
+    let members = vec![member("r1", "near", 1), member("r2", "near", 1), member("w1", "near", 1)];
+    let session = session_of("r1", &members);
+    for (nodes, queue, expected) in [(100, 0.0, Some("r1")), (100, 20.0, Some("r2")), (2, 0.0, Some("r1"))] {
+        let mut node = Node::new(Settings { nodes, ..one_of_many() }, members.clone());
+        node.arrive(request("usual", 0, 900));
+        node.now += 60 * MS;
+        node.sweep();
+        serve(&mut node, "usual");
+        node.now += 5 * SECOND;
+        let acts = node.arrive(request("a", 0, session));
+        assert_eq!(probes(&acts).contains(&"r1"), nodes > 10);
+        for (name, waits) in [("r1", queue), ("r2", 0.0)] {
+            let load = Load { queue: Some(waits), slots: Some(0.5), ..Load::default() };
+            node.tell(Event::Probed(engine(name), true, Some(load)));
+        }
+        assert_eq!(node.at("a"), expected, "{nodes} nodes, {queue} wait");
+    }
+}
+
+#[test]
+fn a_probe_that_brings_no_word_holds_a_read_for_a_moment_only() {
+    let mut node = Node::new(one_of_many(), pair());
+    node.arrive(request("a", 0, 1));
+    assert_eq!(node.at("a"), None);
+    node.now += 50 * MS;
+    node.sweep();
+    assert_eq!(node.at("a"), Some("r1"));
+}
+
+#[test]
+fn one_of_many_nodes_trusts_the_home_with_a_beginning_that_it_sent_elsewhere() {
+    let members = vec![member("r1", "near", 1), member("r2", "near", 1), member("w1", "near", 1)];
+    let key = session_of("r1", &members);
+    for (nodes, expected) in [(2, "r2"), (100, "r1")] {
+        let shared =
+            |name: &str, own| Request { prefix: Some(key), prefix_tokens: 1_500, ..request(name, 0, own) };
+        let mut node = Node::new(Settings { nodes, ..settings() }, members.clone());
+        node.arrive(shared("a", 50));
+        node.end("a", Outcome::Full);
+        assert_eq!(node.at("a"), Some("r2"));
+        serve(&mut node, "a");
+        node.now += 2 * SECOND;
+        node.arrive(shared("b", 51));
+        assert_eq!(node.at("b"), Some(expected), "{nodes} nodes");
+    }
+}
+
+#[test]
+fn an_old_report_says_less_and_less_of_a_writer() {
+    let members = vec![
+        member("r1", "near", 1),
+        member("w1", "near", 1),
+        member("w2", "near", 2),
+        member("w3", "near", 2),
+    ];
+    // The near writer told of much load: at first the far ones are better, later it wins again.
+    for (waited, near) in [(0, false), (20 * SECOND, true)] {
+        let mut node = Node::new(Settings { nodes: 100, ..settings() }, members.clone());
+        for (name, memory) in [("w1", 0.85), ("w2", 0.1), ("w3", 0.1)] {
+            report(&mut node, name, memory);
+        }
+        node.now += waited;
+        node.arrive(request("a", 0, 1));
+        node.end("a", Outcome::Read);
+        assert_eq!(node.at("a") == Some("w1"), near, "after {waited} us");
+    }
+}
+
+#[test]
+fn late_first_tokens_space_out_the_starts_of_one_of_many_nodes() {
+    let mut node = Node::new(Settings { nodes: 100, ..settings() }, fleet());
+    let late = |node: &mut Node, name: &str, after: Micros| {
+        node.arrive(request(name, 0, 7));
+        let sent = node.at(name).is_some();
+        node.now += after;
+        if sent {
+            node.end(name, Outcome::Read);
+            node.first_token(name);
+            node.end(name, Outcome::Served);
+        }
+        sent
+    };
+    for i in 0..20 {
+        late(&mut node, &format!("late{i}"), 3 * SECOND);
+    }
+    let sent = (0..6).filter(|i| late(&mut node, &format!("b{i}"), 10 * MS)).count();
+    assert!(sent <= 1, "{sent} starts at once after late ones");
+    // On target again, it starts more.
+    for i in 0..20 {
+        late(&mut node, &format!("good{i}"), 90 * MS);
+        node.now += 20 * SECOND;
+    }
+    let sent = (0..6).filter(|i| late(&mut node, &format!("c{i}"), 10 * MS)).count();
+    assert!(sent >= 5, "{sent} starts once it is well again");
+}
