--- a/src/rules.rs
+++ b/src/rules.rs
@@ -768,6 +768,10 @@
                 // A time-out at the client's deadline tells of a long line as often as of the engine.
                 let late = outcome == Outcome::TimedOut && now >= live.deadline;
                 if outcome == Outcome::TimedOut {
+                    // Of many nodes each may see next to no first tokens: what never had one counts as late.
+                    if self.few() < 0.5 {
+                        self.paced(now, false);
+                    }
                     self.timed(now, index, out.step, 0.0, took);
                     self.moved(now, live.state, index, took);
                 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -965,3 +965,24 @@
     let sent = (0..6).filter(|i| late(&mut node, &format!("c{i}"), 10 * MS)).count();
     assert!(sent >= 5, "{sent} starts once it is well again");
 }
+
+#[test]
+fn time_outs_hold_back_one_of_many_nodes_that_sees_no_first_tokens() {
+    for (nodes, held) in [(2, false), (100, true)] {
+        let mut node = Node::new(Settings { nodes, ..settings() }, fleet());
+        for i in 0..12 {
+            let name = format!("out{i}");
+            node.arrive(request(&name, 0, i));
+            while node.has_out(&id(&name)) {
+                node.now += SECOND;
+                node.end(&name, Outcome::TimedOut);
+            }
+            node.now += 20 * SECOND;
+        }
+        for i in 0..8 {
+            node.arrive(request(&format!("burst{i}"), 0, 100 + i));
+        }
+        let sent = (0..8).filter(|i| node.at(&format!("burst{i}")).is_some()).count();
+        assert_eq!(sent < 4, held, "{sent} of 8 started by one of {nodes} nodes");
+    }
+}
