An engine that is full for one tenant but told room is passed by for that tenant only

A refusal by an engine whose report is under 0.75 counts for the tenant alone, for 8 s; others still go there. Covers any limit by tenant; harms where reports are stale.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,8 +35,7 @@
 const RATE_FADE: f64 = 0.97;
 /// Rates are taken as low until engines have been seen for about this many seconds each.
 const RATE_AFTER: f64 = 5.0;
-/// Nodes in turn may make this multiple of the budget if all of them want one cold engine at once: few
-/// do where homes are spread by keys (a read), but an empty writer is everybody's least loaded.
+/// What nodes in turn may make of the budget if all want one engine: reads are spread, fetches herd.
 const COLD_RUSH: f64 = 12.0;
 const COLD_HERD: f64 = 0.75;
 /// Share of a cold engine's budget in use: a warm engine answers less on the mean than it could.
@@ -177,7 +176,7 @@
     /// the nodes, stands for it. Each node may use an even part of the budget in a window. Where that
     /// is no whole send, nodes take turns by their numbers, so that of all nodes only that part which
     /// bounds a rush of all at once has one send each: a node's own rate is too low to tell.
-    /// Too careful where the fleet idles; could harm where all nodes go on wanting one engine.
+    /// Too careful where the fleet idles; harms where all nodes go on wanting one engine.
     fn within_cold_budget(&self, now: Micros, live: &Live, index: usize) -> bool {
         let engine = &self.engines[index];
         if now >= engine.cold_until {
@@ -240,8 +239,8 @@
         1.0 + (engine.lag - 1.0).max(0.0) * 0.5f64.powf(age * 2.0)
     }
 
-    /// Takes in how long an attempt took, against what its pool usually takes for as much work. A
-    /// pool that is slow as a whole makes no engine slow: the usual time moves with it.
+    /// Takes in how long an attempt took, against what its pool usually takes for as much work. The
+    /// usual time moves with a pool that is slow as a whole.
     fn timed(&mut self, now: Micros, index: usize, step: usize, tokens: f64, took: f64) {
         let pool = &mut self.pools[step];
         pool.tokens = if pool.samples == 0 { tokens } else { pool.tokens + BLEND * (tokens - pool.tokens) };
@@ -258,17 +257,11 @@
         engine.lag_at = now;
     }
 
-    /// The usual time of an attempt, once enough are known.
-    fn usual(&self, step: usize, tokens: f64) -> Option<f64> {
-        let pool = &self.pools[step];
-        (pool.samples >= 5).then(|| pool.time * (1.0 + tokens / pool.tokens.max(1.0)))
-    }
-
-    /// Time after which an attempt is better made elsewhere.
+    /// Time after which an attempt is better made elsewhere, once enough are known.
     fn patience(&self, step: usize, tokens: f64) -> Option<Micros> {
-        let usual = self.usual(step, tokens)?;
-        let spread = self.pools[step].deviation * usual / self.pools[step].time.max(1.0);
-        Some((usual + spread).mul_add(PATIENCE, self.tightest() * TARGET) as Micros)
+        let pool = &self.pools[step];
+        let usual = (pool.time + pool.deviation) * (1.0 + tokens / pool.tokens.max(1.0));
+        (pool.samples >= 5).then(|| usual.mul_add(PATIENCE, self.tightest() * TARGET) as Micros)
     }
 
     fn probed(&mut self, now: Micros, id: &EngineId, answered: bool, load: Option<Load>) {
@@ -333,7 +326,7 @@
 
     /// Prompt tokens of the request that the engine is expected to hold: by this node's own table, and
     /// at its home also the shared beginning, which of many nodes another has probably sent there.
-    /// Guards against each node following its own few sends away from the home that all others use.
+    /// Guards against following one's own few sends away from the home that all others use.
     fn expected(&self, now: Micros, request: &Request, index: usize, home: Option<usize>) -> f64 {
         let mut best = 0.0f64;
         if home == Some(index) {
@@ -386,10 +379,10 @@
         }
         ring.rotate_left(start);
         ring.retain(|&i| self.lawful(now, live, i));
-        let well = |i: usize| !self.shut(now, i) && !live.tried.contains(&i);
+        let well =
+            |i: usize| !self.shut(now, i) && !live.tried.contains(&i) && !self.engines[i].spurns(now, live);
         let open: Vec<usize> = ring.iter().copied().filter(|&i| well(i)).collect();
-        // Guards against spills that only read the same text again: where the other line, with what
-        // would have to be read there, is no shorter, the prompt stays.
+        // Guards against spills that only read the same text again: the other line has to be shorter.
         let whole = live.request.prompt_tokens as f64;
         let own = |i: usize| whole - self.expected(now, &live.request, i, home);
         let line = |i: usize| ((self.line(now, i) + own(i)) * self.lag(now, i)) as u64;
@@ -515,7 +508,8 @@
         let links_slow = self.far_cost(now) > 0.5;
         let rank = |i: usize| {
             let e = &self.engines[i];
-            (self.shut(now, i), self.full(now, i), links_slow && e.cell != cell, e.role == Role::Mixed)
+            let full = self.full(now, i) || e.spurns(now, live);
+            (self.shut(now, i), full, links_slow && e.cell != cell, e.role == Role::Mixed)
         };
         let best = able.iter().map(|&i| rank(i)).min()?;
         let peers: Vec<(usize, f64)> =
@@ -756,7 +750,13 @@
             }
             Outcome::Served => self.answered(now, index),
             Outcome::Full => {
-                engine.full_until = now + FULL_FOR;
+                // Guards against engines that are full for one tenant only: they have told room.
+                let room = engine.told(now, REPORT_FOR).is_some_and(|told| told < CROWDED);
+                if room && live.request.tenant.is_some() {
+                    engine.spurned = (live.request.tenant, now + SHUT_MOST);
+                } else {
+                    engine.full_until = now + FULL_FOR;
+                }
                 live.tried.push(index);
             }
             // A state that cannot be fetched may still wait at a reader that is cut off.
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,6 +41,8 @@
     pub(crate) fails: u32,
     pub(crate) shut_until: Micros,
     pub(crate) full_until: Micros,
+    /// The tenant that was turned away for itself, and until when that counts.
+    pub(crate) spurned: (Option<usize>, Micros),
     pub(crate) report: Option<(Micros, Load)>,
     /// How many times slower than its pool, and when that was last seen.
     pub(crate) lag: f64,
@@ -180,6 +182,11 @@
         Some(load.slots.unwrap_or(0.0).max(load.memory.unwrap_or(0.0)))
     }
 
+    /// Whether it turned this request's tenant away lately.
+    pub(crate) fn spurns(&self, now: Micros, live: &Live) -> bool {
+        now < self.spurned.1 && self.spurned.0 == live.request.tenant
+    }
+
     pub(crate) fn serving(&self) -> bool {
         self.listing == Listing::Serving
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -986,3 +986,30 @@
         assert_eq!(sent < 4, held, "{sent} of 8 started by one of {nodes} nodes");
     }
 }
+
+#[test]
+fn an_engine_full_for_one_tenant_serves_the_others_and_is_tried_again() {
+    let tenants = ["one", "other"].map(|name| Tenant { name: name.into(), quota_per_s: 100.0 }).to_vec();
+    let members = vec![member("r1", "near", 1), member("w1", "near", 1), member("w2", "near", 2)];
+    let of = |name: &str, tenant| Request { tenant: Some(tenant), ..request(name, 0, 1) };
+    let mut node = Node::new(Settings { tenants, ..settings() }, members);
+    report(&mut node, "w1", 0.2);
+    report(&mut node, "w2", 0.2);
+    node.arrive(of("a", 0));
+    node.end("a", Outcome::Read);
+    assert_eq!(node.at("a"), Some("w1"));
+    node.end("a", Outcome::Full);
+    node.first_token("a");
+    let mut next = |name: &str, tenant, wait| {
+        node.now += wait;
+        node.arrive(of(name, tenant));
+        node.end(name, Outcome::Read);
+        let at = node.at(name).map(str::to_string);
+        node.first_token(name);
+        node.end(name, Outcome::Served);
+        at
+    };
+    assert_eq!(next("b", 0, SECOND).as_deref(), Some("w2"), "its tenant passes it by");
+    assert_eq!(next("c", 1, MS).as_deref(), Some("w1"), "the other does not");
+    assert_eq!(next("d", 0, 20 * SECOND).as_deref(), Some("w1"), "it is tried again");
+}
