--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,8 +56,9 @@
 /// What a request's probes may cost, in points, and the most of them.
 const PROBE_COST: f64 = 0.01;
 const PROBES: f64 = 3.0;
-/// A prompt waits this long for word of the engines that could read it.
+/// A prompt waits this long for word of the engines that could read it, and so many at once.
 const LOOK: Micros = 30_000;
+const LOOKS: usize = 4;
 /// Writers that have up to this part more than the least load count as least loaded: near ones win.
 const NEAR: f64 = 0.25;
 /// How fast the number of requests before their first token grows while on target, and shrinks.
@@ -678,7 +679,6 @@
         let lead = now.saturating_sub(live.begun) as f64;
         let gauges = &mut self.gauges;
         if live.attempts == if out.step == WRITE { 2 } else { 1 } {
-            // A quantile: a few engines that take far longer do not make every request late.
             let step = if lead > gauges.lead { BLEND * LEAD } else { BLEND * (LEAD - 1.0) };
             gauges.lead = if gauges.lead == 0.0 { lead } else { gauges.lead * (1.0 + step) };
             self.paced(now, lead < aim);
@@ -811,14 +811,13 @@
         let Some(live) = self.live.remove(id) else { return };
         let reading = live.state.is_none();
         let choice = if reading { self.choose_reader(now, &live) } else { self.choose_writer(now, &live) };
-        // No request is held that could not be looked at again in its time.
         let waits = reading && live.ran.is_none() && now + 2 * SWEEP_EVERY < live.aim_at;
         let attempts_left = live.attempts + 2 <= self.settings.max_attempts;
         self.live.insert(id.clone(), live);
         match choice {
             Some(index) if reading && waits && self.looks(now, id, index, acts) => {}
             Some(index) => self.send(now, id, index, acts),
-            // Nothing may be sent to just now: wait for the list or a cold budget while it pays.
+            // Nothing may be sent to just now: wait while it pays and there is time for another look.
             None if waits && attempts_left => {
                 if let Some(live) = self.live.get_mut(id).filter(|l| !l.waiting) {
                     live.waiting = true;
@@ -836,7 +835,8 @@
         let Some(live) = self.live.get(id) else { return false };
         let blind = self.few() < 0.5 && self.settings.may_probe && self.settings.reports != Reports::Off;
         let fresh = live.attempts == 0 && !live.request.resumed;
-        let waited = live.looked.is_some_and(|at| now >= at + LOOK);
+        // In a burst a node is not blind, and nothing is gained by looking again and again for each.
+        let waited = self.waiting.len() >= LOOKS || live.looked.is_some_and(|at| now >= at + LOOK);
         if !blind || !fresh || waited || !stale(&self.engines[index]) {
             return false;
         }
@@ -939,7 +939,6 @@
             able += u32::from(engine.role != Role::Reader && well);
             open += usize::from(engine.role != Role::Reader && well && !full);
         }
-        // With every answering engine full a few each are kept on their way, to see when that ends.
         let part = FLIGHT_LEAST / f64::from(self.settings.nodes.max(1));
         let most = match (open, ready) {
             (0, _) => part * f64::from(able),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1013,3 +1013,14 @@
     assert_eq!(next("c", 1, MS).as_deref(), Some("w1"), "the other does not");
     assert_eq!(next("d", 0, 20 * SECOND).as_deref(), Some("w1"), "it is tried again");
 }
+
+#[test]
+fn a_burst_is_not_held_for_looks() {
+    let mut node = Node::new(one_of_many(), fleet());
+    for i in 0..200 {
+        node.arrive(request(&format!("a{i}"), 0, i));
+    }
+    let names = (0..200).map(|i| format!("a{i}"));
+    let held = names.filter(|n| node.at(n).is_none() && !node.finals.contains_key(&id(n))).count();
+    assert!(held <= 4, "{held} of a burst wait for probes, each looked at again at every event");
+}
