--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,7 +36,7 @@
 /// Rates are taken as low until engines have been seen for about this many seconds each.
 const RATE_AFTER: f64 = 5.0;
 /// What nodes in turn may make of the budget if all want one engine: reads are spread, fetches herd.
-const COLD_RUSH: f64 = 12.0;
+const COLD_RUSH: f64 = 8.0;
 const COLD_HERD: f64 = 0.75;
 /// Share of a cold engine's budget in use: a warm engine answers less on the mean than it could.
 const COLD_SHARE: f64 = 1.2;
