Codecs of the node: settings, HTTP/1.1, KServe v2 and the engines' interface

Need: the running node speaks KServe v2 to clients and the completion interface to engines, and reads its settings as S-expressions. All of this is parsing, so it stands in packages without input or output.

Change: pintally-config reads settings and the list of engines, refuses unknown keys, impossible figures and contradictions with file, line, column and the rule they would break. pintally-http reads and writes messages and events cut at any byte, within bounds. pintally-kserve holds endpoints, parameters and answers. pintally-engine holds requests, load reports and the one table from answers to outcomes, with what the published interface lacks in one file.

--- /dev/null
+++ b/crates/pintally-config/src/check.rs
@@ -0,0 +1,123 @@
+//! What a file of settings may not say, and the rule that it would break.
+
+use pintally::interface::{Class, Effect, Role, Settings};
+
+use crate::form::Form;
+use crate::{ClassSettings, ConfigError, NodeSettings};
+
+const LOST: &str = "no request is lost";
+const TWICE: &str = "no effect happens twice";
+const DRAINS: &str = "drains are kept";
+const COLD: &str = "a cold engine is not pushed over";
+const PINNED: &str = "nothing is left pinned";
+
+/// Contradictions inside a class form that its values do not show.
+pub(crate) fn class_form(form: &Form) -> Result<(), ConfigError> {
+    if let Some(copies) = form.maybe("second-copies")? {
+        let wanted = copies.yes()?;
+        copies.finish()?;
+        let effect = form.need("effect")?.text()?;
+        if wanted && effect != "safe" {
+            return Err(copies.breaks(TWICE, format!("a second copy of a request whose effect is {effect}")));
+        }
+        if wanted {
+            return Err(copies.error("second copies are not made: never two attempts of a request at once"));
+        }
+    }
+    Ok(())
+}
+
+/// A class against the rules' figures.
+pub(crate) fn class(
+    form: &Form,
+    core: &Settings,
+    class: &Class,
+    more: &ClassSettings,
+) -> Result<(), ConfigError> {
+    if class.aim > more.patience {
+        return Err(form.breaks(
+            LOST,
+            format!(
+                "the aim of {} ms is past the {} ms that the client waits",
+                class.aim / 1000,
+                more.patience / 1000
+            ),
+        ));
+    }
+    if let Effect::Keyed(_, window) = class.effect {
+        if core.max_attempts > 1 && window < more.patience {
+            return Err(form.breaks(
+                TWICE,
+                format!(
+                    "attempts may outlast the window: repeats are dropped for {} ms, the client waits {} ms",
+                    window / 1000,
+                    more.patience / 1000
+                ),
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// The figures of the rules against each other.
+pub(crate) fn rules(form: &Form, core: &Settings) -> Result<(), ConfigError> {
+    if core.tip_multiple < 1.0 {
+        return Err(form.breaks(COLD, "`tip-multiple` under 1 leaves a cold engine no work at all"));
+    }
+    if core.warm_after > 0 && core.tip_window > core.warm_after {
+        return Err(form.breaks(COLD, "`tip-window-ms` is longer than `warm-after-ms`"));
+    }
+    if core.retry_advice && core.max_retry_after == 0 {
+        return Err(form.error("`retry-after` is yes, but `retry-after-most-ms` is 0"));
+    }
+    Ok(())
+}
+
+/// Whether the kinds can serve at all.
+pub(crate) fn kinds(root: &Form, core: &Settings) -> Result<(), ConfigError> {
+    let reads = core.kinds.iter().any(|k| k.role != Role::Writer);
+    let writes = core.kinds.iter().any(|k| k.role != Role::Reader);
+    match (reads, writes) {
+        (true, true) => Ok(()),
+        (false, _) => Err(root.error("no `kind` reads: at least one must be a reader or mixed")),
+        (_, false) => Err(root.error("no `kind` writes: at least one must be a writer or mixed")),
+    }
+}
+
+/// The settings as a whole: time-outs that add up, queues that fit.
+pub fn check(root: &Form, s: &NodeSettings) -> Result<(), ConfigError> {
+    let limits = &s.limits;
+    for (class, more) in s.core.classes.iter().zip(&s.classes) {
+        let needed = limits.connect + limits.answer_margin;
+        if needed >= more.patience {
+            return Err(root.breaks(
+                LOST,
+                format!(
+                    "class `{}`: time to connect ({} ms) and the answer's margin ({} ms) add up past the \
+                     client's patience ({} ms)",
+                    class.name,
+                    limits.connect / 1000,
+                    limits.answer_margin / 1000,
+                    more.patience / 1000
+                ),
+            ));
+        }
+    }
+    if limits.errand > s.core.release_within {
+        return Err(root.breaks(
+            PINNED,
+            format!(
+                "a release may take {} ms, but what is held must be let go within {} ms",
+                limits.errand / 1000,
+                s.core.release_within / 1000
+            ),
+        ));
+    }
+    if s.engines_every > 1_000_000 {
+        return Err(root.breaks(DRAINS, "the list of engines is looked at less than once a second"));
+    }
+    if limits.held > limits.connections {
+        return Err(root.error("`held` is more than `connections`: each held request has a connection"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/pintally-config/src/lib.rs
@@ -0,0 +1,15 @@
+//! Settings of pintally as S-expressions: types, defaults, and checks that name the rule they guard.
+//!
+//! This package does no input or output: callers hand it the text of a file and its name, and get
+//! values or a [`ConfigError`] with line and column.
+
+mod check;
+mod error;
+pub mod form;
+mod members;
+mod settings;
+
+pub use check::check;
+pub use error::ConfigError;
+pub use members::{EngineEntry, EngineList};
+pub use settings::{ClassSettings, Limits, NodeSettings};
--- /dev/null
+++ b/crates/pintally-config/src/settings.rs
@@ -0,0 +1,274 @@
+//! The settings of one node: types, defaults, and how they are read from a file.
+
+use std::net::SocketAddr;
+
+use pintally::interface::{Class, Discovery, Effect, Group, Kind, Micros, Reports, Role, Settings, Tenant};
+
+use crate::form::{Document, Form};
+use crate::{check, ConfigError};
+
+/// Everything that one node is told.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The node's name, used in request ids and logs.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The name of the model that it serves.
+    pub model: String,
+    /// The watched list of engines.
+    pub engines_file: String,
+    /// How often the list is looked at.
+    pub engines_every: Micros,
+    /// Where the last good list is kept over a restart, if anywhere.
+    pub kept_list: Option<String>,
+    /// Bounds on what clients and engines may use.
+    pub limits: Limits,
+    /// What the decision core is told.
+    pub core: Settings,
+    /// Further settings of the core's classes, in the same order.
+    pub classes: Vec<ClassSettings>,
+    /// Slots of one engine of each kind, 0 if not told; in the order of the core's kinds.
+    pub slots: Vec<u64>,
+}
+
+/// What the node needs to know of a class beside what the core does.
+#[derive(Clone, Debug)]
+pub struct ClassSettings {
+    /// The time that its clients wait when a request does not say.
+    pub patience: Micros,
+    /// The most tokens of an answer when a request does not say.
+    pub max_tokens: u64,
+}
+
+/// Bounds on what clients and engines may use.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Client connections at once.
+    pub connections: usize,
+    /// Requests held at once; more are refused at the door.
+    pub held: usize,
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time for a head and body to come in.
+    pub receive: Micros,
+    /// Time for a client to take what is written to it before it counts as gone.
+    pub write: Micros,
+    /// Time after which an idle client connection is closed.
+    pub idle: Micros,
+    /// Time to connect to an engine.
+    pub connect: Micros,
+    /// Time after which an idle engine connection is closed.
+    pub keep_alive: Micros,
+    /// Attempts at one engine at once from this node.
+    pub streams: usize,
+    /// Time for a probe or a release.
+    pub errand: Micros,
+    /// Threads that probe and release.
+    pub errands: usize,
+    /// A silence inside a running answer that ends it.
+    pub stall: Micros,
+    /// Answers leave this long before the client's time is up.
+    pub answer_margin: Micros,
+    /// Shutting down takes this long at most.
+    pub stop: Micros,
+}
+
+impl NodeSettings {
+    /// Reads and checks a file's text. `file` is used in errors only.
+    pub fn parse(file: &str, text: &str) -> Result<NodeSettings, ConfigError> {
+        let document = Document::parse(file, text)?;
+        let root = document.only("pintally")?;
+        let node = root.need("node")?;
+        let name = node.text_or("name", "node")?;
+        if name.is_empty() || name.len() > 64 || !name.chars().all(|c| c.is_ascii_alphanumeric() || c == '-')
+        {
+            return Err(node.error("`name` must be 1 to 64 letters, digits and dashes"));
+        }
+        let listen = node.text_or("listen", "127.0.0.1:8080")?;
+        let listen = listen
+            .parse()
+            .map_err(|_| node.error(format!("`listen` is `{listen}`, not an address and port")))?;
+        let engines = node.need("engines")?;
+        let engines_file = engines.text()?;
+        let engines_every = engines.millis_or("every-ms", 100.0, 1.0, 60_000.0)?;
+        engines.finish()?;
+        let kept_list = node.maybe("kept-list")?;
+        let kept_list = kept_list.map(|f| f.text().and_then(|t| f.finish().map(|()| t))).transpose()?;
+        let mut core = router(&root, &node)?;
+        let mut classes = Vec::new();
+        for form in root.all("class")? {
+            let (class, more) = class(&form)?;
+            if core.classes.iter().any(|c| c.name == class.name) {
+                return Err(form.error(format!("class `{}` is given twice", class.name)));
+            }
+            check::class(&form, &core, &class, &more)?;
+            core.classes.push(class);
+            classes.push(more);
+        }
+        if classes.is_empty() {
+            return Err(root.error("`pintally` lacks `(class ...)`"));
+        }
+        for form in root.all("tenant")? {
+            let name = form.text()?;
+            if core.tenants.iter().any(|t| t.name == name) {
+                return Err(form.error(format!("tenant `{name}` is given twice")));
+            }
+            let quota_per_s = form.number_or("quota-per-s", 0.0, 0.0, 1e9)?;
+            form.finish()?;
+            core.tenants.push(Tenant { name, quota_per_s });
+        }
+        let mut slots = Vec::new();
+        for form in root.all("kind")? {
+            let name = form.text()?;
+            if core.kinds.iter().any(|k| k.name == name) {
+                return Err(form.error(format!("kind `{name}` is given twice")));
+            }
+            let role = match form.text_or("role", "")?.as_str() {
+                "reader" => Role::Reader,
+                "writer" => Role::Writer,
+                "mixed" => Role::Mixed,
+                other => return Err(form.error(format!("`role` is `{other}`, not reader, writer or mixed"))),
+            };
+            let memory_tokens = form.count_or("memory-tokens", 0, 0, 1 << 40)?;
+            slots.push(form.count_or("slots", 0, 0, 1 << 20)?);
+            form.finish()?;
+            core.kinds.push(Kind { name, role, memory_tokens });
+        }
+        check::kinds(&root, &core)?;
+        let settings = NodeSettings {
+            name,
+            listen,
+            model: node.text_or("model", "default")?,
+            engines_file,
+            engines_every,
+            kept_list,
+            limits: limits(&root)?,
+            core,
+            classes,
+            slots,
+        };
+        node.finish()?;
+        root.finish()?;
+        check::check(&root, &settings)?;
+        Ok(settings)
+    }
+}
+
+fn limits(root: &Form) -> Result<Limits, ConfigError> {
+    let empty = Document::parse("", "(limits)")?;
+    let form = match root.maybe("limits")? {
+        Some(form) => form,
+        None => return limits_of(&empty.only("limits")?),
+    };
+    limits_of(&form)
+}
+
+fn limits_of(f: &Form) -> Result<Limits, ConfigError> {
+    let limits = Limits {
+        connections: f.count_or("connections", 16_384, 1, 1 << 20)? as usize,
+        held: f.count_or("held", 12_288, 1, 1 << 20)? as usize,
+        head_bytes: f.count_or("head-bytes", 16_384, 256, 1 << 20)? as usize,
+        body_bytes: f.count_or("body-bytes", 4 << 20, 1, 1 << 30)? as usize,
+        receive: f.millis_or("receive-ms", 10_000.0, 1.0, 600_000.0)?,
+        write: f.millis_or("write-ms", 10_000.0, 1.0, 600_000.0)?,
+        idle: f.millis_or("idle-ms", 60_000.0, 1.0, 3_600_000.0)?,
+        connect: f.millis_or("connect-ms", 250.0, 1.0, 60_000.0)?,
+        keep_alive: f.millis_or("keep-alive-ms", 15_000.0, 0.0, 3_600_000.0)?,
+        streams: f.count_or("streams", 1024, 1, 1 << 20)? as usize,
+        errand: f.millis_or("errand-ms", 250.0, 1.0, 60_000.0)?,
+        errands: f.count_or("errands", 16, 1, 1024)? as usize,
+        stall: f.millis_or("stall-ms", 30_000.0, 1.0, 3_600_000.0)?,
+        answer_margin: f.millis_or("answer-margin-ms", 50.0, 0.0, 60_000.0)?,
+        stop: f.millis_or("stop-ms", 10_000.0, 1.0, 600_000.0)?,
+    };
+    f.finish()?;
+    Ok(limits)
+}
+
+/// What the core is told, without classes, tenants and kinds.
+fn router(root: &Form, node: &Form) -> Result<Settings, ConfigError> {
+    let empty = Document::parse("", "(rules)")?;
+    let given = root.maybe("rules")?;
+    let rules = match given {
+        Some(form) => form,
+        None => empty.only("rules")?,
+    };
+    let nodes = node.count_or("of", 1, 1, 100_000)? as u32;
+    let number = node.count_or("number", 0, 0, 100_000)? as u32;
+    if number >= nodes {
+        return Err(node.error(format!("`number` is {number}, but there are {nodes} nodes, counted from 0")));
+    }
+    let reports = match rules.text_or("reports", "inline")?.as_str() {
+        "inline" => Reports::Inline,
+        "on-probe" => Reports::OnProbe,
+        "off" => Reports::Off,
+        other => return Err(rules.error(format!("`reports` is `{other}`, not inline, on-probe or off"))),
+    };
+    let settings = Settings {
+        zone: node.text_or("zone", "")?,
+        node: number,
+        nodes,
+        classes: Vec::new(),
+        tenants: Vec::new(),
+        kinds: Vec::new(),
+        discovery: Discovery::Pushed,
+        reports,
+        weights: rules.yes_or("weights", true)?,
+        may_cancel: rules.yes_or("cancel", true)?,
+        may_probe: rules.yes_or("probes", true)?,
+        probe_price: rules.number_or("probe-price", 0.0, 0.0, 100.0)?,
+        retry_advice: rules.yes_or("retry-after", true)?,
+        max_retry_after: rules.millis_or("retry-after-most-ms", 2000.0, 0.0, 600_000.0)?,
+        max_attempts: rules.count_or("attempts", 6, 1, 100)? as u32,
+        cold_from: rules.number_or("cold-from", 0.3, 0.001, 1.0)?,
+        warm_after: rules.millis_or("warm-after-ms", 14_000.0, 0.0, 3_600_000.0)?,
+        tip_multiple: rules.number_or("tip-multiple", 2.5, 0.1, 1000.0)?,
+        tip_window: rules.millis_or("tip-window-ms", 2000.0, 1.0, 600_000.0)?,
+        release_within: rules.millis_or("release-within-ms", 500.0, 1.0, 600_000.0)?,
+        ask_within: 0,
+    };
+    check::rules(&rules, &settings)?;
+    rules.finish()?;
+    Ok(settings)
+}
+
+fn class(form: &Form) -> Result<(Class, ClassSettings), ConfigError> {
+    let name = form.text()?;
+    let effect = form.need("effect")?;
+    let kind = effect.text()?;
+    let keyed = |f: &Form| -> Result<Effect, ConfigError> {
+        let group = match f.text_or("group", "")?.as_str() {
+            "all" => Group::All,
+            "zone" => Group::Zone,
+            "rack" => Group::Cell,
+            other => return Err(f.error(format!("`group` is `{other}`, not all, zone or rack"))),
+        };
+        Ok(Effect::Keyed(group, f.millis_or("window-ms", 0.0, 1.0, 86_400_000.0)?))
+    };
+    let effect_value = match kind.as_str() {
+        "safe" => Effect::Safe,
+        "unsafe" => Effect::Unsafe,
+        "keyed" => keyed(&effect)?,
+        other => return Err(effect.error(format!("`effect` is `{other}`, not safe, keyed or unsafe"))),
+    };
+    effect.finish()?;
+    let class = Class {
+        name,
+        effect: effect_value,
+        aim: form.millis_or("aim-ms", 1000.0, 1.0, 3_600_000.0)?,
+        aim_per_1000_tokens: form.millis_or("aim-per-1000-tokens-ms", 0.0, 0.0, 600_000.0)?,
+        token_aim: form.millis_or("token-aim-ms", 0.0, 0.0, 60_000.0)?,
+        worth: form.number_or("worth", 1.0, 0.0, 1e9)?,
+        late_share: form.number_or("late-share", 0.0, 0.0, 1.0)?,
+    };
+    let more = ClassSettings {
+        patience: form.millis_or("patience-ms", 5000.0, 1.0, 3_600_000.0)?,
+        max_tokens: form.count_or("max-tokens", 256, 1, 1 << 20)?,
+    };
+    check::class_form(form)?;
+    form.finish()?;
+    Ok((class, more))
+}
--- /dev/null
+++ b/crates/pintally-http/src/lib.rs
@@ -0,0 +1,94 @@
+//! HTTP/1.1 messages and server-sent events as state machines: bytes are pushed in, messages come out.
+//!
+//! Nothing here reads a socket or a clock, so the same code serves sockets and a simulated network.
+
+mod body;
+mod request;
+mod response;
+mod sse;
+mod write;
+
+pub use request::{Request, RequestReader};
+pub use response::{Part, ResponseReader};
+pub use sse::SseReader;
+pub use write::{chunk, header_line, request, response, response_head, sse_event, LAST_CHUNK};
+
+use std::fmt;
+
+/// The most header lines of a message.
+pub(crate) const HEADERS_MOST: usize = 64;
+
+/// Headers in the order they came, names in lower case.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers(pub Vec<(String, String)>);
+
+impl Headers {
+    /// The first value of a name given in lower case.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    pub(crate) fn from_parsed(parsed: &[httparse::Header<'_>]) -> Headers {
+        let text = |v: &[u8]| String::from_utf8_lossy(v).trim().to_string();
+        Headers(parsed.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect())
+    }
+
+    /// Whether a comma-separated header holds a word.
+    pub(crate) fn has(&self, name: &str, word: &str) -> bool {
+        let mut values = self.0.iter().filter(|(n, _)| n == name);
+        values.any(|(_, v)| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
+    }
+
+    /// The body's length by these headers; two different lengths, or a length beside chunks, is an error.
+    pub(crate) fn length(&self) -> Result<Option<u64>, HttpError> {
+        let mut found = None;
+        for (_, value) in self.0.iter().filter(|(n, _)| n == "content-length") {
+            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            let length = value.parse::<u64>().ok().filter(|_| digits);
+            let length = length.ok_or(HttpError::Malformed("content-length is no number"))?;
+            if found.is_some_and(|f| f != length) {
+                return Err(HttpError::Malformed("two different content-lengths"));
+            }
+            found = Some(length);
+        }
+        Ok(found)
+    }
+}
+
+/// What is wrong with a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HttpError {
+    /// The bytes are not HTTP/1.1.
+    Malformed(&'static str),
+    /// The head is longer than allowed.
+    HeadTooLarge,
+    /// The body is longer than allowed.
+    BodyTooLarge,
+    /// A body encoding that is not served.
+    Encoding,
+}
+
+impl HttpError {
+    /// The status that a server answers it with.
+    pub fn status(&self) -> u16 {
+        match self {
+            HttpError::Malformed(_) => 400,
+            HttpError::HeadTooLarge => 431,
+            HttpError::BodyTooLarge => 413,
+            HttpError::Encoding => 501,
+        }
+    }
+}
+
+impl fmt::Display for HttpError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HttpError::Malformed(what) => write!(f, "malformed message: {what}"),
+            HttpError::HeadTooLarge => f.write_str("the head is larger than allowed"),
+            HttpError::BodyTooLarge => f.write_str("the body is larger than allowed"),
+            HttpError::Encoding => f.write_str("this transfer encoding is not served"),
+        }
+    }
+}
+
+impl std::error::Error for HttpError {}
--- /dev/null
+++ b/crates/pintally-http/src/request.rs
@@ -0,0 +1,97 @@
+//! Requests as a server reads them: whole, within bounds.
+
+use crate::body::Framing;
+use crate::{Headers, HttpError, HEADERS_MOST};
+
+/// A whole request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Its method, as it came.
+    pub method: String,
+    /// Its target, path and query.
+    pub target: String,
+    /// Its headers.
+    pub headers: Headers,
+    /// Its body, empty if it had none.
+    pub body: Vec<u8>,
+    /// The connection stays open behind it.
+    pub keep_alive: bool,
+}
+
+/// Turns bytes into requests.
+pub struct RequestReader {
+    head_most: usize,
+    body_most: usize,
+    buffer: Vec<u8>,
+    /// The request whose body is coming in.
+    open: Option<(Request, Framing)>,
+    /// The client waits for leave to send its body, and has not been told yet.
+    expects: bool,
+}
+
+impl RequestReader {
+    /// A reader with bounds for head and body.
+    pub fn new(head_most: usize, body_most: usize) -> RequestReader {
+        RequestReader { head_most, body_most, buffer: Vec::new(), open: None, expects: false }
+    }
+
+    /// Takes in bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether part of a request is here.
+    pub fn is_partial(&self) -> bool {
+        self.open.is_some() || !self.buffer.is_empty()
+    }
+
+    /// Whether the client waits for `100 Continue`; told once for each request.
+    pub fn wants_continue(&mut self) -> bool {
+        std::mem::take(&mut self.expects)
+    }
+
+    /// The next whole request, if it is all here. After an error the connection is of no more use.
+    pub fn next_request(&mut self) -> Result<Option<Request>, HttpError> {
+        if self.open.is_none() && !self.read_head()? {
+            return Ok(None);
+        }
+        let Some((request, framing)) = &mut self.open else { return Ok(None) };
+        let used = framing.take(&self.buffer, &mut request.body, self.body_most)?;
+        self.buffer.drain(..used);
+        match framing {
+            Framing::Done => Ok(self.open.take().map(|(request, _)| request)),
+            _ => Ok(None),
+        }
+    }
+
+    fn read_head(&mut self) -> Result<bool, HttpError> {
+        let mut space = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut parsed = httparse::Request::new(&mut space);
+        let length = match parsed.parse(&self.buffer) {
+            Ok(httparse::Status::Complete(length)) if length <= self.head_most => length,
+            Ok(httparse::Status::Partial) if self.buffer.len() <= self.head_most => return Ok(false),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
+            Err(_) => return Err(HttpError::Malformed("not an HTTP/1.1 request")),
+        };
+        let headers = Headers::from_parsed(parsed.headers);
+        let keep_alive = match parsed.version {
+            Some(1) => !headers.has("connection", "close"),
+            _ => headers.has("connection", "keep-alive"),
+        };
+        let request = Request {
+            method: parsed.method.unwrap_or("").to_string(),
+            target: parsed.path.unwrap_or("").to_string(),
+            headers,
+            body: Vec::new(),
+            keep_alive,
+        };
+        let framing = Framing::of(&request.headers, Framing::Done)?;
+        if request.headers.length()?.is_some_and(|length| length > self.body_most as u64) {
+            return Err(HttpError::BodyTooLarge);
+        }
+        self.expects = request.headers.has("expect", "100-continue") && !matches!(framing, Framing::Done);
+        self.buffer.drain(..length);
+        self.open = Some((request, framing));
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/pintally-http/src/response.rs
@@ -0,0 +1,105 @@
+//! Responses as a client reads them: the head, then the body as it comes.
+
+use crate::body::Framing;
+use crate::{Headers, HttpError, HEADERS_MOST};
+
+/// The most body bytes that one call hands out.
+const PART_MOST: usize = 1 << 20;
+
+/// A part of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// The status and headers.
+    Head(u16, Headers),
+    /// Some of the body.
+    Body(Vec<u8>),
+    /// The response is whole; `true` if the connection may be used again.
+    End(bool),
+}
+
+/// Turns bytes into the parts of one response.
+pub struct ResponseReader {
+    head_most: usize,
+    buffer: Vec<u8>,
+    framing: Option<Framing>,
+    keep_alive: bool,
+    ended: bool,
+}
+
+impl ResponseReader {
+    /// A reader with a bound for the head.
+    pub fn new(head_most: usize) -> ResponseReader {
+        ResponseReader { head_most, buffer: Vec::new(), framing: None, keep_alive: true, ended: false }
+    }
+
+    /// Takes in bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether any byte of the response has come.
+    pub fn has_begun(&self) -> bool {
+        self.framing.is_some() || !self.buffer.is_empty()
+    }
+
+    /// The peer has closed: a body that runs to the end is whole, anything else is cut off.
+    pub fn closed(&mut self) -> Result<Part, HttpError> {
+        match self.framing {
+            Some(Framing::ToEnd) => {
+                self.ended = true;
+                Ok(Part::End(false))
+            }
+            _ => Err(HttpError::Malformed("the connection ended inside a response")),
+        }
+    }
+
+    /// The next part, if it is here.
+    pub fn next_part(&mut self) -> Result<Option<Part>, HttpError> {
+        if self.ended {
+            return Ok(None);
+        }
+        let Some(framing) = &mut self.framing else { return self.read_head() };
+        let mut body = Vec::new();
+        let end = self.buffer.len().min(PART_MOST);
+        let used = framing.take(&self.buffer[..end], &mut body, PART_MOST)?;
+        self.buffer.drain(..used);
+        if !body.is_empty() {
+            return Ok(Some(Part::Body(body)));
+        }
+        if matches!(framing, Framing::Done) {
+            self.ended = true;
+            return Ok(Some(Part::End(self.keep_alive && self.buffer.is_empty())));
+        }
+        Ok(None)
+    }
+
+    fn read_head(&mut self) -> Result<Option<Part>, HttpError> {
+        loop {
+            let mut space = [httparse::EMPTY_HEADER; HEADERS_MOST];
+            let mut parsed = httparse::Response::new(&mut space);
+            let length = match parsed.parse(&self.buffer) {
+                Ok(httparse::Status::Complete(length)) if length <= self.head_most => length,
+                Ok(httparse::Status::Partial) if self.buffer.len() <= self.head_most => return Ok(None),
+                Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
+                Err(_) => return Err(HttpError::Malformed("not an HTTP/1.1 response")),
+            };
+            let status = parsed.code.unwrap_or(0);
+            let headers = Headers::from_parsed(parsed.headers);
+            self.keep_alive = match parsed.version {
+                Some(1) => !headers.has("connection", "close"),
+                _ => headers.has("connection", "keep-alive"),
+            };
+            self.buffer.drain(..length);
+            if (100..200).contains(&status) {
+                continue;
+            }
+            let empty = matches!(status, 204 | 304);
+            let framing = Framing::of(&headers, if empty { Framing::Done } else { Framing::ToEnd })?;
+            if matches!(framing, Framing::ToEnd) {
+                self.keep_alive = false;
+            }
+            self.framing = Some(if empty { Framing::Done } else { framing });
+            return Ok(Some(Part::Head(status, headers)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-http/src/sse.rs
@@ -0,0 +1,52 @@
+//! Server-sent events: the `data` of each event, out of a stream of bytes cut anywhere.
+
+use crate::HttpError;
+
+/// Turns bytes into the data of events.
+#[derive(Default)]
+pub struct SseReader {
+    buffer: Vec<u8>,
+    data: Vec<u8>,
+    any: bool,
+    most: usize,
+}
+
+impl SseReader {
+    /// A reader that holds at most so many bytes of one event.
+    pub fn new(most: usize) -> SseReader {
+        SseReader { most, ..SseReader::default() }
+    }
+
+    /// Takes in bytes; an event over the bound is an error.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
+        if self.buffer.len() + self.data.len() + bytes.len() > self.most {
+            return Err(HttpError::BodyTooLarge);
+        }
+        self.buffer.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// The data of the next event that is all here.
+    pub fn next_event(&mut self) -> Option<Vec<u8>> {
+        loop {
+            let end = self.buffer.iter().position(|b| *b == b'\n')?;
+            let mut line: Vec<u8> = self.buffer.drain(..=end).collect();
+            line.pop();
+            if line.last() == Some(&b'\r') {
+                line.pop();
+            }
+            if line.is_empty() {
+                if std::mem::take(&mut self.any) {
+                    return Some(std::mem::take(&mut self.data));
+                }
+                continue;
+            }
+            if let Some(value) = line.strip_prefix(b"data:") {
+                if std::mem::replace(&mut self.any, true) {
+                    self.data.push(b'\n');
+                }
+                self.data.extend_from_slice(value.strip_prefix(b" ").unwrap_or(value));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-http/src/write.rs
@@ -0,0 +1,73 @@
+//! Messages as bytes.
+
+use std::fmt::Write;
+
+/// What ends a body in chunks.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// A header line; control characters in a value become spaces, so that no value can add a line.
+pub fn header_line(out: &mut String, name: &str, value: &str) {
+    let clean: String = value.chars().map(|c| if c.is_control() { ' ' } else { c }).collect();
+    let _ = write!(out, "{name}: {clean}\r\n");
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+/// The head of a response whose body follows in chunks.
+pub fn response_head(status: u16, headers: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = format!("HTTP/1.1 {status} {}\r\ntransfer-encoding: chunked\r\n", reason(status));
+    headers.iter().for_each(|(n, v)| header_line(&mut out, n, v));
+    out.push_str("\r\n");
+    out.into_bytes()
+}
+
+/// A whole response.
+pub fn response(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = format!("HTTP/1.1 {status} {}\r\ncontent-length: {}\r\n", reason(status), body.len());
+    headers.iter().for_each(|(n, v)| header_line(&mut out, n, v));
+    out.push_str("\r\n");
+    let mut out = out.into_bytes();
+    out.extend_from_slice(body);
+    out
+}
+
+/// A whole request.
+pub fn request(method: &str, target: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = format!("{method} {target} HTTP/1.1\r\ncontent-length: {}\r\n", body.len());
+    headers.iter().for_each(|(n, v)| header_line(&mut out, n, v));
+    out.push_str("\r\n");
+    let mut out = out.into_bytes();
+    out.extend_from_slice(body);
+    out
+}
+
+/// One chunk of a body.
+pub fn chunk(data: &[u8]) -> Vec<u8> {
+    let mut out = format!("{:x}\r\n", data.len()).into_bytes();
+    out.extend_from_slice(data);
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
+/// One event with its data, which must hold no line end.
+pub fn sse_event(data: &str) -> Vec<u8> {
+    format!("data: {data}\n\n").into_bytes()
+}
--- /dev/null
+++ b/crates/pintally-kserve/src/answer.rs
@@ -0,0 +1,52 @@
+//! Answers as JSON texts.
+
+use serde_json::{json, Value};
+
+/// The body of an error; `retry` says that trying again does no harm.
+pub fn error(what: &str, retry: bool) -> String {
+    json!({ "error": what, "retry_is_harmless": retry }).to_string()
+}
+
+/// The whole answer of `generate`.
+pub fn generate_answer(model: &str, id: &str, text: &str) -> String {
+    json!({ "model_name": model, "id": id, "text_output": text }).to_string()
+}
+
+/// The whole answer of `infer`.
+pub fn infer_answer(model: &str, id: &str, text: &str) -> String {
+    let output = json!({ "name": "text_output", "datatype": "BYTES", "shape": [1], "data": [text] });
+    json!({ "model_name": model, "id": id, "outputs": [output] }).to_string()
+}
+
+/// A part of a streamed answer.
+pub fn stream_part(model: &str, id: &str, text: &str) -> String {
+    json!({ "model_name": model, "id": id, "text_output": text }).to_string()
+}
+
+/// The end of a streamed answer: it is whole.
+pub fn stream_end(model: &str, id: &str) -> String {
+    json!({ "model_name": model, "id": id, "text_output": "", "finished": true }).to_string()
+}
+
+/// The end of a streamed answer that was cut off.
+pub fn stream_error(what: &str) -> String {
+    json!({ "error": what, "finished": false }).to_string()
+}
+
+/// `GET /v2`.
+pub fn metadata(version: &str) -> String {
+    json!({ "name": "pintally", "version": version, "extensions": ["generate"] }).to_string()
+}
+
+/// `GET /v2/models/{model}`.
+pub fn model_metadata(model: &str) -> String {
+    let tensor = |name: &str| -> Value { json!({ "name": name, "datatype": "BYTES", "shape": [1] }) };
+    json!({
+        "name": model,
+        "versions": ["1"],
+        "platform": "pintally",
+        "inputs": [tensor("text_input")],
+        "outputs": [tensor("text_output")],
+    })
+    .to_string()
+}
