Host of the decision core: ledger, timers, one final answer, releases until heard

Need: sockets and later a virtual clock have to drive the module by one piece of code.

Change: pintally-host owns a Router and turns inputs into commands without input or output: a ledger of requests and attempts, timers, one place that gives final answers, a guard behind the core's deadline, states named by request and attempt and let go until the engine has heard it, reads that end without word let go as well, stopping within a bound, and a follower of the list of engines that never goes back.

--- /dev/null
+++ b/crates/pintally-host/src/counters.rs
@@ -0,0 +1,34 @@
+//! What a host counts.
+
+/// Counts since the host began; they only grow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Requests taken.
+    pub taken: u64,
+    /// Requests turned away before the core saw them.
+    pub turned_away: u64,
+    /// Final answers.
+    pub served: u64,
+    /// Final answers that turn away, those at the door included.
+    pub refused: u64,
+    /// Final answers that say it failed.
+    pub failed: u64,
+    /// Answers cut off after they had begun.
+    pub cut: u64,
+    /// Clients that left before their final answer.
+    pub left: u64,
+    /// Attempts made.
+    pub attempts: u64,
+    /// Attempts that the core wanted and that could not be made.
+    pub never_sent: u64,
+    /// Requests whose final answer the core owed and the host gave in its place.
+    pub overdue: u64,
+    /// Read states let go, repeats not counted.
+    pub releases: u64,
+    /// Read states that the host let go in the core's place.
+    pub releases_by_host: u64,
+    /// Releases given up because the engine never heard them.
+    pub releases_lost: u64,
+    /// Inputs that fitted nothing: late or doubled word of what is over.
+    pub stray: u64,
+}
--- /dev/null
+++ b/crates/pintally-host/src/host.rs
@@ -0,0 +1,546 @@
+//! The host: inputs to events of the core, actions of the core to commands.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pintally::interface::{
+    Action, Attempt, Ended, EngineId, Event, ListForm, Listing, Load, Member, Micros, Outcome, Request,
+    RequestId, Role,
+};
+use pintally::Router;
+use pintally_config::NodeSettings;
+use pintally_engine::Step;
+use serde_json::Value;
+
+use crate::input::{Arrival, Command, Final, Input, Order, Ticket};
+use crate::ledger::{Entry, HeldState, Out};
+use crate::releases::{Releases, Verdict};
+use crate::timers::{Due, Timers};
+use crate::Counters;
+
+/// What the host knows of an engine.
+struct Place {
+    address: SocketAddr,
+    role: Role,
+    slots: u64,
+    listing: Listing,
+}
+
+/// Owns a router, and answers for what its actions become.
+pub struct Host {
+    settings: Arc<NodeSettings>,
+    router: Router,
+    /// Begins the names of this start's requests.
+    stamp: String,
+    places: BTreeMap<EngineId, Place>,
+    entries: BTreeMap<Ticket, Entry>,
+    by_id: HashMap<RequestId, Ticket>,
+    releases: Releases,
+    timers: Timers,
+    /// Events that the host itself owes the core.
+    owed: VecDeque<Event>,
+    /// Requests that the current input has touched.
+    touched: Vec<Ticket>,
+    actions: Vec<Action>,
+    stopping: bool,
+    stopped: bool,
+    counters: Counters,
+}
+
+impl Host {
+    /// A host that knows its settings and nothing of the fleet.
+    pub fn new(settings: Arc<NodeSettings>, seed: u64) -> Host {
+        Host {
+            router: Router::new(settings.core.clone(), seed),
+            stamp: format!("{}-{:08x}", settings.name, seed as u32),
+            settings,
+            places: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            by_id: HashMap::new(),
+            releases: Releases::default(),
+            timers: Timers::default(),
+            owed: VecDeque::new(),
+            touched: Vec::new(),
+            actions: Vec::new(),
+            stopping: false,
+            stopped: false,
+            counters: Counters::default(),
+        }
+    }
+
+    /// What it has counted.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Requests whose answer or last attempt is outstanding.
+    pub fn held(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Engines that take work, by the list.
+    pub fn serving(&self) -> usize {
+        self.places.values().filter(|p| p.listing == Listing::Serving).count()
+    }
+
+    /// Timers set and releases not yet heard, for audits of what it holds.
+    pub fn open(&self) -> (usize, usize) {
+        (self.timers.len(), self.releases.len())
+    }
+
+    /// When [`Host::tick`] has something to do.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    /// Does what has come due.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Core(timer) => self.event(now, Event::Elapsed(timer), out),
+                Due::Answer(ticket) => self.overdue(now, ticket, out),
+                Due::Release(id, engine) => self.release_again(id, engine, out),
+                Due::Stop => self.give_up_all(now, out),
+            }
+            self.settle(out);
+        }
+    }
+
+    /// Takes in one input and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        match input {
+            Input::List(form, members) => self.list(now, form, members, out),
+            Input::Arrived(arrival) => self.arrived(now, arrival, out),
+            Input::FirstToken(ticket, attempt) => self.first_token(now, ticket, attempt, out),
+            Input::Ended { ticket, attempt, outcome, kept, load, state } => {
+                self.ended(now, ticket, attempt, outcome, (kept, load, state), out)
+            }
+            Input::Left(ticket) => self.left(now, ticket, out),
+            Input::Probed(engine, answered, load) => {
+                self.event(now, Event::Probed(engine, answered, load), out)
+            }
+            Input::Released(id, engine, heard) => self.released(now, id, engine, heard),
+            Input::Stop => {
+                if !self.stopping {
+                    self.stopping = true;
+                    self.timers.set(now.saturating_add(self.settings.limits.stop), Due::Stop);
+                }
+            }
+        }
+        self.settle(out);
+    }
+
+    /// Hands the core an event and carries out its actions, and what they in turn owe the core.
+    fn event(&mut self, now: Micros, event: Event, out: &mut Vec<Command>) {
+        let mut next = Some(event);
+        while let Some(event) = next {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.action(now, action, out);
+            }
+            self.actions = actions;
+            next = self.owed.pop_front();
+        }
+    }
+
+    fn action(&mut self, now: Micros, action: Action, out: &mut Vec<Command>) {
+        match action {
+            Action::Send(id, engine, timeout) => self.send(now, id, engine, timeout, out),
+            Action::Refuse(id, after) => self.answer(&id, Final::Refused(after), out),
+            Action::Fail(id) => self.answer(&id, Final::Failed, out),
+            Action::Cancel(id, attempt) => {
+                let Some(&ticket) = self.by_id.get(&id) else { return };
+                let entry = self.entries.get(&ticket);
+                if entry.and_then(|e| e.out.as_ref()).is_some_and(|o| o.attempt == attempt && !o.started) {
+                    out.push(Command::Cancel(ticket, attempt));
+                }
+            }
+            Action::Release(id) => self.release(&id, out),
+            Action::Probe(engine) => match self.places.get(&engine) {
+                Some(place) => out.push(Command::Probe(engine, place.address, place.slots)),
+                None => self.owed.push_back(Event::Probed(engine, false, None)),
+            },
+            Action::Wake(timer, after) => {
+                self.timers.set(now.saturating_add(after), Due::Core(timer));
+            }
+            Action::Follow => out.push(Command::Reread),
+            Action::Log(text) => out.push(Command::Log(text)),
+        }
+    }
+
+    // ---- the fleet ----
+
+    fn list(
+        &mut self,
+        now: Micros,
+        form: ListForm,
+        members: Vec<(Member, SocketAddr)>,
+        out: &mut Vec<Command>,
+    ) {
+        if form == ListForm::Full {
+            self.places.values_mut().for_each(|p| p.listing = Listing::Gone);
+        }
+        for (member, address) in &members {
+            let core = &self.settings.core;
+            let Some(kind) = core.kinds.iter().position(|k| k.name == member.kind) else {
+                out.push(Command::Log(format!(
+                    "engine {} is of the unknown kind `{}` and is left out",
+                    member.engine.0, member.kind
+                )));
+                continue;
+            };
+            let place = Place {
+                address: *address,
+                role: core.kinds[kind].role,
+                slots: self.settings.slots.get(kind).copied().unwrap_or(0),
+                listing: member.listing,
+            };
+            self.places.insert(member.engine.clone(), place);
+        }
+        let members = members.into_iter().map(|(member, _)| member).collect();
+        self.event(now, Event::Members(form, members), out);
+        // An engine that has left the list may still run and hold something of this node.
+        let gone: Vec<EngineId> =
+            self.places.iter().filter(|(_, p)| p.listing == Listing::Gone).map(|(e, _)| e.clone()).collect();
+        for engine in gone {
+            if !self.in_use(&engine) {
+                self.places.remove(&engine);
+            }
+        }
+    }
+
+    /// Whether a request has an attempt or a state at an engine, or a release waits for it.
+    fn in_use(&self, engine: &EngineId) -> bool {
+        let waits = self.releases.any_at(engine);
+        waits
+            || self.entries.values().any(|e| {
+                e.out.as_ref().is_some_and(|o| o.engine == *engine)
+                    || e.held.iter().any(|h| h.engine == *engine)
+            })
+    }
+
+    // ---- requests ----
+
+    fn arrived(&mut self, now: Micros, arrival: Arrival, out: &mut Vec<Command>) {
+        self.counters.taken += 1;
+        let limits = &self.settings.limits;
+        let class = arrival.class.and_then(|c| self.settings.classes.get(c));
+        let usual = match class {
+            Some(class) => class.patience,
+            // A class that nobody named waits as long as the least patient one.
+            None => self.settings.classes.iter().map(|c| c.patience).min().unwrap_or(1_000_000),
+        };
+        let patience = arrival.patience.map_or(usual, |own| own.min(usual));
+        let left = patience.saturating_sub(limits.answer_margin);
+        if self.stopping || left == 0 || self.entries.len() >= limits.held {
+            self.counters.turned_away += 1;
+            self.counters.refused += 1;
+            out.push(Command::Answer(arrival.ticket, Final::Refused(None)));
+            return;
+        }
+        if self.entries.contains_key(&arrival.ticket) {
+            self.counters.stray += 1;
+            return;
+        }
+        let id = RequestId(format!("{}-{}", self.stamp, arrival.ticket).into());
+        let most = class.map_or(256, |c| c.max_tokens);
+        let max_tokens = arrival.max_tokens.unwrap_or(most);
+        // The core answers by the deadline; the guard stands behind it, before the client gives up.
+        let deadline = now.saturating_add(left);
+        let guard = self.timers.set(deadline + limits.answer_margin / 2, Due::Answer(arrival.ticket));
+        let entry = Entry {
+            id: id.clone(),
+            streamed: arrival.streamed,
+            max_tokens,
+            deadline,
+            guard,
+            attempts: 0,
+            out: None,
+            held: Vec::new(),
+            over: false,
+        };
+        self.entries.insert(arrival.ticket, entry);
+        self.by_id.insert(id.clone(), arrival.ticket);
+        self.touched.push(arrival.ticket);
+        let request = Request {
+            id,
+            class: arrival.class,
+            tenant: arrival.tenant,
+            session: arrival.session.unwrap_or(arrival.ticket | 1 << 52),
+            prefix: arrival.prefix,
+            prompt_tokens: arrival.prompt_tokens,
+            prefix_tokens: arrival.prefix_tokens.min(arrival.prompt_tokens),
+            max_tokens,
+            patience: left,
+            resumed: arrival.resumed,
+        };
+        self.event(now, Event::Arrived(request), out);
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        engine: EngineId,
+        timeout: Micros,
+        out: &mut Vec<Command>,
+    ) {
+        let ticket = self.by_id.get(&id).copied();
+        let Some((ticket, entry)) = ticket.and_then(|t| self.entries.get_mut(&t).map(|e| (t, e))) else {
+            // The core still counts on an end.
+            self.counters.never_sent += 1;
+            self.owed.push_back(never_sent(id, 0));
+            return;
+        };
+        let attempt = entry.attempts;
+        entry.attempts += 1;
+        let most = self.settings.core.max_attempts;
+        let left = entry.deadline.saturating_sub(now);
+        let place = self.places.get(&engine);
+        let usable = entry.usable().and_then(|h| h.state.clone());
+        let step = match place.map(|p| p.role) {
+            Some(Role::Reader) => Step::Read,
+            _ if usable.is_some() => Step::Fetch,
+            _ => Step::Both,
+        };
+        let place = place.filter(|_| !entry.over && entry.out.is_none() && attempt < most && left > 0);
+        let Some(place) = place else {
+            self.counters.never_sent += 1;
+            self.owed.push_back(never_sent(id, attempt));
+            return;
+        };
+        self.counters.attempts += 1;
+        entry.out = Some(Out { attempt, engine: engine.clone(), step, started: false });
+        let timeout = if timeout == 0 { left } else { timeout.min(left) };
+        out.push(Command::Attempt(Order {
+            ticket,
+            request: id,
+            attempt,
+            address: place.address,
+            slots: place.slots,
+            engine,
+            step,
+            state: usable.filter(|_| step == Step::Fetch),
+            max_tokens: entry.max_tokens,
+            timeout,
+            whole: (!entry.streamed && step != Step::Read).then_some(left),
+        }));
+    }
+
+    fn first_token(&mut self, now: Micros, ticket: Ticket, attempt: Attempt, out: &mut Vec<Command>) {
+        let entry = self.entries.get_mut(&ticket).filter(|e| !e.over);
+        let Some((entry, step)) = entry.and_then(|e| {
+            let o = e.out.as_mut().filter(|o| o.attempt == attempt && !o.started)?;
+            o.started = true;
+            let step = o.step;
+            Some((e, step))
+        }) else {
+            self.counters.stray += 1;
+            return;
+        };
+        // A state that was fetched is not held any more.
+        entry.held.retain(|h| !(step == Step::Fetch && h.state.is_some()));
+        // What streams has no deadline from here on.
+        if entry.streamed {
+            self.timers.unset(entry.guard);
+        }
+        let id = entry.id.clone();
+        self.touched.push(ticket);
+        self.event(now, Event::FirstToken(id, attempt), out);
+    }
+
+    fn ended(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        attempt: Attempt,
+        outcome: Outcome,
+        told: (u64, Option<Load>, Option<Arc<Value>>),
+        out: &mut Vec<Command>,
+    ) {
+        let (kept, load, state) = told;
+        let entry = self.entries.get_mut(&ticket);
+        let Some((entry, ended)) =
+            entry.and_then(|e| e.out.take_if(|o| o.attempt == attempt).map(|o| (e, o)))
+        else {
+            self.counters.stray += 1;
+            return;
+        };
+        self.touched.push(ticket);
+        let id = entry.id.clone();
+        let mut outcome = outcome;
+        if ended.step == Step::Read {
+            let engine = ended.engine.clone();
+            match (outcome, state) {
+                (Outcome::Read, Some(state)) => {
+                    entry.held.push(HeldState { engine, attempt, state: Some(state) })
+                }
+                (Outcome::Full | Outcome::NeverSent | Outcome::Unreachable, _) => {}
+                // A read that ended without word may have left a state behind.
+                _ => entry.held.push(HeldState { engine, attempt, state: None }),
+            }
+            if outcome == Outcome::Served {
+                outcome = Outcome::Error;
+            }
+        }
+        if outcome == Outcome::Served {
+            entry.held.retain(|h| h.state.is_none());
+        }
+        let over = entry.over;
+        if outcome == Outcome::Served && !over {
+            self.answer(&id, Final::Served, out);
+        } else if ended.started && !over {
+            // What had begun cannot begin again: nobody could tell the two beginnings apart.
+            self.answer(&id, Final::Cut, out);
+        }
+        let last = over || ended.started || outcome == Outcome::Served;
+        let event = Ended { id: id.clone(), attempt, outcome, last, kept, load };
+        self.event(now, Event::Ended(event), out);
+        self.release_unsure(&id, out);
+    }
+
+    fn left(&mut self, now: Micros, ticket: Ticket, out: &mut Vec<Command>) {
+        let Some(entry) = self.entries.get_mut(&ticket).filter(|e| !e.over) else {
+            self.counters.stray += 1;
+            return;
+        };
+        self.touched.push(ticket);
+        entry.over = true;
+        self.counters.left += 1;
+        let id = entry.id.clone();
+        self.timers.unset(entry.guard);
+        self.event(now, Event::Withdrawn(id), out);
+    }
+
+    /// The one place in which a final answer is given: the first one counts, there is no second.
+    fn answer(&mut self, id: &RequestId, answer: Final, out: &mut Vec<Command>) {
+        let Some(&ticket) = self.by_id.get(id) else { return };
+        let Some(entry) = self.entries.get_mut(&ticket).filter(|e| !e.over) else { return };
+        entry.over = true;
+        self.touched.push(ticket);
+        self.timers.unset(entry.guard);
+        match answer {
+            Final::Served => self.counters.served += 1,
+            Final::Refused(_) => self.counters.refused += 1,
+            Final::Failed => self.counters.failed += 1,
+            Final::Cut => self.counters.cut += 1,
+        }
+        out.push(Command::Answer(ticket, answer));
+    }
+
+    /// The core owed an answer and gave none: guards the first rule against whatever kept it.
+    fn overdue(&mut self, now: Micros, ticket: Ticket, out: &mut Vec<Command>) {
+        let Some(entry) = self.entries.get(&ticket).filter(|e| !e.over) else { return };
+        self.counters.overdue += 1;
+        out.push(Command::Log(format!("request {} is overdue: ended by the host", entry.id.0)));
+        self.end_by_host(now, ticket, out);
+    }
+
+    /// Ends a request in the core's place; its attempt is called off.
+    fn end_by_host(&mut self, now: Micros, ticket: Ticket, out: &mut Vec<Command>) {
+        let Some(entry) = self.entries.get(&ticket) else { return };
+        let id = entry.id.clone();
+        let open = entry.out.as_ref().map(|o| (o.attempt, o.started));
+        let started = open.is_some_and(|o| o.1);
+        self.answer(&id, if started { Final::Cut } else { Final::Failed }, out);
+        let before = out.len();
+        self.event(now, Event::Withdrawn(id), out);
+        let cancelled = |c: &Command| matches!(c, Command::Cancel(t, _) if *t == ticket);
+        if let Some((attempt, _)) = open.filter(|_| !out[before..].iter().any(cancelled)) {
+            out.push(Command::Cancel(ticket, attempt));
+        }
+    }
+
+    fn give_up_all(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let open: Vec<Ticket> = self.entries.iter().filter(|(_, e)| !e.over).map(|(t, _)| *t).collect();
+        for ticket in open {
+            self.end_by_host(now, ticket, out);
+        }
+        if !std::mem::replace(&mut self.stopped, true) {
+            out.push(Command::Stopped);
+        }
+    }
+
+    // ---- read states ----
+
+    /// Lets go of everything held for a request.
+    fn release(&mut self, id: &RequestId, out: &mut Vec<Command>) {
+        let Some(entry) = self.by_id.get(id).and_then(|t| self.entries.get_mut(t)) else { return };
+        // The attempt that is out waits for the state; its end lets go of it.
+        if entry.out.as_ref().is_some_and(|o| o.step == Step::Fetch) {
+            return;
+        }
+        for state in std::mem::take(&mut entry.held) {
+            self.release_at(id, state, out);
+        }
+    }
+
+    /// Lets go of what reads without an end may have left.
+    fn release_unsure(&mut self, id: &RequestId, out: &mut Vec<Command>) {
+        let Some(entry) = self.by_id.get(id).and_then(|t| self.entries.get_mut(t)) else { return };
+        let held = std::mem::take(&mut entry.held);
+        let (sure, unsure): (Vec<_>, Vec<_>) = held.into_iter().partition(|h| h.state.is_some());
+        entry.held = sure;
+        for state in unsure {
+            self.release_at(id, state, out);
+        }
+    }
+
+    /// A state goes by its request and the attempt that read it, so that a late or repeated release
+    /// never lets go of a younger state of the same request.
+    fn release_at(&mut self, id: &RequestId, held: HeldState, out: &mut Vec<Command>) {
+        let Some(place) = self.places.get(&held.engine) else { return };
+        let name = RequestId(format!("{}.{}", id.0, held.attempt).into());
+        self.counters.releases += 1;
+        self.releases.begin(&name, &held.engine);
+        out.push(Command::Release(name, held.engine, place.address));
+    }
+
+    fn released(&mut self, now: Micros, id: RequestId, engine: EngineId, heard: bool) {
+        match self.releases.heard(&id, &engine, heard) {
+            Verdict::Done => {}
+            Verdict::Lost => self.counters.releases_lost += 1,
+            Verdict::Again(after) => {
+                self.timers.set(now.saturating_add(after), Due::Release(id, engine));
+            }
+        }
+    }
+
+    fn release_again(&mut self, id: RequestId, engine: EngineId, out: &mut Vec<Command>) {
+        if !self.releases.waits(&id, &engine) {
+            return;
+        }
+        if let Some(place) = self.places.get(&engine) {
+            out.push(Command::Release(id, engine, place.address));
+        }
+    }
+
+    // ---- bookkeeping ----
+
+    /// Drops what is finished, and sees to it that nothing of it is left pinned.
+    fn settle(&mut self, out: &mut Vec<Command>) {
+        for ticket in std::mem::take(&mut self.touched) {
+            if !self.entries.get(&ticket).is_some_and(Entry::finished) {
+                continue;
+            }
+            let Some(mut entry) = self.entries.remove(&ticket) else { continue };
+            self.by_id.remove(&entry.id);
+            self.timers.unset(entry.guard);
+            for state in std::mem::take(&mut entry.held) {
+                self.counters.releases_by_host += 1;
+                self.release_at(&entry.id, state, out);
+            }
+        }
+        if self.stopping && !self.stopped && self.entries.is_empty() && self.releases.len() == 0 {
+            self.stopped = true;
+            out.push(Command::Stopped);
+        }
+    }
+}
+
+fn never_sent(id: RequestId, attempt: Attempt) -> Event {
+    let outcome = Outcome::NeverSent;
+    Event::Ended(Ended { id, attempt, outcome, last: false, kept: 0, load: None })
+}
--- /dev/null
+++ b/crates/pintally-host/src/input.rs
@@ -0,0 +1,133 @@
+//! What a host takes in and what it commands.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pintally::interface::{Attempt, EngineId, ListForm, Load, Member, Micros, Outcome, RequestId};
+use pintally_engine::Step;
+use serde_json::Value;
+
+/// A request's number in this node, given by the door and never used again.
+pub type Ticket = u64;
+
+/// A request at the door.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    /// Its number.
+    pub ticket: Ticket,
+    /// Index of its class, if it names one.
+    pub class: Option<usize>,
+    /// Index of its tenant, if it names one.
+    pub tenant: Option<usize>,
+    /// Its session; without one it has a session of its own.
+    pub session: Option<u64>,
+    /// The beginning that it shares.
+    pub prefix: Option<u64>,
+    /// Prompt length in tokens.
+    pub prompt_tokens: u64,
+    /// How many of those are the shared beginning.
+    pub prefix_tokens: u64,
+    /// The most tokens of the answer.
+    pub max_tokens: Option<u64>,
+    /// How long the client says that it waits.
+    pub patience: Option<Micros>,
+    /// The answer goes out as it comes; otherwise it goes out whole, and the deadline covers all of it.
+    pub streamed: bool,
+    /// The client comes back after a broken stream.
+    pub resumed: bool,
+}
+
+/// What a host learns.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Word of the fleet: entries and where they listen.
+    List(ListForm, Vec<(Member, SocketAddr)>),
+    /// A request has come.
+    Arrived(Arrival),
+    /// The answer of an attempt has begun.
+    FirstToken(Ticket, Attempt),
+    /// An attempt has ended.
+    Ended {
+        /// The request.
+        ticket: Ticket,
+        /// The attempt.
+        attempt: Attempt,
+        /// How it ended.
+        outcome: Outcome,
+        /// Prompt tokens found kept.
+        kept: u64,
+        /// The engine's load.
+        load: Option<Load>,
+        /// What fetches the read state, with [`Outcome::Read`].
+        state: Option<Arc<Value>>,
+    },
+    /// The client has left.
+    Left(Ticket),
+    /// A probe's result.
+    Probed(EngineId, bool, Option<Load>),
+    /// The release of a state, named as in [`Command::Release`], was heard by the engine, or not.
+    Released(RequestId, EngineId, bool),
+    /// Take nothing new, end what is held.
+    Stop,
+}
+
+/// An attempt to be made.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The request.
+    pub ticket: Ticket,
+    /// Its name in this node, the same for all attempts.
+    pub request: RequestId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The engine.
+    pub engine: EngineId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it is to do.
+    pub step: Step,
+    /// What fetches the read state, for [`Step::Fetch`].
+    pub state: Option<Arc<Value>>,
+    /// Slots of the engine, 0 if not told.
+    pub slots: u64,
+    /// The most tokens of the answer.
+    pub max_tokens: u64,
+    /// The first token has to come within this time.
+    pub timeout: Micros,
+    /// The whole answer has to come within this time, if it goes out whole.
+    pub whole: Option<Micros>,
+}
+
+/// The one final answer of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// The whole answer is there and goes out.
+    Served,
+    /// Turned away; trying again does no harm, after this time if any.
+    Refused(Option<Micros>),
+    /// It failed; nothing is promised.
+    Failed,
+    /// The answer had begun and was cut off.
+    Cut,
+}
+
+/// What a host wants done.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Make an attempt.
+    Attempt(Order),
+    /// Call an attempt off; it still ends.
+    Cancel(Ticket, Attempt),
+    /// Give the final answer.
+    Answer(Ticket, Final),
+    /// Let go of a read state: the request's name and the attempt that read it, joined by a dot.
+    Release(RequestId, EngineId, SocketAddr),
+    /// Probe an engine with so many slots.
+    Probe(EngineId, SocketAddr, u64),
+    /// Read the list of engines again.
+    Reread,
+    /// Say something to the people on call.
+    Log(String),
+    /// Everything has ended after [`Input::Stop`].
+    Stopped,
+}
--- /dev/null
+++ b/crates/pintally-host/src/ledger.rs
@@ -0,0 +1,51 @@
+//! What is kept of each request until its answer is given and its last attempt has ended.
+
+use std::sync::Arc;
+
+use pintally::interface::{Attempt, EngineId, Micros, RequestId};
+use pintally_engine::Step;
+use serde_json::Value;
+
+/// An attempt that is out.
+pub(crate) struct Out {
+    pub(crate) attempt: Attempt,
+    pub(crate) engine: EngineId,
+    pub(crate) step: Step,
+    pub(crate) started: bool,
+}
+
+/// A read state that waits at an engine.
+pub(crate) struct HeldState {
+    pub(crate) engine: EngineId,
+    /// The attempt that read it.
+    pub(crate) attempt: Attempt,
+    /// What fetches it; absent where a read may have left one without telling.
+    pub(crate) state: Option<Arc<Value>>,
+}
+
+/// One request.
+pub(crate) struct Entry {
+    pub(crate) id: RequestId,
+    pub(crate) streamed: bool,
+    pub(crate) max_tokens: u64,
+    pub(crate) deadline: Micros,
+    /// The timer that guards the deadline.
+    pub(crate) guard: (Micros, u64),
+    pub(crate) attempts: Attempt,
+    pub(crate) out: Option<Out>,
+    pub(crate) held: Vec<HeldState>,
+    /// The final answer is given, or the client has left and none is owed.
+    pub(crate) over: bool,
+}
+
+impl Entry {
+    /// The state that a fetch can use.
+    pub(crate) fn usable(&self) -> Option<&HeldState> {
+        self.held.iter().rev().find(|h| h.state.is_some())
+    }
+
+    /// Whether nothing more can happen to it.
+    pub(crate) fn finished(&self) -> bool {
+        self.over && self.out.is_none()
+    }
+}
--- /dev/null
+++ b/crates/pintally-host/src/list.rs
@@ -0,0 +1,88 @@
+//! Follows the list of engines: each good text becomes the changes against the one before.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use pintally::interface::{EngineId, ListForm, Listing, Member, Micros};
+use pintally_config::{ConfigError, EngineEntry, EngineList};
+
+/// What a text of the list means.
+#[derive(Debug)]
+pub enum Applied {
+    /// The same as before.
+    Same,
+    /// These entries are new or other than before; what is missing is among them as gone.
+    Changes(ListForm, Vec<(Member, SocketAddr)>),
+    /// It cannot be read: the old list holds. Told once for the same mistake.
+    Bad(Option<ConfigError>),
+    /// It is older than the list that holds, which goes on holding. Told once for the same version.
+    Older(Option<u64>),
+}
+
+/// The list that holds.
+#[derive(Default)]
+pub struct ListFollower {
+    version: Option<u64>,
+    entries: BTreeMap<EngineId, EngineEntry>,
+    complaint: Option<ConfigError>,
+    older: Option<u64>,
+}
+
+impl ListFollower {
+    /// Takes in a text. `clock` turns Unix milliseconds into the node's time.
+    pub fn apply(&mut self, file: &str, text: &str, clock: impl Fn(u64) -> Micros) -> Applied {
+        let list = match EngineList::parse(file, text) {
+            Ok(list) => list,
+            Err(error) => {
+                let fresh = self.complaint.as_ref() != Some(&error);
+                self.complaint = Some(error.clone());
+                return Applied::Bad(fresh.then_some(error));
+            }
+        };
+        self.complaint = None;
+        // Guards against a list that goes back in time, as after a restore: a drain must not be undone.
+        if self.version.is_some_and(|v| list.version < v) {
+            let fresh = self.older != Some(list.version);
+            self.older = Some(list.version);
+            return Applied::Older(fresh.then_some(list.version));
+        }
+        self.older = None;
+        let first = self.version.replace(list.version).is_none();
+        let form = if first { ListForm::Full } else { ListForm::Change };
+        let mut next = BTreeMap::new();
+        let mut changes = Vec::new();
+        for entry in list.engines {
+            if first || self.entries.get(&entry.id) != Some(&entry) {
+                changes.push((entry.member(&clock), entry.address));
+            }
+            next.insert(entry.id.clone(), entry);
+        }
+        for (id, old) in &self.entries {
+            if !next.contains_key(id) && old.listing != Listing::Gone {
+                let gone = EngineEntry { listing: Listing::Gone, ..old.clone() };
+                changes.push((gone.member(&clock), gone.address));
+            }
+        }
+        self.entries = next;
+        match changes.is_empty() && !first {
+            true => Applied::Same,
+            false => Applied::Changes(form, changes),
+        }
+    }
+
+    /// The list that holds, as a text to be kept over a restart.
+    pub fn kept(&self) -> Option<String> {
+        let engines = self.entries.values().cloned().collect();
+        Some(EngineList { version: self.version?, engines }.render())
+    }
+
+    /// How many engines it names.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether it names none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/pintally-host/src/timers.rs
@@ -0,0 +1,57 @@
+//! Timers in the order in which they come due.
+
+use std::collections::BTreeMap;
+
+use pintally::interface::{EngineId, Micros, RequestId, Timer};
+
+use crate::Ticket;
+
+/// What a timer is for.
+#[derive(Clone, Debug)]
+pub(crate) enum Due {
+    /// The core asked to be woken.
+    Core(Timer),
+    /// A request's final answer is overdue.
+    Answer(Ticket),
+    /// A release is to be repeated.
+    Release(RequestId, EngineId),
+    /// Stopping has taken its whole time.
+    Stop,
+}
+
+/// Timers; those that come due at the same time do so in the order in which they were set.
+#[derive(Default)]
+pub(crate) struct Timers {
+    due: BTreeMap<(Micros, u64), Due>,
+    serial: u64,
+}
+
+impl Timers {
+    /// Sets a timer and returns the key by which it is taken back.
+    pub(crate) fn set(&mut self, at: Micros, due: Due) -> (Micros, u64) {
+        self.serial += 1;
+        self.due.insert((at, self.serial), due);
+        (at, self.serial)
+    }
+
+    /// Takes a timer back; one that has come due is not there any more.
+    pub(crate) fn unset(&mut self, key: (Micros, u64)) {
+        self.due.remove(&key);
+    }
+
+    /// When the next one comes due.
+    pub(crate) fn next(&self) -> Option<Micros> {
+        self.due.keys().next().map(|(at, _)| *at)
+    }
+
+    /// The next one that has come due.
+    pub(crate) fn pop(&mut self, now: Micros) -> Option<Due> {
+        let entry = self.due.first_entry().filter(|e| e.key().0 <= now)?;
+        Some(entry.remove())
+    }
+
+    /// How many are set.
+    pub(crate) fn len(&self) -> usize {
+        self.due.len()
+    }
+}
