Node on sockets: door, client threads, attempts, pools, errands, list watcher

Need: requests have to cross real sockets, and the module has to decide them.

Change: pintally-node runs the host on std::net with one deciding thread that never waits for a socket, a small-stack thread for each client that also makes its request's attempts, bounded channels, engine connections kept open and bounded, errands for probes and releases, and a watcher that keeps the last list. The host says when all of a request is over, so that a thread never ends before its request.

--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of one node: types, defaults, and how they are read from a file.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use pintally::interface::{Class, Discovery, Effect, Group, Kind, Micros, Reports, Role, Settings, Tenant};
 
@@ -14,6 +14,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The address from which it connects to engines; the system's choice if not told.
+    pub source: Option<IpAddr>,
     /// The name of the model that it serves.
     pub model: String,
     /// The watched list of engines.
@@ -91,6 +93,13 @@
         let listen = listen
             .parse()
             .map_err(|_| node.error(format!("`listen` is `{listen}`, not an address and port")))?;
+        let source = node.text_or("source", "")?;
+        let source = match source.as_str() {
+            "" => None,
+            text => {
+                Some(text.parse().map_err(|_| node.error(format!("`source` is `{text}`, not an address")))?)
+            }
+        };
         let engines = node.need("engines")?;
         let engines_file = engines.text()?;
         let engines_every = engines.millis_or("every-ms", 100.0, 1.0, 60_000.0)?;
@@ -141,6 +150,7 @@
         let settings = NodeSettings {
             name,
             listen,
+            source,
             model: node.text_or("model", "default")?,
             engines_file,
             engines_every,
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -238,6 +238,7 @@
             self.counters.turned_away += 1;
             self.counters.refused += 1;
             out.push(Command::Answer(arrival.ticket, Final::Refused(None)));
+            out.push(Command::Over(arrival.ticket));
             return;
         }
         if self.entries.contains_key(&arrival.ticket) {
@@ -528,6 +529,7 @@
             let Some(mut entry) = self.entries.remove(&ticket) else { continue };
             self.by_id.remove(&entry.id);
             self.timers.unset(entry.guard);
+            out.push(Command::Over(ticket));
             for state in std::mem::take(&mut entry.held) {
                 self.counters.releases_by_host += 1;
                 self.release_at(&entry.id, state, out);
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -120,6 +120,9 @@
     Cancel(Ticket, Attempt),
     /// Give the final answer.
     Answer(Ticket, Final),
+    /// Nothing more comes for this request: its answer is given and its last attempt has ended. It
+    /// comes once for each request that arrived.
+    Over(Ticket),
     /// Let go of a read state: the request's name and the attempt that read it, joined by a dot.
     Release(RequestId, EngineId, SocketAddr),
     /// Probe an engine with so many slots.
--- a/crates/pintally-host/tests/host.rs
+++ b/crates/pintally-host/tests/host.rs
@@ -49,6 +49,7 @@
     states: BTreeSet<(String, EngineId)>,
     listing: BTreeMap<&'static str, Listing>,
     stopped: bool,
+    over: BTreeSet<Ticket>,
 }
 
 impl World {
@@ -63,6 +64,7 @@
             states: BTreeSet::new(),
             listing: ENGINES.iter().map(|e| (e.0, Listing::Serving)).collect(),
             stopped: false,
+            over: BTreeSet::new(),
         };
         world.list(ListForm::Full);
         world
@@ -114,6 +116,10 @@
                 Command::Stopped => {
                     assert!(!std::mem::replace(&mut self.stopped, true), "stopped twice");
                 }
+                Command::Over(ticket) => {
+                    assert!(self.over.insert(ticket), "over twice");
+                    assert!(!self.out.contains_key(&ticket), "over with an attempt out");
+                }
                 Command::Reread | Command::Log(_) => {}
             }
         }
@@ -122,6 +128,7 @@
     fn attempt(&mut self, order: Order) {
         let client = self.clients.get(&order.ticket).expect("an attempt for nobody");
         assert!(client.answer.is_none() && !client.gone, "an attempt after the end");
+        assert!(!self.over.contains(&order.ticket), "an attempt after all was over");
         assert!(!self.out.contains_key(&order.ticket), "two attempts at once");
         assert_eq!(self.listing[&*order.engine.0], Listing::Serving, "an attempt at a drained engine");
         assert!(order.timeout > 0 && self.now + order.timeout <= client.due);
@@ -322,6 +329,7 @@
         for (ticket, client) in &self.clients {
             assert!(client.gone || client.answer.is_some(), "request {ticket} has no final answer");
         }
+        assert_eq!(self.over.len(), self.clients.len(), "not all were told that all is over");
         assert_eq!(self.host.held(), 0, "requests are left in the ledger");
         assert!(self.stopped, "it never said that it has stopped");
         let listing = &self.listing;
--- /dev/null
+++ b/crates/pintally-node/src/connection.rs
@@ -0,0 +1,192 @@
+//! One client connection: requests in, answers out, one after the other.
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use pintally_host::Arrival;
+use pintally_http::{response, HttpError, Request, RequestReader};
+use pintally_kserve::{self as kserve, Ask, Form, Route, DEADLINE_HEADER};
+use tracing::debug;
+
+use crate::life::{self, Asked};
+use crate::shared::Shared;
+use crate::wait::{wait, Client, Waker};
+
+/// What is read from a client after a refusal, so that it sees the refusal before a reset.
+const DRAIN_MOST: usize = 1 << 20;
+const DRAIN_FOR: Duration = Duration::from_millis(500);
+
+/// Serves a connection until it closes.
+pub(crate) fn run(shared: &Shared, mut stream: TcpStream, waker: &Arc<Waker>) {
+    let limits = &shared.settings.limits;
+    let mut reader = RequestReader::new(limits.head_bytes, limits.body_bytes);
+    loop {
+        match next_request(shared, &mut stream, waker, &mut reader) {
+            Ok(Some(request)) => {
+                let keep = request.keep_alive;
+                if !answer(shared, &mut stream, waker, request) || !keep {
+                    return;
+                }
+            }
+            Ok(None) => return,
+            Err(refusal) => {
+                shared.counts.bad_requests.fetch_add(1, Ordering::Relaxed);
+                debug!(status = refusal.0, what = refusal.1, "a request was not understood");
+                let _ = reply(&mut stream, refusal.0, &kserve::error(&refusal.1, false), false);
+                drain(&mut stream);
+                return;
+            }
+        }
+    }
+}
+
+/// The next whole request; `None` if the connection is over.
+fn next_request(
+    shared: &Shared,
+    stream: &mut TcpStream,
+    waker: &Waker,
+    reader: &mut RequestReader,
+) -> Result<Option<Request>, (u16, String)> {
+    let limits = &shared.settings.limits;
+    let mut by = Instant::now() + Duration::from_micros(limits.idle);
+    let mut begun = false;
+    let mut buffer = [0u8; 16 << 10];
+    loop {
+        match reader.next_request() {
+            Ok(Some(request)) => return Ok(Some(request)),
+            Ok(None) => {}
+            Err(e) => return Err((HttpError::status(&e), e.to_string())),
+        }
+        if reader.wants_continue() && stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").is_err() {
+            return Ok(None);
+        }
+        if reader.is_partial() && !std::mem::replace(&mut begun, true) {
+            by = Instant::now() + Duration::from_micros(limits.receive);
+        }
+        if shared.is_dead() || (shared.is_closing() && !begun) {
+            return Ok(None);
+        }
+        let Ok(ready) = wait(waker, Some((stream, Client::Readable)), None, Some(by)) else {
+            return Ok(None);
+        };
+        if !ready.client {
+            if Instant::now() < by {
+                continue;
+            }
+            return if begun { Err((408, "the request did not come in time".into())) } else { Ok(None) };
+        }
+        match stream.read(&mut buffer) {
+            Ok(0) => return Ok(None),
+            Ok(n) => reader.push(&buffer[..n]),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return Ok(None),
+        }
+    }
+}
+
+/// Answers one request; `false` if the connection is of no more use.
+fn answer(shared: &Shared, stream: &mut TcpStream, waker: &Arc<Waker>, request: Request) -> bool {
+    let settings = &shared.settings;
+    let keep = request.keep_alive;
+    let known = |model: &str| model == settings.model;
+    let (status, body) = match kserve::route(&request.method, &request.target) {
+        Route::Live => (200, "{\"live\":true}".to_string()),
+        Route::Ready => ready(shared),
+        Route::ModelReady(model) if known(&model) => ready(shared),
+        Route::Server => (200, kserve::metadata(env!("CARGO_PKG_VERSION"))),
+        Route::Model(model) if known(&model) => (200, kserve::model_metadata(&model)),
+        Route::Work(model, form) if known(&model) => return work(shared, stream, waker, form, &request),
+        Route::Model(model) | Route::ModelReady(model) | Route::Work(model, _) => {
+            (404, kserve::error(&format!("unknown model `{model}`"), false))
+        }
+        Route::WrongMethod => (405, kserve::error("this endpoint has another method", false)),
+        Route::Unknown => (404, kserve::error("no such endpoint", false)),
+    };
+    if status >= 400 && status != 503 {
+        shared.counts.bad_requests.fetch_add(1, Ordering::Relaxed);
+    }
+    reply(stream, status, &body, keep).is_ok()
+}
+
+fn ready(shared: &Shared) -> (u16, String) {
+    match shared.serving.load(Ordering::Relaxed) > 0 && !shared.is_closing() {
+        true => (200, "{\"ready\":true}".into()),
+        false => (503, "{\"ready\":false}".into()),
+    }
+}
+
+fn work(shared: &Shared, stream: &mut TcpStream, waker: &Arc<Waker>, form: Form, request: &Request) -> bool {
+    let settings = &shared.settings;
+    let asked = Ask::parse(form, &request.body, request.headers.get(DEADLINE_HEADER))
+        .map_err(|e| e.0)
+        .and_then(|ask| arrival(shared, form, &ask).map(|arrival| (ask, arrival)));
+    match asked {
+        Ok((ask, arrival)) => {
+            let asked = Asked { ask, form, model: settings.model.clone(), keep_alive: request.keep_alive };
+            life::run(shared, stream, waker, &asked, arrival)
+        }
+        Err(what) => {
+            shared.counts.bad_requests.fetch_add(1, Ordering::Relaxed);
+            reply(stream, 400, &kserve::error(&what, false), request.keep_alive).is_ok()
+        }
+    }
+}
+
+/// What the host is told of a request; an error says which name is not known.
+fn arrival(shared: &Shared, form: Form, ask: &Ask) -> Result<Arrival, String> {
+    let core = &shared.settings.core;
+    let class = match &ask.class {
+        None => None,
+        Some(name) => match core.classes.iter().position(|c| c.name == *name) {
+            Some(class) => Some(class),
+            None => return Err(format!("unknown class `{name}`")),
+        },
+    };
+    let tenant = match &ask.tenant {
+        Some(name) if !core.tenants.is_empty() => match core.tenants.iter().position(|t| t.name == *name) {
+            Some(tenant) => Some(tenant),
+            None => return Err(format!("unknown tenant `{name}`")),
+        },
+        _ => None,
+    };
+    // Until the node counts tokens itself, four bytes stand for one.
+    let estimate = (ask.prompt.len() as u64).div_ceil(4);
+    Ok(Arrival {
+        ticket: shared.next_ticket.fetch_add(1, Ordering::Relaxed),
+        class,
+        tenant,
+        session: ask.session,
+        prefix: ask.prefix,
+        prompt_tokens: ask.prompt_tokens.unwrap_or(estimate),
+        prefix_tokens: ask.prefix_tokens,
+        max_tokens: ask.max_tokens,
+        patience: ask.deadline_ms.map(|ms| ms * 1000),
+        streamed: form == Form::Stream,
+        resumed: ask.resumed,
+    })
+}
+
+/// Writes a whole answer.
+pub(crate) fn reply(stream: &mut TcpStream, status: u16, body: &str, keep: bool) -> io::Result<()> {
+    let mut headers = vec![("content-type", "application/json")];
+    if !keep {
+        headers.push(("connection", "close"));
+    }
+    stream.write_all(&response(status, &headers, body.as_bytes()))
+}
+
+/// Takes what the client still sends, within bounds, so that closing does not reset the answer away.
+fn drain(stream: &mut TcpStream) {
+    let _ = stream.shutdown(Shutdown::Write);
+    let _ = stream.set_read_timeout(Some(DRAIN_FOR));
+    let (by, mut left, mut buffer) = (Instant::now() + DRAIN_FOR, DRAIN_MOST, [0u8; 16 << 10]);
+    while left > 0 && Instant::now() < by {
+        match stream.read(&mut buffer) {
+            Ok(n) if n > 0 => left = left.saturating_sub(n),
+            _ => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-node/src/decide.rs
@@ -0,0 +1,152 @@
+//! The deciding thread: the only one that touches the host. It never waits for a socket.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
+use pintally::interface::Outcome;
+use pintally_host::{Command, Host, Input, Ticket};
+use tracing::{info, warn};
+
+use crate::shared::{Errand, Mail, Mailbox, Message, Shared};
+
+/// Messages taken in one go before timers are looked at.
+const BATCH: usize = 256;
+
+/// Where commands that are not for a request go.
+pub(crate) struct Ends {
+    pub(crate) errands: Sender<Errand>,
+    pub(crate) look: Sender<()>,
+    pub(crate) stopped: Sender<()>,
+}
+
+struct Decider<'a> {
+    shared: &'a Shared,
+    host: Host,
+    boxes: HashMap<Ticket, Mailbox>,
+    ends: Ends,
+    commands: Vec<Command>,
+}
+
+/// Decides until it is killed or nobody can send any more.
+pub(crate) fn run(shared: &Shared, host: Host, messages: &Receiver<Message>, ends: Ends) {
+    let mut decider = Decider { shared, host, boxes: HashMap::new(), ends, commands: Vec::new() };
+    loop {
+        let next = match decider.host.next_wake() {
+            Some(at) => messages.recv_deadline(shared.clock.instant(at)),
+            None => messages.recv().map_err(|_| RecvTimeoutError::Disconnected),
+        };
+        let began = Instant::now();
+        match next {
+            Ok(message) => {
+                if !decider.take(message) {
+                    return;
+                }
+                for message in messages.try_iter().take(BATCH) {
+                    if !decider.take(message) {
+                        return;
+                    }
+                }
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        decider.tick();
+        let busy = began.elapsed().as_nanos() as u64;
+        shared.counts.busy_ns.fetch_add(busy, Ordering::Relaxed);
+        *shared.host_counters.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.counters();
+        shared.serving.store(decider.host.serving(), Ordering::Relaxed);
+    }
+}
+
+impl Decider<'_> {
+    /// Takes in one message; `false` ends the thread.
+    fn take(&mut self, message: Message) -> bool {
+        match message {
+            Message::Host(input) => self.handle(input),
+            Message::Arrived(arrival, mailbox) => {
+                self.boxes.insert(arrival.ticket, mailbox);
+                self.handle(Input::Arrived(arrival));
+            }
+            Message::Kill => return false,
+        }
+        true
+    }
+
+    fn handle(&mut self, input: Input) {
+        let now = self.shared.clock.now();
+        self.host.handle(now, input, &mut self.commands);
+        self.carry_out();
+    }
+
+    fn tick(&mut self) {
+        let now = self.shared.clock.now();
+        self.host.tick(now, &mut self.commands);
+        self.carry_out();
+    }
+
+    fn carry_out(&mut self) {
+        // What does not fit is told to the host at once, which may command something else.
+        while !self.commands.is_empty() {
+            let mut unsent = Vec::new();
+            for command in std::mem::take(&mut self.commands) {
+                match command {
+                    Command::Attempt(order) => {
+                        let (ticket, attempt, outcome) = (order.ticket, order.attempt, Outcome::NeverSent);
+                        if !self.mail(ticket, Mail::Attempt(order)) {
+                            let (kept, load, state) = (0, None, None);
+                            unsent.push(Input::Ended { ticket, attempt, outcome, kept, load, state });
+                        }
+                    }
+                    Command::Cancel(ticket, attempt) => {
+                        self.mail(ticket, Mail::Cancel(attempt));
+                    }
+                    Command::Answer(ticket, answer) => {
+                        self.mail(ticket, Mail::Answer(answer));
+                    }
+                    Command::Over(ticket) => {
+                        self.mail(ticket, Mail::Over);
+                        self.boxes.remove(&ticket);
+                    }
+                    Command::Release(name, engine, address) => {
+                        let errand = Errand::Release(name, engine, address);
+                        if let Err(TrySendError::Full(Errand::Release(name, engine, _))) =
+                            self.ends.errands.try_send(errand)
+                        {
+                            unsent.push(Input::Released(name, engine, false));
+                        }
+                    }
+                    Command::Probe(engine, address, slots) => {
+                        let errand = Errand::Probe(engine.clone(), address, slots);
+                        if self.ends.errands.try_send(errand).is_err() {
+                            unsent.push(Input::Probed(engine, false, None));
+                        }
+                    }
+                    Command::Reread => {
+                        let _ = self.ends.look.try_send(());
+                    }
+                    Command::Log(text) => info!("{text}"),
+                    Command::Stopped => {
+                        let _ = self.ends.stopped.try_send(());
+                    }
+                }
+            }
+            let now = self.shared.clock.now();
+            for input in unsent {
+                self.host.handle(now, input, &mut self.commands);
+            }
+        }
+    }
+
+    /// Mails a request's thread; `false` if it is gone. The box holds all that a request can have open.
+    fn mail(&mut self, ticket: Ticket, mail: Mail) -> bool {
+        let Some(mailbox) = self.boxes.get(&ticket) else { return false };
+        let mailed = mailbox.mail.try_send(mail).is_ok();
+        if !mailed {
+            warn!(ticket, "mail for a request that nobody serves any more");
+        }
+        mailbox.waker.wake();
+        mailed
+    }
+}
--- /dev/null
+++ b/crates/pintally-node/src/node.rs
@@ -0,0 +1,189 @@
+//! A node as a whole: its threads, how it starts, stops in good order, and is killed.
+
+use std::fmt;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{bounded, Receiver, Sender};
+use pintally_config::NodeSettings;
+use pintally_host::{Counters, Host, Input, ListFollower};
+use tracing::info;
+
+use crate::decide::Ends;
+use crate::shared::{spawn_small, Message, Shared};
+use crate::wait::Waker;
+use crate::{decide, door, errand, watch};
+
+/// Messages that may wait for the deciding thread.
+const MESSAGES: usize = 1 << 16;
+/// Errands that may wait.
+const ERRANDS: usize = 1 << 14;
+
+/// Why a node could not start.
+#[derive(Debug)]
+pub struct StartError {
+    what: &'static str,
+    error: io::Error,
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.what, self.error)
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// What a node has counted: on its sockets and in its host.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeCounters {
+    /// Client connections let in.
+    pub connections: u64,
+    /// Client connections turned away for their number.
+    pub over_limit: u64,
+    /// Requests that were not understood.
+    pub bad_requests: u64,
+    /// Requests turned away before the host saw them.
+    pub turned_away: u64,
+    /// Final answers that could not be written.
+    pub unwritten: u64,
+    /// Time that the deciding thread has spent deciding.
+    pub deciding: Duration,
+    /// The host's counts.
+    pub host: Counters,
+}
+
+/// A running node. Dropping it kills it.
+pub struct Node {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    stopped: Receiver<()>,
+    door: Arc<Waker>,
+    threads: Vec<JoinHandle<()>>,
+    look: Option<Sender<()>>,
+}
+
+impl Node {
+    /// Starts a node; the seed is for its router and the names of its requests.
+    pub fn start(settings: Arc<NodeSettings>, seed: u64) -> Result<Node, StartError> {
+        let fail = |what| move |error| StartError { what, error };
+        let listener = TcpListener::bind(settings.listen).map_err(fail("cannot listen"))?;
+        listener.set_nonblocking(true).map_err(fail("cannot listen"))?;
+        let address = listener.local_addr().map_err(fail("cannot listen"))?;
+        let (decide, messages) = bounded(MESSAGES);
+        let (errands, errand_queue) = bounded(ERRANDS);
+        let (look, look_queue) = bounded(1);
+        let (stopped_sender, stopped) = bounded(1);
+        let shared = Arc::new(Shared::new(settings.clone(), decide));
+        let door_waker = Arc::new(Waker::new().map_err(fail("cannot make a waker"))?);
+        let mut node = Node {
+            shared: shared.clone(),
+            address,
+            stopped,
+            door: door_waker.clone(),
+            threads: Vec::new(),
+            look: None,
+        };
+        let host = Host::new(settings.clone(), seed);
+        let ends = Ends { errands, look: look.clone(), stopped: stopped_sender };
+        let own = shared.clone();
+        node.spawn("decide", move || decide::run(&own, host, &messages, ends))?;
+        for _ in 0..settings.limits.errands {
+            let (own, queue) = (shared.clone(), errand_queue.clone());
+            node.spawn("errand", move || errand::run(&own, &queue))?;
+        }
+        // What was known before the last end comes first, then the list as it is now.
+        let mut follower = ListFollower::default();
+        watch::restore(&shared, &mut follower);
+        let own = shared.clone();
+        node.spawn("list", move || watch::run(&own, follower, &look_queue))?;
+        node.look = Some(look);
+        let own = shared.clone();
+        node.spawn("door", move || door::run(&own, &listener, &door_waker))?;
+        info!(node = settings.name, %address, "node started");
+        Ok(node)
+    }
+
+    fn spawn(&mut self, name: &str, f: impl FnOnce() + Send + 'static) -> Result<(), StartError> {
+        let thread =
+            spawn_small(name, f).map_err(|error| StartError { what: "cannot start a thread", error })?;
+        self.threads.push(thread);
+        Ok(())
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it has counted.
+    pub fn counters(&self) -> NodeCounters {
+        let c = &self.shared.counts;
+        let read = |a: &std::sync::atomic::AtomicU64| a.load(Ordering::Relaxed);
+        NodeCounters {
+            connections: read(&c.connections),
+            over_limit: read(&c.over_limit),
+            bad_requests: read(&c.bad_requests),
+            turned_away: read(&c.turned_away),
+            unwritten: read(&c.unwritten),
+            deciding: Duration::from_nanos(read(&c.busy_ns)),
+            host: *self.shared.host_counters.lock().unwrap_or_else(|e| e.into_inner()),
+        }
+    }
+
+    /// Engines that take work, by the list that the node knows.
+    pub fn serving(&self) -> usize {
+        self.shared.serving.load(Ordering::Relaxed)
+    }
+
+    /// Client connections that are open.
+    pub fn open_connections(&self) -> usize {
+        self.shared.open_connections()
+    }
+
+    /// Stops in good order: takes nothing new, ends what it holds, lets go of what it has at
+    /// engines, within the time that the settings give. Returns what it has counted.
+    pub fn stop(mut self) -> NodeCounters {
+        let bound = Duration::from_micros(self.shared.settings.limits.stop) + Duration::from_secs(1);
+        let by = Instant::now() + bound;
+        self.shared.close();
+        self.door.wake();
+        self.shared.tell(Input::Stop);
+        let _ = self.stopped.recv_deadline(by);
+        // The last answers are on their way out of the clients' threads.
+        while self.shared.open_connections() > 0 && Instant::now() < by {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        self.end();
+        let counters = self.counters();
+        info!(node = self.shared.settings.name, ?counters, "node stopped");
+        counters
+    }
+
+    /// Ends at once, as if the process had died: nobody gets an answer.
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.shared.kill();
+        self.door.wake();
+        let _ = self.shared.decide.send(Message::Kill);
+        self.look = None;
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        if !self.threads.is_empty() {
+            self.end();
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-node/src/shared.rs
@@ -0,0 +1,157 @@
+//! What the node's threads share: settings, channels, flags and counts.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use crossbeam_channel::Sender;
+use pintally::interface::{Attempt, EngineId, RequestId};
+use pintally_config::NodeSettings;
+use pintally_host::{Arrival, Counters, Final, Input, Order};
+
+use crate::clock::Clock;
+use crate::pool::Pool;
+use crate::wait::Waker;
+
+/// The stack of a thread that serves one connection.
+const SMALL_STACK: usize = 256 << 10;
+
+/// To the deciding thread.
+pub(crate) enum Message {
+    /// For the host.
+    Host(Input),
+    /// A request, and where its commands go.
+    Arrived(Arrival, Mailbox),
+    /// End at once.
+    Kill,
+}
+
+/// To the thread of a request.
+pub(crate) enum Mail {
+    Attempt(Order),
+    Cancel(Attempt),
+    Answer(Final),
+    /// Nothing more comes for this request.
+    Over,
+}
+
+/// Where a request's commands go.
+pub(crate) struct Mailbox {
+    pub(crate) mail: Sender<Mail>,
+    pub(crate) waker: Arc<Waker>,
+}
+
+/// To the threads that run errands.
+pub(crate) enum Errand {
+    Probe(EngineId, std::net::SocketAddr, u64),
+    Release(RequestId, EngineId, std::net::SocketAddr),
+}
+
+/// Counts that only the sockets' side sees.
+#[derive(Default)]
+pub(crate) struct DoorCounts {
+    pub(crate) connections: AtomicU64,
+    pub(crate) over_limit: AtomicU64,
+    pub(crate) bad_requests: AtomicU64,
+    pub(crate) turned_away: AtomicU64,
+    pub(crate) unwritten: AtomicU64,
+    pub(crate) busy_ns: AtomicU64,
+}
+
+/// What all threads of a node share.
+pub(crate) struct Shared {
+    pub(crate) settings: Arc<NodeSettings>,
+    pub(crate) clock: Clock,
+    pub(crate) pool: Pool,
+    pub(crate) decide: Sender<Message>,
+    pub(crate) counts: DoorCounts,
+    pub(crate) host_counters: Mutex<Counters>,
+    /// Engines that take work, by the list; the node is ready while there are any.
+    pub(crate) serving: AtomicUsize,
+    pub(crate) next_ticket: AtomicU64,
+    /// Nothing new is taken.
+    closing: AtomicBool,
+    /// Everything ends at once.
+    dead: AtomicBool,
+    /// Wakers of all connection threads.
+    connections: Mutex<HashMap<u64, Arc<Waker>>>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Arc<NodeSettings>, decide: Sender<Message>) -> Shared {
+        let limits = &settings.limits;
+        let keep_alive = std::time::Duration::from_micros(limits.keep_alive);
+        Shared {
+            pool: Pool::new(settings.source, limits.streams, keep_alive),
+            clock: Clock::new(),
+            decide,
+            counts: DoorCounts::default(),
+            host_counters: Mutex::default(),
+            serving: AtomicUsize::new(0),
+            next_ticket: AtomicU64::new(1),
+            closing: AtomicBool::new(false),
+            dead: AtomicBool::new(false),
+            connections: Mutex::default(),
+            settings,
+        }
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn is_dead(&self) -> bool {
+        self.dead.load(Ordering::Acquire)
+    }
+
+    /// Takes nothing new from here on; idle connections close.
+    pub(crate) fn close(&self) {
+        self.closing.store(true, Ordering::Release);
+        self.wake_all();
+    }
+
+    /// Ends everything at once.
+    pub(crate) fn kill(&self) {
+        self.closing.store(true, Ordering::Release);
+        self.dead.store(true, Ordering::Release);
+        self.wake_all();
+    }
+
+    fn wake_all(&self) {
+        self.connections.lock().unwrap_or_else(|e| e.into_inner()).values().for_each(|w| w.wake());
+    }
+
+    /// Enters a connection; `None` if there are as many as allowed.
+    pub(crate) fn enter(&self, number: u64, waker: Arc<Waker>) -> Option<()> {
+        let mut connections = self.connections.lock().unwrap_or_else(|e| e.into_inner());
+        if connections.len() >= self.settings.limits.connections {
+            return None;
+        }
+        connections.insert(number, waker);
+        Some(())
+    }
+
+    pub(crate) fn leave(&self, number: u64) {
+        self.connections.lock().unwrap_or_else(|e| e.into_inner()).remove(&number);
+    }
+
+    /// Connections that are open.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.connections.lock().unwrap_or_else(|e| e.into_inner()).len()
+    }
+
+    /// Tells the host something. It waits where the channel is full: the deciding thread never waits
+    /// for the one that calls, so the wait ends.
+    pub(crate) fn tell(&self, input: Input) {
+        let _ = self.decide.send(Message::Host(input));
+    }
+}
+
+/// Starts a thread with a small stack.
+pub(crate) fn spawn_small(
+    name: &str,
+    f: impl FnOnce() + Send + 'static,
+) -> std::io::Result<thread::JoinHandle<()>> {
+    thread::Builder::new().name(name.to_string()).stack_size(SMALL_STACK).spawn(f)
+}
