--- /dev/null
+++ b/crates/pintally-audit/src/drain.rs
@@ -0,0 +1,40 @@
+//! Drains are kept: nothing new to an engine later than the grace after a node was told.
+
+use std::collections::BTreeMap;
+
+use crate::index::Index;
+use crate::record::{Listed, What};
+
+pub(crate) fn check(index: &Index) -> Vec<String> {
+    // When each node was last told that an engine takes no work, as of each time.
+    let mut told: BTreeMap<(&str, &str), Vec<(u64, Listed)>> = BTreeMap::new();
+    for r in index.record {
+        if let What::Listed { node, engine, listing, .. } = &r.what {
+            told.entry((node, engine)).or_default().push((r.at, *listing));
+        }
+    }
+    told.values_mut().for_each(|t| t.sort_by_key(|(at, _)| *at));
+    let allowed = index.figures.drain_grace_us + index.figures.slack_us;
+    let mut found = Vec::new();
+    for work in &index.works {
+        let Some(words) = told.get(&(work.node, work.engine)) else { continue };
+        // The first word against the engine since it last took work, as the node knew it.
+        let mut since = None;
+        for (at, listing) in words.iter().filter(|(at, _)| *at <= work.at) {
+            since = match listing {
+                Listed::Serving => None,
+                _ => since.or(Some(*at)),
+            };
+        }
+        if let Some(since) = since.filter(|since| work.at > since + allowed) {
+            found.push(format!(
+                "{} sent request {} to {} {} ms after it was told of its drain",
+                work.node,
+                work.request,
+                work.engine,
+                (work.at - since) / 1000
+            ));
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/pintally-audit/src/index.rs
@@ -0,0 +1,170 @@
+//! A record put in order by request, attempt, state, engine and node.
+
+use std::collections::BTreeMap;
+
+use crate::record::*;
+use crate::Report;
+
+/// One try of a client.
+pub(crate) struct Try<'a> {
+    pub(crate) request: &'a str,
+    pub(crate) node: &'a str,
+    pub(crate) class: &'a str,
+    pub(crate) at: u64,
+    pub(crate) patience: u64,
+    pub(crate) streamed: bool,
+    pub(crate) first: Option<u64>,
+    pub(crate) answers: Vec<(u64, Answer)>,
+    pub(crate) extra: bool,
+    pub(crate) left: Option<u64>,
+    pub(crate) unanswered: Option<u64>,
+}
+
+/// One attempt as the engines saw it.
+pub(crate) struct Work<'a> {
+    pub(crate) at: u64,
+    pub(crate) engine: &'a str,
+    pub(crate) node: &'a str,
+    pub(crate) request: &'a str,
+    pub(crate) attempt: &'a str,
+    pub(crate) step: Step,
+    pub(crate) done: Option<u64>,
+    pub(crate) turned_away: bool,
+    pub(crate) ran: bool,
+}
+
+/// A record in order.
+pub(crate) struct Index<'a> {
+    pub(crate) figures: &'a Figures,
+    pub(crate) record: &'a [Record],
+    pub(crate) tries: BTreeMap<&'a str, Try<'a>>,
+    /// In the order in which they came to engines.
+    pub(crate) works: Vec<Work<'a>>,
+    /// Indices of works by request.
+    pub(crate) by_request: BTreeMap<&'a str, Vec<usize>>,
+    /// When each node went down.
+    downs: BTreeMap<&'a str, Vec<u64>>,
+    /// The record's last time.
+    pub(crate) end: u64,
+}
+
+impl<'a> Index<'a> {
+    pub(crate) fn new(record: &'a [Record]) -> Result<Index<'a>, RecordError> {
+        let fail = |what: &str| RecordError { line: 0, what: what.to_string() };
+        let Some(Record { what: What::Figures(figures), .. }) = record.first() else {
+            return Err(fail("a record must begin with its figures"));
+        };
+        let end = record.iter().map(|r| r.at).max().unwrap_or(0);
+        let mut index = Index {
+            figures,
+            record,
+            tries: BTreeMap::new(),
+            works: Vec::new(),
+            by_request: BTreeMap::new(),
+            downs: BTreeMap::new(),
+            end,
+        };
+        let mut open: BTreeMap<&str, usize> = BTreeMap::new();
+        // Ends write with their own clocks' readings, one lock apart: time decides, not the line.
+        let mut sorted: Vec<&Record> = record.iter().collect();
+        sorted.sort_by_key(|r| r.at);
+        // A try exists before anything of it, whichever thread wrote first.
+        for r in &sorted {
+            if let What::Asked { request, node, class, patience_us, streamed } = &r.what {
+                let fresh = Try {
+                    request,
+                    node,
+                    class,
+                    at: r.at,
+                    patience: *patience_us,
+                    streamed: *streamed,
+                    first: None,
+                    answers: Vec::new(),
+                    extra: false,
+                    left: None,
+                    unanswered: None,
+                };
+                if index.tries.insert(request, fresh).is_some() {
+                    return Err(fail(&format!("request {request} was asked twice: ids must be of one try")));
+                }
+            }
+        }
+        for r in sorted {
+            index.take(r, &mut open);
+        }
+        Ok(index)
+    }
+
+    fn take(&mut self, r: &'a Record, open: &mut BTreeMap<&'a str, usize>) {
+        let at = r.at;
+        match &r.what {
+            What::First { request } => self.of(request, |t| t.first = t.first.or(Some(at))),
+            What::Answered { request, answer } => self.of(request, |t| t.answers.push((at, *answer))),
+            What::Extra { request } => self.of(request, |t| t.extra = true),
+            What::Left { request } => self.of(request, |t| t.left = Some(at)),
+            What::Unanswered { request } => self.of(request, |t| t.unanswered = Some(at)),
+            What::Took { engine, node, request, attempt, step, .. } => {
+                let step = *step;
+                let (done, turned_away, ran) = (None, false, false);
+                open.insert(attempt, self.works.len());
+                self.by_request.entry(request).or_default().push(self.works.len());
+                let work = Work { at, engine, node, request, attempt, step, done, turned_away, ran };
+                self.works.push(work);
+            }
+            What::Done { attempt, .. } => self.with(open.get(attempt.as_str()), |w| w.done = Some(at)),
+            What::TurnedAway { attempt, .. } => {
+                self.with(open.get(attempt.as_str()), |w| w.turned_away = true)
+            }
+            What::Ran { attempt, .. } => self.with(open.get(attempt.as_str()), |w| w.ran = true),
+            What::NodeDown { node } => self.downs.entry(node).or_default().push(at),
+            _ => {}
+        }
+    }
+
+    fn of(&mut self, request: &str, f: impl FnOnce(&mut Try<'a>)) {
+        if let Some(one) = self.tries.get_mut(request) {
+            f(one);
+        }
+    }
+
+    fn with(&mut self, at: Option<&usize>, f: impl FnOnce(&mut Work<'a>)) {
+        if let Some(work) = at.and_then(|i| self.works.get_mut(*i)) {
+            f(work);
+        }
+    }
+
+    /// Whether a node went down in a span.
+    pub(crate) fn went_down(&self, node: &str, from: u64, to: u64) -> bool {
+        self.downs.get(node).is_some_and(|downs| downs.iter().any(|at| (from..=to).contains(at)))
+    }
+
+    /// Whether a try was in the hands of a node that was killed.
+    pub(crate) fn died(&self, t: &Try) -> bool {
+        let slack = self.figures.slack_us;
+        let to = t.unanswered.unwrap_or(t.at + t.patience).max(t.at) + slack;
+        t.answers.is_empty() && self.went_down(t.node, t.at.saturating_sub(slack), to)
+    }
+
+    pub(crate) fn effect(&self, class: &str) -> Effect {
+        // A class without a name is handled as one that must not run twice.
+        self.figures.classes.iter().find(|c| c.name == class).map_or(Effect::Unsafe, |c| c.effect)
+    }
+
+    pub(crate) fn engine(&self, name: &str) -> Option<&EngineFigures> {
+        self.figures.engines.iter().find(|e| e.engine == name)
+    }
+
+    pub(crate) fn count(&self, report: &mut Report) {
+        for t in self.tries.values() {
+            report.requests += 1;
+            match t.answers.first() {
+                Some((_, Answer::Served)) => report.served += 1,
+                Some((_, Answer::Refused)) => report.refused += 1,
+                Some((_, Answer::Failed | Answer::Cut)) => report.failed += 1,
+                None if t.left.is_some() => report.left += 1,
+                None if self.died(t) => report.died += 1,
+                None => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-cli/src/day.rs
@@ -0,0 +1,88 @@
+//! `pintally day`: scripted days on loopback.
+
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::process::ExitCode;
+
+use comfy_table::Table;
+use pintally_day::{run as play, Day, DayResult};
+
+use crate::audit::print_rules;
+use crate::{read, Failure};
+
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(clap::Subcommand)]
+enum Command {
+    /// Play a day: nodes, engines, clients and faults on loopback, audited at the end.
+    Run(RunArgs),
+}
+
+#[derive(clap::Args)]
+struct RunArgs {
+    /// The day's file.
+    file: String,
+    /// Another seed than the file's.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Play so many seeds, one after the other, from the first one on.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Write the record here, for `pintally audit`.
+    #[arg(long)]
+    record: Option<String>,
+    /// Print one line of JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+pub(crate) fn run(args: &Args) -> Result<ExitCode, Failure> {
+    match &args.command {
+        Command::Run(args) => run_day(args),
+    }
+}
+
+fn run_day(args: &RunArgs) -> Result<ExitCode, Failure> {
+    let day = Day::parse(&args.file, &read(&args.file)?).map_err(Failure::usage)?;
+    let first = args.seed.unwrap_or(day.seed);
+    let mut kept = true;
+    for seed in first..first + args.seeds {
+        let result = play(&day, seed, None).map_err(Failure::failed)?;
+        kept &= result.kept();
+        if let Some(path) = &args.record {
+            write_record(path, &result).map_err(|e| Failure::failed(format!("{path}: {e}")))?;
+        }
+        if args.json {
+            println!("{}", result.summary());
+        } else {
+            print(&result);
+        }
+    }
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn write_record(path: &str, result: &DayResult) -> std::io::Result<()> {
+    let mut out = BufWriter::new(File::create(path)?);
+    for line in &result.record {
+        serde_json::to_writer(&mut out, line)?;
+        out.write_all(b"\n")?;
+    }
+    out.flush()
+}
+
+fn print(result: &DayResult) {
+    let r = &result.report;
+    println!("day {}, seed {}, {:.1} s", result.day, result.seed, result.took_s);
+    println!("troubles: {}", result.troubles.join(", "));
+    let mut table = Table::new();
+    table.set_header(["requests", "served", "refused", "failed", "left", "died with node", "no node"]);
+    let row = [r.requests, r.served, r.refused, r.failed, r.left, r.died, result.no_node];
+    table.add_row(row.map(|n| n.to_string()));
+    println!("{table}");
+    print_rules(r);
+    println!("verdict: {}", if result.kept() { "kept" } else { "broken" });
+}
--- /dev/null
+++ b/crates/pintally-cli/src/main.rs
@@ -0,0 +1,89 @@
+//! The command line: `pintally` and its subcommands.
+//!
+//! Exit codes: 0 all well, 1 a rule broken or a check failed, 2 bad usage or settings.
+
+mod audit;
+mod check;
+mod day;
+mod log;
+mod serve;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+
+/// A router for language-model serving with separate readers and writers.
+#[derive(Parser)]
+#[command(name = "pintally", version, about, arg_required_else_help = true)]
+struct Cli {
+    /// How log lines are written, to standard error.
+    #[arg(long, global = true, value_enum, default_value_t = LogForm::Plain)]
+    log: LogForm,
+    /// What is logged: error, warn, info, debug, or a filter such as `pintally_node=debug`.
+    #[arg(long, global = true, default_value = "warn")]
+    log_level: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum LogForm {
+    Plain,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run one node until it is told to stop.
+    Serve(serve::Args),
+    /// Load settings, a list of engines or a day, and say what is wrong and why.
+    Check(check::Args),
+    /// Scripted days on loopback.
+    Day(day::Args),
+    /// Check the five rules over a record.
+    Audit(audit::Args),
+}
+
+/// Why a command ends early, and with which exit code.
+struct Failure {
+    code: u8,
+    what: String,
+}
+
+impl Failure {
+    /// Bad usage or settings.
+    fn usage(what: impl ToString) -> Failure {
+        Failure { code: 2, what: what.to_string() }
+    }
+
+    /// Something that was tried did not work.
+    fn failed(what: impl ToString) -> Failure {
+        Failure { code: 1, what: what.to_string() }
+    }
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Err(e) = log::set_up(cli.log, &cli.log_level) {
+        eprintln!("pintally: {e}");
+        return ExitCode::from(2);
+    }
+    let done = match cli.command {
+        Command::Serve(args) => serve::run(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Day(args) => day::run(&args),
+        Command::Audit(args) => audit::run(&args),
+    };
+    match done {
+        Ok(code) => code,
+        Err(failure) => {
+            eprintln!("pintally: {}", failure.what);
+            ExitCode::from(failure.code)
+        }
+    }
+}
+
+/// The text of a file.
+fn read(path: &str) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|e| Failure::usage(format!("{path}: {e}")))
+}
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -83,7 +83,14 @@
     pub fn parse(file: &str, text: &str) -> Result<NodeSettings, ConfigError> {
         let document = Document::parse(file, text)?;
         let root = document.only("pintally")?;
-        let node = root.need("node")?;
+        let settings = NodeSettings::read(&root, &root.need("node")?)?;
+        root.finish()?;
+        Ok(settings)
+    }
+
+    /// Reads the settings of a node out of its own form and a form that holds the rest, which may
+    /// hold more than that.
+    pub fn read(root: &Form, node: &Form) -> Result<NodeSettings, ConfigError> {
         let name = node.text_or("name", "node")?;
         if name.is_empty() || name.len() > 64 || !name.chars().all(|c| c.is_ascii_alphanumeric() || c == '-')
         {
@@ -106,7 +113,7 @@
         engines.finish()?;
         let kept_list = node.maybe("kept-list")?;
         let kept_list = kept_list.map(|f| f.text().and_then(|t| f.finish().map(|()| t))).transpose()?;
-        let mut core = router(&root, &node)?;
+        let mut core = router(root, node)?;
         let mut classes = Vec::new();
         for form in root.all("class")? {
             let (class, more) = class(&form)?;
@@ -146,7 +153,7 @@
             form.finish()?;
             core.kinds.push(Kind { name, role, memory_tokens });
         }
-        check::kinds(&root, &core)?;
+        check::kinds(root, &core)?;
         let settings = NodeSettings {
             name,
             listen,
@@ -155,14 +162,13 @@
             engines_file,
             engines_every,
             kept_list,
-            limits: limits(&root)?,
+            limits: limits(root)?,
             core,
             classes,
             slots,
         };
         node.finish()?;
-        root.finish()?;
-        check::check(&root, &settings)?;
+        check::check(root, &settings)?;
         Ok(settings)
     }
 }
--- /dev/null
+++ b/crates/pintally-day/src/faults.rs
@@ -0,0 +1,229 @@
+//! The kinds of trouble: their names in a file, their defaults, and what they become in a script.
+
+use std::time::Duration;
+
+use pintally_config::form::Form;
+use pintally_config::{ConfigError, NodeSettings};
+use rand::seq::SliceRandom;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::script::{Act, Script, Target};
+use crate::spec::{Fault, Kind};
+
+/// Name, kind, and the usual size.
+const KINDS: [(&str, Kind, f64); 21] = [
+    ("crash", Kind::Crash, 0.0),
+    ("restart", Kind::Restart, 0.0),
+    ("hang", Kind::Hang, 0.0),
+    ("silent", Kind::Silent, 0.0),
+    ("slow", Kind::Slow, 4.0),
+    ("replace", Kind::Replace, 1500.0),
+    ("drain", Kind::Drain, 0.0),
+    ("forget", Kind::Forget, 0.0),
+    ("slow-connect", Kind::SlowConnect, 150.0),
+    ("full-for-tenant", Kind::FullForTenant, 0.0),
+    ("slow-links", Kind::SlowLinks, 5.0),
+    ("zone-cut", Kind::ZoneCut, 0.0),
+    ("late-list", Kind::LateList, 2000.0),
+    ("stale-reports", Kind::StaleReports, 0.0),
+    ("lying-reports", Kind::LyingReports, 0.0),
+    ("node-kill", Kind::NodeKill, 0.0),
+    ("node-roll", Kind::NodeRoll, 500.0),
+    ("heedless-retries", Kind::HeedlessRetries, 0.0),
+    ("leave-early", Kind::LeaveEarly, 0.3),
+    ("burst", Kind::Burst, 3.0),
+    ("hot-text", Kind::HotText, 0.3),
+];
+
+/// The name of a kind.
+pub(crate) fn name(kind: Kind) -> &'static str {
+    KINDS.iter().find(|k| k.1 == kind).map_or("", |k| k.0)
+}
+
+/// Reads one `(fault ...)`.
+pub(crate) fn parse(form: &Form, zones: &[String], settings: &NodeSettings) -> Result<Fault, ConfigError> {
+    let kind = form.text()?;
+    let Some((_, kind, size)) = KINDS.iter().find(|k| k.0 == kind) else {
+        let names: Vec<&str> = KINDS.iter().map(|k| k.0).collect();
+        return Err(form.error(format!("unknown kind of fault `{kind}`; there are {}", names.join(", "))));
+    };
+    let mut engines = Vec::new();
+    if let Some(inner) = form.maybe("engines")? {
+        while let Some(engine) = inner.maybe_text()? {
+            engines.push(engine);
+        }
+        inner.finish()?;
+    }
+    let told = |key: &str| -> Result<Option<String>, ConfigError> {
+        Ok(Some(form.text_or(key, "")?).filter(|t| !t.is_empty()))
+    };
+    let (of, zone, tenant) = (told("of")?, told("zone")?, told("tenant")?);
+    if let Some(of) = of.as_ref().filter(|of| !settings.core.kinds.iter().any(|k| k.name == **of)) {
+        return Err(form.error(format!("no `kind` is named `{of}`")));
+    }
+    if let Some(zone) = zone.as_ref().filter(|z| !zones.contains(z)) {
+        return Err(form.error(format!("no zone is named `{zone}`")));
+    }
+    if let Some(tenant) = tenant.as_ref().filter(|t| !settings.core.tenants.iter().any(|o| o.name == **t)) {
+        return Err(form.error(format!("no `tenant` is named `{tenant}`")));
+    }
+    if *kind == Kind::FullForTenant && settings.core.tenants.is_empty() {
+        return Err(form.error("`full-for-tenant` needs a `tenant` in the day"));
+    }
+    if *kind == Kind::ZoneCut && zones.len() < 2 {
+        return Err(form.error("`zone-cut` needs two zones"));
+    }
+    let seconds = |key: &str, default: f64| -> Result<Duration, ConfigError> {
+        Ok(Duration::from_secs_f64(form.number_or(key, default, 0.0, 86_400.0)?))
+    };
+    let fault = Fault {
+        kind: *kind,
+        at: seconds("at", 0.0)?,
+        length: seconds("for", 5.0)?,
+        part: form.number_or("part", 0.2, 0.0, 1.0)?,
+        of,
+        engines,
+        name: zone.or(tenant),
+        size: form.number_or("size", *size, 0.0, 1e6)?,
+        batch: form.count_or("batch", 1, 1, 10_000)? as usize,
+    };
+    form.finish()?;
+    Ok(fault)
+}
+
+/// What a fault can strike.
+pub(crate) struct Stage<'a> {
+    /// Engines with their kinds.
+    pub(crate) engines: &'a [(String, String)],
+    pub(crate) nodes: usize,
+    pub(crate) zones: &'a [String],
+    pub(crate) tenants: &'a [String],
+}
+
+impl Stage<'_> {
+    fn draw(&self, fault: &Fault, rng: &mut ChaCha8Rng) -> Vec<Target> {
+        if !fault.engines.is_empty() {
+            return fault.engines.iter().cloned().map(Target).collect();
+        }
+        let fits = |kind: &str| fault.of.as_deref().is_none_or(|of| of == kind);
+        let mut all: Vec<Target> =
+            self.engines.iter().filter(|e| fits(&e.1)).map(|e| Target(e.0.clone())).collect();
+        all.shuffle(rng);
+        let many = (all.len() as f64 * fault.part).round().max(1.0) as usize;
+        all.truncate(many);
+        all
+    }
+}
+
+/// Puts a fault into a script.
+pub(crate) fn stage(fault: &Fault, on: &Stage, rng: &mut ChaCha8Rng, script: &mut Script) {
+    let (from, to) = (fault.at, fault.at + fault.length);
+    let mut pick = |names: &[String]| match &fault.name {
+        Some(name) => name.clone(),
+        None if names.is_empty() => String::new(),
+        None => names[rng.random_range(0..names.len())].clone(),
+    };
+    match fault.kind {
+        Kind::ZoneCut => {
+            let zone = pick(on.zones);
+            script.add(from, Act::Cut(zone.clone(), true));
+            script.add(to, Act::Cut(zone, false));
+        }
+        Kind::LateList => {
+            script.add(from, Act::ListDelay(Duration::from_secs_f64(fault.size / 1e3)));
+            script.add(to, Act::ListDelay(Duration::ZERO));
+        }
+        Kind::HeedlessRetries => {
+            script.add(from, Act::Heedless(true));
+            script.add(to, Act::Heedless(false));
+        }
+        Kind::LeaveEarly => {
+            script.add(from, Act::LeaveEarly(fault.size.min(1.0)));
+            script.add(to, Act::LeaveEarly(0.0));
+        }
+        Kind::Burst => {
+            script.add(from, Act::Rate(fault.size));
+            script.add(to, Act::Rate(1.0));
+        }
+        Kind::HotText => {
+            script.add(from, Act::HotText(fault.size.min(1.0)));
+            script.add(to, Act::HotText(0.0));
+        }
+        Kind::NodeKill => {
+            let mut nodes: Vec<usize> = (0..on.nodes).collect();
+            nodes.shuffle(rng);
+            // One node is left to serve, where there is more than one.
+            let most = on.nodes.saturating_sub(1).max(1);
+            let many = ((on.nodes as f64 * fault.part).round() as usize).clamp(1, most);
+            for node in nodes.into_iter().take(many) {
+                script.add(from, Act::KillNode(node));
+                script.add(to, Act::StartNode(node));
+            }
+        }
+        Kind::NodeRoll => {
+            let step = fault.length / on.nodes.max(1) as u32;
+            for node in 0..on.nodes {
+                let at = from + step * node as u32;
+                script.add(at, Act::KillNode(node));
+                script.add(at + Duration::from_secs_f64(fault.size / 1e3), Act::StartNode(node));
+            }
+        }
+        Kind::FullForTenant => {
+            let tenant = pick(on.tenants);
+            for target in on.draw(fault, rng) {
+                script.add(from, Act::FullFor(target.clone(), Some(tenant.clone())));
+                script.add(to, Act::FullFor(target, None));
+            }
+        }
+        _ => engines(fault, on, rng, script),
+    }
+}
+
+/// Faults of engines, one by one.
+fn engines(fault: &Fault, on: &Stage, rng: &mut ChaCha8Rng, script: &mut Script) {
+    let (from, to) = (fault.at, fault.at + fault.length);
+    let targets = on.draw(fault, rng);
+    let batches = targets.len().div_ceil(fault.batch).max(1) as u32;
+    for (place, target) in targets.into_iter().enumerate() {
+        let turn = from + fault.length / batches * (place / fault.batch) as u32;
+        let both = |script: &mut Script, begin: Act, end: Act| {
+            script.add(from, begin);
+            script.add(to, end);
+        };
+        match fault.kind {
+            Kind::Crash => both(script, Act::Crash(target.clone()), Act::Start(target)),
+            Kind::Restart => {
+                // Down for a moment only: most nodes hear of it when it is back.
+                script.add(turn, Act::Crash(target.clone()));
+                script.add(turn + Duration::from_millis(100), Act::Start(target));
+            }
+            Kind::Hang => both(script, Act::Hang(target.clone(), true), Act::Hang(target, false)),
+            Kind::Silent => both(script, Act::Silent(target.clone(), true), Act::Silent(target, false)),
+            Kind::Slow => {
+                both(script, Act::Slow(target.clone(), fault.size.max(1.0)), Act::Slow(target, 1.0))
+            }
+            Kind::SlowConnect => {
+                let delay = Duration::from_secs_f64(fault.size / 1e3);
+                both(
+                    script,
+                    Act::SlowConnect(target.clone(), delay),
+                    Act::SlowConnect(target, Duration::ZERO),
+                );
+            }
+            Kind::SlowLinks => {
+                both(script, Act::Links(target.clone(), fault.size.max(1.0)), Act::Links(target, 1.0))
+            }
+            Kind::StaleReports => both(script, Act::Stale(target.clone(), true), Act::Stale(target, false)),
+            Kind::LyingReports => both(script, Act::Lie(target.clone(), true), Act::Lie(target, false)),
+            Kind::Drain => both(script, Act::Drain(target.clone()), Act::Undrain(target)),
+            Kind::Forget => script.add(turn, Act::Forget(target)),
+            Kind::Replace => {
+                let drain = Duration::from_secs_f64(fault.size / 1e3);
+                script.add(turn, Act::Replace(target.clone()));
+                script.add(turn + drain, Act::Remove(target));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-day/src/lib.rs
@@ -0,0 +1,17 @@
+//! Scripted days: several nodes, stand-in engines and clients on loopback, troubles by script, and
+//! the five rules checked at the end over what crossed the sockets.
+
+mod client;
+mod faults;
+
+mod play;
+mod publish;
+mod run;
+mod script;
+mod spec;
+mod traffic;
+
+pub use client::{Client, Ended, Try};
+
+pub use run::{run, DayResult, Launch, RunError, Running};
+pub use spec::{ClassTraffic, Day, EngineGroup, Fault, Kind, Traffic};
--- /dev/null
+++ b/crates/pintally-day/src/play.rs
@@ -0,0 +1,504 @@
+//! The stage of a day while it is played.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use pintally::interface::{Listing, Role};
+use pintally_audit::{Answer, EngineFigures, Record, What};
+use pintally_config::NodeSettings;
+use pintally_standin::{self as standin, Engine, EngineSpec, Fleet, Recorder, Reports};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tempfile::TempDir;
+use tracing::{debug, warn};
+
+use crate::client::{Client, Ended, Try};
+use crate::faults::{stage, Stage};
+use crate::publish::Publisher;
+use crate::run::{Launch, RunError, Running};
+use crate::script::{Act, Script, Target};
+use crate::spec::{Day, EngineGroup};
+use crate::traffic::{Draft, Source};
+
+/// The stack of a client's thread.
+const CLIENT_STACK: usize = 160 << 10;
+/// Clients that wait at once; more are not made, and counted as such.
+const CLIENTS_MOST: u64 = 20_000;
+
+/// A node and what the front layer thinks of it.
+struct Place {
+    zone: usize,
+    settings: Arc<NodeSettings>,
+    running: Option<Box<dyn Running>>,
+}
+
+/// What clients' threads see of the nodes.
+struct Front {
+    /// Zone, address and whether the front sends there.
+    nodes: Vec<(usize, SocketAddr, bool)>,
+}
+
+/// What clients do at the moment, beside the usual.
+#[derive(Default)]
+struct Manners {
+    heedless: bool,
+    leave: f64,
+}
+
+/// What clients' threads share.
+struct Clients {
+    client: Client,
+    front: Mutex<Front>,
+    manners: Mutex<Manners>,
+    open: AtomicU64,
+    no_node: AtomicU64,
+    retries: u32,
+    retry_wait: Duration,
+    seed: u64,
+}
+
+/// A day that is played.
+pub(crate) struct Play<'a> {
+    day: &'a Day,
+    seed: u64,
+    launch: Launch<'a>,
+    fleet: Arc<Fleet>,
+    publisher: Publisher,
+    nodes: Vec<Place>,
+    clients: Arc<Clients>,
+    source: Source,
+    script: Script,
+    begin: Instant,
+    list_delay: Duration,
+    rate: f64,
+    hot: f64,
+    /// Which engine stands for a name now.
+    stand_for: BTreeMap<Target, String>,
+    replaced: u64,
+    starts: u64,
+    figures: Vec<EngineFigures>,
+    /// Holds the lists; removed with the day.
+    _folder: TempDir,
+}
+
+impl<'a> Play<'a> {
+    pub(crate) fn new(day: &'a Day, seed: u64, launch: Launch<'a>) -> Result<Play<'a>, RunError> {
+        let fail = |what: &str, e: &dyn std::fmt::Display| RunError(format!("{what}: {e}"));
+        let folder = tempfile::tempdir().map_err(|e| fail("no folder for the lists", &e))?;
+        let recorder = Recorder::default();
+        let fleet = Fleet::new(recorder.clone());
+        let publisher = Publisher::new(folder.path(), day.nodes, recorder.clone());
+        let traffic = &day.traffic;
+        let clients = Arc::new(Clients {
+            client: Client { recorder },
+            front: Mutex::new(Front { nodes: Vec::new() }),
+            manners: Mutex::default(),
+            open: AtomicU64::new(0),
+            no_node: AtomicU64::new(0),
+            retries: traffic.retries,
+            retry_wait: traffic.retry_wait,
+            seed,
+        });
+        let mut play = Play {
+            day,
+            seed,
+            launch,
+            fleet,
+            publisher,
+            nodes: Vec::new(),
+            clients,
+            source: Source::new(traffic, &day.settings, day.zones.len(), seed),
+            script: Script::default(),
+            begin: Instant::now(),
+            list_delay: Duration::ZERO,
+            rate: 1.0,
+            hot: 0.0,
+            stand_for: BTreeMap::new(),
+            replaced: 0,
+            starts: 0,
+            figures: Vec::new(),
+            _folder: folder,
+        };
+        play.build_engines().map_err(|e| fail("an engine cannot listen", &e))?;
+        let version = play.publisher.seal();
+        for node in 0..day.nodes {
+            play.publisher.write(node, version).map_err(|e| fail("the list cannot be written", &e))?;
+        }
+        play.build_nodes()?;
+        play.write_script();
+        Ok(play)
+    }
+
+    fn build_engines(&mut self) -> std::io::Result<()> {
+        let mut number = 0;
+        for group in &self.day.engines {
+            for place in 0..group.count {
+                let rack = number % self.day.racks;
+                number += 1;
+                let id = format!("{}-{place}", group.kind);
+                let engine = self.fleet.add(self.spec(group, id.clone(), rack), false)?;
+                self.enter(&engine);
+                self.publisher.set(&engine, Listing::Serving, false);
+                self.stand_for.insert(Target(id.clone()), id);
+            }
+        }
+        Ok(())
+    }
+
+    fn enter(&mut self, engine: &Engine) {
+        let (engine, zone, rack) = (engine.spec.id.clone(), engine.spec.zone.clone(), engine.spec.rack);
+        self.figures.push(EngineFigures { engine, zone, rack });
+    }
+
+    fn spec(&self, group: &EngineGroup, id: String, rack: u64) -> EngineSpec {
+        let core = &self.day.settings.core;
+        let zones = &self.day.zones;
+        EngineSpec {
+            id,
+            kind: group.kind.clone(),
+            role: match group.role {
+                Role::Reader => standin::Role::Reader,
+                Role::Writer => standin::Role::Writer,
+                Role::Mixed => standin::Role::Mixed,
+            },
+            // A rack stands in one zone.
+            zone: zones[rack as usize % zones.len()].clone(),
+            rack,
+            slots: group.slots,
+            queue: group.queue,
+            memory_tokens: group.memory_tokens,
+            read_per_s: group.read_per_s,
+            token_gap: group.token_gap,
+            link_per_s: group.link_per_s,
+            cold_from: core.cold_from,
+            warm_after: Duration::from_micros(core.warm_after),
+            tip_multiple: core.tip_multiple,
+            tip_window: Duration::from_micros(core.tip_window),
+            report_every: group.report_every,
+            state_for: Duration::from_secs(60),
+        }
+    }
+
+    fn build_nodes(&mut self) -> Result<(), RunError> {
+        for number in 0..self.day.nodes {
+            let zone = number % self.day.zones.len();
+            let name = format!("n{number}");
+            // Each node connects from an address of its own, by which engines know it.
+            let source = IpAddr::V4(Ipv4Addr::new(127, 0, 1, number as u8 + 1));
+            self.fleet.name_node(source, &name, &self.day.zones[zone]);
+            let mut settings = self.day.settings.clone();
+            settings.name = name;
+            settings.listen = SocketAddr::from(([127, 0, 0, 1], 0));
+            settings.source = Some(source);
+            settings.engines_file = self.publisher.file(number).to_string_lossy().into_owned();
+            let kept = self.publisher.file(number).with_extension("kept");
+            settings.kept_list = Some(kept.to_string_lossy().into_owned());
+            settings.core.zone = self.day.zones[zone].clone();
+            settings.core.node = number as u32;
+            settings.core.nodes = self.day.nodes as u32;
+            self.nodes.push(Place { zone, settings: Arc::new(settings), running: None });
+            self.start_node(number)?;
+        }
+        Ok(())
+    }
+
+    fn start_node(&mut self, number: usize) -> Result<(), RunError> {
+        if self.nodes[number].running.is_some() {
+            return Ok(());
+        }
+        self.starts += 1;
+        let seed = self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (self.starts << 8 | number as u64);
+        let running = (self.launch)(self.nodes[number].settings.clone(), seed)
+            .map_err(|e| RunError(format!("node n{number} cannot start: {e}")))?;
+        let address = running.address();
+        // After a restart it listens where it listened before.
+        let place = &mut self.nodes[number];
+        let mut settings = (*place.settings).clone();
+        settings.listen = address;
+        place.settings = Arc::new(settings);
+        place.running = Some(running);
+        let recorder = &self.fleet.recorder;
+        recorder.note(What::NodeUp { node: format!("n{number}") });
+        let mut front = self.clients.front.lock().unwrap_or_else(|e| e.into_inner());
+        if front.nodes.len() <= number {
+            front.nodes.push((place.zone, address, true));
+        }
+        Ok(())
+    }
+
+    fn write_script(&mut self) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ 0x5eed);
+        let engines: Vec<(String, String)> = self
+            .stand_for
+            .keys()
+            .filter_map(|t| self.fleet.engine(&t.0).map(|e| (t.0.clone(), e.spec.kind.clone())))
+            .collect();
+        let tenants: Vec<String> = self.day.settings.core.tenants.iter().map(|t| t.name.clone()).collect();
+        let (nodes, zones) = (self.day.nodes, &self.day.zones);
+        let on = Stage { engines: &engines, nodes, zones, tenants: &tenants };
+        for fault in &self.day.faults {
+            stage(fault, &on, &mut rng, &mut self.script);
+        }
+    }
+
+    /// Plays acts and sends clients until the day is over and the last client is gone.
+    pub(crate) fn to_the_end(&mut self) -> Result<(), RunError> {
+        self.begin = Instant::now();
+        let mut next = self.source.gap(1.0);
+        let mut number = 0;
+        while next < self.day.length {
+            self.play_until(next)?;
+            number += 1;
+            let draft = self.source.draw(self.hot);
+            self.send(number, draft);
+            next += self.source.gap(self.rate);
+        }
+        let last = self.day.length + self.day.settle;
+        while self.clients.open.load(Ordering::Acquire) > 0 && self.begin.elapsed() < last {
+            self.play_until(self.begin.elapsed() + Duration::from_millis(20))?;
+        }
+        Ok(())
+    }
+
+    /// Sleeps until a time of the day, playing what is due before it.
+    fn play_until(&mut self, until: Duration) -> Result<(), RunError> {
+        loop {
+            while let Some(act) = self.script.pop(self.begin.elapsed()) {
+                debug!(?act, "act");
+                self.act(act)?;
+            }
+            let now = self.begin.elapsed();
+            if now >= until {
+                return Ok(());
+            }
+            let wake = self.script.next().map_or(until, |at| at.min(until));
+            thread::sleep(wake.saturating_sub(now));
+        }
+    }
+
+    fn engine(&self, target: &Target) -> Option<Arc<Engine>> {
+        let id = self.stand_for.get(target).unwrap_or(&target.0);
+        let engine = self.fleet.engine(id);
+        if engine.is_none() {
+            warn!(engine = id, "a fault names an engine that is not there");
+        }
+        engine
+    }
+
+    /// The list has changed: each node hears of it after the usual notice.
+    fn publish(&mut self) {
+        let version = self.publisher.seal();
+        let at = self.begin.elapsed() + self.day.notice + self.list_delay;
+        (0..self.day.nodes).for_each(|node| self.script.add(at, Act::Write(node, version)));
+    }
+
+    fn act(&mut self, act: Act) -> Result<(), RunError> {
+        let with = |play: &Self, target: &Target, f: &dyn Fn(&mut standin::Faults)| {
+            if let Some(engine) = play.engine(target) {
+                engine.fault(f);
+            }
+        };
+        match act {
+            Act::Crash(target) => {
+                let Some(engine) = self.engine(&target) else { return Ok(()) };
+                engine.crash();
+                self.publisher.set(&engine, Listing::Gone, false);
+                self.publish();
+            }
+            Act::Start(target) => {
+                let Some(engine) = self.engine(&target) else { return Ok(()) };
+                engine.start(true);
+                self.publisher.set(&engine, Listing::Serving, true);
+                self.publish();
+            }
+            Act::Hang(t, on) => with(self, &t, &|f| f.hang = on),
+            Act::Silent(t, on) => with(self, &t, &|f| f.silent = on),
+            Act::Slow(t, factor) => with(self, &t, &|f| f.slow = factor),
+            Act::SlowConnect(t, delay) => with(self, &t, &|f| f.connect_delay = delay),
+            Act::Links(t, factor) => with(self, &t, &|f| f.links = factor),
+            Act::FullFor(t, tenant) => with(self, &t, &|f| f.full_for = tenant.clone()),
+            Act::Stale(t, on) => {
+                with(self, &t, &|f| f.reports = if on { Reports::Stale } else { Reports::Honest })
+            }
+            Act::Lie(t, on) => {
+                with(self, &t, &|f| f.reports = if on { Reports::Lying } else { Reports::Honest })
+            }
+            Act::Forget(target) => {
+                if let Some(engine) = self.engine(&target) {
+                    engine.forget();
+                }
+            }
+            Act::Drain(target) | Act::Undrain(target) if self.engine(&target).is_none_or(|e| !e.is_up()) => {}
+            Act::Drain(target) => self.list(&target, Listing::Draining),
+            Act::Undrain(target) => self.list(&target, Listing::Serving),
+            Act::Replace(target) => self.replace(&target)?,
+            Act::Remove(target) => self.remove(&target),
+            Act::Cut(zone, cut) => self.fleet.cut(&zone, cut),
+            Act::ListDelay(delay) => self.list_delay = delay,
+            Act::Write(node, version) => {
+                let written = self.publisher.write(node, version);
+                written.map_err(|e| RunError(format!("the list cannot be written: {e}")))?;
+            }
+            Act::KillNode(node) => {
+                let Some(running) = self.nodes[node].running.take() else { return Ok(()) };
+                self.fleet.recorder.note(What::NodeDown { node: format!("n{node}") });
+                running.kill();
+                self.script.add(self.begin.elapsed() + self.day.front, Act::Front(node, false));
+            }
+            Act::StartNode(node) => {
+                self.start_node(node)?;
+                self.script.add(self.begin.elapsed() + self.day.front, Act::Front(node, true));
+            }
+            Act::Front(node, up) => {
+                let up = up && self.nodes[node].running.is_some();
+                let down = !up && self.nodes[node].running.is_none();
+                if up || down {
+                    let mut front = self.clients.front.lock().unwrap_or_else(|e| e.into_inner());
+                    front.nodes[node].2 = up;
+                }
+            }
+            Act::Heedless(on) => self.manners(|m| m.heedless = on),
+            Act::LeaveEarly(part) => self.manners(|m| m.leave = part),
+            Act::Rate(rate) => self.rate = rate,
+            Act::HotText(part) => self.hot = part,
+        }
+        Ok(())
+    }
+
+    fn manners(&self, f: impl FnOnce(&mut Manners)) {
+        f(&mut self.clients.manners.lock().unwrap_or_else(|e| e.into_inner()));
+    }
+
+    fn list(&mut self, target: &Target, listing: Listing) {
+        let Some(engine) = self.engine(target) else { return };
+        self.publisher.set(&engine, listing, false);
+        self.publish();
+    }
+
+    /// A new engine takes the place of an old one, which drains.
+    fn replace(&mut self, target: &Target) -> Result<(), RunError> {
+        let Some(old) = self.engine(target) else { return Ok(()) };
+        self.replaced += 1;
+        let id = format!("{}+{}", target.0, self.replaced);
+        let spec = EngineSpec { id: id.clone(), ..old.spec.clone() };
+        let fresh = self.fleet.add(spec, true).map_err(|e| RunError(format!("{id} cannot listen: {e}")))?;
+        self.enter(&fresh);
+        self.publisher.set(&fresh, Listing::Serving, true);
+        self.publisher.set(&old, Listing::Draining, false);
+        // Until the old one goes, faults that name the place mean the new one.
+        self.stand_for.insert(Target(format!("{}~old", target.0)), old.spec.id.clone());
+        self.stand_for.insert(target.clone(), id);
+        self.publish();
+        Ok(())
+    }
+
+    fn remove(&mut self, target: &Target) {
+        let Some(id) = self.stand_for.remove(&Target(format!("{}~old", target.0))) else { return };
+        let Some(old) = self.fleet.engine(&id) else { return };
+        self.publisher.set(&old, Listing::Gone, false);
+        self.publish();
+        old.crash();
+    }
+
+    fn send(&mut self, number: u64, draft: Draft) {
+        if self.clients.open.fetch_add(1, Ordering::AcqRel) >= CLIENTS_MOST {
+            self.clients.open.fetch_sub(1, Ordering::AcqRel);
+            warn!("too many clients wait: one is not made");
+            return;
+        }
+        let clients = self.clients.clone();
+        let run = move || {
+            clients.see_through(number, &draft);
+            clients.open.fetch_sub(1, Ordering::AcqRel);
+        };
+        if let Err(e) = thread::Builder::new().stack_size(CLIENT_STACK).spawn(run) {
+            self.clients.open.fetch_sub(1, Ordering::AcqRel);
+            warn!(error = %e, "no thread for a client");
+        }
+    }
+
+    /// Stops nodes in good order, then engines; returns the record.
+    pub(crate) fn end(mut self) -> ((Vec<EngineFigures>, Vec<Record>), u64, Duration) {
+        let took = self.begin.elapsed();
+        for place in &mut self.nodes {
+            if let Some(running) = place.running.take() {
+                running.stop();
+            }
+        }
+        // What nodes owe engines they have said by now; the record ends before the engines do.
+        let record = self.fleet.recorder.take();
+        self.fleet.shut_down();
+        ((self.figures, record), self.clients.no_node.load(Ordering::Relaxed), took)
+    }
+}
+
+impl Clients {
+    /// One client's request with all of its tries.
+    fn see_through(&self, number: u64, draft: &Draft) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ number.wrapping_mul(0x2545_f491_4f6c_dd1d));
+        let mut tries = 0;
+        loop {
+            let (heedless, leave) = {
+                let manners = self.manners.lock().unwrap_or_else(|e| e.into_inner());
+                (manners.heedless, manners.leave)
+            };
+            let Some((node, address)) = self.choose(draft.zone, &mut rng) else { return };
+            let (whether, when) = draft.leaves;
+            let one = Try {
+                id: if tries == 0 { format!("c{number}") } else { format!("c{number}~{tries}") },
+                node,
+                address,
+                class: draft.class.clone(),
+                tenant: draft.tenant.clone(),
+                session: draft.session,
+                prefix: draft.prefix,
+                prefix_tokens: draft.prefix_tokens,
+                prompt: draft.prompt.clone(),
+                max_tokens: draft.max_tokens,
+                patience: draft.patience,
+                streamed: draft.streamed,
+                leaves: (whether < leave).then(|| draft.patience.mul_f64(when)),
+            };
+            let ended = self.client.attempt(&one);
+            tries += 1;
+            let wait = match ended {
+                Ended::NoNode => {
+                    self.no_node.fetch_add(1, Ordering::Relaxed);
+                    self.retry_wait
+                }
+                Ended::Answered(Answer::Served, _) | Ended::Left => return,
+                Ended::Answered(Answer::Refused, after) => match after.filter(|_| draft.heeds && !heedless) {
+                    Some(after) => after,
+                    None => self.retry_wait,
+                },
+                // Whoever tries again after a failure takes the risk of a second effect upon himself.
+                Ended::Answered(..) | Ended::Unanswered if heedless => self.retry_wait,
+                Ended::Answered(..) | Ended::Unanswered => return,
+            };
+            let most = if heedless { self.retries + 2 } else { self.retries };
+            if tries > most {
+                return;
+            }
+            thread::sleep(if heedless { Duration::ZERO } else { wait });
+        }
+    }
+
+    /// A node that the front believes in, of the client's zone if there is one.
+    fn choose(&self, zone: usize, rng: &mut ChaCha8Rng) -> Option<(String, SocketAddr)> {
+        let front = self.front.lock().unwrap_or_else(|e| e.into_inner());
+        let up = |n: &usize| front.nodes[*n].2;
+        let mut all: Vec<usize> = (0..front.nodes.len()).filter(up).collect();
+        if all.is_empty() {
+            // With all of them down, as far as it knows, the front goes on trying.
+            all = (0..front.nodes.len()).collect();
+        }
+        let near: Vec<usize> = all.iter().copied().filter(|n| front.nodes[*n].0 == zone).collect();
+        let from = if near.is_empty() { all } else { near };
+        let node = *from.get(rng.random_range(0..from.len().max(1)))?;
+        Some((format!("n{node}"), front.nodes[node].1))
+    }
+}
--- /dev/null
+++ b/crates/pintally-day/src/publish.rs
@@ -0,0 +1,104 @@
+//! Publishes the list of engines: one file for each node, written whole, as late as the day says.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use pintally::interface::{EngineId, Listing};
+use pintally_audit::{Listed, What};
+use pintally_config::{EngineEntry, EngineList};
+use pintally_standin::{Engine, Recorder};
+
+/// The true list, its past versions, and where it goes.
+pub(crate) struct Publisher {
+    folder: PathBuf,
+    recorder: Recorder,
+    entries: BTreeMap<EngineId, EngineEntry>,
+    /// Versions that are still to be written for some node.
+    versions: BTreeMap<u64, Vec<EngineEntry>>,
+    version: u64,
+    /// What each node was last told.
+    told: Vec<BTreeMap<EngineId, EngineEntry>>,
+    written: Vec<u64>,
+}
+
+impl Publisher {
+    pub(crate) fn new(folder: &Path, nodes: usize, recorder: Recorder) -> Publisher {
+        Publisher {
+            folder: folder.to_path_buf(),
+            recorder,
+            entries: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            version: 0,
+            told: vec![BTreeMap::new(); nodes],
+            written: vec![0; nodes],
+        }
+    }
+
+    /// The file that a node watches.
+    pub(crate) fn file(&self, node: usize) -> PathBuf {
+        self.folder.join(format!("engines-{node}.sexp"))
+    }
+
+    /// Enters an engine, or changes what the list says of it.
+    pub(crate) fn set(&mut self, engine: &Engine, listing: Listing, started: bool) {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let id = EngineId(engine.spec.id.as_str().into());
+        let old = self.entries.get(&id).and_then(|e| e.started_unix_ms);
+        let entry = EngineEntry {
+            id: id.clone(),
+            address: engine.address,
+            zone: engine.spec.zone.clone(),
+            kind: engine.spec.kind.clone(),
+            rack: engine.spec.rack,
+            listing,
+            weight: 1.0,
+            started_unix_ms: if started { Some(unix) } else { old },
+        };
+        self.entries.insert(id, entry);
+    }
+
+    /// Makes a version of the list as it is now.
+    pub(crate) fn seal(&mut self) -> u64 {
+        self.version += 1;
+        self.versions.insert(self.version, self.entries.values().cloned().collect());
+        self.version
+    }
+
+    /// Writes a version for a node, unless a younger one stands there.
+    pub(crate) fn write(&mut self, node: usize, version: u64) -> io::Result<()> {
+        if version <= self.written[node] {
+            return Ok(());
+        }
+        let Some(engines) = self.versions.get(&version).cloned() else { return Ok(()) };
+        self.written[node] = version;
+        let list = EngineList { version, engines };
+        let (file, fresh) = (self.file(node), self.folder.join(format!("engines-{node}.new")));
+        // What is told is told from the moment of writing on, not from that of the rename.
+        for entry in &list.engines {
+            let old = self.told[node].insert(entry.id.clone(), entry.clone());
+            if old.as_ref() != Some(entry) {
+                let listing = match entry.listing {
+                    Listing::Serving => Listed::Serving,
+                    Listing::Draining => Listed::Draining,
+                    Listing::Gone => Listed::Gone,
+                };
+                let started = entry.started_unix_ms.is_some()
+                    && old.and_then(|o| o.started_unix_ms) != entry.started_unix_ms;
+                self.recorder.note(What::Listed {
+                    node: format!("n{node}"),
+                    engine: entry.id.0.to_string(),
+                    listing,
+                    started,
+                });
+            }
+        }
+        fs::write(&fresh, list.render())?;
+        fs::rename(&fresh, file)?;
+        let least = self.written.iter().min().copied().unwrap_or(0);
+        self.versions.retain(|v, _| *v >= least);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pintally-day/src/run.rs
@@ -0,0 +1,146 @@
+//! Plays a day: builds nodes, engines and clients, carries out the script, audits the record.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pintally_audit::{audit, ClassFigures, Effect, EngineFigures, Figures, Group, Record, Report, What};
+use pintally_config::NodeSettings;
+use pintally_node::Node;
+use serde::Serialize;
+
+use crate::play::Play;
+use crate::spec::Day;
+
+/// A node that runs.
+pub trait Running: Send {
+    /// Where clients reach it.
+    fn address(&self) -> SocketAddr;
+    /// Ends it at once, as if its process had died.
+    fn kill(self: Box<Self>);
+    /// Ends it in good order.
+    fn stop(self: Box<Self>);
+}
+
+impl Running for Node {
+    fn address(&self) -> SocketAddr {
+        Node::address(self)
+    }
+
+    fn kill(self: Box<Self>) {
+        Node::kill(*self);
+    }
+
+    fn stop(self: Box<Self>) {
+        Node::stop(*self);
+    }
+}
+
+/// Starts a node; tests hand in broken ones.
+pub type Launch<'a> = &'a dyn Fn(Arc<NodeSettings>, u64) -> Result<Box<dyn Running>, String>;
+
+/// Why a day could not be played.
+#[derive(Debug)]
+pub struct RunError(pub String);
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for RunError {}
+
+/// What came of a day.
+#[derive(Clone, Debug, Serialize)]
+pub struct DayResult {
+    /// The day's name.
+    pub day: String,
+    /// The seed.
+    pub seed: u64,
+    /// How long it took, in seconds.
+    pub took_s: f64,
+    /// Kinds of trouble that were played.
+    pub troubles: Vec<&'static str>,
+    /// The audit.
+    pub report: Report,
+    /// Tries that found no node to connect to.
+    pub no_node: u64,
+    /// The record.
+    #[serde(skip)]
+    pub record: Vec<Record>,
+}
+
+impl DayResult {
+    /// Whether all rules were kept, and requests were made at all.
+    pub fn kept(&self) -> bool {
+        self.report.rules.kept() && self.report.requests > 0
+    }
+
+    /// The line that machines read.
+    pub fn summary(&self) -> serde_json::Value {
+        let rules: serde_json::Map<String, serde_json::Value> = self
+            .report
+            .rules
+            .each()
+            .iter()
+            .map(|(name, found)| (name.to_string(), found.len().into()))
+            .collect();
+        serde_json::json!({
+            "requests": self.report.requests,
+            "served": self.report.served,
+            "refused": self.report.refused,
+            "failed": self.report.failed,
+            "left": self.report.left,
+            "died_with_node": self.report.died,
+            "rules": rules,
+            "verdict": if self.kept() { "kept" } else { "broken" },
+        })
+    }
+}
+
+/// Plays a day with real nodes, or with whatever `launch` starts.
+pub fn run(day: &Day, seed: u64, launch: Option<Launch>) -> Result<DayResult, RunError> {
+    let real = |settings: Arc<NodeSettings>, seed: u64| -> Result<Box<dyn Running>, String> {
+        Node::start(settings, seed).map(|n| Box::new(n) as Box<dyn Running>).map_err(|e| e.to_string())
+    };
+    let mut play = Play::new(day, seed, launch.unwrap_or(&real))?;
+    play.to_the_end()?;
+    let (record, no_node, took) = play.end();
+    let record = with_figures(day, record);
+    let report = audit(&record).map_err(|e| RunError(format!("the record cannot be audited: {e}")))?;
+    let mut troubles: Vec<&'static str> = day.faults.iter().map(|f| crate::faults::name(f.kind)).collect();
+    troubles.sort_unstable();
+    troubles.dedup();
+    let took_s = took.as_secs_f64();
+    Ok(DayResult { day: day.name.clone(), seed, took_s, troubles, report, no_node, record })
+}
+
+/// The record with the figures that the rules go by as its first line.
+fn with_figures(day: &Day, (engines, mut record): (Vec<EngineFigures>, Vec<Record>)) -> Vec<Record> {
+    use pintally::interface as core;
+    let effect = |e: &core::Effect| match e {
+        core::Effect::Safe => Effect::Safe,
+        core::Effect::Unsafe => Effect::Unsafe,
+        core::Effect::Keyed(group, window_us) => Effect::Keyed {
+            group: match group {
+                core::Group::All => Group::All,
+                core::Group::Zone => Group::Zone,
+                core::Group::Cell => Group::Rack,
+            },
+            window_us: *window_us,
+        },
+    };
+    let core = &day.settings.core;
+    let classes =
+        core.classes.iter().map(|c| ClassFigures { name: c.name.clone(), effect: effect(&c.effect) });
+    let figures = Figures {
+        drain_grace_us: day.drain_grace.as_micros() as u64,
+        release_within_us: core.release_within,
+        slack_us: day.slack.as_micros() as u64,
+        classes: classes.collect(),
+        engines,
+    };
+    record.insert(0, Record { at: 0, what: What::Figures(figures) });
+    record
+}
--- /dev/null
+++ b/crates/pintally-day/src/script.rs
@@ -0,0 +1,65 @@
+//! What happens when: single acts in order of time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// An engine by the name that it had at the day's beginning; whatever replaced it stands for it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Target(pub(crate) String);
+
+/// One act.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    Crash(Target),
+    Start(Target),
+    Hang(Target, bool),
+    Silent(Target, bool),
+    Slow(Target, f64),
+    SlowConnect(Target, Duration),
+    Links(Target, f64),
+    Stale(Target, bool),
+    Lie(Target, bool),
+    FullFor(Target, Option<String>),
+    Forget(Target),
+    Drain(Target),
+    Undrain(Target),
+    Replace(Target),
+    Remove(Target),
+    Cut(String, bool),
+    ListDelay(Duration),
+    KillNode(usize),
+    StartNode(usize),
+    Heedless(bool),
+    LeaveEarly(f64),
+    Rate(f64),
+    HotText(f64),
+    /// The list as it is now is written for a node.
+    Write(usize, u64),
+    /// A node that was killed is seen to be gone by the front, or seen to be back.
+    Front(usize, bool),
+}
+
+/// Acts by time; those of the same time in the order in which they were added.
+#[derive(Default)]
+pub(crate) struct Script {
+    acts: BTreeMap<(Duration, u64), Act>,
+    serial: u64,
+}
+
+impl Script {
+    pub(crate) fn add(&mut self, at: Duration, act: Act) {
+        self.serial += 1;
+        self.acts.insert((at, self.serial), act);
+    }
+
+    /// When the next act is due.
+    pub(crate) fn next(&self) -> Option<Duration> {
+        self.acts.keys().next().map(|k| k.0)
+    }
+
+    /// The next act that is due.
+    pub(crate) fn pop(&mut self, now: Duration) -> Option<Act> {
+        let entry = self.acts.first_entry().filter(|e| e.key().0 <= now)?;
+        Some(entry.remove())
+    }
+}
--- /dev/null
+++ b/crates/pintally-day/src/spec.rs
@@ -0,0 +1,295 @@
+//! A day as its file says it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pintally::interface::Role;
+use pintally_config::form::{Document, Form};
+use pintally_config::{ConfigError, NodeSettings};
+
+use crate::faults;
+
+/// A scripted day.
+#[derive(Clone, Debug)]
+pub struct Day {
+    /// Its name.
+    pub name: String,
+    /// The seed that is used when none is given.
+    pub seed: u64,
+    /// How long clients come.
+    pub length: Duration,
+    /// How long the day may go on after the last client has come.
+    pub settle: Duration,
+    /// The zones.
+    pub zones: Vec<String>,
+    /// Racks over all zones.
+    pub racks: u64,
+    /// Nodes, spread over the zones in turn.
+    pub nodes: usize,
+    /// Word of the fleet reaches nodes so much later.
+    pub notice: Duration,
+    /// The front layer goes on sending to a dead node for so long.
+    pub front: Duration,
+    /// New work may go on for so long after a drain was told.
+    pub drain_grace: Duration,
+    /// What the measuring may add to each time.
+    pub slack: Duration,
+    /// The settings that all nodes share; name, number, zone and addresses are the runner's.
+    pub settings: NodeSettings,
+    /// The engines.
+    pub engines: Vec<EngineGroup>,
+    /// What clients send.
+    pub traffic: Traffic,
+    /// The troubles, in the order of the file.
+    pub faults: Vec<Fault>,
+}
+
+/// Engines of one kind.
+#[derive(Clone, Debug)]
+#[allow(missing_docs)]
+pub struct EngineGroup {
+    pub kind: String,
+    pub role: Role,
+    pub count: usize,
+    pub slots: usize,
+    pub queue: usize,
+    pub memory_tokens: u64,
+    pub read_per_s: f64,
+    pub token_gap: Duration,
+    pub link_per_s: f64,
+    pub report_every: Duration,
+}
+
+/// What clients send.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    /// Requests a second.
+    pub per_second: f64,
+    /// Clients try again so often by themselves.
+    pub retries: u32,
+    /// They wait so long before it where they are not told a time.
+    pub retry_wait: Duration,
+    /// Share of the clients that heed a time to come back.
+    pub heed: f64,
+    /// Share of the requests whose answers stream.
+    pub streamed: f64,
+    /// How many shared beginnings there are, by falling popularity.
+    pub shared: u64,
+    /// Tokens of a shared beginning.
+    pub shared_tokens: (u64, u64),
+    /// The classes.
+    pub classes: Vec<ClassTraffic>,
+    /// Each tenant's part of the requests.
+    pub tenants: Vec<(String, f64)>,
+}
+
+/// The requests of one class.
+#[derive(Clone, Debug)]
+#[allow(missing_docs)]
+pub struct ClassTraffic {
+    pub name: String,
+    /// Its part of the requests.
+    pub share: f64,
+    /// Turns of a session.
+    pub turns: (u64, u64),
+    /// Tokens that each turn adds.
+    pub adds: (u64, u64),
+    /// The most tokens of an answer.
+    pub answer: (u64, u64),
+    /// Share of the sessions that begin with a shared text.
+    pub shared: f64,
+    /// Clients wait this part of the class's patience, drawn between the two.
+    pub patience: (f64, f64),
+}
+
+/// A kind of trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[allow(missing_docs)]
+pub enum Kind {
+    Crash,
+    Restart,
+    Hang,
+    Silent,
+    Slow,
+    Replace,
+    Drain,
+    Forget,
+    SlowConnect,
+    FullForTenant,
+    SlowLinks,
+    ZoneCut,
+    LateList,
+    StaleReports,
+    LyingReports,
+    NodeKill,
+    NodeRoll,
+    HeedlessRetries,
+    LeaveEarly,
+    Burst,
+    HotText,
+}
+
+/// One trouble of a day.
+#[derive(Clone, Debug)]
+pub struct Fault {
+    /// What kind.
+    pub kind: Kind,
+    /// When it begins.
+    pub at: Duration,
+    /// How long it lasts.
+    pub length: Duration,
+    /// The share of the engines or nodes that it strikes, drawn from the seed.
+    pub part: f64,
+    /// Only engines of this kind, if told.
+    pub of: Option<String>,
+    /// These engines and no others, if told.
+    pub engines: Vec<String>,
+    /// The zone or tenant that it strikes, drawn if not told.
+    pub name: Option<String>,
+    /// How hard: a factor, a share or milliseconds, by kind.
+    pub size: f64,
+    /// How many at a time, where it goes from one to the next.
+    pub batch: usize,
+}
+
+impl Day {
+    /// Reads and checks a day. `file` is used in errors only.
+    pub fn parse(file: &str, text: &str) -> Result<Day, ConfigError> {
+        let document = Document::parse(file, text)?;
+        let root = document.only("day")?;
+        let zones = match root.maybe("zones")? {
+            None => vec!["a".to_string()],
+            Some(form) => {
+                let mut zones = Vec::new();
+                while let Some(zone) = form.maybe_text()? {
+                    zones.push(zone);
+                }
+                form.finish()?;
+                zones
+            }
+        };
+        if zones.is_empty() {
+            return Err(root.error("a day needs a zone"));
+        }
+        let nodes = root.need("nodes")?;
+        let count = nodes.count(1, 64)? as usize;
+        let own = Document::parse("", "(node (engines \"\"))")?;
+        let settings = NodeSettings::read(&root, &own.only("node")?)?;
+        let span = |ms: u64| Duration::from_micros(ms);
+        let mut engines = Vec::new();
+        for form in root.all("engines")? {
+            engines.push(engines_of(&form, &settings)?);
+        }
+        if engines.is_empty() {
+            return Err(root.error("a day needs `(engines ...)`"));
+        }
+        let traffic = traffic_of(&root.need("traffic")?, &settings)?;
+        let mut list = Vec::new();
+        for form in root.all("fault")? {
+            list.push(faults::parse(&form, &zones, &settings)?);
+        }
+        let day = Day {
+            name: root.text_or("name", "day")?,
+            seed: root.count_or("seed", 1, 0, 1 << 53)?,
+            length: Duration::from_secs_f64(root.number_or("seconds", 30.0, 0.1, 86_400.0)?),
+            settle: Duration::from_secs_f64(root.number_or("settle-seconds", 20.0, 0.1, 3600.0)?),
+            zones,
+            racks: root.count_or("racks", 2, 1, 10_000)?,
+            nodes: count,
+            notice: span(nodes.millis_or("notice-ms", 500.0, 0.0, 60_000.0)?),
+            front: span(nodes.millis_or("front-ms", 1000.0, 0.0, 60_000.0)?),
+            drain_grace: span(root.millis_or("drain-grace-ms", 1000.0, 0.0, 60_000.0)?),
+            slack: span(root.millis_or("slack-ms", 100.0, 0.0, 60_000.0)?),
+            settings,
+            engines,
+            traffic,
+            faults: list,
+        };
+        nodes.finish()?;
+        root.finish()?;
+        Ok(day)
+    }
+}
+
+fn range(form: &Form, key: &str, default: (u64, u64), most: u64) -> Result<(u64, u64), ConfigError> {
+    let Some(inner) = form.maybe(key)? else { return Ok(default) };
+    let (least, largest) = (inner.count(0, most)?, inner.count(0, most)?);
+    inner.finish()?;
+    if least > largest {
+        return Err(inner.error(format!("`{key}` goes from {least} down to {largest}")));
+    }
+    Ok((least, largest))
+}
+
+fn engines_of(form: &Form, settings: &NodeSettings) -> Result<EngineGroup, ConfigError> {
+    let kind = form.text()?;
+    let Some(index) = settings.core.kinds.iter().position(|k| k.name == kind) else {
+        return Err(form.error(format!("no `kind` is named `{kind}`")));
+    };
+    let told = &settings.core.kinds[index];
+    let span = |us: u64| Duration::from_micros(us);
+    let group = EngineGroup {
+        role: told.role,
+        count: form.count_or("count", 1, 0, 10_000)? as usize,
+        slots: settings.slots[index].max(1) as usize,
+        queue: form.count_or("queue", 32, 0, 1 << 20)? as usize,
+        memory_tokens: if told.memory_tokens > 0 { told.memory_tokens } else { 200_000 },
+        read_per_s: form.number_or("read-per-s", 15_000.0, 1.0, 1e9)?,
+        token_gap: span(form.millis_or("token-gap-ms", 20.0, 0.01, 10_000.0)?),
+        link_per_s: form.number_or("link-per-s", 300_000.0, 1.0, 1e9)?,
+        report_every: span(form.millis_or("report-ms", 200.0, 0.0, 60_000.0)?),
+        kind,
+    };
+    form.finish()?;
+    Ok(group)
+}
+
+fn traffic_of(form: &Form, settings: &NodeSettings) -> Result<Traffic, ConfigError> {
+    let mut classes = Vec::new();
+    for inner in form.all("class")? {
+        let name = inner.text()?;
+        if !settings.core.classes.iter().any(|c| c.name == name) {
+            return Err(inner.error(format!("no `class` is named `{name}`")));
+        }
+        let (least, most) = range(&inner, "patience-percent", (50, 100), 100)?;
+        let class = ClassTraffic {
+            name,
+            share: inner.number_or("share", 1.0, 0.0, 1e6)?,
+            turns: range(&inner, "turns", (1, 4), 1000)?,
+            adds: range(&inner, "adds", (50, 200), 1 << 20)?,
+            answer: range(&inner, "answer", (20, 60), 1 << 16)?,
+            shared: inner.number_or("shared", 0.8, 0.0, 1.0)?,
+            patience: (least as f64 / 100.0, most as f64 / 100.0),
+        };
+        if class.answer.0 == 0 || class.turns.0 == 0 || least == 0 {
+            return Err(inner.error("`answer`, `turns` and `patience-percent` begin at 1"));
+        }
+        inner.finish()?;
+        classes.push(class);
+    }
+    if classes.iter().map(|c| c.share).sum::<f64>() <= 0.0 {
+        return Err(form.error("`traffic` needs a class with a share over 0"));
+    }
+    let mut tenants: BTreeMap<String, f64> = BTreeMap::new();
+    for inner in form.all("tenant")? {
+        let name = inner.text()?;
+        if !settings.core.tenants.iter().any(|t| t.name == name) {
+            return Err(inner.error(format!("no `tenant` is named `{name}`")));
+        }
+        tenants.insert(name, inner.number_or("share", 1.0, 0.0, 1e6)?);
+        inner.finish()?;
+    }
+    let traffic = Traffic {
+        per_second: form.number_or("per-second", 50.0, 0.01, 100_000.0)?,
+        retries: form.count_or("retries", 1, 0, 100)? as u32,
+        retry_wait: Duration::from_micros(form.millis_or("retry-wait-ms", 200.0, 0.0, 600_000.0)?),
+        heed: form.number_or("heed", 0.7, 0.0, 1.0)?,
+        streamed: form.number_or("streamed", 0.8, 0.0, 1.0)?,
+        shared: form.count_or("shared-texts", 12, 1, 1 << 20)?,
+        shared_tokens: range(form, "shared-tokens", (200, 800), 1 << 20)?,
+        classes,
+        tenants: tenants.into_iter().filter(|(_, share)| *share > 0.0).collect(),
+    };
+    form.finish()?;
+    Ok(traffic)
+}
--- a/crates/pintally-engine/src/request.rs
+++ b/crates/pintally-engine/src/request.rs
@@ -29,6 +29,8 @@
     pub attempt: u32,
     /// The client's id of the request.
     pub key: &'a str,
+    /// The tenant, if any.
+    pub tenant: Option<&'a str>,
     /// The prompt.
     pub prompt: &'a str,
     /// The most tokens of the answer.
@@ -56,13 +58,14 @@
         }
     }
     let id = format!("{}.{}", w.id, w.attempt);
-    let headers = [
+    let mut headers = vec![
         ("host", "engine"),
         ("content-type", "application/json"),
         ("x-request-id", id.as_str()),
         ("endpoint-load-metrics-format", "json"),
         (extension::KEY, w.key),
     ];
+    headers.extend(w.tenant.map(|t| (extension::TENANT, t)));
     request("POST", "/v1/completions", &headers, body.to_string().as_bytes())
 }
 
--- a/crates/pintally-node/src/attempt.rs
+++ b/crates/pintally-node/src/attempt.rs
@@ -102,6 +102,7 @@
         id: &order.request.0,
         attempt: order.attempt,
         key,
+        tenant: asked.ask.tenant.as_deref(),
         prompt: &asked.ask.prompt,
         max_tokens: order.max_tokens,
         state: order.state.as_deref(),
--- /dev/null
+++ b/crates/pintally-standin/src/fleet.rs
@@ -0,0 +1,131 @@
+//! All stand-in engines of a run: the record they write, the zones that are cut off, and the nodes
+//! by their addresses.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Instant;
+
+use pintally_audit::{Record, What};
+
+use crate::{Engine, EngineSpec};
+
+/// A record in the making.
+#[derive(Clone)]
+pub struct Recorder {
+    begin: Instant,
+    lines: Arc<Mutex<Vec<Record>>>,
+}
+
+impl Default for Recorder {
+    fn default() -> Recorder {
+        Recorder { begin: Instant::now(), lines: Arc::default() }
+    }
+}
+
+impl Recorder {
+    /// Notes what happens now.
+    pub fn note(&self, what: What) {
+        let mut lines = lock(&self.lines);
+        let at = self.begin.elapsed().as_micros() as u64;
+        lines.push(Record { at, what });
+    }
+
+    /// The time now, as the record counts it.
+    pub fn now(&self) -> u64 {
+        self.begin.elapsed().as_micros() as u64
+    }
+
+    /// Everything so far.
+    pub fn take(&self) -> Vec<Record> {
+        std::mem::take(&mut *lock(&self.lines))
+    }
+}
+
+/// All engines of a run.
+pub struct Fleet {
+    /// Where everything is noted.
+    pub recorder: Recorder,
+    engines: RwLock<BTreeMap<String, Arc<Engine>>>,
+    /// Names and zones of nodes by the address from which they connect.
+    nodes: RwLock<BTreeMap<IpAddr, (String, String)>>,
+    /// Zones that are cut off from the others.
+    cut: RwLock<BTreeSet<String>>,
+}
+
+impl Fleet {
+    /// A fleet without engines.
+    pub fn new(recorder: Recorder) -> Arc<Fleet> {
+        Arc::new(Fleet {
+            recorder,
+            engines: RwLock::default(),
+            nodes: RwLock::default(),
+            cut: RwLock::default(),
+        })
+    }
+
+    /// Adds an engine that listens at once; `cold` if it begins as one that has just started.
+    pub fn add(self: &Arc<Self>, spec: EngineSpec, cold: bool) -> std::io::Result<Arc<Engine>> {
+        let engine = Engine::new(Arc::downgrade(self), spec, self.recorder.clone())?;
+        self.engines
+            .write()
+            .unwrap_or_else(|e| e.into_inner())
+            .insert(engine.spec.id.clone(), engine.clone());
+        engine.start(cold);
+        Ok(engine)
+    }
+
+    /// An engine by its id.
+    pub fn engine(&self, id: &str) -> Option<Arc<Engine>> {
+        self.engines.read().unwrap_or_else(|e| e.into_inner()).get(id).cloned()
+    }
+
+    /// All engines, by id.
+    pub fn engines(&self) -> Vec<Arc<Engine>> {
+        self.engines.read().unwrap_or_else(|e| e.into_inner()).values().cloned().collect()
+    }
+
+    /// Names the node that connects from an address.
+    pub fn name_node(&self, address: IpAddr, name: &str, zone: &str) {
+        let mut nodes = self.nodes.write().unwrap_or_else(|e| e.into_inner());
+        nodes.insert(address, (name.to_string(), zone.to_string()));
+    }
+
+    /// The name and zone of the node at an address.
+    pub(crate) fn node(&self, address: IpAddr) -> (String, String) {
+        let nodes = self.nodes.read().unwrap_or_else(|e| e.into_inner());
+        nodes.get(&address).cloned().unwrap_or_else(|| (address.to_string(), String::new()))
+    }
+
+    /// Cuts a zone off from the others, or joins it again.
+    pub fn cut(&self, zone: &str, cut: bool) {
+        let mut zones = self.cut.write().unwrap_or_else(|e| e.into_inner());
+        if cut {
+            zones.insert(zone.to_string())
+        } else {
+            zones.remove(zone)
+        };
+        drop(zones);
+        self.engines().iter().for_each(|e| e.note_deafness());
+    }
+
+    /// Whether two zones cannot hear each other.
+    pub fn is_cut(&self, a: &str, b: &str) -> bool {
+        let zones = self.cut.read().unwrap_or_else(|e| e.into_inner());
+        a != b && (zones.contains(a) || zones.contains(b))
+    }
+
+    /// Whether anything is cut off now.
+    pub(crate) fn any_cut(&self) -> bool {
+        !self.cut.read().unwrap_or_else(|e| e.into_inner()).is_empty()
+    }
+
+    /// Ends all engines and their threads.
+    pub fn shut_down(&self) {
+        self.engines().iter().for_each(|e| e.crash());
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
