--- a/crates/pintally-day/src/client.rs
+++ b/crates/pintally-day/src/client.rs
@@ -156,6 +156,14 @@
                             ending = event["finished"].as_bool().or(ending);
                         }
                     }
+                    Ok(Some(Part::End(_))) if reader.leftover() > 0 => {
+                        // It came together with more: a second answer must not hide behind the first.
+                        self.recorder.note(What::Extra { request: t.id.clone() });
+                        return match ending {
+                            Some(whole) => Heard::Stream { whole },
+                            None => Heard::Whole(status, after),
+                        };
+                    }
                     Ok(Some(Part::End(_))) if streams => {
                         return match ending {
                             Some(whole) => Heard::Stream { whole },
--- a/crates/pintally-day/src/lib.rs
+++ b/crates/pintally-day/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod play;
 mod publish;
+mod rig;
 mod run;
 mod script;
 mod spec;
@@ -13,5 +14,6 @@
 
 pub use client::{Client, Ended, Try};
 
+pub use rig::Rig;
 pub use run::{run, DayResult, Launch, RunError, Running};
 pub use spec::{ClassTraffic, Day, EngineGroup, Fault, Kind, Traffic};
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -246,7 +246,7 @@
     }
 
     /// Plays acts and sends clients until the day is over and the last client is gone.
-    pub(crate) fn to_the_end(&mut self) -> Result<(), RunError> {
+    pub(crate) fn play_whole(&mut self) -> Result<(), RunError> {
         self.begin = Instant::now();
         let mut next = self.source.gap(1.0);
         let mut number = 0;
--- /dev/null
+++ b/crates/pintally-day/src/rig.rs
@@ -0,0 +1,190 @@
+//! A small rig: one node, a few stand-in engines, and tries made by hand. For tests and measurements.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pintally::interface::{Listing, Role};
+use pintally_audit::{audit, EngineFigures, Report, What};
+use pintally_config::NodeSettings;
+use pintally_node::Node;
+use pintally_standin::{self as standin, Engine, EngineSpec, Fleet, Recorder};
+use tempfile::TempDir;
+
+use crate::client::{Client, Try};
+use crate::publish::Publisher;
+use crate::run::{with_figures, RunError};
+
+/// The address from which the rig's node connects.
+const NODE_AT: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1));
+
+/// One node and its engines.
+pub struct Rig {
+    /// The engines, and the record that they write.
+    pub fleet: Arc<Fleet>,
+    /// Makes tries.
+    pub client: Client,
+    settings: Arc<NodeSettings>,
+    node: Option<Node>,
+    publisher: Publisher,
+    address: SocketAddr,
+    folder: TempDir,
+}
+
+impl Rig {
+    /// Builds engines and a node. `settings` is a file's text; its own `node` form gives the name and
+    /// whatever else is not the rig's.
+    pub fn new(settings: &str, engines: Vec<EngineSpec>) -> Result<Rig, RunError> {
+        let fail = |e: &dyn std::fmt::Display| RunError(e.to_string());
+        let mut settings = NodeSettings::parse("rig", settings).map_err(|e| fail(&e))?;
+        let folder = tempfile::tempdir().map_err(|e| fail(&e))?;
+        let recorder = Recorder::default();
+        let fleet = Fleet::new(recorder.clone());
+        fleet.name_node(NODE_AT, "n0", "a");
+        let mut publisher = Publisher::new(folder.path(), 1, recorder.clone());
+        for spec in engines {
+            let engine = fleet.add(spec, false).map_err(|e| fail(&e))?;
+            publisher.set(&engine, Listing::Serving, false);
+        }
+        settings.listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        settings.source = Some(NODE_AT);
+        settings.engines_file = publisher.file(0).to_string_lossy().into_owned();
+        settings.kept_list = Some(publisher.file(0).with_extension("kept").to_string_lossy().into_owned());
+        let client = Client { recorder };
+        let address = settings.listen;
+        let (settings, node) = (Arc::new(settings), None);
+        let mut rig = Rig { fleet, client, settings, node, publisher, address, folder };
+        rig.publish()?;
+        rig.start_node()?;
+        Ok(rig)
+    }
+
+    /// An engine with usual figures.
+    pub fn spec(id: &str, role: Role) -> EngineSpec {
+        let (kind, role) = match role {
+            Role::Reader => ("prefill", standin::Role::Reader),
+            Role::Writer => ("decode", standin::Role::Writer),
+            Role::Mixed => ("mixed", standin::Role::Mixed),
+        };
+        EngineSpec {
+            id: id.to_string(),
+            kind: kind.to_string(),
+            role,
+            zone: "a".to_string(),
+            rack: 0,
+            slots: 32,
+            queue: 32,
+            memory_tokens: 200_000,
+            read_per_s: 20_000.0,
+            token_gap: Duration::from_millis(2),
+            link_per_s: 1_000_000.0,
+            cold_from: 0.3,
+            warm_after: Duration::from_secs(5),
+            tip_multiple: 2.5,
+            tip_window: Duration::from_secs(2),
+            report_every: Duration::from_millis(50),
+            state_for: Duration::from_secs(60),
+        }
+    }
+
+    /// A try with usual figures; the caller changes what matters.
+    pub fn ask(&self, id: &str, class: &str) -> Try {
+        Try {
+            id: id.to_string(),
+            node: "n0".to_string(),
+            address: self.address(),
+            class: class.to_string(),
+            tenant: None,
+            session: 1,
+            prefix: None,
+            prefix_tokens: 0,
+            prompt: format!("{id} ").repeat(200),
+            max_tokens: 16,
+            patience: Duration::from_secs(4),
+            streamed: true,
+            leaves: None,
+        }
+    }
+
+    /// Where the node listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The node, if one runs.
+    pub fn node(&self) -> Option<&Node> {
+        self.node.as_ref()
+    }
+
+    /// An engine by its id.
+    pub fn engine(&self, id: &str) -> Result<Arc<Engine>, RunError> {
+        self.fleet.engine(id).ok_or_else(|| RunError(format!("no engine `{id}`")))
+    }
+
+    /// The file of the list that the node watches.
+    pub fn list_file(&self) -> PathBuf {
+        self.publisher.file(0)
+    }
+
+    /// Changes what the list says of an engine, and writes it.
+    pub fn list(&mut self, id: &str, listing: Listing, started: bool) -> Result<(), RunError> {
+        let engine = self.engine(id)?;
+        self.publisher.set(&engine, listing, started);
+        self.publish()
+    }
+
+    /// Writes the list as it is.
+    pub fn publish(&mut self) -> Result<(), RunError> {
+        let version = self.publisher.seal();
+        self.publisher.write(0, version).map_err(|e| RunError(e.to_string()))
+    }
+
+    /// Starts the node, where it listened before if it did, and waits until it knows an engine.
+    pub fn start_node(&mut self) -> Result<(), RunError> {
+        let mut settings = (*self.settings).clone();
+        settings.listen = self.address;
+        let node = Node::start(Arc::new(settings), 7).map_err(|e| RunError(e.to_string()))?;
+        self.address = node.address();
+        self.fleet.recorder.note(What::NodeUp { node: "n0".into() });
+        let by = std::time::Instant::now() + Duration::from_secs(10);
+        while node.serving() == 0 {
+            if std::time::Instant::now() > by {
+                return Err(RunError("the node has taken in no list".into()));
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        self.node = Some(node);
+        Ok(())
+    }
+
+    /// Kills the node.
+    pub fn kill_node(&mut self) {
+        if let Some(node) = self.node.take() {
+            self.fleet.recorder.note(What::NodeDown { node: "n0".into() });
+            node.kill();
+        }
+    }
+
+    /// Stops the node in good order, and audits what was recorded.
+    pub fn finish(mut self) -> Result<Report, RunError> {
+        if let Some(node) = self.node.take() {
+            node.stop();
+        }
+        let engines = self.fleet.engines();
+        let figures = engines.iter().map(|e| EngineFigures {
+            engine: e.spec.id.clone(),
+            zone: e.spec.zone.clone(),
+            rack: e.spec.rack,
+        });
+        let record = with_figures(
+            &self.settings,
+            (1_000_000, 100_000),
+            figures.collect(),
+            self.fleet.recorder.so_far(),
+        );
+        self.fleet.shut_down();
+        drop(self.folder);
+        audit(&record).map_err(|e| RunError(e.to_string()))
+    }
+}
--- a/crates/pintally-day/src/run.rs
+++ b/crates/pintally-day/src/run.rs
@@ -105,9 +105,10 @@
         Node::start(settings, seed).map(|n| Box::new(n) as Box<dyn Running>).map_err(|e| e.to_string())
     };
     let mut play = Play::new(day, seed, launch.unwrap_or(&real))?;
-    play.to_the_end()?;
-    let (record, no_node, took) = play.end();
-    let record = with_figures(day, record);
+    play.play_whole()?;
+    let ((engines, record), no_node, took) = play.end();
+    let times = (day.drain_grace.as_micros() as u64, day.slack.as_micros() as u64);
+    let record = with_figures(&day.settings, times, engines, record);
     let report = audit(&record).map_err(|e| RunError(format!("the record cannot be audited: {e}")))?;
     let mut troubles: Vec<&'static str> = day.faults.iter().map(|f| crate::faults::name(f.kind)).collect();
     troubles.sort_unstable();
@@ -117,7 +118,12 @@
 }
 
 /// The record with the figures that the rules go by as its first line.
-fn with_figures(day: &Day, (engines, mut record): (Vec<EngineFigures>, Vec<Record>)) -> Vec<Record> {
+pub(crate) fn with_figures(
+    settings: &NodeSettings,
+    (drain_grace_us, slack_us): (u64, u64),
+    engines: Vec<EngineFigures>,
+    mut record: Vec<Record>,
+) -> Vec<Record> {
     use pintally::interface as core;
     let effect = |e: &core::Effect| match e {
         core::Effect::Safe => Effect::Safe,
@@ -131,13 +137,13 @@
             window_us: *window_us,
         },
     };
-    let core = &day.settings.core;
+    let core = &settings.core;
     let classes =
         core.classes.iter().map(|c| ClassFigures { name: c.name.clone(), effect: effect(&c.effect) });
     let figures = Figures {
-        drain_grace_us: day.drain_grace.as_micros() as u64,
+        drain_grace_us,
         release_within_us: core.release_within,
-        slack_us: day.slack.as_micros() as u64,
+        slack_us,
         classes: classes.collect(),
         engines,
     };
--- /dev/null
+++ b/crates/pintally-day/tests/broken_nodes.rs
@@ -0,0 +1,290 @@
+//! Every audit can fail: deliberately broken nodes play a small day, and each is caught by the rule
+//! that it breaks. The same node without a fault keeps all rules on the same day.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use pintally::interface::{Listing, Outcome};
+use pintally_audit::Report;
+use pintally_config::{EngineEntry, EngineList, NodeSettings};
+use pintally_day::{run, Day, Running};
+use pintally_engine::{release, work, AttemptReader, Progress, Step, Work};
+use pintally_http::{chunk, response, response_head, sse_event, RequestReader, LAST_CHUNK};
+use pintally_kserve::{generate_answer, stream_end, stream_part, Ask, Form};
+use serde_json::Value;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Fault {
+    None,
+    AnswersTwice,
+    NeverAnswers,
+    AnswersLate,
+    SendsAfterTheEnd,
+    RunsUnsafeTwice,
+    RefusesWhatRan,
+    SendsToDrained,
+    RushesCold,
+    ForgetsStates,
+}
+
+/// A node that is no node: the first engines of the list serve, one request a thread.
+struct BadNode {
+    address: SocketAddr,
+    dead: Arc<AtomicBool>,
+}
+
+impl Running for BadNode {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn kill(self: Box<Self>) {
+        self.dead.store(true, Ordering::Release);
+        let _ = TcpStream::connect(self.address);
+    }
+
+    fn stop(self: Box<Self>) {
+        self.kill();
+    }
+}
+
+struct BadWork {
+    settings: Arc<NodeSettings>,
+    fault: Fault,
+    serial: AtomicU64,
+}
+
+fn launch(fault: Fault, settings: Arc<NodeSettings>) -> Box<dyn Running> {
+    let listener = TcpListener::bind(settings.listen).unwrap();
+    let address = listener.local_addr().unwrap();
+    let dead = Arc::new(AtomicBool::new(false));
+    let (flag, shared) = (dead.clone(), Arc::new(BadWork { settings, fault, serial: AtomicU64::new(0) }));
+    thread::spawn(move || {
+        for client in listener.incoming().map_while(Result::ok) {
+            if flag.load(Ordering::Acquire) {
+                return;
+            }
+            let shared = shared.clone();
+            thread::spawn(move || shared.serve(client));
+        }
+    });
+    Box::new(BadNode { address, dead })
+}
+
+impl BadWork {
+    fn engines(&self) -> Vec<EngineEntry> {
+        let text = std::fs::read_to_string(&self.settings.engines_file).unwrap_or_default();
+        EngineList::parse("", &text).map(|l| l.engines).unwrap_or_default()
+    }
+
+    /// The first engine of a kind that takes work; the fault may prefer others.
+    fn pick(&self, kind: &str) -> Option<EngineEntry> {
+        let mut all: Vec<EngineEntry> = self.engines().into_iter().filter(|e| e.kind == kind).collect();
+        if self.fault == Fault::SendsToDrained {
+            if let Some(drained) = all.iter().find(|e| e.listing == Listing::Draining) {
+                return Some(drained.clone());
+            }
+        }
+        all.retain(|e| e.listing == Listing::Serving);
+        let cold = all.iter().position(|e| e.started_unix_ms.is_some());
+        match cold.filter(|_| self.fault == Fault::RushesCold) {
+            Some(at) => Some(all.swap_remove(at)),
+            // Honest nodes leave cold engines alone altogether.
+            None => all.into_iter().find(|e| e.started_unix_ms.is_none()),
+        }
+    }
+
+    fn connect(&self, to: SocketAddr) -> Option<TcpStream> {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
+        let from = SocketAddr::new(self.settings.source?, 0);
+        socket.bind(&from.into()).ok()?;
+        socket.connect(&to.into()).ok()?;
+        Some(socket.into())
+    }
+
+    fn attempt(
+        &self,
+        ask: &Ask,
+        id: &str,
+        n: u32,
+        step: Step,
+        engine: &EngineEntry,
+        state: Option<&Value>,
+    ) -> Option<(Outcome, String, Option<Value>)> {
+        let mut stream = self.connect(engine.address)?;
+        let key = ask.id.as_deref().unwrap_or(id);
+        let (prompt, tenant) = (&ask.prompt, ask.tenant.as_deref());
+        let max_tokens = ask.max_tokens.unwrap_or(8);
+        let bytes =
+            work(&Work { step, model: "default", id, attempt: n, key, tenant, prompt, max_tokens, state });
+        stream.write_all(&bytes).ok()?;
+        let (mut reader, mut out, mut buffer, mut text) =
+            (AttemptReader::new(step, 0), Vec::new(), [0u8; 4096], String::new());
+        loop {
+            match stream.read(&mut buffer) {
+                Ok(n) if n > 0 => reader.push(&buffer[..n], &mut out),
+                _ => reader.closed(&mut out),
+            }
+            for progress in out.drain(..) {
+                match progress {
+                    Progress::Text(t) => text.push_str(&t),
+                    Progress::Over { outcome, state, .. } => return Some((outcome, text, state)),
+                }
+            }
+        }
+    }
+
+    fn serve(&self, mut client: TcpStream) {
+        let mut reader = RequestReader::new(1 << 16, 1 << 24);
+        let mut buffer = [0u8; 16384];
+        let request = loop {
+            match reader.next_request() {
+                Ok(Some(request)) => break request,
+                Ok(None) => {}
+                Err(_) => return,
+            }
+            match client.read(&mut buffer) {
+                Ok(n) if n > 0 => reader.push(&buffer[..n]),
+                _ => return,
+            }
+        };
+        let streamed = request.target.ends_with("_stream");
+        let Ok(ask) = Ask::parse(Form::Generate, &request.body, None) else { return };
+        let serial = self.serial.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{}-{serial}", self.settings.name);
+        let every_fifth = serial % 5 == 4;
+        if self.fault == Fault::NeverAnswers && every_fifth {
+            thread::sleep(Duration::from_secs(5));
+            return;
+        }
+        if self.fault == Fault::AnswersLate && every_fifth {
+            thread::sleep(Duration::from_millis(ask.deadline_ms.unwrap_or(0) + 400));
+        }
+        let Some((outcome, text)) = self.whole(&ask, &id, 0) else {
+            let _ = client.write_all(&response(502, &[], b"{}"));
+            return;
+        };
+        if self.fault == Fault::RunsUnsafeTwice && ask.class.as_deref() == Some("graded-submit") {
+            self.whole(&ask, &id, 10);
+        }
+        if self.fault == Fault::RefusesWhatRan && ask.class.as_deref() == Some("graded-submit") {
+            let _ = client.write_all(&response(503, &[], b"{}"));
+            return;
+        }
+        if outcome != Outcome::Served {
+            let _ = client.write_all(&response(502, &[], b"{}"));
+            return;
+        }
+        let id = ask.id.clone().unwrap_or_default();
+        let bytes = match streamed {
+            true => {
+                let mut bytes = response_head(200, &[("content-type", "text/event-stream")]);
+                bytes.extend(chunk(&sse_event(&stream_part("default", &id, &text))));
+                bytes.extend(chunk(&sse_event(&stream_end("default", &id))));
+                bytes.extend_from_slice(LAST_CHUNK);
+                bytes
+            }
+            false => response(200, &[], generate_answer("default", &id, &text).as_bytes()),
+        };
+        let _ = client.write_all(&bytes);
+        if self.fault == Fault::AnswersTwice && every_fifth {
+            let _ = client.write_all(&bytes);
+        }
+        if self.fault == Fault::SendsAfterTheEnd && every_fifth {
+            thread::sleep(Duration::from_millis(600));
+            self.whole(&ask, &format!("{id}-again"), 0);
+        }
+    }
+
+    /// Read and write; whatever state is left is let go, but for the fault that forgets.
+    fn whole(&self, ask: &Ask, id: &str, n: u32) -> Option<(Outcome, String)> {
+        let reader = self.pick("prefill")?;
+        let (outcome, _, state) = self.attempt(ask, id, n, Step::Read, &reader, None)?;
+        if outcome != Outcome::Read {
+            return Some((outcome, String::new()));
+        }
+        let fetched = self.pick("decode").and_then(|w| {
+            if self.fault == Fault::ForgetsStates
+                && n == 0
+                && ask.id.as_deref().is_some_and(|i| i.ends_with('3'))
+            {
+                return None;
+            }
+            self.attempt(ask, id, n + 1, Step::Fetch, &w, state.as_ref())
+        });
+        if fetched.is_none() && self.fault != Fault::ForgetsStates {
+            let mut stream = self.connect(reader.address)?;
+            stream.write_all(&release(&format!("{id}.{n}"))).ok()?;
+            let _ = stream.read(&mut [0u8; 256]);
+        }
+        fetched.map(|(outcome, text, _)| (outcome, text))
+    }
+}
+
+const DAY: &str = r#"(day (name "broken") (seconds 4) (settle-seconds 12) (slack-ms 200)
+  (nodes 1 (notice-ms 50)) (racks 1) (drain-grace-ms 300)
+  (rules (warm-after-ms 60000) (tip-window-ms 1000) (cold-from 0.1) (tip-multiple 1))
+  (class "hint" (effect safe) (aim-ms 1000) (patience-ms 2500))
+  (class "graded-submit" (effect unsafe) (aim-ms 1500) (patience-ms 2500))
+  (kind "prefill" (role reader) (slots 8) (memory-tokens 500000))
+  (kind "decode" (role writer) (slots 48) (memory-tokens 500000))
+  (engines "prefill" (count 3) (queue 500) (read-per-s 9000) (link-per-s 9000000))
+  (engines "decode" (count 3) (queue 500) (token-gap-ms 1))
+  (traffic (per-second 30) (retries 0) (shared-tokens 50 100)
+    (class "hint" (share 60) (answer 4 8) (patience-percent 99 100))
+    (class "graded-submit" (share 40) (answer 4 8) (patience-percent 99 100)))
+  (fault drain (at 1) (for 2.5) (engines "decode-1"))
+  (fault replace (at 1) (for 0.1) (engines "prefill-2") (size 500)))"#;
+
+fn play(fault: Fault) -> Report {
+    let day = Day::parse("broken", DAY).unwrap();
+    let start = |settings: Arc<NodeSettings>, _seed: u64| Ok(launch(fault, settings));
+    let report = run(&day, 11, Some(&start)).unwrap().report;
+    assert!(report.requests > 60, "{report:?}");
+    report
+}
+
+/// The rules that a broken node breaks, by name.
+fn broken(fault: Fault) -> Vec<&'static str> {
+    let report = play(fault);
+    report.rules.each().iter().filter(|(_, found)| !found.is_empty()).map(|(name, _)| *name).collect()
+}
+
+#[test]
+fn the_same_node_without_a_fault_keeps_all_rules() {
+    let report = play(Fault::None);
+    assert!(report.rules.kept(), "{:#?}", report.rules);
+    assert_eq!(report.served, report.requests);
+}
+
+#[test]
+fn lost_requests_are_caught() {
+    for fault in [Fault::NeverAnswers, Fault::AnswersTwice, Fault::AnswersLate, Fault::SendsAfterTheEnd] {
+        assert!(broken(fault).contains(&"lost"), "{fault:?}");
+    }
+}
+
+#[test]
+fn effects_that_happen_twice_are_caught() {
+    assert_eq!(broken(Fault::RunsUnsafeTwice), ["twice"]);
+    assert_eq!(broken(Fault::RefusesWhatRan), ["twice"]);
+}
+
+#[test]
+fn work_for_a_drained_engine_is_caught() {
+    assert_eq!(broken(Fault::SendsToDrained), ["drain"]);
+}
+
+#[test]
+fn a_cold_engine_pushed_over_is_caught() {
+    assert!(broken(Fault::RushesCold).contains(&"cold"));
+}
+
+#[test]
+fn states_that_are_forgotten_are_caught() {
+    assert_eq!(broken(Fault::ForgetsStates), ["pinned"]);
+}
--- a/crates/pintally-http/src/response.rs
+++ b/crates/pintally-http/src/response.rs
@@ -42,6 +42,11 @@
         self.framing.is_some() || !self.buffer.is_empty()
     }
 
+    /// How many bytes have come that belong to no part handed out so far.
+    pub fn leftover(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// The peer has closed: a body that runs to the end is whole, anything else is cut off.
     pub fn closed(&mut self) -> Result<Part, HttpError> {
         match self.framing {
--- a/crates/pintally-node/src/node.rs
+++ b/crates/pintally-node/src/node.rs
@@ -51,6 +51,8 @@
     pub turned_away: u64,
     /// Final answers that could not be written.
     pub unwritten: u64,
+    /// Lists that were not sound, or older than the one that held.
+    pub lists_refused: u64,
     /// Time that the deciding thread has spent deciding.
     pub deciding: Duration,
     /// The host's counts.
@@ -130,6 +132,7 @@
             bad_requests: read(&c.bad_requests),
             turned_away: read(&c.turned_away),
             unwritten: read(&c.unwritten),
+            lists_refused: read(&c.lists_refused),
             deciding: Duration::from_nanos(read(&c.busy_ns)),
             host: *self.shared.host_counters.lock().unwrap_or_else(|e| e.into_inner()),
         }
--- a/crates/pintally-node/src/shared.rs
+++ b/crates/pintally-node/src/shared.rs
@@ -56,6 +56,7 @@
     pub(crate) bad_requests: AtomicU64,
     pub(crate) turned_away: AtomicU64,
     pub(crate) unwritten: AtomicU64,
+    pub(crate) lists_refused: AtomicU64,
     pub(crate) busy_ns: AtomicU64,
 }
 
--- a/crates/pintally-node/src/watch.rs
+++ b/crates/pintally-node/src/watch.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::path::Path;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
@@ -68,7 +69,11 @@
 /// Hands a text to the follower and its changes to the host; whether there were any.
 fn take(shared: &Shared, follower: &mut ListFollower, file: &str, text: &[u8]) -> bool {
     let text = String::from_utf8_lossy(text);
-    match follower.apply(file, &text, |ms| shared.clock.at_unix_ms(ms)) {
+    let applied = follower.apply(file, &text, |ms| shared.clock.at_unix_ms(ms));
+    if matches!(applied, Applied::Bad(_) | Applied::Older(_)) {
+        shared.counts.lists_refused.fetch_add(1, Ordering::Relaxed);
+    }
+    match applied {
         Applied::Same => false,
         Applied::Changes(form, changes) => {
             info!(file, changes = changes.len(), engines = follower.len(), "list of engines taken in");
--- a/crates/pintally-standin/src/fleet.rs
+++ b/crates/pintally-standin/src/fleet.rs
@@ -3,8 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
-use std::sync::{Arc, Mutex, MutexGuard, RwLock};
-use std::time::Instant;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, RwLock};
+use std::time::{Duration, Instant};
 
 use pintally_audit::{Record, What};
 
@@ -14,7 +14,7 @@
 #[derive(Clone)]
 pub struct Recorder {
     begin: Instant,
-    lines: Arc<Mutex<Vec<Record>>>,
+    lines: Arc<(Mutex<Vec<Record>>, Condvar)>,
 }
 
 impl Default for Recorder {
@@ -26,9 +26,34 @@
 impl Recorder {
     /// Notes what happens now.
     pub fn note(&self, what: What) {
-        let mut lines = lock(&self.lines);
+        let mut lines = lock(&self.lines.0);
         let at = self.begin.elapsed().as_micros() as u64;
         lines.push(Record { at, what });
+        self.lines.1.notify_all();
+    }
+
+    /// Waits until something that was or will be noted fits, for a time at most; returns the first
+    /// that does.
+    pub fn wait_for(&self, most: Duration, fits: impl Fn(&What) -> bool) -> Option<Record> {
+        let by = Instant::now() + most;
+        let mut lines = lock(&self.lines.0);
+        let mut seen = 0;
+        loop {
+            if let Some(found) = lines[seen..].iter().find(|r| fits(&r.what)) {
+                return Some(found.clone());
+            }
+            seen = lines.len();
+            let left = by.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            lines = self.lines.1.wait_timeout(lines, left).unwrap_or_else(|e| e.into_inner()).0;
+        }
+    }
+
+    /// Everything so far, without taking it.
+    pub fn so_far(&self) -> Vec<Record> {
+        lock(&self.lines.0).clone()
     }
 
     /// The time now, as the record counts it.
@@ -38,7 +63,7 @@
 
     /// Everything so far.
     pub fn take(&self) -> Vec<Record> {
-        std::mem::take(&mut *lock(&self.lines))
+        std::mem::take(&mut *lock(&self.lines.0))
     }
 }
 
