--- a/crates/pintally-cli/src/day.rs
+++ b/crates/pintally-cli/src/day.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use comfy_table::Table;
-use pintally_day::{run as play, Day, DayResult};
+use pintally_day::{from_bench, run as play, Day, DayResult, Scale};
 
 use crate::audit::print_rules;
 use crate::{read, Failure};
@@ -20,6 +20,23 @@
 enum Command {
     /// Play a day: nodes, engines, clients and faults on loopback, audited at the end.
     Run(RunArgs),
+    /// Turn a bench day into a day file, printed; what has no counterpart is listed.
+    FromBench(FromBenchArgs),
+}
+
+#[derive(clap::Args)]
+struct FromBenchArgs {
+    /// The bench day, as JSON.
+    file: String,
+    /// Scale of engines, nodes and requests a second.
+    #[arg(long, default_value_t = 1.0)]
+    scale: f64,
+    /// Scale of tokens, in prompts, answers and memory.
+    #[arg(long, default_value_t = 1.0)]
+    token_scale: f64,
+    /// Scale of time, for the day's length and its troubles'.
+    #[arg(long, default_value_t = 1.0)]
+    time_scale: f64,
 }
 
 #[derive(clap::Args)]
@@ -43,6 +60,7 @@
 pub(crate) fn run(args: &Args) -> Result<ExitCode, Failure> {
     match &args.command {
         Command::Run(args) => run_day(args),
+        Command::FromBench(args) => convert(args),
     }
 }
 
@@ -65,6 +83,15 @@
     Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+fn convert(args: &FromBenchArgs) -> Result<ExitCode, Failure> {
+    let scale = Scale { fleet: args.scale, tokens: args.token_scale, time: args.time_scale };
+    let day =
+        from_bench(&read(&args.file)?, scale).map_err(|e| Failure::usage(format!("{}: {e}", args.file)))?;
+    print!("{}", day.text);
+    day.notes.iter().for_each(|note| eprintln!("pintally: {note}"));
+    Ok(ExitCode::SUCCESS)
+}
+
 fn write_record(path: &str, result: &DayResult) -> std::io::Result<()> {
     let mut out = BufWriter::new(File::create(path)?);
     for line in &result.record {
--- a/crates/pintally-config/src/check.rs
+++ b/crates/pintally-config/src/check.rs
@@ -84,13 +84,25 @@
     }
 }
 
-/// The settings as a whole: time-outs that add up, queues that fit.
+/// The settings as a whole: time-outs that add up, queues that fit. An error stands at the setting
+/// that it is about, or at the whole where that is a default.
 pub fn check(root: &Form, s: &NodeSettings) -> Result<(), ConfigError> {
     let limits = &s.limits;
+    let at = |outer: &str, inner: &str| -> Result<Option<Form>, ConfigError> {
+        match root.maybe(outer)? {
+            None => Ok(None),
+            Some(form) => Ok(form.maybe(inner)?.or(Some(form))),
+        }
+    };
+    let breaks = |place: Option<Form>, rule: &'static str, what: String| match place {
+        Some(form) => form.breaks(rule, what),
+        None => root.breaks(rule, what),
+    };
     for (class, more) in s.core.classes.iter().zip(&s.classes) {
         let needed = limits.connect + limits.answer_margin;
         if needed >= more.patience {
-            return Err(root.breaks(
+            return Err(breaks(
+                at("limits", "connect-ms")?,
                 LOST,
                 format!(
                     "class `{}`: time to connect ({} ms) and the answer's margin ({} ms) add up past the \
@@ -104,7 +116,8 @@
         }
     }
     if limits.errand > s.core.release_within {
-        return Err(root.breaks(
+        return Err(breaks(
+            at("limits", "errand-ms")?,
             PINNED,
             format!(
                 "a release may take {} ms, but what is held must be let go within {} ms",
@@ -114,10 +127,12 @@
         ));
     }
     if s.engines_every > 1_000_000 {
-        return Err(root.breaks(DRAINS, "the list of engines is looked at less than once a second"));
+        let node = at("node", "engines")?;
+        return Err(breaks(node, DRAINS, "the list of engines is looked at less than once a second".into()));
     }
     if limits.held > limits.connections {
-        return Err(root.error("`held` is more than `connections`: each held request has a connection"));
+        let what = "`held` is more than `connections`: each held request has a connection";
+        return Err(at("limits", "held")?.map_or_else(|| root.error(what), |form| form.error(what)));
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/pintally-config/tests/bad_files.rs
@@ -0,0 +1,123 @@
+//! Files that must be refused at load, each with the line and the reason, and the rule where one is
+//! at stake.
+
+use pintally_config::{EngineList, NodeSettings};
+
+const GOOD: &str = r#"(pintally
+  (node (name "n0") (listen "127.0.0.1:0") (engines "engines.sexp"))
+  (limits (connect-ms 250))
+  (rules (attempts 6))
+  (class "hint" (effect safe) (patience-ms 5000))
+  (class "keyed" (effect keyed (group zone) (window-ms 9000)) (patience-ms 5000))
+  (kind "r" (role reader))
+  (kind "w" (role writer)))
+"#;
+
+#[test]
+fn a_good_file_is_taken_with_its_defaults() {
+    let settings = NodeSettings::parse("good", GOOD).unwrap();
+    assert_eq!((settings.core.classes.len(), settings.core.kinds.len()), (2, 2));
+    assert_eq!((settings.core.max_attempts, settings.core.may_cancel), (6, true));
+    assert_eq!(settings.classes[0].max_tokens, 256);
+}
+
+/// Each case changes one piece of the good file and says in which line, why, and by which rule.
+#[test]
+fn each_bad_file_is_refused_with_line_and_reason() {
+    let cases: &[(&str, &str, usize, &str, Option<&str>)] = &[
+        ("(name \"n0\")", "(nam \"n0\")", 2, "unknown key `nam`", None),
+        ("(name \"n0\")", "(name \"n 0\")", 2, "letters, digits", None),
+        ("127.0.0.1:0", "somewhere", 2, "not an address", None),
+        ("(engines \"engines.sexp\")", "", 2, "lacks `(engines", None),
+        (
+            "(engines \"engines.sexp\")",
+            "(engines \"e\" (every-ms 5000))",
+            2,
+            "less than once a second",
+            Some("drains"),
+        ),
+        ("(engines \"engines.sexp\")", "(engines \"e\") (number 3) (of 3)", 2, "counted from 0", None),
+        ("(connect-ms 250)", "(connect-ms 250) (connect-ms 250)", 3, "given twice", None),
+        ("(connect-ms 250)", "(connect-ms soon)", 3, "needs a number", None),
+        ("(connect-ms 250)", "(connect-ms -1)", 3, "outside", None),
+        ("(connect-ms 250)", "(connect-ms 4990)", 3, "add up past the client's patience", Some("lost")),
+        ("(connect-ms 250)", "(errand-ms 900)", 3, "must be let go within", Some("pinned")),
+        ("(connect-ms 250)", "(held 64) (connections 32)", 3, "more than `connections`", None),
+        ("(attempts 6)", "(attempts 0)", 4, "outside", None),
+        ("(attempts 6)", "(attempts 2.5)", 4, "not a whole number", None),
+        ("(attempts 6)", "(tip-multiple 0.5)", 4, "no work at all", Some("cold")),
+        (
+            "(attempts 6)",
+            "(tip-window-ms 20000) (warm-after-ms 10000)",
+            4,
+            "longer than `warm-after-ms`",
+            Some("cold"),
+        ),
+        ("(attempts 6)", "(retry-after yes) (retry-after-most-ms 0)", 4, "is 0", None),
+        ("(attempts 6)", "(reports sometimes)", 4, "not inline, on-probe or off", None),
+        ("(effect safe)", "(effect maybe)", 5, "not safe, keyed or unsafe", None),
+        ("(effect safe)", "", 5, "lacks `(effect", None),
+        ("(effect safe)", "(effect unsafe) (second-copies yes)", 5, "second copy", Some("twice")),
+        ("(effect safe)", "(effect safe) (aim-ms 9000)", 5, "past the 5000 ms", Some("lost")),
+        ("\"hint\"", "\"keyed\"", 6, "given twice", None),
+        ("(window-ms 9000)", "(window-ms 1000)", 6, "outlast the window", Some("twice")),
+        ("(group zone)", "(group planet)", 6, "not all, zone or rack", None),
+        ("(kind \"w\" (role writer))", "", 1, "no `kind` writes", None),
+        ("(role reader)", "(role writer)", 1, "no `kind` reads", None),
+        ("(role reader)", "(role king)", 7, "not reader, writer or mixed", None),
+        ("(role reader)", "(role reader) 7", 7, "a value too many", None),
+        ("(kind \"w\"", "(colour \"w\"", 1, "no `kind` writes", None),
+        ("(kind \"w\" (role writer)))", "(kind \"w\" (role writer))", 0, "not an S-expression", None),
+    ];
+    for (from, to, line, why, rule) in cases {
+        assert!(GOOD.contains(from), "{from}");
+        let text = GOOD.replacen(from, to, 1);
+        let error = NodeSettings::parse("bad", &text).expect_err(&text);
+        assert!(error.what.contains(why), "{to}: {error}");
+        if *line > 0 {
+            assert_eq!(error.line, *line, "{to}: {error}");
+        }
+        assert_eq!(error.rule.is_some(), rule.is_some(), "{to}: {error}");
+        if let (Some(told), Some(rule)) = (error.rule, rule) {
+            assert!(told.contains(rule), "{to}: {error}");
+        }
+        assert!(error.to_string().starts_with("bad:"), "{error}");
+    }
+}
+
+#[test]
+fn nesting_and_size_are_bounded() {
+    let deep = "(".repeat(100_000);
+    assert!(NodeSettings::parse("deep", &deep).unwrap_err().what.contains("deep"));
+    let quotes = "'".repeat(100_000);
+    assert!(NodeSettings::parse("quotes", &quotes).is_err());
+    let large = " ".repeat(pintally_config::form::FILE_MOST + 1);
+    assert!(NodeSettings::parse("large", &large).unwrap_err().what.contains("larger"));
+}
+
+#[test]
+fn a_list_comes_back_as_it_was_written() {
+    let text = r#"(engines (version 4)
+      (engine "a \"b\"" (address "127.0.0.1:1") (zone "z") (kind "r") (rack 3) (state draining) (weight 1.5))
+      (engine "c" (address "[::1]:2") (kind "w") (started-unix-ms 1700000000000)))"#;
+    let list = EngineList::parse("list", text).unwrap();
+    let again = EngineList::parse("again", &list.render()).unwrap();
+    assert_eq!((again.version, &again.engines), (4, &list.engines));
+    assert_eq!(&*list.engines[0].id.0, "a \"b\"");
+}
+
+#[test]
+fn bad_lists_are_refused() {
+    for (text, why) in [
+        ("", "one form"),
+        ("(engines)", "lacks `(version"),
+        ("(engines (version 1) (engine \"a\"))", "not an address"),
+        ("(engines (version 1) (engine \"\" (address \"127.0.0.1:1\")))", "1 to 256 bytes"),
+        ("(engines (version 1) (engine \"a\" (address \"127.0.0.1:1\") (state asleep)))", "not serving"),
+        ("(engines (version 1) (engine \"a\" (address \"127.0.0.1:1\")) (engine \"a\" (address \"127.0.0.1:1\")))", "twice"),
+        ("(engines (version 1) (engine \"a\" (address \"127.0.0.1:1\") (colour red)))", "unknown key"),
+    ] {
+        let error = EngineList::parse("list", text).expect_err(text);
+        assert!(error.what.contains(why), "{text}: {error}");
+    }
+}
--- a/crates/pintally-day/src/lib.rs
+++ b/crates/pintally-day/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod faults;
+mod from_bench;
 
 mod play;
 mod publish;
@@ -14,6 +15,7 @@
 
 pub use client::{Client, Ended, Try};
 
+pub use from_bench::{from_bench, Converted, Scale};
 pub use rig::Rig;
 pub use run::{run, DayResult, Launch, RunError, Running};
 pub use spec::{ClassTraffic, Day, EngineGroup, Fault, Kind, Traffic};
--- /dev/null
+++ b/crates/pintally-day/tests/door.rs
@@ -0,0 +1,195 @@
+//! The door of a node: whatever a client sends gets a clear answer, holds nobody, and loses nothing.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
+
+use pintally::interface::Role;
+use pintally_audit::Answer;
+use pintally_day::{Ended, Rig};
+
+const SETTINGS: &str = r#"(pintally
+  (node (name "n0") (engines "set by the rig" (every-ms 20)))
+  (limits (head-bytes 2048) (body-bytes 65536) (receive-ms 400) (idle-ms 5000) (connections 40) (held 40)
+          (answer-margin-ms 100) (stop-ms 3000))
+  (class "hint" (effect safe) (aim-ms 1000) (patience-ms 5000))
+  (tenant "t" (quota-per-s 100))
+  (kind "prefill" (role reader) (slots 8)) (kind "decode" (role writer) (slots 32)))"#;
+
+fn rig() -> Rig {
+    Rig::new(SETTINGS, vec![Rig::spec("r0", Role::Reader), Rig::spec("w0", Role::Writer)]).unwrap()
+}
+
+/// Sends bytes and returns the status line and body of whatever comes back.
+fn talk(rig: &Rig, bytes: &[u8]) -> (u16, String) {
+    let mut stream = TcpStream::connect(rig.address()).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let _ = stream.write_all(bytes);
+    let mut answer = Vec::new();
+    let mut buffer = [0u8; 4096];
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(n) if n > 0 => answer.extend_from_slice(&buffer[..n]),
+            _ => break,
+        }
+        let text = String::from_utf8_lossy(&answer);
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length =
+                head.lines().find_map(|l| l.strip_prefix("content-length: ")).and_then(|n| n.parse().ok());
+            if length.is_some_and(|n: usize| body.len() >= n) {
+                break;
+            }
+        }
+    }
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    (status, text)
+}
+
+fn post(target: &str, body: &str) -> Vec<u8> {
+    pintally_http::request("POST", target, &[("host", "n")], body.as_bytes())
+}
+
+#[test]
+fn each_bad_message_gets_its_own_answer() {
+    let rig = rig();
+    let generate = "/v2/models/default/generate";
+    let long = "x".repeat(70_000);
+    let chunked = "POST /v2/models/default/generate HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n";
+    let smuggled = "POST / HTTP/1.1\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
+    let doubled = "POST / HTTP/1.1\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd";
+    let cases: Vec<(Vec<u8>, u16, &str)> = vec![
+        (b"NONSENSE\r\n\r\n".to_vec(), 400, "malformed"),
+        (b"\x00\x01\x02\x03\r\n\r\n".to_vec(), 400, "malformed"),
+        (chunked.as_bytes().to_vec(), 400, "chunk"),
+        (smuggled.as_bytes().to_vec(), 400, "length"),
+        (doubled.as_bytes().to_vec(), 400, "different"),
+        (format!("GET /v2 HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(4000)).into_bytes(), 431, "head"),
+        (post(generate, &long), 413, "body"),
+        (post(generate, "{"), 400, "not JSON"),
+        (post(generate, "[1]"), 400, "object"),
+        (post(generate, "{}"), 400, "text_input"),
+        (post(generate, r#"{"text_input":"x","parameters":{"class":"none"}}"#), 400, "unknown class"),
+        (post(generate, r#"{"text_input":"x","parameters":{"tenant":"none"}}"#), 400, "unknown tenant"),
+        (post(generate, r#"{"text_input":"x","parameters":{"deadline_ms":0}}"#), 400, "deadline"),
+        (post("/v2/models/other/generate", "{}"), 404, "unknown model"),
+        (post("/v3", "{}"), 404, "no such endpoint"),
+        (post("/v2", "{}"), 405, "method"),
+        (pintally_http::request("GET", generate, &[], b""), 405, "method"),
+    ];
+    for (bytes, status, why) in &cases {
+        let (got, text) = talk(&rig, bytes);
+        assert_eq!(got, *status, "{}: {text}", String::from_utf8_lossy(&bytes[..bytes.len().min(80)]));
+        assert!(text.contains(why), "{text}");
+    }
+    let counters = rig.node().unwrap().counters();
+    assert_eq!(counters.bad_requests, cases.len() as u64);
+    assert_eq!(counters.host.taken, 0, "a bad message reached the host");
+    // And the node serves on.
+    assert_eq!(rig.client.attempt(&rig.ask("good", "hint")), Ended::Answered(Answer::Served, None));
+}
+
+#[test]
+fn health_and_metadata() {
+    let rig = rig();
+    let get = |target: &str| talk(&rig, &pintally_http::request("GET", target, &[("host", "n")], b""));
+    assert_eq!(get("/v2/health/live").0, 200);
+    assert_eq!(get("/v2/health/ready").0, 200);
+    assert_eq!(get("/v2/models/default/ready").0, 200);
+    assert_eq!(get("/v2/models/other/ready").0, 404);
+    assert!(get("/v2").1.contains("pintally"));
+    assert!(get("/v2/models/default/versions/1").1.contains("text_input"));
+}
+
+/// Guards against connections that never say what they want.
+#[test]
+fn a_message_that_does_not_come_in_time_is_answered_and_closed() {
+    let rig = rig();
+    for part in
+        ["POST /v2/models/default/generate HTTP/1.1\r\n", "POST /x HTTP/1.1\r\ncontent-length: 9\r\n\r\nabc"]
+    {
+        let begin = Instant::now();
+        assert_eq!(talk(&rig, part.as_bytes()).0, 408);
+        assert!(begin.elapsed() >= Duration::from_millis(390), "{:?}", begin.elapsed());
+    }
+}
+
+/// Guards against more connections than there is room for, and a place that is never given back.
+#[test]
+fn connections_over_the_limit_are_turned_away_and_their_places_come_back() {
+    let rig = rig();
+    let full = |rig: &Rig| rig.node().unwrap().open_connections() == 40;
+    let held: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(rig.address()).unwrap()).collect();
+    let by = Instant::now() + Duration::from_secs(10);
+    while !full(&rig) {
+        assert!(Instant::now() < by);
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!(talk(&rig, b"GET /v2 HTTP/1.1\r\n\r\n").0, 503);
+    drop(held);
+    while rig.node().unwrap().open_connections() > 0 {
+        assert!(Instant::now() < by, "places did not come back");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!(talk(&rig, b"GET /v2 HTTP/1.1\r\n\r\n").0, 200);
+    assert_eq!(rig.node().unwrap().counters().over_limit, 1);
+}
+
+/// Several requests on one connection, sent at once, are answered in order.
+#[test]
+fn requests_on_one_connection_are_answered_in_order() {
+    let rig = rig();
+    let mut stream = TcpStream::connect(rig.address()).unwrap();
+    let body = r#"{"id":"first","text_input":"x","parameters":{"class":"hint","max_tokens":4}}"#;
+    let mut bytes = post("/v2/models/default/generate", body);
+    bytes.extend(post("/v2/models/default/infer", &infer("second")));
+    bytes.extend(b"GET /v2/health/live HTTP/1.1\r\nconnection: close\r\n\r\n");
+    stream.write_all(&bytes).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    let places: Vec<_> = ["first", "second", "live"].iter().map(|w| text.find(w).expect(&text)).collect();
+    assert!(places.is_sorted(), "{text}");
+    assert!(text.contains("\"outputs\""), "{text}");
+}
+
+fn infer(id: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","inputs":[{{"name":"text_input","datatype":"BYTES","shape":[1],"data":["x"]}}],"parameters":{{"class":"hint","max_tokens":4}}}}"#
+    )
+}
+
+/// Stops in good order: what is held is ended, what comes is refused, states are let go.
+#[test]
+fn stopping_ends_what_is_held_within_its_bound() {
+    let rig = rig();
+    rig.engine("w0").unwrap().fault(|f| f.hang = true);
+    let (client, ask) = (rig.client.clone(), rig.ask("held", "hint"));
+    let waits = std::thread::spawn(move || client.attempt(&ask));
+    let took = |w: &pintally_audit::What| {
+        matches!(w, pintally_audit::What::Took { step: pintally_audit::Step::Fetch, .. })
+    };
+    rig.fleet.recorder.wait_for(Duration::from_secs(10), took).expect("it was never sent");
+    let begin = Instant::now();
+    let report = rig.finish().unwrap();
+    assert!(begin.elapsed() < Duration::from_secs(5), "{:?}", begin.elapsed());
+    assert!(matches!(waits.join().unwrap(), Ended::Answered(Answer::Failed | Answer::Refused, _)));
+    assert!(report.rules.kept(), "{:#?}", report.rules);
+}
+
+/// A client that shuts its sending side behind its request counts as one that leaves.
+#[test]
+fn a_half_closed_client_counts_as_gone() {
+    let rig = rig();
+    rig.engine("w0").unwrap().fault(|f| f.hang = true);
+    let mut stream = TcpStream::connect(rig.address()).unwrap();
+    let body = r#"{"text_input":"x","parameters":{"class":"hint"}}"#;
+    stream.write_all(&post("/v2/models/default/generate", body)).unwrap();
+    let took = |w: &pintally_audit::What| matches!(w, pintally_audit::What::Took { .. });
+    rig.fleet.recorder.wait_for(Duration::from_secs(10), took).expect("it was never sent");
+    stream.shutdown(Shutdown::Write).unwrap();
+    let by = Instant::now() + Duration::from_secs(10);
+    while rig.node().unwrap().counters().host.left == 0 {
+        assert!(Instant::now() < by, "the node never saw it leave");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
--- a/crates/pintally-kserve/src/route.rs
+++ b/crates/pintally-kserve/src/route.rs
@@ -13,6 +13,8 @@
     Ready,
     /// `GET /v2`
     Server,
+    /// `GET /pintally/counters`: this project's own, for people on call.
+    Counters,
     /// `GET /v2/models/{model}[/versions/{version}]`
     Model(String),
     /// `GET /v2/models/{model}[/versions/{version}]/ready`
@@ -41,6 +43,7 @@
     let get = |route| if method == "GET" || method == "HEAD" { route } else { Route::WrongMethod };
     match parts[..] {
         ["v2"] => get(Route::Server),
+        ["pintally", "counters"] => get(Route::Counters),
         ["v2", "health", "live"] => get(Route::Live),
         ["v2", "health", "ready"] => get(Route::Ready),
         ["v2", "models", model] => get(Route::Model(model.into())),
--- a/crates/pintally-node/src/connection.rs
+++ b/crates/pintally-node/src/connection.rs
@@ -96,6 +96,7 @@
         Route::Live => (200, "{\"live\":true}".to_string()),
         Route::Ready => ready(shared),
         Route::ModelReady(model) if known(&model) => ready(shared),
+        Route::Counters => (200, counters(shared)),
         Route::Server => (200, kserve::metadata(env!("CARGO_PKG_VERSION"))),
         Route::Model(model) if known(&model) => (200, kserve::model_metadata(&model)),
         Route::Work(model, form) if known(&model) => return work(shared, stream, waker, form, &request),
@@ -118,6 +119,22 @@
     }
 }
 
+fn counters(shared: &Shared) -> String {
+    let c = shared.counters();
+    let h = c.host;
+    serde_json::json!({
+        "connections": c.connections, "open_connections": shared.open_connections(),
+        "over_limit": c.over_limit, "bad_requests": c.bad_requests, "turned_away": c.turned_away,
+        "unwritten": c.unwritten, "lists_refused": c.lists_refused,
+        "deciding_us": c.deciding.as_micros() as u64, "serving_engines": shared.serving.load(Ordering::Relaxed),
+        "taken": h.taken, "served": h.served, "refused": h.refused, "failed": h.failed, "cut": h.cut,
+        "left": h.left, "attempts": h.attempts, "never_sent": h.never_sent, "overdue": h.overdue,
+        "releases": h.releases, "releases_by_host": h.releases_by_host,
+        "releases_lost": h.releases_lost, "stray": h.stray,
+    })
+    .to_string()
+}
+
 fn work(shared: &Shared, stream: &mut TcpStream, waker: &Arc<Waker>, form: Form, request: &Request) -> bool {
     let settings = &shared.settings;
     let asked = Ask::parse(form, &request.body, request.headers.get(DEADLINE_HEADER))
--- a/crates/pintally-node/src/lib.rs
+++ b/crates/pintally-node/src/lib.rs
@@ -18,4 +18,5 @@
 mod wait;
 mod watch;
 
-pub use node::{Node, NodeCounters, StartError};
+pub use node::{Node, StartError};
+pub use shared::NodeCounters;
--- a/crates/pintally-node/src/node.rs
+++ b/crates/pintally-node/src/node.rs
@@ -10,11 +10,11 @@
 
 use crossbeam_channel::{bounded, Receiver, Sender};
 use pintally_config::NodeSettings;
-use pintally_host::{Counters, Host, Input, ListFollower};
+use pintally_host::{Host, Input, ListFollower};
 use tracing::info;
 
 use crate::decide::Ends;
-use crate::shared::{spawn_small, Message, Shared};
+use crate::shared::{spawn_small, Message, NodeCounters, Shared};
 use crate::wait::Waker;
 use crate::{decide, door, errand, watch};
 
@@ -38,27 +38,6 @@
 
 impl std::error::Error for StartError {}
 
-/// What a node has counted: on its sockets and in its host.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct NodeCounters {
-    /// Client connections let in.
-    pub connections: u64,
-    /// Client connections turned away for their number.
-    pub over_limit: u64,
-    /// Requests that were not understood.
-    pub bad_requests: u64,
-    /// Requests turned away before the host saw them.
-    pub turned_away: u64,
-    /// Final answers that could not be written.
-    pub unwritten: u64,
-    /// Lists that were not sound, or older than the one that held.
-    pub lists_refused: u64,
-    /// Time that the deciding thread has spent deciding.
-    pub deciding: Duration,
-    /// The host's counts.
-    pub host: Counters,
-}
-
 /// A running node. Dropping it kills it.
 pub struct Node {
     shared: Arc<Shared>,
@@ -124,18 +103,7 @@
 
     /// What it has counted.
     pub fn counters(&self) -> NodeCounters {
-        let c = &self.shared.counts;
-        let read = |a: &std::sync::atomic::AtomicU64| a.load(Ordering::Relaxed);
-        NodeCounters {
-            connections: read(&c.connections),
-            over_limit: read(&c.over_limit),
-            bad_requests: read(&c.bad_requests),
-            turned_away: read(&c.turned_away),
-            unwritten: read(&c.unwritten),
-            lists_refused: read(&c.lists_refused),
-            deciding: Duration::from_nanos(read(&c.busy_ns)),
-            host: *self.shared.host_counters.lock().unwrap_or_else(|e| e.into_inner()),
-        }
+        self.shared.counters()
     }
 
     /// Engines that take work, by the list that the node knows.
--- a/crates/pintally-node/src/shared.rs
+++ b/crates/pintally-node/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use crossbeam_channel::Sender;
 use pintally::interface::{Attempt, EngineId, RequestId};
@@ -60,6 +61,27 @@
     pub(crate) busy_ns: AtomicU64,
 }
 
+/// What a node has counted: on its sockets and in its host.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeCounters {
+    /// Client connections let in.
+    pub connections: u64,
+    /// Client connections turned away for their number.
+    pub over_limit: u64,
+    /// Requests that were not understood.
+    pub bad_requests: u64,
+    /// Requests turned away before the host saw them.
+    pub turned_away: u64,
+    /// Final answers that could not be written.
+    pub unwritten: u64,
+    /// Lists that were not sound, or older than the one that held.
+    pub lists_refused: u64,
+    /// Time that the deciding thread has spent deciding.
+    pub deciding: Duration,
+    /// The host's counts.
+    pub host: Counters,
+}
+
 /// What all threads of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: Arc<NodeSettings>,
@@ -82,7 +104,7 @@
 impl Shared {
     pub(crate) fn new(settings: Arc<NodeSettings>, decide: Sender<Message>) -> Shared {
         let limits = &settings.limits;
-        let keep_alive = std::time::Duration::from_micros(limits.keep_alive);
+        let keep_alive = Duration::from_micros(limits.keep_alive);
         Shared {
             pool: Pool::new(settings.source, limits.streams, keep_alive),
             clock: Clock::new(),
@@ -142,6 +164,22 @@
         self.connections.lock().unwrap_or_else(|e| e.into_inner()).len()
     }
 
+    /// What the node has counted.
+    pub(crate) fn counters(&self) -> NodeCounters {
+        let c = &self.counts;
+        let read = |a: &std::sync::atomic::AtomicU64| a.load(Ordering::Relaxed);
+        NodeCounters {
+            connections: read(&c.connections),
+            over_limit: read(&c.over_limit),
+            bad_requests: read(&c.bad_requests),
+            turned_away: read(&c.turned_away),
+            unwritten: read(&c.unwritten),
+            lists_refused: read(&c.lists_refused),
+            deciding: Duration::from_nanos(read(&c.busy_ns)),
+            host: *self.host_counters.lock().unwrap_or_else(|e| e.into_inner()),
+        }
+    }
+
     /// Tells the host something. It waits where the channel is full: the deciding thread never waits
     /// for the one that calls, so the wait ends.
     pub(crate) fn tell(&self, input: Input) {
