--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -6,7 +6,9 @@
 mod check;
 mod day;
 mod log;
+mod measure;
 mod serve;
+mod standin;
 
 use std::process::ExitCode;
 
@@ -40,6 +42,10 @@
     Check(check::Args),
     /// Scripted days on loopback.
     Day(day::Args),
+    /// Run stand-in engines on loopback and write their list.
+    Standin(standin::Args),
+    /// Measure a node beside its baseline, against simulated engines.
+    Measure(measure::Args),
     /// Check the five rules over a record.
     Audit(audit::Args),
 }
@@ -72,6 +78,8 @@
         Command::Serve(args) => serve::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Day(args) => day::run(&args),
+        Command::Standin(args) => standin::run(&args),
+        Command::Measure(args) => measure::run(&args),
         Command::Audit(args) => audit::run(&args),
     };
     match done {
--- /dev/null
+++ b/crates/pintally-cli/src/measure.rs
@@ -0,0 +1,138 @@
+//! `pintally measure`: figures of one node beside its baseline.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use comfy_table::Table;
+use pintally_measure::{added_latency, deciding, open_streams, saturation, Added};
+
+use crate::Failure;
+
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(clap::Subcommand)]
+enum What {
+    /// Time to a first token that the node adds, against a client that talks to the engines itself.
+    Latency {
+        /// Requests a second.
+        #[arg(long, default_value_t = 1000.0)]
+        rate: f64,
+        /// Pairs of blocks.
+        #[arg(long, default_value_t = 5)]
+        blocks: usize,
+        /// Seconds of a block.
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+    },
+    /// The largest rate at which the added p99 stays under 10 ms.
+    Rate {
+        /// Rates to be tried, in rising order.
+        #[arg(long, value_delimiter = ',', default_values_t = [500.0, 1000.0, 1500.0, 2000.0, 3000.0, 4000.0])]
+        rates: Vec<f64>,
+        /// Seconds of a block.
+        #[arg(long, default_value_t = 3.0)]
+        seconds: f64,
+    },
+    /// The deciding thread's share of time.
+    Deciding {
+        /// Engines, a third of them readers.
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 110])]
+        engines: Vec<usize>,
+        /// Requests a second.
+        #[arg(long, default_value_t = 500.0)]
+        rate: f64,
+    },
+    /// Streams that a node holds open, and the memory of each.
+    Streams {
+        /// Streams wanted.
+        #[arg(long, default_value_t = 10_000)]
+        count: usize,
+    },
+}
+
+pub(crate) fn run(args: &Args) -> Result<ExitCode, Failure> {
+    match &args.what {
+        What::Latency { rate, blocks, seconds } => {
+            let added =
+                added_latency(*rate, *blocks, Duration::from_secs_f64(*seconds)).map_err(Failure::failed)?;
+            print_added(&[added]);
+        }
+        What::Rate { rates, seconds } => {
+            let limit = Duration::from_millis(10);
+            let found =
+                saturation(rates, limit, Duration::from_secs_f64(*seconds)).map_err(Failure::failed)?;
+            print_added(&found.steps);
+            match found.carried {
+                Some(rate) => println!("carried: {rate} requests a second with an added p99 under 10 ms"),
+                None => println!("carried: none of these rates"),
+            }
+        }
+        What::Deciding { engines, rate } => {
+            let mut table = Table::new();
+            table.set_header(["engines", "requests/s", "share of time", "us for each request"]);
+            for count in engines {
+                let d = deciding(*count, *rate, 3, Duration::from_secs(4)).map_err(Failure::failed)?;
+                table.add_row([
+                    d.engines.to_string(),
+                    d.per_second.to_string(),
+                    d.share.to_string(),
+                    d.per_request_us.to_string(),
+                ]);
+            }
+            println!("{table}");
+        }
+        What::Streams { count } => {
+            let program = std::env::current_exe().map_err(Failure::failed)?;
+            let folder = tempfile::tempdir().map_err(Failure::failed)?;
+            let s = open_streams(&program, *count, folder.path()).map_err(Failure::failed)?;
+            println!(
+                "{} of {} streams open; node {} KiB before, {} KiB with them: {:.1} KiB each; open files allowed: {}",
+                s.open,
+                s.wanted,
+                s.before_kib,
+                s.with_kib,
+                s.kib_each(),
+                s.files_most
+            );
+        }
+    }
+    println!("simulated engines; median (least to most) over blocks");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_added(steps: &[Added]) {
+    let mut table = Table::new();
+    table.set_header([
+        "requests/s",
+        "",
+        "direct, us",
+        "node, us",
+        "added, us",
+        "ratio",
+        "failed",
+        "own lateness, us",
+    ]);
+    for a in steps {
+        let row = |name: &str, values: [String; 4]| -> Vec<String> {
+            let [direct, node, added, ratio] = values;
+            vec![
+                a.per_second.to_string(),
+                name.to_string(),
+                direct,
+                node,
+                added,
+                ratio,
+                a.failed.to_string(),
+                a.own_lateness_us.to_string(),
+            ]
+        };
+        let texts = |values: [pintally_measure::Spread; 4]| values.map(|v| v.to_string());
+        table.add_row(row("p50", texts([a.direct_p50_us, a.node_p50_us, a.added_p50_us, a.ratio_p50])));
+        table.add_row(row("p99", texts([a.direct_p99_us, a.node_p99_us, a.added_p99_us, a.ratio_p99])));
+    }
+    println!("{table}");
+}
--- /dev/null
+++ b/crates/pintally-day/src/engines.rs
@@ -0,0 +1,96 @@
+//! A day's engines: their figures, and the engines by themselves without nodes, clients or faults.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pintally::interface::{Listing, Role};
+use pintally_config::EngineList;
+use pintally_standin::{self as standin, EngineSpec, Fleet, Recorder};
+
+use crate::publish::entry_of;
+use crate::run::RunError;
+use crate::spec::{Day, EngineGroup};
+
+/// The figures of all engines with which a day begins.
+pub(crate) fn specs(day: &Day) -> Vec<EngineSpec> {
+    let mut specs = Vec::new();
+    for group in &day.engines {
+        for place in 0..group.count {
+            let rack = specs.len() as u64 % day.racks;
+            specs.push(spec(day, group, format!("{}-{place}", group.kind), rack));
+        }
+    }
+    specs
+}
+
+fn spec(day: &Day, group: &EngineGroup, id: String, rack: u64) -> EngineSpec {
+    let (core, zones) = (&day.settings.core, &day.zones);
+    EngineSpec {
+        id,
+        kind: group.kind.clone(),
+        role: match group.role {
+            Role::Reader => standin::Role::Reader,
+            Role::Writer => standin::Role::Writer,
+            Role::Mixed => standin::Role::Mixed,
+        },
+        // A rack stands in one zone.
+        zone: zones[rack as usize % zones.len()].clone(),
+        rack,
+        slots: group.slots,
+        queue: group.queue,
+        memory_tokens: group.memory_tokens,
+        read_per_s: group.read_per_s,
+        token_gap: group.token_gap,
+        link_per_s: group.link_per_s,
+        cold_from: core.cold_from,
+        warm_after: Duration::from_micros(core.warm_after),
+        tip_multiple: core.tip_multiple,
+        tip_window: Duration::from_micros(core.tip_window),
+        report_every: group.report_every,
+        state_for: Duration::from_secs(60),
+    }
+}
+
+/// The engines of a day, running by themselves. Nothing is recorded.
+pub struct Engines {
+    fleet: Arc<Fleet>,
+}
+
+impl Engines {
+    /// Starts them, warm.
+    pub fn start(day: &Day) -> Result<Engines, RunError> {
+        let fleet = Fleet::new(Recorder::off());
+        for spec in specs(day) {
+            let id = spec.id.clone();
+            fleet.add(spec, false).map_err(|e| RunError(format!("{id} cannot listen: {e}")))?;
+        }
+        Ok(Engines { fleet })
+    }
+
+    /// Writes the list of engines for a node to watch.
+    pub fn write_list(&self, path: &str) -> io::Result<()> {
+        let engines = self.fleet.engines();
+        let entries = engines.iter().map(|e| entry_of(e, Listing::Serving, None)).collect();
+        let fresh = Path::new(path).with_extension("new");
+        fs::write(&fresh, EngineList { version: 1, engines: entries }.render())?;
+        fs::rename(fresh, path)
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.fleet.engines().len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Ends them.
+    pub fn shut_down(&self) {
+        self.fleet.shut_down();
+    }
+}
--- a/crates/pintally-day/src/lib.rs
+++ b/crates/pintally-day/src/lib.rs
@@ -2,6 +2,7 @@
 //! the five rules checked at the end over what crossed the sockets.
 
 mod client;
+mod engines;
 mod faults;
 mod from_bench;
 
@@ -15,6 +16,7 @@
 
 pub use client::{Client, Ended, Try};
 
+pub use engines::Engines;
 pub use from_bench::{from_bench, Converted, Scale};
 pub use rig::Rig;
 pub use run::{run, DayResult, Launch, RunError, Running};
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use pintally::interface::{Listing, Role};
+use pintally::interface::Listing;
 use pintally_audit::{Answer, EngineFigures, Record, What};
 use pintally_config::NodeSettings;
 use pintally_standin::{self as standin, Engine, EngineSpec, Fleet, Recorder, Reports};
@@ -17,11 +17,12 @@
 use tracing::{debug, warn};
 
 use crate::client::{Client, Ended, Try};
+use crate::engines;
 use crate::faults::{stage, Stage};
 use crate::publish::Publisher;
 use crate::run::{Launch, RunError, Running};
 use crate::script::{Act, Script, Target};
-use crate::spec::{Day, EngineGroup};
+use crate::spec::Day;
 use crate::traffic::{Draft, Source};
 
 /// The stack of a client's thread.
@@ -134,17 +135,12 @@
     }
 
     fn build_engines(&mut self) -> std::io::Result<()> {
-        let mut number = 0;
-        for group in &self.day.engines {
-            for place in 0..group.count {
-                let rack = number % self.day.racks;
-                number += 1;
-                let id = format!("{}-{place}", group.kind);
-                let engine = self.fleet.add(self.spec(group, id.clone(), rack), false)?;
-                self.enter(&engine);
-                self.publisher.set(&engine, Listing::Serving, false);
-                self.stand_for.insert(Target(id.clone()), id);
-            }
+        for spec in engines::specs(self.day) {
+            let id = spec.id.clone();
+            let engine = self.fleet.add(spec, false)?;
+            self.enter(&engine);
+            self.publisher.set(&engine, Listing::Serving, false);
+            self.stand_for.insert(Target(id.clone()), id);
         }
         Ok(())
     }
@@ -154,35 +150,6 @@
         self.figures.push(EngineFigures { engine, zone, rack });
     }
 
-    fn spec(&self, group: &EngineGroup, id: String, rack: u64) -> EngineSpec {
-        let core = &self.day.settings.core;
-        let zones = &self.day.zones;
-        EngineSpec {
-            id,
-            kind: group.kind.clone(),
-            role: match group.role {
-                Role::Reader => standin::Role::Reader,
-                Role::Writer => standin::Role::Writer,
-                Role::Mixed => standin::Role::Mixed,
-            },
-            // A rack stands in one zone.
-            zone: zones[rack as usize % zones.len()].clone(),
-            rack,
-            slots: group.slots,
-            queue: group.queue,
-            memory_tokens: group.memory_tokens,
-            read_per_s: group.read_per_s,
-            token_gap: group.token_gap,
-            link_per_s: group.link_per_s,
-            cold_from: core.cold_from,
-            warm_after: Duration::from_micros(core.warm_after),
-            tip_multiple: core.tip_multiple,
-            tip_window: Duration::from_micros(core.tip_window),
-            report_every: group.report_every,
-            state_for: Duration::from_secs(60),
-        }
-    }
-
     fn build_nodes(&mut self) -> Result<(), RunError> {
         for number in 0..self.day.nodes {
             let zone = number % self.day.zones.len();
--- a/crates/pintally-day/src/publish.rs
+++ b/crates/pintally-day/src/publish.rs
@@ -11,6 +11,20 @@
 use pintally_config::{EngineEntry, EngineList};
 use pintally_standin::{Engine, Recorder};
 
+/// What a list says of an engine.
+pub(crate) fn entry_of(engine: &Engine, listing: Listing, started_unix_ms: Option<u64>) -> EngineEntry {
+    EngineEntry {
+        id: EngineId(engine.spec.id.as_str().into()),
+        address: engine.address,
+        zone: engine.spec.zone.clone(),
+        kind: engine.spec.kind.clone(),
+        rack: engine.spec.rack,
+        listing,
+        weight: 1.0,
+        started_unix_ms,
+    }
+}
+
 /// The true list, its past versions, and where it goes.
 pub(crate) struct Publisher {
     folder: PathBuf,
@@ -47,17 +61,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let id = EngineId(engine.spec.id.as_str().into());
         let old = self.entries.get(&id).and_then(|e| e.started_unix_ms);
-        let entry = EngineEntry {
-            id: id.clone(),
-            address: engine.address,
-            zone: engine.spec.zone.clone(),
-            kind: engine.spec.kind.clone(),
-            rack: engine.spec.rack,
-            listing,
-            weight: 1.0,
-            started_unix_ms: if started { Some(unix) } else { old },
-        };
-        self.entries.insert(id, entry);
+        self.entries.insert(id, entry_of(engine, listing, if started { Some(unix) } else { old }));
     }
 
     /// Makes a version of the list as it is now.
--- a/crates/pintally-standin/src/fleet.rs
+++ b/crates/pintally-standin/src/fleet.rs
@@ -14,18 +14,27 @@
 #[derive(Clone)]
 pub struct Recorder {
     begin: Instant,
+    off: bool,
     lines: Arc<(Mutex<Vec<Record>>, Condvar)>,
 }
 
 impl Default for Recorder {
     fn default() -> Recorder {
-        Recorder { begin: Instant::now(), lines: Arc::default() }
+        Recorder { begin: Instant::now(), off: false, lines: Arc::default() }
     }
 }
 
 impl Recorder {
+    /// A recorder that keeps nothing, for engines that run without end.
+    pub fn off() -> Recorder {
+        Recorder { off: true, ..Recorder::default() }
+    }
+
     /// Notes what happens now.
     pub fn note(&self, what: What) {
+        if self.off {
+            return;
+        }
         let mut lines = lock(&self.lines.0);
         let at = self.begin.elapsed().as_micros() as u64;
         lines.push(Record { at, what });
--- /dev/null
+++ b/examples/node.sexp
@@ -0,0 +1,15 @@
+; One node in front of a small fleet; `pintally check examples/node.sexp` reads it.
+(pintally
+  (node (name "n0") (listen "127.0.0.1:8080") (model "default") (zone "a") (number 0) (of 1)
+        (engines "examples/engines.sexp" (every-ms 100))
+        (kept-list "state/engines-n0.sexp"))
+  (limits (connections 16384) (held 12288) (body-bytes 4194304) (connect-ms 250) (errand-ms 250)
+          (answer-margin-ms 50) (stop-ms 10000))
+  (rules (attempts 6) (cold-from 0.3) (warm-after-ms 14000) (tip-multiple 2.5) (tip-window-ms 2000)
+         (release-within-ms 500) (retry-after-most-ms 2000))
+  (class "hint" (effect safe) (aim-ms 1000) (aim-per-1000-tokens-ms 40) (patience-ms 5000) (worth 2))
+  (class "test-feedback" (effect keyed (group zone) (window-ms 20000)) (aim-ms 3000) (patience-ms 15000))
+  (class "graded-submit" (effect unsafe) (aim-ms 1500) (patience-ms 6000) (worth 3))
+  (tenant "north" (quota-per-s 60))
+  (kind "prefill" (role reader) (slots 8) (memory-tokens 240000))
+  (kind "decode" (role writer) (slots 96) (memory-tokens 160000)))
