A kept list is written under its own name; open streams measured to the machine's limit

Change: the name while writing is the file's whole name and an ending; no log lines for mail to a node that was killed.

--- a/crates/pintally-measure/src/streams.rs
+++ b/crates/pintally-measure/src/streams.rs
@@ -36,6 +36,10 @@
     }
 }
 
+/// Streams that are opened at a time, and how many may fail before no more are tried.
+const GROUP: usize = 200;
+const MISSES_MOST: usize = 400;
+
 struct Process(Child);
 
 impl Drop for Process {
@@ -74,14 +78,16 @@
     let before_kib = resident(node.0.id())?;
     let mut open = Vec::new();
     let mut misses = 0;
-    while open.len() < wanted && misses < 20 {
-        match stream(address, open.len()) {
-            Some(stream) => open.push(stream),
-            None => misses += 1,
-        }
+    while open.len() < wanted && misses < MISSES_MOST {
+        // In small groups: a node turns away what it cannot start in time.
+        let group = GROUP.min(wanted - open.len());
+        let asked: Vec<Option<TcpStream>> = (0..group).map(|i| stream(address, open.len() + i)).collect();
+        let began: Vec<TcpStream> = asked.into_iter().flatten().filter(has_begun).collect();
+        misses += group - began.len();
+        open.extend(began);
     }
     // All of them still run: none has ended while the others were opened.
-    let running = open.iter().filter(|s| is_open(s)).count();
+    let running = open.iter().filter(|s| still_runs(s)).count();
     let with_kib = resident(node.0.id())?;
     let files_most = limit_of_files(node.0.id());
     Ok(Streams { wanted, open: running, before_kib, with_kib, files_most })
@@ -100,8 +106,8 @@
   (class "hint" (effect safe))
   (kind "prefill" (role reader) (slots 512) (memory-tokens 50000000))
   (kind "decode" (role writer) (slots 30000) (memory-tokens 500000000))
-  (engines "prefill" (count 2) (queue 60000) (read-per-s 100000000) (link-per-s 100000000))
-  (engines "decode" (count 2) (queue 60000) (token-gap-ms 1000) (link-per-s 100000000))
+  (engines "prefill" (count 60) (queue 60000) (read-per-s 100000000) (link-per-s 100000000))
+  (engines "decode" (count 4) (queue 60000) (token-gap-ms 1000) (link-per-s 100000000))
   (traffic (class "hint")))"#;
 
 fn stream(address: SocketAddr, number: usize) -> Option<TcpStream> {
@@ -117,13 +123,27 @@
     Some(stream)
 }
 
-/// Whether a stream has begun and not ended; waits for its beginning.
-fn is_open(stream: &TcpStream) -> bool {
+/// Whether a stream begins within its time.
+fn has_begun(stream: &TcpStream) -> bool {
     let _ = stream.set_read_timeout(Some(Duration::from_secs(20)));
     let mut head = [0u8; 12];
     matches!((&*stream).read(&mut head), Ok(12) if head == *b"HTTP/1.1 200")
 }
 
+/// Whether a stream that has begun has not ended.
+fn still_runs(stream: &TcpStream) -> bool {
+    let mut buffer = [0u8; 4096];
+    let _ = stream.set_nonblocking(true);
+    loop {
+        match (&*stream).read(&mut buffer) {
+            Ok(0) => return false,
+            Ok(n) if buffer[..n].windows(5).any(|w| w == b"\r\n0\r\n") => return false,
+            Ok(_) => {}
+            Err(e) => return e.kind() == std::io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
 fn ready(address: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return false };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
--- a/crates/pintally-node/src/decide.rs
+++ b/crates/pintally-node/src/decide.rs
@@ -143,7 +143,8 @@
     fn mail(&mut self, ticket: Ticket, mail: Mail) -> bool {
         let Some(mailbox) = self.boxes.get(&ticket) else { return false };
         let mailed = mailbox.mail.try_send(mail).is_ok();
-        if !mailed {
+        // Threads of a node that was killed end before the deciding one does.
+        if !mailed && !self.shared.is_dead() {
             warn!(ticket, "mail for a request that nobody serves any more");
         }
         mailbox.waker.wake();
--- a/crates/pintally-node/src/watch.rs
+++ b/crates/pintally-node/src/watch.rs
@@ -102,10 +102,30 @@
 fn write_whole(path: &Path, text: &[u8]) -> io::Result<()> {
     let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
     fs::create_dir_all(folder)?;
-    let fresh = path.with_extension("new");
+    // Beside the file and under its whole name: two files that differ in their endings must not share it.
+    let mut fresh = path.as_os_str().to_owned();
+    fresh.push(".new");
     let mut file = File::create(&fresh)?;
     file.write_all(text)?;
     file.sync_all()?;
-    fs::rename(&fresh, path)?;
+    fs::rename(fresh, path)?;
     File::open(folder)?.sync_all()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against two files beside each other that take the same name while they are written: a
+    /// day's list and the kept list did, and one of them was gone when it was to be renamed.
+    #[test]
+    fn the_name_while_writing_is_the_files_own() {
+        let folder = std::env::temp_dir().join(format!("pintally-watch-{}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        fs::write(folder.join("list.new"), "another's").unwrap();
+        write_whole(&folder.join("list.kept"), b"kept").unwrap();
+        assert_eq!(fs::read(folder.join("list.kept")).unwrap(), b"kept");
+        assert_eq!(fs::read(folder.join("list.new")).unwrap(), b"another's");
+        fs::remove_dir_all(&folder).unwrap();
+    }
+}
