--- a/crates/pintally-day/tests/hard_cases.rs
+++ b/crates/pintally-day/tests/hard_cases.rs
@@ -300,3 +300,50 @@
     assert!(report.refused + report.failed > 0, "the queues were never full: {report:?}");
     assert!(report.left > 0, "nobody left: {report:?}");
 }
+
+/// Guards against an engine that trickles: the attempt's time is up however slowly bytes come.
+#[test]
+fn an_engine_that_sends_a_byte_now_and_then_does_not_hold_an_attempt() {
+    use std::io::{Read, Write};
+    let mut rig = rig(1, 1);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || {
+                let _ = stream.read(&mut [0u8; 4096]);
+                for byte in b"HTTP/1.1 200 OK\r\nx-long: ".iter().chain(std::iter::repeat(&b'y')) {
+                    if stream.write_all(&[*byte]).is_err() {
+                        return;
+                    }
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+    });
+    // The trickling engine is the only reader left.
+    let list = std::fs::read_to_string(rig.list_file()).unwrap();
+    let mut list = pintally_config::EngineList::parse("list", &list).unwrap();
+    list.version += 1;
+    list.engines[0].address = address;
+    std::fs::write(rig.list_file(), list.render()).unwrap();
+    let by = Instant::now() + WAIT;
+    let mut n = 0;
+    loop {
+        // Until the node has read the list, the sound reader still serves.
+        n += 1;
+        let mut ask = rig.ask(&format!("t{n}"), "hint");
+        ask.patience = Duration::from_millis(1500);
+        let begin = Instant::now();
+        match rig.client.attempt(&ask) {
+            Ended::Answered(Answer::Served, _) => assert!(Instant::now() < by, "the list was not taken in"),
+            ended => {
+                assert!(matches!(ended, Ended::Answered(Answer::Refused | Answer::Failed, _)), "{ended:?}");
+                assert!(begin.elapsed() < Duration::from_millis(1500), "{:?}", begin.elapsed());
+                break;
+            }
+        }
+    }
+    rig.publish().unwrap();
+    kept(&rig.finish().unwrap());
+}
