All requests' bodies together are bounded, not only each

Cause: sixteen thousand connections with a body of four megabytes each would have filled any machine.

Change: a common bound, bodies-bytes, taken as bytes come in and given back when the request is over; who would go over it is turned away with 503, which says that trying again does no harm. HEAD is no method of the endpoints, as its answers would have had a body.

Measured: two bodies of 60 kB under a bound of 100 kB: the second is turned away, and served after the first connection has closed.

--- a/crates/pintally-config/src/check.rs
+++ b/crates/pintally-config/src/check.rs
@@ -130,6 +130,10 @@
         let node = at("node", "engines")?;
         return Err(breaks(node, DRAINS, "the list of engines is looked at less than once a second".into()));
     }
+    if limits.body_bytes > limits.bodies_bytes {
+        let what = "`body-bytes` is more than `bodies-bytes`: one such body could never be taken";
+        return Err(at("limits", "body-bytes")?.map_or_else(|| root.error(what), |form| form.error(what)));
+    }
     if limits.held > limits.connections {
         let what = "`held` is more than `connections`: each held request has a connection";
         return Err(at("limits", "held")?.map_or_else(|| root.error(what), |form| form.error(what)));
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -54,6 +54,8 @@
     pub head_bytes: usize,
     /// Bytes of a request's body.
     pub body_bytes: usize,
+    /// Bytes of all requests' bodies together; who would go over it is turned away.
+    pub bodies_bytes: usize,
     /// Time for a head and body to come in.
     pub receive: Micros,
     /// Time for a client to take what is written to it before it counts as gone.
@@ -188,6 +190,7 @@
         held: f.count_or("held", 12_288, 1, 1 << 20)? as usize,
         head_bytes: f.count_or("head-bytes", 16_384, 256, 1 << 20)? as usize,
         body_bytes: f.count_or("body-bytes", 4 << 20, 1, 1 << 30)? as usize,
+        bodies_bytes: f.count_or("bodies-bytes", 512 << 20, 1, 1 << 40)? as usize,
         receive: f.millis_or("receive-ms", 10_000.0, 1.0, 600_000.0)?,
         write: f.millis_or("write-ms", 10_000.0, 1.0, 600_000.0)?,
         idle: f.millis_or("idle-ms", 60_000.0, 1.0, 3_600_000.0)?,
--- a/crates/pintally-day/tests/door.rs
+++ b/crates/pintally-day/tests/door.rs
@@ -10,7 +10,7 @@
 
 const SETTINGS: &str = r#"(pintally
   (node (name "n0") (engines "set by the rig" (every-ms 20)))
-  (limits (head-bytes 2048) (body-bytes 65536) (receive-ms 400) (idle-ms 5000) (connections 40) (held 40)
+  (limits (head-bytes 2048) (body-bytes 65536) (bodies-bytes 100000) (receive-ms 400) (idle-ms 5000) (connections 40) (held 40)
           (answer-margin-ms 100) (stop-ms 3000))
   (class "hint" (effect safe) (aim-ms 1000) (patience-ms 5000))
   (tenant "t" (quota-per-s 100))
@@ -135,6 +135,37 @@
     assert_eq!(rig.node().unwrap().counters().over_limit, 1);
 }
 
+/// Guards against bodies that fill the memory together though each is small enough.
+#[test]
+fn bodies_over_their_common_bound_are_turned_away_and_the_room_comes_back() {
+    let rig = rig();
+    let half = "x".repeat(60_000);
+    let head = format!("POST /v2/models/default/generate HTTP/1.1\r\ncontent-length: 65000\r\n\r\n{half}");
+    let mut first = TcpStream::connect(rig.address()).unwrap();
+    first.write_all(head.as_bytes()).unwrap();
+    let by = Instant::now() + Duration::from_secs(10);
+    // The first body's room is taken as it comes in: from then on a second one does not fit.
+    loop {
+        let (status, text) = talk(&rig, head.as_bytes());
+        if status == 503 {
+            assert!(text.contains("room") && text.contains("\"retry_is_harmless\":true"), "{text}");
+            break;
+        }
+        assert!(Instant::now() < by, "both bodies were taken: {status}");
+        first = TcpStream::connect(rig.address()).unwrap();
+        first.write_all(head.as_bytes()).unwrap();
+    }
+    drop(first);
+    while rig.node().unwrap().open_connections() > 0 {
+        assert!(Instant::now() < by, "the first connection stays");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!(
+        talk(&rig, &post("/v2/models/default/generate", &format!("{{\"text_input\":\"{half}\"}}"))).0,
+        200
+    );
+}
+
 /// Several requests on one connection, sent at once, are answered in order.
 #[test]
 fn requests_on_one_connection_are_answered_in_order() {
--- a/crates/pintally-http/src/request.rs
+++ b/crates/pintally-http/src/request.rs
@@ -45,6 +45,11 @@
         self.open.is_some() || !self.buffer.is_empty()
     }
 
+    /// Bytes that are held: of the request that comes in, and behind it.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.len() + self.open.as_ref().map_or(0, |(request, _)| request.body.len())
+    }
+
     /// Whether the client waits for `100 Continue`; told once for each request.
     pub fn wants_continue(&mut self) -> bool {
         std::mem::take(&mut self.expects)
--- a/crates/pintally-kserve/src/route.rs
+++ b/crates/pintally-kserve/src/route.rs
@@ -40,7 +40,7 @@
     if parts.len() >= 5 && parts[..2] == ["v2", "models"] && parts[3] == "versions" {
         parts.drain(3..5);
     }
-    let get = |route| if method == "GET" || method == "HEAD" { route } else { Route::WrongMethod };
+    let get = |route| if method == "GET" { route } else { Route::WrongMethod };
     match parts[..] {
         ["v2"] => get(Route::Server),
         ["pintally", "counters"] => get(Route::Counters),
--- a/crates/pintally-node/src/connection.rs
+++ b/crates/pintally-node/src/connection.rs
@@ -19,12 +19,37 @@
 const DRAIN_MOST: usize = 1 << 20;
 const DRAIN_FOR: Duration = Duration::from_millis(500);
 
+/// Room that a connection's request takes; given back when it is dropped.
+struct Room<'a> {
+    shared: &'a Shared,
+    bytes: usize,
+}
+
+impl Room<'_> {
+    /// Makes the room as large as what is held; `false` if there is no more.
+    fn fit(&mut self, bytes: usize) -> bool {
+        if bytes > self.bytes && !self.shared.take_room(bytes - self.bytes) {
+            return false;
+        }
+        self.shared.give_room(self.bytes.saturating_sub(bytes));
+        self.bytes = bytes;
+        true
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.shared.give_room(self.bytes);
+    }
+}
+
 /// Serves a connection until it closes.
 pub(crate) fn run(shared: &Shared, mut stream: TcpStream, waker: &Arc<Waker>) {
     let limits = &shared.settings.limits;
     let mut reader = RequestReader::new(limits.head_bytes, limits.body_bytes);
     loop {
-        match next_request(shared, &mut stream, waker, &mut reader) {
+        let mut room = Room { shared, bytes: 0 };
+        match next_request(shared, &mut stream, waker, &mut reader, &mut room) {
             Ok(Some(request)) => {
                 let keep = request.keep_alive;
                 if !answer(shared, &mut stream, waker, request) || !keep {
@@ -33,9 +58,12 @@
             }
             Ok(None) => return,
             Err(refusal) => {
-                shared.counts.bad_requests.fetch_add(1, Ordering::Relaxed);
+                let counts = &shared.counts;
+                let count = if refusal.0 == 503 { &counts.turned_away } else { &counts.bad_requests };
+                count.fetch_add(1, Ordering::Relaxed);
                 debug!(status = refusal.0, what = refusal.1, "a request was not understood");
-                let _ = reply(&mut stream, refusal.0, &kserve::error(&refusal.1, false), false);
+                let retry = refusal.0 == 503;
+                let _ = reply(&mut stream, refusal.0, &kserve::error(&refusal.1, retry), false);
                 drain(&mut stream);
                 return;
             }
@@ -49,6 +77,7 @@
     stream: &mut TcpStream,
     waker: &Waker,
     reader: &mut RequestReader,
+    room: &mut Room,
 ) -> Result<Option<Request>, (u16, String)> {
     let limits = &shared.settings.limits;
     let mut by = Instant::now() + Duration::from_micros(limits.idle);
@@ -56,10 +85,16 @@
     let mut buffer = [0u8; 16 << 10];
     loop {
         match reader.next_request() {
-            Ok(Some(request)) => return Ok(Some(request)),
+            Ok(Some(request)) if room.fit(reader.held_bytes() + request.body.len()) => {
+                return Ok(Some(request))
+            }
+            Ok(Some(_)) => return Err(no_room()),
             Ok(None) => {}
             Err(e) => return Err((HttpError::status(&e), e.to_string())),
         }
+        if !room.fit(reader.held_bytes()) {
+            return Err(no_room());
+        }
         if reader.wants_continue() && stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").is_err() {
             return Ok(None);
         }
@@ -87,6 +122,10 @@
     }
 }
 
+fn no_room() -> (u16, String) {
+    (503, "no room for more requests' bodies".into())
+}
+
 /// Answers one request; `false` if the connection is of no more use.
 fn answer(shared: &Shared, stream: &mut TcpStream, waker: &Arc<Waker>, request: Request) -> bool {
     let settings = &shared.settings;
--- a/crates/pintally-node/src/shared.rs
+++ b/crates/pintally-node/src/shared.rs
@@ -93,6 +93,8 @@
     /// Engines that take work, by the list; the node is ready while there are any.
     pub(crate) serving: AtomicUsize,
     pub(crate) next_ticket: AtomicU64,
+    /// Bytes of requests that are held, of all connections together.
+    bodies: AtomicUsize,
     /// Nothing new is taken.
     closing: AtomicBool,
     /// Everything ends at once.
@@ -113,6 +115,7 @@
             host_counters: Mutex::default(),
             serving: AtomicUsize::new(0),
             next_ticket: AtomicU64::new(1),
+            bodies: AtomicUsize::new(0),
             closing: AtomicBool::new(false),
             dead: AtomicBool::new(false),
             connections: Mutex::default(),
@@ -145,6 +148,21 @@
         self.connections.lock().unwrap_or_else(|e| e.into_inner()).values().for_each(|w| w.wake());
     }
 
+    /// Takes room for bytes of a request; `false` if there is none.
+    pub(crate) fn take_room(&self, bytes: usize) -> bool {
+        let held = self.bodies.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        if held > self.settings.limits.bodies_bytes {
+            self.bodies.fetch_sub(bytes, Ordering::Relaxed);
+            return false;
+        }
+        true
+    }
+
+    /// Gives room back.
+    pub(crate) fn give_room(&self, bytes: usize) {
+        self.bodies.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     /// Enters a connection; `None` if there are as many as allowed.
     pub(crate) fn enter(&self, number: u64, waker: Arc<Waker>) -> Option<()> {
         let mut connections = self.connections.lock().unwrap_or_else(|e| e.into_inner());
