The core's cell is called rack; a cell is to be a part of the fleet

Need: the operators' cells are subsets of the fleet that serve some tenants or keys; the core's field means engines that share a link.

--- a/crates/pintally-benchlink/src/wire.rs
+++ b/crates/pintally-benchlink/src/wire.rs
@@ -344,7 +344,7 @@
                 let group = match group {
                     Some("all") => Group::All,
                     Some("zone") => Group::Zone,
-                    Some("cell") => Group::Cell,
+                    Some("cell") => Group::Rack,
                     _ => return Err("settings: unknown or missing `group` in `profiles`".into()),
                 };
                 Effect::Keyed(group, micros(p.dedup_window))
@@ -478,7 +478,7 @@
         engine: EngineId(host.engine.into()),
         zone: host.campus,
         kind: host.hw,
-        cell: host.unit_group,
+        rack: host.unit_group,
         listing: match host.stage_state.as_str() {
             "SERVING" => Listing::Serving,
             "DRAINING" => Listing::Draining,
--- a/crates/pintally-config/src/members.rs
+++ b/crates/pintally-config/src/members.rs
@@ -120,7 +120,7 @@
             engine: self.id.clone(),
             zone: self.zone.clone(),
             kind: self.kind.clone(),
-            cell: self.rack,
+            rack: self.rack,
             listing: self.listing,
             weight: self.weight,
             started: self.started_unix_ms.map(clock).filter(|at| *at > 0),
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -262,7 +262,7 @@
         let group = match f.text_or("group", "")?.as_str() {
             "all" => Group::All,
             "zone" => Group::Zone,
-            "rack" => Group::Cell,
+            "rack" => Group::Rack,
             other => return Err(f.error(format!("`group` is `{other}`, not all, zone or rack"))),
         };
         Ok(Effect::Keyed(group, f.millis_or("window-ms", 0.0, 1.0, 86_400_000.0)?))
--- a/crates/pintally-day/src/run.rs
+++ b/crates/pintally-day/src/run.rs
@@ -132,7 +132,7 @@
             group: match group {
                 core::Group::All => Group::All,
                 core::Group::Zone => Group::Zone,
-                core::Group::Cell => Group::Rack,
+                core::Group::Rack => Group::Rack,
             },
             window_us: *window_us,
         },
--- a/crates/pintally-host/tests/host.rs
+++ b/crates/pintally-host/tests/host.rs
@@ -76,7 +76,7 @@
                 engine: EngineId((*id).into()),
                 zone: zone.to_string(),
                 kind: kind.to_string(),
-                cell: 0,
+                rack: 0,
                 listing: self.listing[id],
                 weight: 1.0,
                 started: None,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,8 +46,8 @@
     All,
     /// The engines of one zone.
     Zone,
-    /// The engines of one cell.
-    Cell,
+    /// The engines of one rack.
+    Rack,
 }
 
 /// What running a request twice would do.
@@ -177,8 +177,8 @@
     pub zone: String,
     /// Its kind.
     pub kind: String,
-    /// Its cell.
-    pub cell: u64,
+    /// Its rack.
+    pub rack: u64,
     /// Its state.
     pub listing: Listing,
     /// Its registered weight.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -479,7 +479,7 @@
         (own + told.unwrap_or(own)) / engine.weight * self.lag(now, index)
     }
 
-    /// How much longer first tokens take when the state leaves its cell, in parts of the target.
+    /// How much longer first tokens take when the state leaves its rack, in parts of the target.
     /// Guards against slow links, whatever slows them; it fades, so that far writers are tried again.
     fn far_cost(&self, now: Micros) -> f64 {
         let [near, far] = self.gauges.moves;
@@ -505,12 +505,12 @@
         let scale = if told > 0.0 { (own / told).max(STREAMS_LEAST) } else { 0.0 };
         let mean = (known > 0.0).then(|| told / known);
         // Pure writers first; a failing one last.
-        let cell = self.engines[reader].cell;
+        let rack = self.engines[reader].rack;
         let links_slow = self.far_cost(now) > 0.5;
         let rank = |i: usize| {
             let e = &self.engines[i];
             let full = self.full(now, i) || e.spurns(now, live);
-            (self.shut(now, i), full, links_slow && e.cell != cell, e.role == Role::Mixed)
+            (self.shut(now, i), full, links_slow && e.rack != rack, e.role == Role::Mixed)
         };
         let best = able.iter().map(|&i| rank(i)).min()?;
         let peers: Vec<(usize, f64)> =
@@ -518,7 +518,7 @@
         let least = peers.iter().map(|p| p.1).fold(f64::INFINITY, f64::min);
         let band = 1.0 + least * (NEAR + self.far_cost(now));
         let zone = &self.engines[reader].zone;
-        let far = |i: usize| (self.engines[i].cell != cell, self.engines[i].zone != *zone);
+        let far = |i: usize| (self.engines[i].rack != rack, self.engines[i].zone != *zone);
         let mut near: Vec<usize> = peers.iter().filter(|p| p.1 <= least + band).map(|p| p.0).collect();
         let nearest = near.iter().map(|&i| far(i)).min()?;
         near.retain(|&i| far(i) == nearest);
@@ -562,7 +562,7 @@
                 let inside = match group {
                     Group::All => true,
                     Group::Zone => first.zone == engine.zone,
-                    Group::Cell => first.cell == engine.cell,
+                    Group::Rack => first.rack == engine.rack,
                 };
                 inside && now < sent + window
             }
@@ -609,7 +609,7 @@
         live.out = Some(out);
         live.waiting = false;
         let window = self.settings.tip_window;
-        let far = live.state.is_some_and(|reader| self.engines[reader].cell != self.engines[index].cell);
+        let far = live.state.is_some_and(|reader| self.engines[reader].rack != self.engines[index].rack);
         let engine = &mut self.engines[index];
         engine.pending.insert((now, serial), (id.clone(), far));
         engine.unread += unread;
@@ -640,18 +640,18 @@
         let each = self.probes_each();
         let writers = self.engines.iter().filter(|e| e.serving() && e.role != Role::Reader).count() as f64;
         self.gauges.probes = (self.gauges.probes + each).min(writers.max(each));
-        let (cell, zone) = (self.engines[reader].cell, self.engines[reader].zone.clone());
+        let (rack, zone) = (self.engines[reader].rack, self.engines[reader].zone.clone());
         let seed = self.random.draw();
         let mut likely: Vec<_> = (0..self.engines.len())
             .filter(|&i| self.engines[i].serving() && self.engines[i].role == Role::Writer)
             .filter(|&i| !self.shut(now, i) && now > self.engines[i].probed + WATCH_EVERY)
             .map(|i| {
                 let e = &self.engines[i];
-                (e.cell != cell, e.zone != zone, xxh3_64_with_seed(e.id.0.as_bytes(), seed), i)
+                (e.rack != rack, e.zone != zone, xxh3_64_with_seed(e.id.0.as_bytes(), seed), i)
             })
             .collect();
         likely.sort_unstable();
-        // The last one is looked for outside the cell, so that there is a choice.
+        // The last one is looked for outside the rack, so that there is a choice.
         let most = (each as usize).min(self.gauges.probes as usize);
         let outside = likely.iter().position(|l| l.0).filter(|&at| at >= most).into_iter();
         let picks: Vec<usize> = outside.chain(0..likely.len()).take(most).map(|at| likely[at].3).collect();
@@ -708,7 +708,7 @@
     /// Takes in how long a state took to where its answer began, or did not begin.
     fn moved(&mut self, now: Micros, reader: Option<usize>, writer: usize, took: f64) {
         let Some(reader) = reader else { return };
-        let far = usize::from(self.engines[reader].cell != self.engines[writer].cell);
+        let far = usize::from(self.engines[reader].rack != self.engines[writer].rack);
         let usual = &mut self.gauges.moves[far];
         *usual = (usual.0 + 2.0 * BLEND * (took - usual.0), now);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,7 +16,7 @@
 pub(crate) struct Engine {
     pub(crate) id: EngineId,
     pub(crate) zone: String,
-    pub(crate) cell: u64,
+    pub(crate) rack: u64,
     pub(crate) role: Role,
     pub(crate) weight: f64,
     pub(crate) listing: Listing,
@@ -26,7 +26,7 @@
     /// Own sends inside the tip window.
     pub(crate) sends: VecDeque<Micros>,
     /// Own attempts that have brought no read and no first token yet, by send time.
-    /// With each: whether a state has to cross cells for it.
+    /// With each: whether a state has to cross racks for it.
     pub(crate) pending: BTreeMap<(Micros, u64), (RequestId, bool)>,
     /// Reads and first tokens since the last watch.
     pub(crate) answers: u32,
@@ -119,7 +119,7 @@
     pub(crate) flight: f64,
     /// Probes that own traffic has paid for.
     pub(crate) probes: f64,
-    /// Usual wait for a first token when the state stays in its cell and when it leaves it.
+    /// Usual wait for a first token when the state stays in its rack and when it leaves it.
     pub(crate) moves: [(f64, Micros); 2],
     /// Usual time from the first send to the first token.
     pub(crate) lead: f64,
@@ -162,7 +162,7 @@
         Engine {
             id: member.engine.clone(),
             zone: member.zone.clone(),
-            cell: member.cell,
+            rack: member.rack,
             role,
             lag: 1.0,
             ..Engine::default()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -25,7 +25,7 @@
     Kind { name: name.into(), role, memory_tokens: 100_000 }
 }
 
-/// Classes 0 safe, 1 unsafe, 2 keyed by cell; kinds `r`, `w` and `m`.
+/// Classes 0 safe, 1 unsafe, 2 keyed by rack; kinds `r`, `w` and `m`.
 pub fn settings() -> Settings {
     Settings {
         zone: "near".into(),
@@ -34,7 +34,7 @@
         classes: vec![
             class("safe", Effect::Safe),
             class("unsafe", Effect::Unsafe),
-            class("keyed", Effect::Keyed(Group::Cell, 2 * SECOND)),
+            class("keyed", Effect::Keyed(Group::Rack, 2 * SECOND)),
         ],
         tenants: vec![],
         kinds: vec![kind("r", Role::Reader), kind("w", Role::Writer), kind("m", Role::Mixed)],
@@ -65,12 +65,12 @@
 }
 
 /// An entry: the kind is the first letter of the name.
-pub fn member(name: &str, zone: &str, cell: u64) -> Member {
+pub fn member(name: &str, zone: &str, rack: u64) -> Member {
     Member {
         engine: engine(name),
         zone: zone.into(),
         kind: name[..1].into(),
-        cell,
+        rack,
         listing: Listing::Serving,
         weight: 1.0,
         started: None,
@@ -292,7 +292,7 @@
                             assert!(match group {
                                 Group::All => true,
                                 Group::Zone => from.zone == member.zone,
-                                Group::Cell => from.cell == member.cell,
+                                Group::Rack => from.rack == member.rack,
                             });
                         }
                     }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -40,7 +40,7 @@
 fn varied() -> impl Strategy<Value = Settings> {
     (any::<(bool, bool, bool, bool)>(), 2u32..7, 0usize..3, 1u32..4, 0usize..3).prop_map(
         |((may_cancel, may_probe, retry_advice, asked), max_attempts, group, nodes, reports)| {
-            let group = [Group::All, Group::Zone, Group::Cell][group];
+            let group = [Group::All, Group::Zone, Group::Rack][group];
             // Few nodes, or so many that each sees next to nothing.
             let nodes = if nodes == 3 { 150 } else { nodes };
             let mut settings =
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -177,8 +177,8 @@
         node.now += 5 * MS;
         node.first_token(&name);
     }
-    assert_eq!(went[0], "w3", "the reader's cell first");
-    assert!(went.contains(&"w2".to_string()), "the reader's zone when the cell's has more streams");
+    assert_eq!(went[0], "w3", "the reader's rack first");
+    assert!(went.contains(&"w2".to_string()), "the reader's zone when the rack's has more streams");
     assert!(went.contains(&"w1".to_string()), "and then the rest");
 }
 
