Decisions of cells: assignment, moves, edge, loss and loans

Need: one tenant's flood or one bad release must harm few. Every node has to come to the same answer from the same files, restarted or not.

Change: pintally-cells, without input or output: weighted rendezvous hashing with shards for tenants of several cells; moves whose progress follows from times in the file, so that a node that restarts or misses a version agrees with the others; places at a cell's edge that are lent and given back at once; a ladder down at once and up step by step; loans from spare engines that are made by hash and end after calm.

--- /dev/null
+++ b/crates/pintally-cells/src/file.rs
@@ -0,0 +1,279 @@
+//! The cells file: cells, what they need, who belongs where, and the moves under way.
+
+use std::collections::BTreeSet;
+
+use pintally::interface::{Effect, Group, Settings};
+use pintally_config::form::{Document, Form};
+use pintally_config::ConfigError;
+
+use crate::assign::{cells_of, number};
+use crate::moves::{Move, Step};
+use crate::CellName;
+
+const TWICE: &str = "no effect happens twice";
+
+/// Everything that the cells file says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CellsFile {
+    /// Grows with each change.
+    pub version: u64,
+    /// The cells.
+    pub cells: Vec<CellSpec>,
+    /// Tenants whose home the operator has chosen, in part or whole.
+    pub tenants: Vec<TenantHome>,
+    /// The moves under way.
+    pub moves: Vec<Move>,
+}
+
+/// A cell.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CellSpec {
+    /// Its name.
+    pub name: CellName,
+    /// Its part of whatever is divided by hash: tenants, keys, places at the node.
+    pub weight: f64,
+    /// The engines that it is built for.
+    pub needs: Needs,
+    /// The cell that takes what it can of this one's tenants while this one is lost.
+    pub fallback: Option<CellName>,
+}
+
+/// Engines that a cell is built for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Needs {
+    /// Engines that read, mixed ones counted with the role that lacks them.
+    pub readers: usize,
+    /// Engines that write.
+    pub writers: usize,
+}
+
+/// A tenant's home.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TenantHome {
+    /// The tenant.
+    pub tenant: String,
+    /// Where it lives.
+    pub home: Home,
+}
+
+/// Where a tenant lives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Home {
+    /// In these cells.
+    Pinned(Vec<CellName>),
+    /// In so many cells, by hash.
+    Shards(usize),
+}
+
+impl CellsFile {
+    /// Reads and checks a file. `file` is used in errors only; `core` names tenants and classes.
+    pub fn parse(file: &str, text: &str, core: &Settings) -> Result<CellsFile, ConfigError> {
+        let document = Document::parse(file, text)?;
+        let root = document.only("cells")?;
+        let version = root.need("version")?;
+        let mut out = CellsFile { version: version.count(0, 1 << 52)?, ..CellsFile::default() };
+        version.finish()?;
+        for form in root.all("cell")? {
+            out.cell(&form)?;
+        }
+        if out.cells.is_empty() {
+            return Err(root.error("`cells` lacks `(cell ...)`"));
+        }
+        for form in root.all("cell")? {
+            let own = CellName::from(form.text()?.as_str());
+            if let Some(inner) = form.maybe("fallback")? {
+                let name = inner.text()?;
+                let known = out.cells.iter().any(|c| *c.name.0 == *name);
+                if !known || *own.0 == *name {
+                    return Err(inner.error(format!("no other cell is named `{name}`")));
+                }
+            }
+        }
+        for form in root.all("tenant")? {
+            out.tenant(&form, core)?;
+        }
+        for form in root.all("move")? {
+            out.one_move(&form, core)?;
+        }
+        if out.cells.iter().all(|c| c.weight <= 0.0) {
+            let homeless = core.tenants.iter().find(|t| !out.tenants.iter().any(|h| h.tenant == t.name));
+            let who =
+                homeless.map_or("requests without a tenant".to_string(), |t| format!("tenant `{}`", t.name));
+            return Err(root.error(format!("{who} would be in no cell: none has a weight over 0")));
+        }
+        root.finish()?;
+        out.keyed_groups(&root, core)?;
+        Ok(out)
+    }
+
+    fn cell(&mut self, form: &Form) -> Result<(), ConfigError> {
+        let name = form.text()?;
+        if name.is_empty() || name.len() > 64 {
+            return Err(form.error("a cell's name must have 1 to 64 bytes"));
+        }
+        if self.cells.iter().any(|c| *c.name.0 == *name) {
+            return Err(form.error(format!("cell `{name}` is given twice")));
+        }
+        let needs = Needs {
+            readers: form.count_or("readers", 1, 0, 100_000)? as usize,
+            writers: form.count_or("writers", 1, 0, 100_000)? as usize,
+        };
+        if needs.readers == 0 || needs.writers == 0 {
+            let lacks = if needs.readers == 0 { "readers" } else { "writers" };
+            return Err(form.error(format!("cell `{name}` is built without {lacks}: it could serve nobody")));
+        }
+        let fallback = form.text_or("fallback", "")?;
+        self.cells.push(CellSpec {
+            name: name.as_str().into(),
+            weight: form.number_or("weight", 1.0, 0.0, 1e6)?,
+            needs,
+            fallback: (!fallback.is_empty()).then(|| fallback.as_str().into()),
+        });
+        form.finish()
+    }
+
+    fn names(&self, form: &Form) -> Result<Vec<CellName>, ConfigError> {
+        let mut names = Vec::new();
+        while let Some(name) = form.maybe_text()? {
+            let Some(cell) = self.cells.iter().find(|c| *c.name.0 == *name) else {
+                return Err(form.error(format!("no cell is named `{name}`")));
+            };
+            if names.contains(&cell.name) {
+                return Err(form.error(format!("cell `{name}` is named twice")));
+            }
+            names.push(cell.name.clone());
+        }
+        if names.is_empty() {
+            return Err(form.error("at least one cell must be named: a tenant in none cannot be served"));
+        }
+        form.finish()?;
+        Ok(names)
+    }
+
+    fn known_tenant(form: &Form, core: &Settings) -> Result<String, ConfigError> {
+        let tenant = form.text()?;
+        match core.tenants.iter().any(|t| t.name == tenant) {
+            true => Ok(tenant),
+            false => Err(form.error(format!("no tenant is named `{tenant}` in the settings"))),
+        }
+    }
+
+    fn tenant(&mut self, form: &Form, core: &Settings) -> Result<(), ConfigError> {
+        let tenant = Self::known_tenant(form, core)?;
+        if self.tenants.iter().any(|t| t.tenant == tenant) {
+            return Err(form.error(format!("tenant `{tenant}` is given twice")));
+        }
+        let pinned = form.maybe("cells")?.map(|f| self.names(&f)).transpose()?;
+        let shards = form.count_or("shards", 0, 0, 10_000)? as usize;
+        let home = match (pinned, shards) {
+            (Some(_), 1..) => return Err(form.error("a tenant has `cells` or `shards`, not both")),
+            (Some(cells), 0) => Home::Pinned(cells),
+            (None, 0) => {
+                return Err(form.error(format!("tenant `{tenant}` has neither `cells` nor `shards`")))
+            }
+            (None, many) => Home::Shards(many),
+        };
+        form.finish()?;
+        self.tenants.push(TenantHome { tenant, home });
+        Ok(())
+    }
+
+    fn one_move(&mut self, form: &Form, core: &Settings) -> Result<(), ConfigError> {
+        let tenant = Self::known_tenant(form, core)?;
+        if self.moves.iter().any(|m| m.tenant == tenant) {
+            return Err(form.error(format!("tenant `{tenant}` has two moves at once")));
+        }
+        let to = self.names(&form.need("to")?)?;
+        let over_ms = form.count_or("over-ms", 30_000, 1, 86_400_000)?;
+        let since = form.count_or("since-unix-ms", 0, 0, 1 << 52)?;
+        let at = form.count_or("back-unix-ms", 0, 0, 1 << 52)?;
+        let step = match (form.text_or("step", "prepare")?.as_str(), since, at) {
+            ("prepare", 0, 0) => Step::Prepare,
+            ("both", 1.., 0) => Step::Both { since },
+            ("done", 1.., 0) => Step::Done { since },
+            ("back", _, 1..) if at >= since => Step::Back { since: if since == 0 { at } else { since }, at },
+            ("prepare" | "both" | "done" | "back", ..) => return Err(form.error(
+                "`prepare` has no times, `both` and `done` have `since-unix-ms`, `back` has `back-unix-ms` \
+                     behind it as well",
+            )),
+            (other, ..) => {
+                return Err(form.error(format!("`step` is `{other}`, not prepare, both, done or back")))
+            }
+        };
+        form.finish()?;
+        self.moves.push(Move { tenant, to, over_ms, step });
+        Ok(())
+    }
+
+    /// Repeats of a keyed class are dropped inside a group of engines. A zone that lies in several
+    /// cells would let a repeat of one tenant reach engines that its own cell never sees; while a
+    /// tenant moves, the repeat of a request that ran in the old cell would run in the new one.
+    fn keyed_groups(&self, root: &Form, core: &Settings) -> Result<(), ConfigError> {
+        if self.cells.len() < 2 {
+            return Ok(());
+        }
+        let narrow =
+            |c: &&pintally::interface::Class| matches!(c.effect, Effect::Keyed(Group::Zone | Group::Rack, _));
+        match core.classes.iter().find(narrow) {
+            None => Ok(()),
+            Some(class) => Err(root.breaks(
+                TWICE,
+                format!(
+                    "the repeats of class `{}` are dropped inside a zone or rack, but its tenants may be in \
+                     several cells one after the other: only the group `all` spans cells",
+                    class.name
+                ),
+            )),
+        }
+    }
+
+    /// The cells in which a tenant lives when nothing moves.
+    pub fn home(&self, tenant: &str) -> Vec<CellName> {
+        match self.tenants.iter().find(|t| t.tenant == tenant).map(|t| &t.home) {
+            Some(Home::Pinned(cells)) => cells.clone(),
+            Some(Home::Shards(many)) => cells_of(&self.cells, number(tenant), *many),
+            None => cells_of(&self.cells, number(tenant), 1),
+        }
+    }
+
+    /// The cells in which a request belongs, best first, at a time.
+    pub fn belongs(&self, tenant: Option<&str>, session: u64, unix_ms: u64) -> Option<CellName> {
+        let Some(tenant) = tenant else {
+            return cells_of(&self.cells, session, 1).into_iter().next();
+        };
+        let moving = self.moves.iter().find(|m| m.tenant == tenant);
+        let among = match moving.filter(|m| m.is_over(session, unix_ms)) {
+            Some(over) => over.to.clone(),
+            None => self.home(tenant),
+        };
+        crate::assign::pick(&among, session)
+    }
+
+    /// A cell by its name.
+    pub fn cell_named(&self, name: &CellName) -> Option<&CellSpec> {
+        self.cells.iter().find(|c| c.name == *name)
+    }
+
+    /// What in this version cannot follow the one before it, if anything: a move that changes its
+    /// mind. Moves that end by leaving the file may do so at any step.
+    pub fn conflict(&self, before: &CellsFile) -> Option<String> {
+        let cells: BTreeSet<&CellName> = self.cells.iter().map(|c| &c.name).collect();
+        for old in &before.moves {
+            match self.moves.iter().find(|m| m.tenant == old.tenant) {
+                Some(new) if !new.may_follow(old) => {
+                    return Some(format!(
+                        "the move of tenant `{}` goes from {:?} to {:?}",
+                        old.tenant, old.step, new.step
+                    ));
+                }
+                None if old.to.iter().any(|c| !cells.contains(c))
+                    && matches!(old.step, Step::Done { .. }) =>
+                {
+                    return Some(format!("tenant `{}` has moved to a cell that is gone", old.tenant));
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/pintally-cells/src/health.rs
@@ -0,0 +1,125 @@
+//! How a cell that has lost engines goes down, step by step, and comes up again.
+//!
+//! Down at once, up one step at a time and only after it has been calm: a cell whose engines come and
+//! go does not flap, and what it sheds does not wander.
+
+use pintally::interface::Micros;
+
+/// Shares of what a cell is built for, under which it takes the next step down.
+const THIN: f64 = 0.75;
+const SHED: f64 = 0.4;
+/// A cell goes up a step when it has been above that step's share by this much,
+const MARGIN: f64 = 0.1;
+/// for this long.
+const CALM: Micros = 5_000_000;
+/// Weight of a new arrival in the shares of classes.
+const BLEND: f64 = 0.02;
+
+/// Where a cell stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// It serves everyone.
+    #[default]
+    Well,
+    /// Tenants over their part are turned away sooner.
+    Thin,
+    /// Only the most worthy classes are served, as many as there are engines for.
+    Shed,
+    /// It cannot serve: no engine reads, or none writes.
+    Lost,
+}
+
+/// One cell's way down and up.
+#[derive(Clone, Debug)]
+pub struct Ladder {
+    level: Level,
+    capacity: f64,
+    /// Since when its capacity has been enough for one step up.
+    calm: Option<Micros>,
+    /// Share of each class in what arrives, by its index, and what it is worth.
+    classes: Vec<(f64, f64)>,
+}
+
+impl Ladder {
+    /// A ladder for classes worth so much each.
+    pub fn new(worths: impl Iterator<Item = f64>) -> Ladder {
+        let classes: Vec<(f64, f64)> = worths.map(|w| (0.0, w)).collect();
+        let even = 1.0 / classes.len().max(1) as f64;
+        let classes = classes.into_iter().map(|(_, w)| (even, w)).collect();
+        Ladder { level: Level::Well, capacity: 1.0, calm: None, classes }
+    }
+
+    /// Where it stands.
+    pub fn level(&self) -> Level {
+        self.level
+    }
+
+    /// The share of its engines that it has.
+    pub fn capacity(&self) -> f64 {
+        self.capacity
+    }
+
+    /// The share of its places that it may use.
+    pub fn share(&self) -> f64 {
+        if self.level == Level::Well {
+            1.0
+        } else {
+            self.capacity
+        }
+    }
+
+    /// Takes in what share of its engines a cell has, the scarcer role's. Returns whether the level
+    /// has changed.
+    pub fn update(&mut self, now: Micros, capacity: f64) -> bool {
+        self.capacity = capacity.clamp(0.0, 1.0);
+        let fits = |capacity: f64| match capacity {
+            c if c <= 0.0 => Level::Lost,
+            c if c < SHED => Level::Shed,
+            c if c < THIN => Level::Thin,
+            _ => Level::Well,
+        };
+        let wanted = fits(self.capacity);
+        if wanted >= self.level {
+            let changed = wanted > self.level;
+            self.level = wanted;
+            self.calm = None;
+            return changed;
+        }
+        // A step up needs some more than its share; being able to serve at all needs no margin.
+        let careful = if self.level == Level::Lost { wanted } else { fits(self.capacity - MARGIN) };
+        if careful >= self.level {
+            self.calm = None;
+            return false;
+        }
+        let since = *self.calm.get_or_insert(now);
+        let wait = if self.level == Level::Lost { 0 } else { CALM };
+        if now < since.saturating_add(wait) {
+            return false;
+        }
+        self.calm = Some(now);
+        self.level = match self.level {
+            Level::Lost => Level::Shed,
+            Level::Shed => Level::Thin,
+            _ => Level::Well,
+        };
+        true
+    }
+
+    /// Takes in an arrival of a class, and says whether the cell serves that class now.
+    pub fn serves(&mut self, class: Option<usize>) -> bool {
+        for (index, (share, _)) in self.classes.iter_mut().enumerate() {
+            let came = if Some(index) == class { 1.0 } else { 0.0 };
+            *share += BLEND * (came - *share);
+        }
+        match self.level {
+            Level::Well | Level::Thin => true,
+            Level::Lost => false,
+            // The most worthy first, until what they bring is what the engines left can do.
+            Level::Shed => {
+                let Some(&(_, worth)) = class.and_then(|c| self.classes.get(c)) else { return false };
+                let above: f64 = self.classes.iter().filter(|(_, w)| *w > worth).map(|(s, _)| s).sum();
+                above < self.capacity
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-cells/src/lib.rs
@@ -0,0 +1,41 @@
+//! Cells: subsets of the fleet that serve some tenants or keys and nobody else.
+//!
+//! Every node comes to the same answer from the same files: which cell a request belongs to follows
+//! from the cells file, the tenant, the session and the time, and from nothing that one node alone
+//! has seen. What one node has seen decides only whom it turns away.
+//!
+//! No input or output; time is handed in. `docs/cells.md` weighs the options.
+
+mod assign;
+mod edge;
+mod facade;
+mod file;
+mod health;
+mod loans;
+mod moves;
+
+pub use assign::{cells_of, draw};
+pub use edge::{Edge, Place};
+pub use facade::{Ask, Cells, Spread, Verdict};
+pub use file::{CellSpec, CellsFile, Home, Needs, TenantHome};
+pub use health::{Ladder, Level};
+pub use loans::{Lendable, Loans};
+pub use moves::{Move, Step};
+
+use std::sync::Arc;
+
+/// A cell's name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CellName(pub Arc<str>);
+
+impl From<&str> for CellName {
+    fn from(name: &str) -> CellName {
+        CellName(name.into())
+    }
+}
+
+impl std::fmt::Display for CellName {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/crates/pintally-cells/tests/cells.rs
@@ -0,0 +1,427 @@
+//! Assignment, moves, loans, ladder and edge over generated histories, and an exhaustive search of
+//! moves as three nodes see them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pintally::interface::*;
+use pintally_cells::*;
+use proptest::prelude::*;
+
+fn core(tenants: &[&str]) -> Settings {
+    let tenant = |n: &&str| Tenant { name: n.to_string(), quota_per_s: 0.0 };
+    let class = |name: &str, worth: f64| Class {
+        name: name.into(),
+        effect: Effect::Safe,
+        aim: 1_000_000,
+        aim_per_1000_tokens: 0,
+        token_aim: 0,
+        worth,
+        late_share: 0.0,
+    };
+    Settings {
+        zone: String::new(),
+        node: 0,
+        nodes: 1,
+        classes: vec![class("low", 1.0), class("mid", 2.0), class("high", 3.0)],
+        tenants: tenants.iter().map(tenant).collect(),
+        kinds: Vec::new(),
+        discovery: Discovery::Pushed,
+        reports: Reports::Inline,
+        weights: true,
+        may_cancel: true,
+        may_probe: true,
+        probe_price: 0.0,
+        retry_advice: true,
+        max_retry_after: 1_000_000,
+        max_attempts: 6,
+        cold_from: 0.3,
+        warm_after: 0,
+        tip_multiple: 2.5,
+        tip_window: 1,
+        release_within: 500_000,
+        ask_within: 0,
+    }
+}
+
+fn cell(name: &str, weight: f64, readers: usize, writers: usize) -> CellSpec {
+    CellSpec { name: name.into(), weight, needs: Needs { readers, writers }, fallback: None }
+}
+
+fn cells(many: usize) -> Vec<CellSpec> {
+    (0..many).map(|i| cell(&format!("c{i}"), 1.0, 2, 2)).collect()
+}
+
+// ---- assignment ----
+
+/// A cell more moves about its fair part of the keys, and all of those to itself.
+#[test]
+fn a_cell_more_or_less_moves_no_more_than_its_fair_part() {
+    const KEYS: u64 = 20_000;
+    for many in [2, 4, 8, 16] {
+        let (few, more) = (cells(many), cells(many + 1));
+        let fresh = CellName::from(format!("c{many}").as_str());
+        let mut moved = 0;
+        for key in 0..KEYS {
+            let (before, after) = (&cells_of(&few, key, 1)[0], &cells_of(&more, key, 1)[0]);
+            if before != after {
+                assert_eq!(*after, fresh, "key {key} went between cells that were there before");
+                moved += 1;
+            }
+        }
+        let fair = KEYS as f64 / (many + 1) as f64;
+        let ratio = moved as f64 / fair;
+        assert!((0.93..1.07).contains(&ratio), "{many} cells: {moved} keys moved, {fair:.0} are fair");
+    }
+}
+
+#[test]
+fn parts_follow_weights() {
+    let cells = [cell("a", 1.0, 1, 1), cell("b", 3.0, 1, 1), cell("none", 0.0, 1, 1)];
+    let mut won: BTreeMap<CellName, u64> = BTreeMap::new();
+    (0..40_000).for_each(|key| *won.entry(cells_of(&cells, key, 1)[0].clone()).or_default() += 1);
+    assert!(!won.contains_key(&"none".into()));
+    let ratio = won[&CellName::from("b")] as f64 / won[&CellName::from("a")] as f64;
+    assert!((2.85..3.15).contains(&ratio), "{ratio}");
+}
+
+/// Of 8 cells two tenants with 2 each share both in one pair of 28.
+#[test]
+fn two_tenants_of_several_cells_seldom_share_all_of_them() {
+    let cells = cells(8);
+    let shards: Vec<BTreeSet<CellName>> =
+        (0..400u64).map(|t| cells_of(&cells, t, 2).into_iter().collect()).collect();
+    let pairs = shards.len() * (shards.len() - 1) / 2;
+    let same = (0..shards.len()).flat_map(|i| (0..i).map(move |j| (i, j)));
+    let same = same.filter(|(i, j)| shards[*i] == shards[*j]).count();
+    let share = same as f64 / pairs as f64;
+    assert!((0.028..0.045).contains(&share), "{share}, 1/28 = 0.036");
+}
+
+// ---- the file ----
+
+const FILE: &str = r#"(cells (version 3)
+  (cell "a" (weight 1) (readers 2) (writers 2) (fallback "b"))
+  (cell "b" (weight 1) (readers 2) (writers 2))
+  (tenant "t" (cells "a"))
+  (tenant "u" (shards 2))
+  (move "t" (to "b") (over-ms 1000) (step both) (since-unix-ms 5000)))"#;
+
+#[test]
+fn a_file_says_who_belongs_where() {
+    let core = core(&["t", "u", "v"]);
+    let file = CellsFile::parse("cells", FILE, &core).unwrap();
+    assert_eq!(file.home("t"), ["a".into()]);
+    assert_eq!(file.home("u").len(), 2);
+    assert_eq!(file.home("v").len(), 1);
+    assert!((0..500).all(|s| file.belongs(Some("t"), s, 4999) == Some("a".into())));
+    assert!((0..500).all(|s| file.belongs(Some("t"), s, 6000) == Some("b".into())));
+    let over = (0..2000).filter(|s| file.belongs(Some("t"), *s, 5500) == Some("b".into())).count();
+    assert!((900..1100).contains(&over), "{over} of 2000 halfway");
+}
+
+#[test]
+fn each_bad_file_is_refused_with_its_reason() {
+    let core = core(&["t", "u", "v"]);
+    for (from, to, why) in [
+        ("(version 3)", "", "lacks `(version"),
+        ("(cell \"b\"", "(cell \"a\"", "given twice"),
+        ("(writers 2) (fallback", "(writers 0) (fallback", "without writers"),
+        ("(fallback \"b\")", "(fallback \"z\")", "no other cell"),
+        ("(fallback \"b\")", "(fallback \"a\")", "no other cell"),
+        ("(cells \"a\")", "(cells \"z\")", "no cell is named"),
+        ("(cells \"a\")", "(cells)", "at least one cell"),
+        ("(cells \"a\")", "(cells \"a\" \"a\")", "named twice"),
+        ("(cells \"a\")", "(cells \"a\") (shards 2)", "not both"),
+        ("(tenant \"u\" (shards 2))", "(tenant \"u\")", "neither"),
+        ("(tenant \"u\"", "(tenant \"t\"", "given twice"),
+        ("(tenant \"u\"", "(tenant \"nobody\"", "no tenant"),
+        ("(step both)", "(step sideways)", "not prepare"),
+        ("(step both)", "(step prepare)", "no times"),
+        ("(since-unix-ms 5000)", "", "since-unix-ms"),
+        ("(over-ms 1000)", "(over-ms 0)", "outside"),
+    ] {
+        assert!(FILE.contains(from), "{from}");
+        let error = CellsFile::parse("cells", &FILE.replacen(from, to, 1), &core).expect_err(to);
+        assert!(error.what.contains(why), "{to}: {error}");
+        assert!(error.line > 0, "{to}: {error}");
+    }
+    let homeless = FILE.replace("(weight 1)", "(weight 0)");
+    assert!(CellsFile::parse("cells", &homeless, &core).unwrap_err().what.contains("in no cell"));
+    let mut keyed = core.clone();
+    keyed.classes[0].effect = Effect::Keyed(Group::Zone, 1_000_000);
+    let error = CellsFile::parse("cells", FILE, &keyed).unwrap_err();
+    assert!(error.rule.is_some_and(|r| r.contains("twice")), "{error}");
+}
+
+// ---- moves ----
+
+fn a_move(step: Step) -> Move {
+    Move { tenant: "t".into(), to: vec!["b".into()], over_ms: 1000, step }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// While it goes forward a session that is over stays over; while it goes back it stays back.
+    #[test]
+    fn sessions_go_over_once_and_return_once(session in any::<u64>(), back in 0u64..3000, times in prop::collection::vec(0u64..6000, 2..40)) {
+        let mut times = times;
+        times.sort_unstable();
+        let forward = a_move(Step::Both { since: 500 });
+        let over: Vec<bool> = times.iter().map(|t| forward.is_over(session, *t)).collect();
+        prop_assert!(over.is_sorted());
+        let at = 500 + back;
+        let backward = a_move(Step::Back { since: 500, at });
+        let over: Vec<bool> = times.iter().filter(|t| **t >= at).map(|t| backward.is_over(session, *t)).collect();
+        prop_assert!(over.iter().rev().is_sorted());
+        // At the moment of turning back nobody jumps.
+        prop_assert_eq!(forward.is_over(session, at), backward.is_over(session, at));
+        prop_assert!(!backward.is_over(session, at + 1001));
+    }
+}
+
+/// Exhaustive: three nodes see the versions of a move late, or never, in every combination, and
+/// restart; requests arrive at every node in every state.
+#[test]
+fn every_way_in_which_three_nodes_can_see_a_move() {
+    let core = core(&["t"]);
+    let base = "(cells (version NUMBER) (cell \"a\") (cell \"b\") (tenant \"t\" (cells \"a\")) MOVE)";
+    let version = |v: usize, step: &str| {
+        let text = base.replace("NUMBER", &v.to_string());
+        let line = if step.is_empty() {
+            String::new()
+        } else {
+            format!("(move \"t\" (to \"b\") (over-ms 1000) {step})")
+        };
+        CellsFile::parse("cells", &text.replace("MOVE", &line), &core).unwrap()
+    };
+    let histories = [
+        // Forward to its end, then the home is changed and the move leaves the file.
+        vec![
+            version(1, ""),
+            version(2, "(step prepare)"),
+            version(3, "(step both) (since-unix-ms 2000)"),
+            version(4, "(step done) (since-unix-ms 2000)"),
+        ],
+        // Back from halfway.
+        vec![
+            version(1, ""),
+            version(2, "(step prepare)"),
+            version(3, "(step both) (since-unix-ms 2000)"),
+            version(4, "(step back) (since-unix-ms 2000) (back-unix-ms 2500)"),
+        ],
+        // Back before anything went.
+        vec![
+            version(1, ""),
+            version(2, "(step prepare)"),
+            version(3, "(step back) (back-unix-ms 1500)"),
+            version(4, ""),
+        ],
+    ];
+    let mut states = 0;
+    for history in &histories {
+        // Which version each node holds, at each time; a node never goes back, but may skip.
+        for held in 0..4usize.pow(3) {
+            let at = [held % 4, held / 4 % 4, held / 16];
+            for now in (0..5000).step_by(125) {
+                for session in 0..12u64 {
+                    states += 1;
+                    let belongs: Vec<Option<CellName>> =
+                        at.iter().map(|v| history[*v].belongs(Some("t"), session, now)).collect();
+                    // Every node has a cell for it, whichever version it holds.
+                    assert!(belongs.iter().all(Option::is_some));
+                    // Nodes that hold the same version agree, restarted or not.
+                    for (i, j) in [(0, 1), (0, 2), (1, 2)] {
+                        assert!(at[i] != at[j] || belongs[i] == belongs[j]);
+                    }
+                    // A node that missed `both` or `prepare` agrees with one that saw it.
+                    if history[3].moves.iter().any(|m| matches!(m.step, Step::Done { .. })) {
+                        assert_eq!(
+                            history[2].belongs(Some("t"), session, now),
+                            history[3].belongs(Some("t"), session, now)
+                        );
+                    }
+                }
+            }
+            // Whatever a node holds, each later version may follow, and no earlier one is taken.
+            let mut node = Cells::new(history[at[0]].clone(), 10, &core);
+            for (v, next) in history.iter().enumerate() {
+                assert_eq!(node.replace(0, next.clone()).is_ok(), v >= node_version(&node, history));
+            }
+        }
+    }
+    assert!(states > 90_000, "{states}");
+}
+
+fn node_version(node: &Cells, history: &[CellsFile]) -> usize {
+    history.iter().position(|f| f.version >= node.file().version).unwrap_or(0)
+}
+
+#[test]
+fn a_move_that_changes_its_mind_is_refused() {
+    let both = a_move(Step::Both { since: 10 });
+    assert!(!a_move(Step::Both { since: 11 }).may_follow(&both));
+    assert!(!a_move(Step::Prepare).may_follow(&both));
+    assert!(!a_move(Step::Both { since: 10 }).may_follow(&a_move(Step::Done { since: 10 })));
+    assert!(a_move(Step::Back { since: 10, at: 20 }).may_follow(&both));
+    assert!(!a_move(Step::Back { since: 10, at: 5 }).may_follow(&both));
+}
+
+// ---- loss and loans ----
+
+#[test]
+fn a_cell_goes_down_at_once_and_up_step_by_step() {
+    let mut ladder = Ladder::new([1.0, 2.0, 3.0].into_iter());
+    let second = 1_000_000;
+    assert!(ladder.update(0, 0.2));
+    assert_eq!(ladder.level(), Level::Shed);
+    // Just over the step's share is not enough to go up.
+    for s in 1..20 {
+        ladder.update(s * second, 0.42);
+    }
+    assert_eq!(ladder.level(), Level::Shed);
+    ladder.update(20 * second, 1.0);
+    assert_eq!(ladder.level(), Level::Shed);
+    ladder.update(26 * second, 1.0);
+    assert_eq!(ladder.level(), Level::Thin);
+    ladder.update(27 * second, 1.0);
+    assert_eq!(ladder.level(), Level::Thin);
+    ladder.update(32 * second, 1.0);
+    assert_eq!(ladder.level(), Level::Well);
+    ladder.update(33 * second, 0.0);
+    assert_eq!(ladder.level(), Level::Lost);
+    // Able to serve at all, it does so at once.
+    ladder.update(34 * second, 0.5);
+    assert_eq!(ladder.level(), Level::Shed);
+}
+
+#[test]
+fn what_sheds_serves_the_most_worthy() {
+    let mut ladder = Ladder::new([1.0, 2.0, 3.0].into_iter());
+    ladder.update(0, 0.3);
+    let mut served = [0; 3];
+    for n in 0..3000 {
+        let class = n % 3;
+        served[class] += usize::from(ladder.serves(Some(class)));
+    }
+    assert_eq!((served[0], served[2]), (0, 1000));
+    assert!(!ladder.serves(None));
+}
+
+fn engine(id: &str, role: Role, cell: Option<&str>) -> Lendable {
+    Lendable { engine: EngineId(id.into()), role, cell: cell.map(CellName::from) }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 200, ..ProptestConfig::default() })]
+
+    /// Whatever comes and goes: only spare engines are lent, each once, nobody borrows what it does
+    /// not lack, nothing is lent back and forth while nothing changes, and all nodes agree.
+    #[test]
+    fn loans_over_any_history(history in prop::collection::vec((0usize..12, any::<bool>(), 0u64..12), 1..60)) {
+        let specs = [cell("a", 1.0, 2, 2), cell("b", 1.0, 2, 2)];
+        let mut all = Vec::new();
+        for c in ["a", "b"] {
+            for i in 0..2 {
+                all.push(engine(&format!("{c}r{i}"), Role::Reader, Some(c)));
+                all.push(engine(&format!("{c}w{i}"), Role::Writer, Some(c)));
+            }
+        }
+        all.extend([engine("s0", Role::Reader, None), engine("s1", Role::Writer, None)]);
+        all.extend([engine("s2", Role::Mixed, None), engine("s3", Role::Writer, None)]);
+        let mut up = vec![true; all.len()];
+        let (mut one, mut two) = (Loans::default(), Loans::default());
+        let mut now = 0;
+        for (which, is_up, seconds) in history {
+            up[which % all.len()] = is_up;
+            now += seconds * 1_000_000;
+            let serving: Vec<Lendable> = all.iter().zip(&up).filter(|(_, up)| **up).map(|(e, _)| e.clone()).collect();
+            one.update(now, &specs, &serving);
+            let mut other_order = serving.clone();
+            other_order.reverse();
+            two.update(now, &specs, &other_order);
+            for e in &all {
+                prop_assert_eq!(one.borrower(&e.engine), two.borrower(&e.engine));
+                if one.borrower(&e.engine).is_some() {
+                    prop_assert!(e.cell.is_none() && serving.contains(e));
+                }
+            }
+            prop_assert!(!one.update(now, &specs, &serving), "a second look at the same changed something");
+            // Nobody goes without while there is a spare engine of the role that it lacks.
+            for spec in &specs {
+                let mine = |s: &&Lendable| s.cell.as_ref() == Some(&spec.name) || one.borrower(&s.engine) == Some(&spec.name);
+                for (role, need) in [(Role::Reader, 2), (Role::Writer, 2)] {
+                    let has = serving.iter().filter(mine).filter(|s| s.role == role || s.role == Role::Mixed).count();
+                    let free = serving.iter().any(|s| s.cell.is_none() && s.role == role && one.borrower(&s.engine).is_none());
+                    prop_assert!(has >= need || !free, "{:?} lacks {:?} while one is spare", spec.name, role);
+                }
+            }
+        }
+    }
+
+    /// Places: a cell within its part is never turned away; nobody is pushed below his part; what is
+    /// taken and given back adds up.
+    #[test]
+    fn parts_are_kept_whatever_the_others_do(steps in prop::collection::vec((0usize..3, 0usize..3, any::<bool>()), 1..400)) {
+        let names: Vec<CellName> = ["a", "b", "c"].map(CellName::from).to_vec();
+        let tenants = [Some("x"), Some("y"), None];
+        let mut edge = Edge::default();
+        edge.divide(30, names.iter().map(|n| (n, 1.0)));
+        let mut held: Vec<(usize, usize)> = Vec::new();
+        for (c, t, arrives) in steps {
+            if !arrives {
+                if let Some(at) = held.iter().position(|h| *h == (c, t)) {
+                    held.swap_remove(at);
+                    edge.give_back(&names[c], tenants[t]);
+                }
+                continue;
+            }
+            let (part, used) = edge.of(&names[c]);
+            match edge.ask(&names[c], tenants[t], 1.0) {
+                Place::Free => {
+                    edge.take(&names[c], tenants[t]);
+                    held.push((c, t));
+                }
+                Place::InPlaceOf(other) => {
+                    let (their, used) = edge.of(&other);
+                    prop_assert!(used > their || other == names[c], "{} of {} gave way", used, their);
+                    let heaviest = edge.heaviest(&other).unwrap();
+                    edge.give_back(&other, heaviest.as_deref());
+                    let index = names.iter().position(|n| *n == other).unwrap();
+                    let tenant = tenants.iter().position(|t| t.map(str::to_string) == heaviest).unwrap();
+                    held.swap_remove(held.iter().position(|h| *h == (index, tenant)).unwrap());
+                    edge.take(&names[c], tenants[t]);
+                    held.push((c, t));
+                }
+                Place::None(after) => {
+                    prop_assert!(used >= part, "turned away with {} of {} used", used, part);
+                    prop_assert!((1..=2000).contains(&after));
+                }
+            }
+            prop_assert_eq!(edge.used(), held.len());
+            prop_assert!(held.len() <= 30);
+        }
+    }
+}
+
+/// One tenant's flood inside a cell: another tenant of it still gets his even part.
+#[test]
+fn a_flooding_tenant_leaves_the_others_their_parts() {
+    let name = CellName::from("a");
+    let mut edge = Edge::default();
+    edge.divide(20, [(&name, 1.0)].into_iter());
+    let mut flood = 0;
+    while edge.ask(&name, Some("flood"), 1.0) == Place::Free {
+        edge.take(&name, Some("flood"));
+        flood += 1;
+    }
+    assert_eq!(flood, 20);
+    for _ in 0..10 {
+        assert_eq!(edge.ask(&name, Some("calm"), 1.0), Place::InPlaceOf(name.clone()));
+        assert_eq!(edge.heaviest(&name), Some(Some("flood".into())));
+        edge.give_back(&name, Some("flood"));
+        edge.take(&name, Some("calm"));
+    }
+    assert!(matches!(edge.ask(&name, Some("calm"), 1.0), Place::None(_)));
+    assert!(matches!(edge.ask(&name, Some("flood"), 1.0), Place::None(_)));
+}
