A host owns a core for each cell; the node follows the file of cells

Need: cells have to share nothing that is bounded without a guaranteed part, and every node has to follow their versions.

Change: the host keeps one core for each cell with its own table, limits, waiting list and timers, gives it its engines and borrowed ones as they stand, and binds a request to the cell in which it began; the list of engines names cells; the node watches and keeps the file of cells; counters and attempt lines name the cell. Without a file of cells there is one with every engine, as before.

--- a/crates/pintally-config/src/members.rs
+++ b/crates/pintally-config/src/members.rs
@@ -30,6 +30,8 @@
     pub kind: String,
     /// The rack whose link it shares.
     pub rack: u64,
+    /// The cell that it belongs to; spare if none.
+    pub cell: Option<String>,
     /// Whether it takes work.
     pub listing: Listing,
     /// Its registered weight.
@@ -67,6 +69,7 @@
                     return Err(form.error(format!("`state` is `{other}`, not serving, draining or gone")))
                 }
             };
+            let cell = Some(form.text_or("cell", "")?).filter(|c| !c.is_empty());
             let started = form.count_or("started-unix-ms", 0, 0, 1 << 52)?;
             list.engines.push(EngineEntry {
                 id: EngineId(id.into()),
@@ -74,6 +77,7 @@
                 zone: form.text_or("zone", "")?,
                 kind: form.text_or("kind", "")?,
                 rack: form.count_or("rack", 0, 0, 1 << 52)?,
+                cell,
                 listing,
                 weight: form.number_or("weight", 1.0, 0.0, 1e9)?,
                 started_unix_ms: (started > 0).then_some(started),
@@ -103,6 +107,9 @@
                 e.rack,
                 e.weight
             );
+            if let Some(cell) = &e.cell {
+                let _ = write!(out, " (cell {})", quoted(cell));
+            }
             if let Some(at) = e.started_unix_ms {
                 let _ = write!(out, " (started-unix-ms {at})");
             }
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -24,6 +24,10 @@
     pub engines_every: Micros,
     /// Where the last good list is kept over a restart, if anywhere.
     pub kept_list: Option<String>,
+    /// The watched file of cells; without one all engines serve everyone.
+    pub cells_file: Option<String>,
+    /// Where the last good file of cells is kept over a restart, if anywhere.
+    pub kept_cells: Option<String>,
     /// Bounds on what clients and engines may use.
     pub limits: Limits,
     /// What the decision core is told.
@@ -113,8 +117,10 @@
         let engines_file = engines.text()?;
         let engines_every = engines.millis_or("every-ms", 100.0, 1.0, 60_000.0)?;
         engines.finish()?;
-        let kept_list = node.maybe("kept-list")?;
-        let kept_list = kept_list.map(|f| f.text().and_then(|t| f.finish().map(|()| t))).transpose()?;
+        let path = |key: &str| -> Result<Option<String>, ConfigError> {
+            Ok(Some(node.text_or(key, "")?).filter(|t| !t.is_empty()))
+        };
+        let (kept_list, cells_file, kept_cells) = (path("kept-list")?, path("cells")?, path("kept-cells")?);
         let mut core = router(root, node)?;
         let mut classes = Vec::new();
         for form in root.all("class")? {
@@ -164,6 +170,8 @@
             engines_file,
             engines_every,
             kept_list,
+            cells_file,
+            kept_cells,
             limits: limits(root)?,
             core,
             classes,
--- a/crates/pintally-day/src/engines.rs
+++ b/crates/pintally-day/src/engines.rs
@@ -39,6 +39,7 @@
         // A rack stands in one zone.
         zone: zones[rack as usize % zones.len()].clone(),
         rack,
+        cell: None,
         slots: group.slots,
         queue: group.queue,
         memory_tokens: group.memory_tokens,
--- a/crates/pintally-day/src/publish.rs
+++ b/crates/pintally-day/src/publish.rs
@@ -19,6 +19,7 @@
         zone: engine.spec.zone.clone(),
         kind: engine.spec.kind.clone(),
         rack: engine.spec.rack,
+        cell: engine.spec.cell.clone(),
         listing,
         weight: 1.0,
         started_unix_ms,
--- a/crates/pintally-day/src/rig.rs
+++ b/crates/pintally-day/src/rig.rs
@@ -73,6 +73,7 @@
             role,
             zone: "a".to_string(),
             rack: 0,
+            cell: None,
             slots: 32,
             queue: 32,
             memory_tokens: 200_000,
--- /dev/null
+++ b/crates/pintally-host/src/cellular.rs
@@ -0,0 +1,184 @@
+//! The host's cells: one core for each, the engines that each has, and where requests go.
+
+use pintally::interface::{EngineId, Event, ListForm, Listing, Micros, Role};
+use pintally::Router;
+use pintally_cells::{Ask, CellName, Cells, CellsFile, Level, Spread, Verdict};
+
+use crate::host::{Host, Place};
+use crate::input::{Arrival, Command, Final, Listed, Ticket};
+use crate::timers::Due;
+
+/// Whoever comes before any file of cells is known is told to come back after this time.
+const UNKNOWN: Micros = 1_000_000;
+
+impl Host {
+    /// Where each cell stands: its level, the share of its engines, and those that it has borrowed.
+    pub fn cells_status(&self) -> Vec<(CellName, Level, f64, usize)> {
+        self.cells.as_ref().map(Cells::status).unwrap_or_default()
+    }
+
+    /// Whether the settings name a file of cells: without one, one cell without a name has all.
+    fn divided(&self) -> bool {
+        self.settings.cells_file.is_some()
+    }
+
+    /// Makes sure that a cell has a core. Each begins with a seed of its own.
+    fn core_of(&mut self, cell: &CellName) {
+        if !self.routers.contains_key(cell) {
+            let own =
+                cell.0.bytes().fold(self.seed, |seed, b| (seed ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+            let seed = if cell.0.is_empty() { self.seed } else { own };
+            self.routers.insert(cell.clone(), Router::new(self.settings.core.clone(), seed));
+        }
+    }
+
+    pub(crate) fn list(&mut self, now: Micros, form: ListForm, list: Vec<Listed>, out: &mut Vec<Command>) {
+        if form == ListForm::Full {
+            self.places.values_mut().for_each(|p| p.listing = Listing::Gone);
+            self.members.clear();
+        }
+        for one in &list {
+            let core = &self.settings.core;
+            let member = &one.member;
+            let Some(kind) = core.kinds.iter().position(|k| k.name == member.kind) else {
+                out.push(Command::Log(format!(
+                    "engine {} is of the unknown kind `{}` and is left out",
+                    member.engine.0, member.kind
+                )));
+                continue;
+            };
+            let place = Place {
+                address: one.address,
+                role: core.kinds[kind].role,
+                slots: self.settings.slots.get(kind).copied().unwrap_or(0),
+                listing: member.listing,
+            };
+            self.places.insert(member.engine.clone(), place);
+            self.members.insert(member.engine.clone(), one.clone());
+        }
+        if !self.divided() {
+            let whole = CellName::default();
+            self.core_of(&whole);
+            let members = list.into_iter().map(|one| one.member).collect();
+            self.event(now, &whole, Event::Members(form, members), out);
+        } else if form != ListForm::Failed {
+            self.list_to_cells(now, out);
+        }
+        // An engine that has left the list may still run and hold something of this node.
+        let gone: Vec<EngineId> =
+            self.places.iter().filter(|(_, p)| p.listing == Listing::Gone).map(|(e, _)| e.clone()).collect();
+        for engine in gone {
+            if !self.in_use(&engine) {
+                self.places.remove(&engine);
+                self.members.remove(&engine);
+            }
+        }
+    }
+
+    fn list_to_cells(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let places = &self.places;
+        let role = |e: &EngineId| places.get(e).map_or(Role::Reader, |p| p.role);
+        let listed = self.members.values();
+        let all = listed.map(|l| (l.member.clone(), role(&l.member.engine), l.cell.clone())).collect();
+        let Some(cells) = &mut self.cells else { return };
+        let spread = cells.list(now, all);
+        self.hand_out(now, spread, out);
+    }
+
+    /// A version of the cells file has come.
+    pub(crate) fn take_cells(&mut self, now: Micros, file: CellsFile, out: &mut Vec<Command>) {
+        let version = file.version;
+        match &mut self.cells {
+            None => {
+                let places = self.settings.limits.held;
+                self.cells = Some(Cells::new(file, places, &self.settings.core));
+                self.list_to_cells(now, out);
+            }
+            Some(cells) => match cells.replace(now, file) {
+                Ok(spread) => self.hand_out(now, spread, out),
+                Err(why) => {
+                    out.push(Command::Log(format!(
+                        "version {version} of the cells file does not hold: {why}"
+                    )));
+                }
+            },
+        }
+    }
+
+    /// Time alone may have changed something.
+    pub(crate) fn cells_due(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.cells_due = None;
+        if let Some(cells) = &mut self.cells {
+            let spread = cells.spread(now);
+            self.hand_out(now, spread, out);
+        }
+    }
+
+    /// Gives each cell's core its engines. A cell that is no more keeps none; its core ends what it
+    /// has in hand.
+    fn hand_out(&mut self, now: Micros, spread: Spread, out: &mut Vec<Command>) {
+        out.extend(spread.notes.into_iter().map(Command::Log));
+        for cell in spread.cells.keys() {
+            self.core_of(cell);
+        }
+        for cell in self.routers.keys().cloned().collect::<Vec<_>>() {
+            let members = spread.cells.get(&cell).cloned().unwrap_or_default();
+            self.event(now, &cell, Event::Members(ListForm::Full, members), out);
+        }
+        let next = self.cells.as_ref().and_then(|c| c.next_change(now));
+        if let (Some(at), None) = (next, self.cells_due) {
+            self.cells_due = Some(self.timers.set(at.max(now + 1), Due::Cells));
+        }
+    }
+
+    /// The cell for a request, with a place in it; `None` if it was turned away.
+    pub(crate) fn cell_for(
+        &mut self,
+        now: Micros,
+        arrival: &Arrival,
+        session: u64,
+        out: &mut Vec<Command>,
+    ) -> Option<CellName> {
+        if !self.divided() {
+            let whole = CellName::default();
+            self.core_of(&whole);
+            return Some(whole);
+        }
+        let tenant = arrival.tenant.and_then(|t| self.settings.core.tenants.get(t)).map(|t| t.name.as_str());
+        let Some(cells) = &mut self.cells else {
+            // Without the file nobody knows whose engine is whose: better nobody than everybody.
+            self.turn_away(arrival.ticket, Some(UNKNOWN), out);
+            return None;
+        };
+        match cells.admit(Ask { tenant, session, class: arrival.class }, arrival.unix_ms) {
+            Verdict::Into(cell) => Some(cell),
+            Verdict::InPlaceOf(cell, other) => {
+                self.give_way(now, &other, out);
+                Some(cell)
+            }
+            Verdict::Refused(_, after_ms, _) => {
+                self.counters.at_the_edge += 1;
+                self.turn_away(arrival.ticket, Some(after_ms * 1000), out);
+                None
+            }
+        }
+    }
+
+    /// The youngest request that waits unsent, of the heaviest tenant of a cell, gives up its place.
+    /// Where all of them are under way none does: what has cost work is not thrown away.
+    fn give_way(&mut self, now: Micros, cell: &CellName, out: &mut Vec<Command>) {
+        let Some(heaviest) = self.cells.as_ref().and_then(|c| c.heaviest(cell)) else { return };
+        let tenants = &self.settings.core.tenants;
+        let named = |t: Option<usize>| t.and_then(|t| tenants.get(t)).map(|t| t.name.clone());
+        let waits = |e: &crate::ledger::Entry| {
+            e.cell == *cell && !e.over && e.attempts == 0 && e.out.is_none() && named(e.tenant) == heaviest
+        };
+        let youngest: Option<(Ticket, _)> =
+            self.entries.iter().rev().find(|(_, e)| waits(e)).map(|(t, e)| (*t, e.id.clone()));
+        let Some((ticket, id)) = youngest else { return };
+        self.counters.gave_way += 1;
+        self.touched.push(ticket);
+        self.answer(&id, Final::Refused(Some(UNKNOWN)), out);
+        self.event(now, cell, Event::Withdrawn(id), out);
+    }
+}
--- a/crates/pintally-host/src/counters.rs
+++ b/crates/pintally-host/src/counters.rs
@@ -7,6 +7,10 @@
     pub taken: u64,
     /// Requests turned away before the core saw them.
     pub turned_away: u64,
+    /// Of these, turned away at the edge of their cell.
+    pub at_the_edge: u64,
+    /// Requests that waited and gave up their place to another's part.
+    pub gave_way: u64,
     /// Final answers.
     pub served: u64,
     /// Final answers that turn away, those at the door included.
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -5,54 +5,64 @@
 use std::sync::Arc;
 
 use pintally::interface::{
-    Action, Attempt, Ended, EngineId, Event, ListForm, Listing, Load, Member, Micros, Outcome, Request,
-    RequestId, Role,
+    Action, Attempt, Ended, EngineId, Event, Listing, Load, Micros, Outcome, Request, RequestId, Role,
 };
 use pintally::Router;
+use pintally_cells::{CellName, Cells};
 use pintally_config::NodeSettings;
 use pintally_engine::Step;
 use serde_json::Value;
 
-use crate::input::{Arrival, Command, Final, Input, Order, Ticket};
+use crate::input::{Arrival, Command, Final, Input, Listed, Order, Ticket};
 use crate::ledger::{Entry, HeldState, Out};
 use crate::releases::{Releases, Verdict};
 use crate::timers::{Due, Timers};
 use crate::Counters;
 
 /// What the host knows of an engine.
-struct Place {
-    address: SocketAddr,
-    role: Role,
-    slots: u64,
-    listing: Listing,
+pub(crate) struct Place {
+    pub(crate) address: SocketAddr,
+    pub(crate) role: Role,
+    pub(crate) slots: u64,
+    pub(crate) listing: Listing,
 }
 
 /// Owns a router, and answers for what its actions become.
 pub struct Host {
-    settings: Arc<NodeSettings>,
-    router: Router,
+    pub(crate) settings: Arc<NodeSettings>,
+    pub(crate) routers: BTreeMap<CellName, Router>,
+    /// The cells; without a file of them there is one, which has no name and every engine.
+    pub(crate) cells: Option<Cells>,
+    pub(crate) members: BTreeMap<EngineId, Listed>,
+    /// A timer for cells is out.
+    pub(crate) cells_due: Option<(Micros, u64)>,
+    pub(crate) seed: u64,
     /// Begins the names of this start's requests.
     stamp: String,
-    places: BTreeMap<EngineId, Place>,
-    entries: BTreeMap<Ticket, Entry>,
-    by_id: HashMap<RequestId, Ticket>,
+    pub(crate) places: BTreeMap<EngineId, Place>,
+    pub(crate) entries: BTreeMap<Ticket, Entry>,
+    pub(crate) by_id: HashMap<RequestId, Ticket>,
     releases: Releases,
-    timers: Timers,
+    pub(crate) timers: Timers,
     /// Events that the host itself owes the core.
-    owed: VecDeque<Event>,
+    owed: VecDeque<(CellName, Event)>,
     /// Requests that the current input has touched.
-    touched: Vec<Ticket>,
+    pub(crate) touched: Vec<Ticket>,
     actions: Vec<Action>,
     stopping: bool,
     stopped: bool,
-    counters: Counters,
+    pub(crate) counters: Counters,
 }
 
 impl Host {
     /// A host that knows its settings and nothing of the fleet.
     pub fn new(settings: Arc<NodeSettings>, seed: u64) -> Host {
         Host {
-            router: Router::new(settings.core.clone(), seed),
+            routers: BTreeMap::new(),
+            cells: None,
+            members: BTreeMap::new(),
+            cells_due: None,
+            seed,
             stamp: format!("{}-{:08x}", settings.name, seed as u32),
             settings,
             places: BTreeMap::new(),
@@ -98,7 +108,8 @@
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
         while let Some(due) = self.timers.pop(now) {
             match due {
-                Due::Core(timer) => self.event(now, Event::Elapsed(timer), out),
+                Due::Core(cell, timer) => self.event(now, &cell, Event::Elapsed(timer), out),
+                Due::Cells => self.cells_due(now, out),
                 Due::Answer(ticket) => self.overdue(now, ticket, out),
                 Due::Release(id, engine) => self.release_again(id, engine, out),
                 Due::Stop => self.give_up_all(now, out),
@@ -111,6 +122,7 @@
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
         match input {
             Input::List(form, members) => self.list(now, form, members, out),
+            Input::Cells(file) => self.take_cells(now, *file, out),
             Input::Arrived(arrival) => self.arrived(now, arrival, out),
             Input::FirstToken(ticket, attempt) => self.first_token(now, ticket, attempt, out),
             Input::Ended { ticket, attempt, outcome, kept, load, state } => {
@@ -118,7 +130,10 @@
             }
             Input::Left(ticket) => self.left(now, ticket, out),
             Input::Probed(engine, answered, load) => {
-                self.event(now, Event::Probed(engine, answered, load), out)
+                // Whoever has the engine has asked; a second cell hears of it in vain.
+                for cell in self.routers.keys().cloned().collect::<Vec<_>>() {
+                    self.event(now, &cell, Event::Probed(engine.clone(), answered, load), out);
+                }
             }
             Input::Released(id, engine, heard) => self.released(now, id, engine, heard),
             Input::Stop => {
@@ -131,23 +146,25 @@
         self.settle(out);
     }
 
-    /// Hands the core an event and carries out its actions, and what they in turn owe the core.
-    fn event(&mut self, now: Micros, event: Event, out: &mut Vec<Command>) {
-        let mut next = Some(event);
-        while let Some(event) = next {
+    /// Hands a cell's core an event and carries out its actions, and what they in turn owe the cores.
+    pub(crate) fn event(&mut self, now: Micros, cell: &CellName, event: Event, out: &mut Vec<Command>) {
+        let mut next = Some((cell.clone(), event));
+        while let Some((cell, event)) = next {
             let mut actions = std::mem::take(&mut self.actions);
-            self.router.handle(now, event, &mut actions);
+            if let Some(router) = self.routers.get_mut(&cell) {
+                router.handle(now, event, &mut actions);
+            }
             for action in actions.drain(..) {
-                self.action(now, action, out);
+                self.action(now, &cell, action, out);
             }
             self.actions = actions;
             next = self.owed.pop_front();
         }
     }
 
-    fn action(&mut self, now: Micros, action: Action, out: &mut Vec<Command>) {
+    fn action(&mut self, now: Micros, cell: &CellName, action: Action, out: &mut Vec<Command>) {
         match action {
-            Action::Send(id, engine, timeout) => self.send(now, id, engine, timeout, out),
+            Action::Send(id, engine, timeout) => self.send(now, cell, id, engine, timeout, out),
             Action::Refuse(id, after) => self.answer(&id, Final::Refused(after), out),
             Action::Fail(id) => self.answer(&id, Final::Failed, out),
             Action::Cancel(id, attempt) => {
@@ -160,59 +177,21 @@
             Action::Release(id) => self.release(&id, out),
             Action::Probe(engine) => match self.places.get(&engine) {
                 Some(place) => out.push(Command::Probe(engine, place.address, place.slots)),
-                None => self.owed.push_back(Event::Probed(engine, false, None)),
+                None => self.owed.push_back((cell.clone(), Event::Probed(engine, false, None))),
             },
             Action::Wake(timer, after) => {
-                self.timers.set(now.saturating_add(after), Due::Core(timer));
+                self.timers.set(now.saturating_add(after), Due::Core(cell.clone(), timer));
             }
             Action::Follow => out.push(Command::Reread),
-            Action::Log(text) => out.push(Command::Log(text)),
+            Action::Log(text) if cell.0.is_empty() => out.push(Command::Log(text)),
+            Action::Log(text) => out.push(Command::Log(format!("cell {cell}: {text}"))),
         }
     }
 
     // ---- the fleet ----
 
-    fn list(
-        &mut self,
-        now: Micros,
-        form: ListForm,
-        members: Vec<(Member, SocketAddr)>,
-        out: &mut Vec<Command>,
-    ) {
-        if form == ListForm::Full {
-            self.places.values_mut().for_each(|p| p.listing = Listing::Gone);
-        }
-        for (member, address) in &members {
-            let core = &self.settings.core;
-            let Some(kind) = core.kinds.iter().position(|k| k.name == member.kind) else {
-                out.push(Command::Log(format!(
-                    "engine {} is of the unknown kind `{}` and is left out",
-                    member.engine.0, member.kind
-                )));
-                continue;
-            };
-            let place = Place {
-                address: *address,
-                role: core.kinds[kind].role,
-                slots: self.settings.slots.get(kind).copied().unwrap_or(0),
-                listing: member.listing,
-            };
-            self.places.insert(member.engine.clone(), place);
-        }
-        let members = members.into_iter().map(|(member, _)| member).collect();
-        self.event(now, Event::Members(form, members), out);
-        // An engine that has left the list may still run and hold something of this node.
-        let gone: Vec<EngineId> =
-            self.places.iter().filter(|(_, p)| p.listing == Listing::Gone).map(|(e, _)| e.clone()).collect();
-        for engine in gone {
-            if !self.in_use(&engine) {
-                self.places.remove(&engine);
-            }
-        }
-    }
-
     /// Whether a request has an attempt or a state at an engine, or a release waits for it.
-    fn in_use(&self, engine: &EngineId) -> bool {
+    pub(crate) fn in_use(&self, engine: &EngineId) -> bool {
         let waits = self.releases.any_at(engine);
         waits
             || self.entries.values().any(|e| {
@@ -234,25 +213,27 @@
         };
         let patience = arrival.patience.map_or(usual, |own| own.min(usual));
         let left = patience.saturating_sub(limits.answer_margin);
-        if self.stopping || left == 0 || self.entries.len() >= limits.held {
-            self.counters.turned_away += 1;
-            self.counters.refused += 1;
-            out.push(Command::Answer(arrival.ticket, Final::Refused(None)));
-            out.push(Command::Over(arrival.ticket));
-            return;
+        let full = self.cells.is_none() && self.entries.len() >= limits.held;
+        if self.stopping || left == 0 || full {
+            return self.turn_away(arrival.ticket, None, out);
         }
         if self.entries.contains_key(&arrival.ticket) {
             self.counters.stray += 1;
             return;
         }
+        let (margin, session) = (limits.answer_margin, arrival.session.unwrap_or(arrival.ticket | 1 << 52));
+        let Some(cell) = self.cell_for(now, &arrival, session, out) else { return };
+        let class = arrival.class.and_then(|c| self.settings.classes.get(c));
         let id = RequestId(format!("{}-{}", self.stamp, arrival.ticket).into());
         let most = class.map_or(256, |c| c.max_tokens);
         let max_tokens = arrival.max_tokens.unwrap_or(most);
         // The core answers by the deadline; the guard stands behind it, before the client gives up.
         let deadline = now.saturating_add(left);
-        let guard = self.timers.set(deadline + limits.answer_margin / 2, Due::Answer(arrival.ticket));
+        let guard = self.timers.set(deadline + margin / 2, Due::Answer(arrival.ticket));
         let entry = Entry {
             id: id.clone(),
+            cell: cell.clone(),
+            tenant: arrival.tenant,
             streamed: arrival.streamed,
             max_tokens,
             deadline,
@@ -269,7 +250,7 @@
             id,
             class: arrival.class,
             tenant: arrival.tenant,
-            session: arrival.session.unwrap_or(arrival.ticket | 1 << 52),
+            session,
             prefix: arrival.prefix,
             prompt_tokens: arrival.prompt_tokens,
             prefix_tokens: arrival.prefix_tokens.min(arrival.prompt_tokens),
@@ -277,12 +258,13 @@
             patience: left,
             resumed: arrival.resumed,
         };
-        self.event(now, Event::Arrived(request), out);
+        self.event(now, &cell, Event::Arrived(request), out);
     }
 
     fn send(
         &mut self,
         now: Micros,
+        cell: &CellName,
         id: RequestId,
         engine: EngineId,
         timeout: Micros,
@@ -292,7 +274,7 @@
         let Some((ticket, entry)) = ticket.and_then(|t| self.entries.get_mut(&t).map(|e| (t, e))) else {
             // The core still counts on an end.
             self.counters.never_sent += 1;
-            self.owed.push_back(never_sent(id, 0));
+            self.owed.push_back((cell.clone(), never_sent(id, 0)));
             return;
         };
         let attempt = entry.attempts;
@@ -309,7 +291,7 @@
         let place = place.filter(|_| !entry.over && entry.out.is_none() && attempt < most && left > 0);
         let Some(place) = place else {
             self.counters.never_sent += 1;
-            self.owed.push_back(never_sent(id, attempt));
+            self.owed.push_back((cell.clone(), never_sent(id, attempt)));
             return;
         };
         self.counters.attempts += 1;
@@ -319,6 +301,7 @@
             ticket,
             request: id,
             attempt,
+            cell: cell.clone(),
             address: place.address,
             slots: place.slots,
             engine,
@@ -347,9 +330,9 @@
         if entry.streamed {
             self.timers.unset(entry.guard);
         }
-        let id = entry.id.clone();
+        let (id, cell) = (entry.id.clone(), entry.cell.clone());
         self.touched.push(ticket);
-        self.event(now, Event::FirstToken(id, attempt), out);
+        self.event(now, &cell, Event::FirstToken(id, attempt), out);
     }
 
     fn ended(
@@ -370,7 +353,7 @@
             return;
         };
         self.touched.push(ticket);
-        let id = entry.id.clone();
+        let (id, cell) = (entry.id.clone(), entry.cell.clone());
         let mut outcome = outcome;
         if ended.step == Step::Read {
             let engine = ended.engine.clone();
@@ -398,7 +381,7 @@
         }
         let last = over || ended.started || outcome == Outcome::Served;
         let event = Ended { id: id.clone(), attempt, outcome, last, kept, load };
-        self.event(now, Event::Ended(event), out);
+        self.event(now, &cell, Event::Ended(event), out);
         self.release_unsure(&id, out);
     }
 
@@ -410,13 +393,13 @@
         self.touched.push(ticket);
         entry.over = true;
         self.counters.left += 1;
-        let id = entry.id.clone();
+        let (id, cell) = (entry.id.clone(), entry.cell.clone());
         self.timers.unset(entry.guard);
-        self.event(now, Event::Withdrawn(id), out);
+        self.event(now, &cell, Event::Withdrawn(id), out);
     }
 
     /// The one place in which a final answer is given: the first one counts, there is no second.
-    fn answer(&mut self, id: &RequestId, answer: Final, out: &mut Vec<Command>) {
+    pub(crate) fn answer(&mut self, id: &RequestId, answer: Final, out: &mut Vec<Command>) {
         let Some(&ticket) = self.by_id.get(id) else { return };
         let Some(entry) = self.entries.get_mut(&ticket).filter(|e| !e.over) else { return };
         entry.over = true;
@@ -439,15 +422,23 @@
         self.end_by_host(now, ticket, out);
     }
 
+    /// Turns a request away before any core sees it.
+    pub(crate) fn turn_away(&mut self, ticket: Ticket, after: Option<Micros>, out: &mut Vec<Command>) {
+        self.counters.turned_away += 1;
+        self.counters.refused += 1;
+        out.push(Command::Answer(ticket, Final::Refused(after)));
+        out.push(Command::Over(ticket));
+    }
+
     /// Ends a request in the core's place; its attempt is called off.
     fn end_by_host(&mut self, now: Micros, ticket: Ticket, out: &mut Vec<Command>) {
         let Some(entry) = self.entries.get(&ticket) else { return };
-        let id = entry.id.clone();
+        let (id, cell) = (entry.id.clone(), entry.cell.clone());
         let open = entry.out.as_ref().map(|o| (o.attempt, o.started));
         let started = open.is_some_and(|o| o.1);
         self.answer(&id, if started { Final::Cut } else { Final::Failed }, out);
         let before = out.len();
-        self.event(now, Event::Withdrawn(id), out);
+        self.event(now, &cell, Event::Withdrawn(id), out);
         let cancelled = |c: &Command| matches!(c, Command::Cancel(t, _) if *t == ticket);
         if let Some((attempt, _)) = open.filter(|_| !out[before..].iter().any(cancelled)) {
             out.push(Command::Cancel(ticket, attempt));
@@ -528,6 +519,10 @@
             }
             let Some(mut entry) = self.entries.remove(&ticket) else { continue };
             self.by_id.remove(&entry.id);
+            if let Some(cells) = &mut self.cells {
+                let tenant = entry.tenant.and_then(|t| self.settings.core.tenants.get(t));
+                cells.give_back(&entry.cell, tenant.map(|t| t.name.as_str()));
+            }
             self.timers.unset(entry.guard);
             out.push(Command::Over(ticket));
             for state in std::mem::take(&mut entry.held) {
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use pintally::interface::{Attempt, EngineId, ListForm, Load, Member, Micros, Outcome, RequestId};
+use pintally_cells::{CellName, CellsFile};
 use pintally_engine::Step;
 use serde_json::Value;
 
@@ -35,13 +36,28 @@
     pub streamed: bool,
     /// The client comes back after a broken stream.
     pub resumed: bool,
+    /// Unix time at which it came, in milliseconds: moves between cells go by it.
+    pub unix_ms: u64,
+}
+
+/// An engine of the list.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// As the core takes it.
+    pub member: Member,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The cell that it belongs to; spare if none.
+    pub cell: Option<CellName>,
 }
 
 /// What a host learns.
 #[derive(Clone, Debug)]
 pub enum Input {
-    /// Word of the fleet: entries and where they listen.
-    List(ListForm, Vec<(Member, SocketAddr)>),
+    /// Word of the fleet.
+    List(ListForm, Vec<Listed>),
+    /// A version of the cells file.
+    Cells(Box<CellsFile>),
     /// A request has come.
     Arrived(Arrival),
     /// The answer of an attempt has begun.
@@ -80,6 +96,8 @@
     pub request: RequestId,
     /// The attempt.
     pub attempt: Attempt,
+    /// The cell in which the request lives.
+    pub cell: CellName,
     /// The engine.
     pub engine: EngineId,
     /// Where it listens.
--- a/crates/pintally-host/src/ledger.rs
+++ b/crates/pintally-host/src/ledger.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use pintally::interface::{Attempt, EngineId, Micros, RequestId};
+use pintally_cells::CellName;
 use pintally_engine::Step;
 use serde_json::Value;
 
@@ -26,6 +27,9 @@
 /// One request.
 pub(crate) struct Entry {
     pub(crate) id: RequestId,
+    /// The cell in which it lives, from its arrival to its end.
+    pub(crate) cell: CellName,
+    pub(crate) tenant: Option<usize>,
     pub(crate) streamed: bool,
     pub(crate) max_tokens: u64,
     pub(crate) deadline: Micros,
--- a/crates/pintally-host/src/lib.rs
+++ b/crates/pintally-host/src/lib.rs
@@ -9,6 +9,7 @@
 //! - each read state that may wait at an engine is fetched or let go, and letting go is repeated
 //!   until the engine has heard it.
 
+mod cellular;
 mod counters;
 mod host;
 mod input;
@@ -19,5 +20,5 @@
 
 pub use counters::Counters;
 pub use host::Host;
-pub use input::{Arrival, Command, Final, Input, Order, Ticket};
+pub use input::{Arrival, Command, Final, Input, Listed, Order, Ticket};
 pub use list::{Applied, ListFollower};
--- a/crates/pintally-host/src/list.rs
+++ b/crates/pintally-host/src/list.rs
@@ -1,18 +1,20 @@
 //! Follows the list of engines: each good text becomes the changes against the one before.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
-use pintally::interface::{EngineId, ListForm, Listing, Member, Micros};
+use pintally::interface::{EngineId, ListForm, Listing, Micros};
+use pintally_cells::CellName;
 use pintally_config::{ConfigError, EngineEntry, EngineList};
 
+use crate::input::Listed;
+
 /// What a text of the list means.
 #[derive(Debug)]
 pub enum Applied {
     /// The same as before.
     Same,
     /// These entries are new or other than before; what is missing is among them as gone.
-    Changes(ListForm, Vec<(Member, SocketAddr)>),
+    Changes(ListForm, Vec<Listed>),
     /// It cannot be read: the old list holds. Told once for the same mistake.
     Bad(Option<ConfigError>),
     /// It is older than the list that holds, which goes on holding. Told once for the same version.
@@ -53,14 +55,14 @@
         let mut changes = Vec::new();
         for entry in list.engines {
             if first || self.entries.get(&entry.id) != Some(&entry) {
-                changes.push((entry.member(&clock), entry.address));
+                changes.push(listed(&entry, &clock));
             }
             next.insert(entry.id.clone(), entry);
         }
         for (id, old) in &self.entries {
             if !next.contains_key(id) && old.listing != Listing::Gone {
                 let gone = EngineEntry { listing: Listing::Gone, ..old.clone() };
-                changes.push((gone.member(&clock), gone.address));
+                changes.push(listed(&gone, &clock));
             }
         }
         self.entries = next;
@@ -86,3 +88,8 @@
         self.entries.is_empty()
     }
 }
+
+fn listed(entry: &EngineEntry, clock: impl Fn(u64) -> Micros) -> Listed {
+    let cell = entry.cell.as_deref().map(CellName::from);
+    Listed { member: entry.member(clock), address: entry.address, cell }
+}
--- a/crates/pintally-host/src/timers.rs
+++ b/crates/pintally-host/src/timers.rs
@@ -4,13 +4,17 @@
 
 use pintally::interface::{EngineId, Micros, RequestId, Timer};
 
+use pintally_cells::CellName;
+
 use crate::Ticket;
 
 /// What a timer is for.
 #[derive(Clone, Debug)]
 pub(crate) enum Due {
-    /// The core asked to be woken.
-    Core(Timer),
+    /// A cell's core asked to be woken.
+    Core(CellName, Timer),
+    /// Time alone may change what cells have.
+    Cells,
     /// A request's final answer is overdue.
     Answer(Ticket),
     /// A release is to be repeated.
--- a/crates/pintally-node/src/attempt.rs
+++ b/crates/pintally-node/src/attempt.rs
@@ -78,7 +78,7 @@
     };
     let Some(end) = end else { return };
     debug!(
-        request = %order.request.0, attempt = order.attempt, engine = %order.engine.0, step = ?order.step,
+        request = %order.request.0, cell = %order.cell, attempt = order.attempt, engine = %order.engine.0, step = ?order.step,
         outcome = ?end.outcome, took_us = began.elapsed().as_micros() as u64, "attempt ended"
     );
     life.out = None;
--- a/crates/pintally-node/src/clock.rs
+++ b/crates/pintally-node/src/clock.rs
@@ -25,6 +25,11 @@
         BEGIN + self.start.elapsed().as_micros() as Micros
     }
 
+    /// Unix time now, by the comparison at the start.
+    pub(crate) fn unix_ms(&self) -> u64 {
+        self.unix_ms + self.start.elapsed().as_millis() as u64
+    }
+
     /// The instant of a time.
     pub(crate) fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros(at.saturating_sub(BEGIN))
--- a/crates/pintally-node/src/connection.rs
+++ b/crates/pintally-node/src/connection.rs
@@ -161,7 +161,15 @@
 fn counters(shared: &Shared) -> String {
     let c = shared.counters();
     let h = c.host;
+    let cells = shared.cells.lock().unwrap_or_else(|e| e.into_inner());
+    let cells: Vec<_> = cells
+        .iter()
+        .map(|(name, level, share, borrowed)| {
+            serde_json::json!({ "cell": &*name.0, "level": format!("{level:?}"), "share": share, "borrowed": borrowed })
+        })
+        .collect();
     serde_json::json!({
+        "cells": cells, "at_the_edge": h.at_the_edge, "gave_way": h.gave_way,
         "connections": c.connections, "open_connections": shared.open_connections(),
         "over_limit": c.over_limit, "bad_requests": c.bad_requests, "turned_away": c.turned_away,
         "unwritten": c.unwritten, "lists_refused": c.lists_refused,
@@ -222,6 +230,7 @@
         patience: ask.deadline_ms.map(|ms| ms * 1000),
         streamed: form == Form::Stream,
         resumed: ask.resumed,
+        unix_ms: shared.clock.unix_ms(),
     })
 }
 
--- a/crates/pintally-node/src/node.rs
+++ b/crates/pintally-node/src/node.rs
@@ -79,9 +79,10 @@
         }
         // What was known before the last end comes first, then the list as it is now.
         let mut follower = ListFollower::default();
+        let cells = watch::restore_cells(&shared);
         watch::restore(&shared, &mut follower);
         let own = shared.clone();
-        node.spawn("list", move || watch::run(&own, follower, &look_queue))?;
+        node.spawn("list", move || watch::run(&own, follower, cells, &look_queue))?;
         node.look = Some(look);
         let own = shared.clone();
         node.spawn("door", move || door::run(&own, &listener, &door_waker))?;
--- a/crates/pintally-node/src/shared.rs
+++ b/crates/pintally-node/src/shared.rs
@@ -8,6 +8,7 @@
 
 use crossbeam_channel::Sender;
 use pintally::interface::{Attempt, EngineId, RequestId};
+use pintally_cells::{CellName, Level};
 use pintally_config::NodeSettings;
 use pintally_host::{Arrival, Counters, Final, Input, Order};
 
@@ -90,6 +91,8 @@
     pub(crate) decide: Sender<Message>,
     pub(crate) counts: DoorCounts,
     pub(crate) host_counters: Mutex<Counters>,
+    /// Where each cell stands.
+    pub(crate) cells: Mutex<Vec<(CellName, Level, f64, usize)>>,
     /// Engines that take work, by the list; the node is ready while there are any.
     pub(crate) serving: AtomicUsize,
     pub(crate) next_ticket: AtomicU64,
@@ -113,6 +116,7 @@
             decide,
             counts: DoorCounts::default(),
             host_counters: Mutex::default(),
+            cells: Mutex::default(),
             serving: AtomicUsize::new(0),
             next_ticket: AtomicU64::new(1),
             bodies: AtomicUsize::new(0),
--- a/crates/pintally-node/src/watch.rs
+++ b/crates/pintally-node/src/watch.rs
@@ -8,32 +8,60 @@
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use pintally::interface::ListForm;
+use pintally_cells::CellsFile;
 use pintally_config::form::FILE_MOST;
 use pintally_host::{Applied, Input, ListFollower};
 use tracing::{info, warn};
 
 use crate::shared::Shared;
 
-/// Follows the list until the channel closes; a message on it asks for another look at once.
-pub(crate) fn run(shared: &Shared, mut follower: ListFollower, look: &Receiver<()>) {
-    let every = Duration::from_micros(shared.settings.engines_every);
-    let file = shared.settings.engines_file.clone();
-    let (mut last, mut missing) = (Vec::new(), false);
-    loop {
-        match read(&file) {
-            Ok(text) if text != last => {
-                missing = false;
-                apply(shared, &mut follower, &file, &text);
-                last = text;
+/// A watched file: its text as last read, and whether it is missing.
+#[derive(Default)]
+struct Watched {
+    last: Vec<u8>,
+    missing: bool,
+}
+
+impl Watched {
+    /// The file's text if it has changed; an error is told once.
+    fn changed(&mut self, file: &str) -> Option<Result<Vec<u8>, io::Error>> {
+        match read(file) {
+            Ok(text) => {
+                self.missing = false;
+                let fresh = text != self.last;
+                self.last.clone_from(&text);
+                fresh.then_some(Ok(text))
             }
-            Ok(_) => missing = false,
-            Err(e) => {
-                if !std::mem::replace(&mut missing, true) {
-                    warn!(file, error = %e, "the list of engines cannot be read: the old list holds");
-                    shared.tell(Input::List(ListForm::Failed, Vec::new()));
+            Err(e) => (!std::mem::replace(&mut self.missing, true)).then_some(Err(e)),
+        }
+    }
+}
+
+/// Follows the list and the file of cells until the channel closes; a message on it asks for another
+/// look at once.
+pub(crate) fn run(shared: &Shared, mut follower: ListFollower, mut cells: u64, look: &Receiver<()>) {
+    let settings = &shared.settings;
+    let every = Duration::from_micros(settings.engines_every);
+    let (mut list, mut cells_file) = (Watched::default(), Watched::default());
+    loop {
+        if let Some(file) = &settings.cells_file {
+            match cells_file.changed(file) {
+                None => {}
+                Some(Ok(text)) => apply_cells(shared, &mut cells, file, &text),
+                Some(Err(e)) => {
+                    warn!(file, error = %e, "the file of cells cannot be read: the old one holds")
                 }
             }
         }
+        match list.changed(&settings.engines_file) {
+            None => {}
+            Some(Ok(text)) => apply(shared, &mut follower, &settings.engines_file, &text),
+            Some(Err(e)) => {
+                let file = &settings.engines_file;
+                warn!(file, error = %e, "the list of engines cannot be read: the old list holds");
+                shared.tell(Input::List(ListForm::Failed, Vec::new()));
+            }
+        }
         match look.recv_timeout(every) {
             Ok(()) | Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
@@ -42,6 +70,49 @@
     }
 }
 
+/// Takes in the file of cells that was kept before the last end, if there is one; returns its version.
+pub(crate) fn restore_cells(shared: &Shared) -> u64 {
+    let Some(kept) = &shared.settings.kept_cells else { return 0 };
+    let mut version = 0;
+    match read(kept) {
+        Ok(text) => {
+            take_cells(shared, &mut version, kept, &text);
+        }
+        Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+        Err(e) => warn!(file = kept, error = %e, "the kept file of cells cannot be read"),
+    }
+    version
+}
+
+fn apply_cells(shared: &Shared, version: &mut u64, file: &str, text: &[u8]) {
+    if !take_cells(shared, version, file, text) {
+        return;
+    }
+    let Some(kept) = &shared.settings.kept_cells else { return };
+    if let Err(e) = write_whole(Path::new(kept), text) {
+        warn!(file = kept, error = %e, "the file of cells cannot be kept: a restart will begin without it");
+    }
+}
+
+/// Hands a version of the cells file to the host; whether it was sound and not older.
+fn take_cells(shared: &Shared, version: &mut u64, file: &str, text: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(text);
+    match CellsFile::parse(file, &text, &shared.settings.core) {
+        Ok(cells) if cells.version >= *version => {
+            *version = cells.version;
+            info!(file, version = cells.version, cells = cells.cells.len(), "file of cells taken in");
+            shared.tell(Input::Cells(Box::new(cells)));
+            return true;
+        }
+        Ok(cells) => {
+            warn!(file, version = cells.version, "the file of cells is older than the one that holds")
+        }
+        Err(error) => warn!(%error, "the file of cells is not sound: the old one holds"),
+    }
+    shared.counts.lists_refused.fetch_add(1, Ordering::Relaxed);
+    false
+}
+
 /// Takes in the list that was kept before the last end, if there is one.
 pub(crate) fn restore(shared: &Shared, follower: &mut ListFollower) {
     let Some(kept) = &shared.settings.kept_list else { return };
--- a/crates/pintally-standin/src/spec.rs
+++ b/crates/pintally-standin/src/spec.rs
@@ -26,6 +26,8 @@
     pub zone: String,
     /// Its rack.
     pub rack: u64,
+    /// The cell that the list gives it to; the engine itself knows nothing of it.
+    pub cell: Option<String>,
     /// Requests at once.
     pub slots: usize,
     /// Requests that may wait.
