--- a/crates/pintally-audit/src/index.rs
+++ b/crates/pintally-audit/src/index.rs
@@ -70,7 +70,7 @@
         sorted.sort_by_key(|r| r.at);
         // A try exists before anything of it, whichever thread wrote first.
         for r in &sorted {
-            if let What::Asked { request, node, class, patience_us, streamed } = &r.what {
+            if let What::Asked { request, node, class, patience_us, streamed, .. } = &r.what {
                 let fresh = Try {
                     request,
                     node,
--- a/crates/pintally-audit/src/record.rs
+++ b/crates/pintally-audit/src/record.rs
@@ -24,7 +24,15 @@
     /// The first line: the figures that the rules go by.
     Figures(Figures),
     /// A client's request has gone out whole.
-    Asked { request: String, node: String, class: String, patience_us: u64, streamed: bool },
+    Asked {
+        request: String,
+        node: String,
+        class: String,
+        #[serde(default)]
+        tenant: Option<String>,
+        patience_us: u64,
+        streamed: bool,
+    },
     /// The first part of a streamed answer has come.
     First { request: String },
     /// A final answer has come.
--- a/crates/pintally-cells/src/facade.rs
+++ b/crates/pintally-cells/src/facade.rs
@@ -56,6 +56,9 @@
     worths: Vec<f64>,
     ladders: BTreeMap<CellName, Ladder>,
     loans: Loans,
+    /// A list of engines has come. Guards against a node that starts, knows the cells before their
+    /// engines, takes all of them for lost and then climbs for many seconds while nothing is wrong.
+    listed: bool,
     /// The list of engines as it holds: each with its cell.
     members: BTreeMap<pintally::interface::EngineId, (Member, Role, Option<CellName>)>,
     /// When each loan was made.
@@ -73,6 +76,7 @@
             worths,
             ladders: BTreeMap::new(),
             loans: Loans::default(),
+            listed: false,
             members: BTreeMap::new(),
             borrowed: BTreeMap::new(),
         };
@@ -109,6 +113,7 @@
 
     /// Takes in the list of engines, whole: each with its role and its cell's name.
     pub fn list(&mut self, now: Micros, members: Vec<(Member, Role, Option<CellName>)>) -> Spread {
+        self.listed |= !members.is_empty();
         self.members = members.into_iter().map(|m| (m.0.engine.clone(), m)).collect();
         self.spread(now)
     }
@@ -130,6 +135,9 @@
     /// Makes loans, takes steps, and says which engines each cell has.
     pub fn spread(&mut self, now: Micros) -> Spread {
         let mut spread = Spread::default();
+        if !self.listed {
+            return spread;
+        }
         let known = |cell: &CellName| self.file.cells.iter().any(|c| c.name == *cell);
         let serving: Vec<Lendable> = self
             .members
--- a/crates/pintally-cells/src/file.rs
+++ b/crates/pintally-cells/src/file.rs
@@ -1,6 +1,7 @@
 //! The cells file: cells, what they need, who belongs where, and the moves under way.
 
 use std::collections::BTreeSet;
+use std::fmt::Write;
 
 use pintally::interface::{Effect, Group, Settings};
 use pintally_config::form::{Document, Form};
@@ -69,7 +70,11 @@
     /// Reads and checks a file. `file` is used in errors only; `core` names tenants and classes.
     pub fn parse(file: &str, text: &str, core: &Settings) -> Result<CellsFile, ConfigError> {
         let document = Document::parse(file, text)?;
-        let root = document.only("cells")?;
+        CellsFile::read(&document.only("cells")?, core)
+    }
+
+    /// Reads and checks the form `(cells ...)`, wherever it stands.
+    pub fn read(root: &Form, core: &Settings) -> Result<CellsFile, ConfigError> {
         let version = root.need("version")?;
         let mut out = CellsFile { version: version.count(0, 1 << 52)?, ..CellsFile::default() };
         version.finish()?;
@@ -102,10 +107,48 @@
             return Err(root.error(format!("{who} would be in no cell: none has a weight over 0")));
         }
         root.finish()?;
-        out.keyed_groups(&root, core)?;
+        out.keyed_groups(root, core)?;
         Ok(out)
     }
 
+    /// The file's text; [`CellsFile::parse`] reads it back.
+    pub fn render(&self) -> String {
+        let quoted = |text: &str| format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""));
+        let names = |cells: &[CellName]| cells.iter().map(|c| quoted(&c.0)).collect::<Vec<_>>().join(" ");
+        let mut out = format!("(cells (version {})", self.version);
+        for c in &self.cells {
+            let Needs { readers, writers } = c.needs;
+            let name = quoted(&c.name.0);
+            let _ =
+                write!(out, "\n  (cell {name} (weight {}) (readers {readers}) (writers {writers})", c.weight);
+            if let Some(other) = &c.fallback {
+                let _ = write!(out, " (fallback {})", quoted(&other.0));
+            }
+            out.push(')');
+        }
+        for t in &self.tenants {
+            let home = match &t.home {
+                Home::Pinned(cells) => format!("(cells {})", names(cells)),
+                Home::Shards(many) => format!("(shards {many})"),
+            };
+            let _ = write!(out, "\n  (tenant {} {home})", quoted(&t.tenant));
+        }
+        for m in &self.moves {
+            let step = match m.step {
+                Step::Prepare => "(step prepare)".to_string(),
+                Step::Both { since } => format!("(step both) (since-unix-ms {since})"),
+                Step::Done { since } => format!("(step done) (since-unix-ms {since})"),
+                Step::Back { since, at } => {
+                    format!("(step back) (since-unix-ms {since}) (back-unix-ms {at})")
+                }
+            };
+            let (tenant, to) = (quoted(&m.tenant), names(&m.to));
+            let _ = write!(out, "\n  (move {tenant} (to {to}) (over-ms {}) {step})", m.over_ms);
+        }
+        out.push_str(")\n");
+        out
+    }
+
     fn cell(&mut self, form: &Form) -> Result<(), ConfigError> {
         let name = form.text()?;
         if name.is_empty() || name.len() > 64 {
--- a/crates/pintally-cells/tests/cells.rs
+++ b/crates/pintally-cells/tests/cells.rs
@@ -119,6 +119,21 @@
     assert!((900..1100).contains(&over), "{over} of 2000 halfway");
 }
 
+#[test]
+fn a_file_comes_back_as_it_was_written() {
+    let core = core(&["t", "u", "v"]);
+    for step in [
+        "(step prepare)",
+        "(step both) (since-unix-ms 5)",
+        "(step done) (since-unix-ms 5)",
+        "(step back) (since-unix-ms 5) (back-unix-ms 9)",
+    ] {
+        let text = FILE.replace("(step both) (since-unix-ms 5000)", step);
+        let file = CellsFile::parse("cells", &text, &core).unwrap();
+        assert_eq!(CellsFile::parse("again", &file.render(), &core).unwrap(), file);
+    }
+}
+
 #[test]
 fn each_bad_file_is_refused_with_its_reason() {
     let core = core(&["t", "u", "v"]);
@@ -295,6 +310,37 @@
     assert_eq!(ladder.level(), Level::Shed);
 }
 
+/// A node that starts knows the cells before their engines: that is no loss.
+#[test]
+fn cells_without_a_list_are_not_lost() {
+    let core = core(&["t", "u", "v"]);
+    let mut node = Cells::new(CellsFile::parse("cells", FILE, &core).unwrap(), 10, &core);
+    node.list(0, Vec::new());
+    assert!(node.status().iter().all(|(_, level, ..)| *level == Level::Well));
+    let member = |id: &str| Member {
+        engine: EngineId(id.into()),
+        zone: String::new(),
+        kind: String::new(),
+        rack: 0,
+        listing: Listing::Serving,
+        weight: 1.0,
+        started: None,
+    };
+    let mut all = Vec::new();
+    for cell in ["a", "b"] {
+        for (id, role) in
+            [("r0", Role::Reader), ("r1", Role::Reader), ("w0", Role::Writer), ("w1", Role::Writer)]
+        {
+            all.push((member(&format!("{cell}{id}")), role, Some(CellName::from(cell))));
+        }
+    }
+    node.list(1, all.clone());
+    assert!(node.status().iter().all(|(_, level, ..)| *level == Level::Well));
+    // From then on it is: a list that is empty says that all engines are gone.
+    node.list(2, Vec::new());
+    assert!(node.status().iter().all(|(_, level, ..)| *level == Level::Lost));
+}
+
 #[test]
 fn what_sheds_serves_the_most_worthy() {
     let mut ladder = Ladder::new([1.0, 2.0, 3.0].into_iter());
--- a/crates/pintally-day/src/client.rs
+++ b/crates/pintally-day/src/client.rs
@@ -93,6 +93,7 @@
             request: request.clone(),
             node: t.node.clone(),
             class: t.class.clone(),
+            tenant: t.tenant.clone(),
             patience_us: deadline_ms * 1000,
             streamed: t.streamed,
         });
--- a/crates/pintally-day/src/engines.rs
+++ b/crates/pintally-day/src/engines.rs
@@ -20,7 +20,11 @@
     for group in &day.engines {
         for place in 0..group.count {
             let rack = specs.len() as u64 % day.racks;
-            specs.push(spec(day, group, format!("{}-{place}", group.kind), rack));
+            let id = match &group.cell {
+                None => format!("{}-{place}", group.kind),
+                Some(cell) => format!("{}-{cell}-{place}", group.kind),
+            };
+            specs.push(spec(day, group, id, rack));
         }
     }
     specs
@@ -39,7 +43,7 @@
         // A rack stands in one zone.
         zone: zones[rack as usize % zones.len()].clone(),
         rack,
-        cell: None,
+        cell: group.cell.clone(),
         slots: group.slots,
         queue: group.queue,
         memory_tokens: group.memory_tokens,
--- a/crates/pintally-day/src/faults.rs
+++ b/crates/pintally-day/src/faults.rs
@@ -2,17 +2,18 @@
 
 use std::time::Duration;
 
+use pintally_cells::CellsFile;
 use pintally_config::form::Form;
 use pintally_config::{ConfigError, NodeSettings};
 use rand::seq::SliceRandom;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use crate::script::{Act, Script, Target};
+use crate::script::{Act, MoveStep, Script, Target};
 use crate::spec::{Fault, Kind};
 
 /// Name, kind, and the usual size.
-const KINDS: [(&str, Kind, f64); 21] = [
+const KINDS: [(&str, Kind, f64); 23] = [
     ("crash", Kind::Crash, 0.0),
     ("restart", Kind::Restart, 0.0),
     ("hang", Kind::Hang, 0.0),
@@ -34,6 +35,8 @@
     ("leave-early", Kind::LeaveEarly, 0.3),
     ("burst", Kind::Burst, 3.0),
     ("hot-text", Kind::HotText, 0.3),
+    ("tenant-flood", Kind::TenantFlood, 10.0),
+    ("move-tenant", Kind::MoveTenant, 0.0),
 ];
 
 /// The name of a kind.
@@ -42,7 +45,12 @@
 }
 
 /// Reads one `(fault ...)`.
-pub(crate) fn parse(form: &Form, zones: &[String], settings: &NodeSettings) -> Result<Fault, ConfigError> {
+pub(crate) fn parse(
+    form: &Form,
+    zones: &[String],
+    settings: &NodeSettings,
+    cells: Option<&CellsFile>,
+) -> Result<Fault, ConfigError> {
     let kind = form.text()?;
     let Some((_, kind, size)) = KINDS.iter().find(|k| k.0 == kind) else {
         let names: Vec<&str> = KINDS.iter().map(|k| k.0).collect();
@@ -68,6 +76,18 @@
     if let Some(tenant) = tenant.as_ref().filter(|t| !settings.core.tenants.iter().any(|o| o.name == **t)) {
         return Err(form.error(format!("no `tenant` is named `{tenant}`")));
     }
+    let cell = told("cell")?;
+    if let Some(cell) =
+        cell.as_ref().filter(|c| !cells.is_some_and(|f| f.cells.iter().any(|o| *o.name.0 == ***c)))
+    {
+        return Err(form.error(format!("no cell is named `{cell}`")));
+    }
+    if *kind == Kind::MoveTenant && (cell.is_none() || tenant.is_none()) {
+        return Err(form.error("`move-tenant` needs a `tenant` and the `cell` that it moves to"));
+    }
+    if *kind == Kind::TenantFlood && tenant.is_none() {
+        return Err(form.error("`tenant-flood` needs a `tenant`"));
+    }
     if *kind == Kind::FullForTenant && settings.core.tenants.is_empty() {
         return Err(form.error("`full-for-tenant` needs a `tenant` in the day"));
     }
@@ -83,6 +103,7 @@
         length: seconds("for", 5.0)?,
         part: form.number_or("part", 0.2, 0.0, 1.0)?,
         of,
+        cell,
         engines,
         name: zone.or(tenant),
         size: form.number_or("size", *size, 0.0, 1e6)?,
@@ -94,8 +115,8 @@
 
 /// What a fault can strike.
 pub(crate) struct Stage<'a> {
-    /// Engines with their kinds.
-    pub(crate) engines: &'a [(String, String)],
+    /// Engines with their kinds and cells.
+    pub(crate) engines: &'a [(String, String, Option<String>)],
     pub(crate) nodes: usize,
     pub(crate) zones: &'a [String],
     pub(crate) tenants: &'a [String],
@@ -107,8 +128,9 @@
             return fault.engines.iter().cloned().map(Target).collect();
         }
         let fits = |kind: &str| fault.of.as_deref().is_none_or(|of| of == kind);
-        let mut all: Vec<Target> =
-            self.engines.iter().filter(|e| fits(&e.1)).map(|e| Target(e.0.clone())).collect();
+        let inside = |cell: &Option<String>| fault.cell.is_none() || fault.cell == *cell;
+        let struck = self.engines.iter().filter(|e| fits(&e.1) && inside(&e.2));
+        let mut all: Vec<Target> = struck.map(|e| Target(e.0.clone())).collect();
         all.shuffle(rng);
         let many = (all.len() as f64 * fault.part).round().max(1.0) as usize;
         all.truncate(many);
@@ -146,6 +168,20 @@
             script.add(from, Act::Rate(fault.size));
             script.add(to, Act::Rate(1.0));
         }
+        Kind::TenantFlood => {
+            let tenant = fault.name.clone().unwrap_or_default();
+            script.add(from, Act::Flood(Some((tenant, fault.size))));
+            script.add(to, Act::Flood(None));
+        }
+        Kind::MoveTenant => {
+            let (tenant, to_cell) =
+                (fault.name.clone().unwrap_or_default(), fault.cell.clone().unwrap_or_default());
+            // Announced, then over a third of the time all sessions go, then it is done.
+            let over = fault.length / 3;
+            script.add(from, Act::Move(tenant.clone(), MoveStep::Prepare { to: to_cell, over }));
+            script.add(from + fault.length / 3, Act::Move(tenant.clone(), MoveStep::Both));
+            script.add(to, Act::Move(tenant, MoveStep::Done));
+        }
         Kind::HotText => {
             script.add(from, Act::HotText(fault.size.min(1.0)));
             script.add(to, Act::HotText(0.0));
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -5,10 +5,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use pintally::interface::Listing;
 use pintally_audit::{Answer, EngineFigures, Record, What};
+use pintally_cells::{CellsFile, Move, Step};
 use pintally_config::NodeSettings;
 use pintally_standin::{self as standin, Engine, EngineSpec, Fleet, Recorder, Reports};
 use rand::{RngExt, SeedableRng};
@@ -21,7 +22,7 @@
 use crate::faults::{stage, Stage};
 use crate::publish::Publisher;
 use crate::run::{Launch, RunError, Running};
-use crate::script::{Act, Script, Target};
+use crate::script::{Act, MoveStep, Script, Target};
 use crate::spec::Day;
 use crate::traffic::{Draft, Source};
 
@@ -30,6 +31,9 @@
 /// Clients that wait at once; more are not made, and counted as such.
 const CLIENTS_MOST: u64 = 20_000;
 
+/// Marks the numbers of flooding clients.
+const FLOOD: u64 = 1 << 40;
+
 /// A node and what the front layer thinks of it.
 struct Place {
     zone: usize,
@@ -75,6 +79,8 @@
     script: Script,
     begin: Instant,
     list_delay: Duration,
+    cells: Option<CellsFile>,
+    flood: Option<(String, f64)>,
     rate: f64,
     hot: f64,
     /// Which engine stands for a name now.
@@ -116,6 +122,8 @@
             script: Script::default(),
             begin: Instant::now(),
             list_delay: Duration::ZERO,
+            cells: day.cells.clone(),
+            flood: None,
             rate: 1.0,
             hot: 0.0,
             stand_for: BTreeMap::new(),
@@ -129,6 +137,13 @@
         for node in 0..day.nodes {
             play.publisher.write(node, version).map_err(|e| fail("the list cannot be written", &e))?;
         }
+        if let Some(cells) = &play.cells {
+            play.publisher.set_cells(cells.version, cells.render());
+            for node in 0..day.nodes {
+                let written = play.publisher.write_cells(node, cells.version);
+                written.map_err(|e| fail("the file of cells cannot be written", &e))?;
+            }
+        }
         play.build_nodes()?;
         play.write_script();
         Ok(play)
@@ -164,6 +179,11 @@
             settings.engines_file = self.publisher.file(number).to_string_lossy().into_owned();
             let kept = self.publisher.file(number).with_extension("kept");
             settings.kept_list = Some(kept.to_string_lossy().into_owned());
+            if self.cells.is_some() {
+                let (file, kept) = (self.publisher.cells_file(number), self.publisher.cells_file(number));
+                settings.cells_file = Some(file.to_string_lossy().into_owned());
+                settings.kept_cells = Some(kept.with_extension("kept").to_string_lossy().into_owned());
+            }
             settings.core.zone = self.day.zones[zone].clone();
             settings.core.node = number as u32;
             settings.core.nodes = self.day.nodes as u32;
@@ -199,10 +219,12 @@
 
     fn write_script(&mut self) {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ 0x5eed);
-        let engines: Vec<(String, String)> = self
+        let engines: Vec<(String, String, Option<String>)> = self
             .stand_for
             .keys()
-            .filter_map(|t| self.fleet.engine(&t.0).map(|e| (t.0.clone(), e.spec.kind.clone())))
+            .filter_map(|t| {
+                self.fleet.engine(&t.0).map(|e| (t.0.clone(), e.spec.kind.clone(), e.spec.cell.clone()))
+            })
             .collect();
         let tenants: Vec<String> = self.day.settings.core.tenants.iter().map(|t| t.name.clone()).collect();
         let (nodes, zones) = (self.day.nodes, &self.day.zones);
@@ -217,7 +239,23 @@
         self.begin = Instant::now();
         let mut next = self.source.gap(1.0);
         let mut number = 0;
+        // The flood is drawn apart, so that the other clients send the same with it and without it.
+        let mut flood =
+            Source::new(&self.day.traffic, &self.day.settings, self.day.zones.len(), self.seed ^ 0xf100d);
+        let mut next_flood = Duration::ZERO;
         while next < self.day.length {
+            if let Some((tenant, times)) = self.flood.clone() {
+                if next_flood < next {
+                    next_flood = next_flood.max(self.begin.elapsed());
+                    self.play_until(next_flood.min(next))?;
+                    number += 1;
+                    let draft = flood.draw_for(&tenant);
+                    self.send(FLOOD | number, draft);
+                    let share = self.day.traffic.share_of(&tenant);
+                    next_flood += flood.gap(times * share);
+                    continue;
+                }
+            }
             self.play_until(next)?;
             number += 1;
             let draft = self.source.draw(self.hot);
@@ -332,10 +370,42 @@
             Act::LeaveEarly(part) => self.manners(|m| m.leave = part),
             Act::Rate(rate) => self.rate = rate,
             Act::HotText(part) => self.hot = part,
+            Act::Flood(flood) => self.flood = flood,
+            Act::Move(tenant, step) => self.step(&tenant, step),
+            Act::WriteCells(node, version) => {
+                let written = self.publisher.write_cells(node, version);
+                written.map_err(|e| RunError(format!("the file of cells cannot be written: {e}")))?;
+            }
         }
         Ok(())
     }
 
+    /// A tenant's move takes a step: a version of the file that nodes see one after the other, the
+    /// last of them five seconds after the first.
+    fn step(&mut self, tenant: &str, step: MoveStep) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let Some(cells) = &mut self.cells else { return };
+        cells.version += 1;
+        if let MoveStep::Prepare { to, over } = step {
+            cells.moves.retain(|m| m.tenant != tenant);
+            let (to, over_ms) = (vec![to.as_str().into()], (over.as_millis() as u64).max(1));
+            cells.moves.push(Move { tenant: tenant.to_string(), to, over_ms, step: Step::Prepare });
+        } else if let Some(one) = cells.moves.iter_mut().find(|m| m.tenant == tenant) {
+            one.step = match (one.step, step) {
+                (Step::Prepare, MoveStep::Both) => Step::Both { since: now },
+                (Step::Both { since }, MoveStep::Done) => Step::Done { since },
+                (other, _) => other,
+            };
+        }
+        let (version, text) = (cells.version, cells.render());
+        self.publisher.set_cells(version, text);
+        let last = self.day.nodes.saturating_sub(1).max(1) as u32;
+        for node in 0..self.day.nodes {
+            let late = self.day.notice + Duration::from_secs(5) * node as u32 / last;
+            self.script.add(self.begin.elapsed() + late, Act::WriteCells(node, version));
+        }
+    }
+
     fn manners(&self, f: impl FnOnce(&mut Manners)) {
         f(&mut self.clients.manners.lock().unwrap_or_else(|e| e.into_inner()));
     }
@@ -411,7 +481,7 @@
         loop {
             let (heedless, leave) = {
                 let manners = self.manners.lock().unwrap_or_else(|e| e.into_inner());
-                (manners.heedless, manners.leave)
+                (manners.heedless || number & FLOOD != 0, manners.leave)
             };
             let Some((node, address)) = self.choose(draft.zone, &mut rng) else { return };
             let (whether, when) = draft.leaves;
--- a/crates/pintally-day/src/publish.rs
+++ b/crates/pintally-day/src/publish.rs
@@ -37,6 +37,9 @@
     /// What each node was last told.
     told: Vec<BTreeMap<EngineId, EngineEntry>>,
     written: Vec<u64>,
+    /// Texts of the file of cells by version, and the last that each node has.
+    cells: BTreeMap<u64, String>,
+    cells_written: Vec<u64>,
 }
 
 impl Publisher {
@@ -49,6 +52,8 @@
             version: 0,
             told: vec![BTreeMap::new(); nodes],
             written: vec![0; nodes],
+            cells: BTreeMap::new(),
+            cells_written: vec![0; nodes],
         }
     }
 
@@ -57,6 +62,28 @@
         self.folder.join(format!("engines-{node}.sexp"))
     }
 
+    /// The file of cells that a node watches.
+    pub(crate) fn cells_file(&self, node: usize) -> PathBuf {
+        self.folder.join(format!("cells-{node}.sexp"))
+    }
+
+    /// Enters a version of the file of cells.
+    pub(crate) fn set_cells(&mut self, version: u64, text: String) {
+        self.cells.insert(version, text);
+    }
+
+    /// Writes a version of the file of cells for a node, unless a younger one stands there.
+    pub(crate) fn write_cells(&mut self, node: usize, version: u64) -> io::Result<()> {
+        if version <= self.cells_written[node] {
+            return Ok(());
+        }
+        let Some(text) = self.cells.get(&version) else { return Ok(()) };
+        self.cells_written[node] = version;
+        let fresh = self.folder.join(format!("cells-{node}.new"));
+        fs::write(&fresh, text)?;
+        fs::rename(&fresh, self.cells_file(node))
+    }
+
     /// Enters an engine, or changes what the list says of it.
     pub(crate) fn set(&mut self, engine: &Engine, listing: Listing, started: bool) {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
--- a/crates/pintally-day/src/script.rs
+++ b/crates/pintally-day/src/script.rs
@@ -33,12 +33,26 @@
     LeaveEarly(f64),
     Rate(f64),
     HotText(f64),
+    /// A tenant sends this many times as much, all of it heedlessly, or no more.
+    Flood(Option<(String, f64)>),
+    /// A tenant's move takes its next step.
+    Move(String, MoveStep),
+    /// The file of cells as it was at a version is written for a node.
+    WriteCells(usize, u64),
     /// The list as it is now is written for a node.
     Write(usize, u64),
     /// A node that was killed is seen to be gone by the front, or seen to be back.
     Front(usize, bool),
 }
 
+/// A step of a tenant's move.
+#[derive(Clone, Debug)]
+pub(crate) enum MoveStep {
+    Prepare { to: String, over: Duration },
+    Both,
+    Done,
+}
+
 /// Acts by time; those of the same time in the order in which they were added.
 #[derive(Default)]
 pub(crate) struct Script {
--- a/crates/pintally-day/src/spec.rs
+++ b/crates/pintally-day/src/spec.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pintally::interface::Role;
+use pintally_cells::CellsFile;
 use pintally_config::form::{Document, Form};
 use pintally_config::{ConfigError, NodeSettings};
 
@@ -36,6 +37,8 @@
     pub slack: Duration,
     /// The settings that all nodes share; name, number, zone and addresses are the runner's.
     pub settings: NodeSettings,
+    /// The cells with which the day begins, if the fleet is divided.
+    pub cells: Option<CellsFile>,
     /// The engines.
     pub engines: Vec<EngineGroup>,
     /// What clients send.
@@ -49,6 +52,8 @@
 #[allow(missing_docs)]
 pub struct EngineGroup {
     pub kind: String,
+    /// The cell that the list gives them to.
+    pub cell: Option<String>,
     pub role: Role,
     pub count: usize,
     pub slots: usize,
@@ -83,6 +88,14 @@
     pub tenants: Vec<(String, f64)>,
 }
 
+impl Traffic {
+    /// A tenant's part of the requests, from 0 to 1.
+    pub fn share_of(&self, tenant: &str) -> f64 {
+        let all: f64 = self.tenants.iter().map(|t| t.1).sum();
+        self.tenants.iter().find(|t| t.0 == tenant).map_or(0.0, |t| t.1 / all.max(f64::MIN_POSITIVE))
+    }
+}
+
 /// The requests of one class.
 #[derive(Clone, Debug)]
 #[allow(missing_docs)]
@@ -127,6 +140,8 @@
     LeaveEarly,
     Burst,
     HotText,
+    TenantFlood,
+    MoveTenant,
 }
 
 /// One trouble of a day.
@@ -142,6 +157,8 @@
     pub part: f64,
     /// Only engines of this kind, if told.
     pub of: Option<String>,
+    /// Only engines of this cell, if told; where a tenant moves, the cell that it moves to.
+    pub cell: Option<String>,
     /// These engines and no others, if told.
     pub engines: Vec<String>,
     /// The zone or tenant that it strikes, drawn if not told.
@@ -174,11 +191,13 @@
         let nodes = root.need("nodes")?;
         let count = nodes.count(1, 64)? as usize;
         let own = Document::parse("", "(node (engines \"\"))")?;
+        let cells_form = root.maybe("cells")?;
         let settings = NodeSettings::read(&root, &own.only("node")?)?;
         let span = |ms: u64| Duration::from_micros(ms);
+        let cells = cells_form.map(|form| CellsFile::read(&form, &settings.core)).transpose()?;
         let mut engines = Vec::new();
         for form in root.all("engines")? {
-            engines.push(engines_of(&form, &settings)?);
+            engines.push(engines_of(&form, &settings, cells.as_ref())?);
         }
         if engines.is_empty() {
             return Err(root.error("a day needs `(engines ...)`"));
@@ -186,7 +205,7 @@
         let traffic = traffic_of(&root.need("traffic")?, &settings)?;
         let mut list = Vec::new();
         for form in root.all("fault")? {
-            list.push(faults::parse(&form, &zones, &settings)?);
+            list.push(faults::parse(&form, &zones, &settings, cells.as_ref())?);
         }
         let day = Day {
             name: root.text_or("name", "day")?,
@@ -201,6 +220,7 @@
             drain_grace: span(root.millis_or("drain-grace-ms", 1000.0, 0.0, 60_000.0)?),
             slack: span(root.millis_or("slack-ms", 100.0, 0.0, 60_000.0)?),
             settings,
+            cells,
             engines,
             traffic,
             faults: list,
@@ -221,14 +241,25 @@
     Ok((least, largest))
 }
 
-fn engines_of(form: &Form, settings: &NodeSettings) -> Result<EngineGroup, ConfigError> {
+fn engines_of(
+    form: &Form,
+    settings: &NodeSettings,
+    cells: Option<&CellsFile>,
+) -> Result<EngineGroup, ConfigError> {
     let kind = form.text()?;
     let Some(index) = settings.core.kinds.iter().position(|k| k.name == kind) else {
         return Err(form.error(format!("no `kind` is named `{kind}`")));
     };
+    let cell = Some(form.text_or("cell", "")?).filter(|c| !c.is_empty());
+    if let Some(name) = &cell {
+        if !cells.is_some_and(|f| f.cells.iter().any(|c| *c.name.0 == **name)) {
+            return Err(form.error(format!("no cell is named `{name}`")));
+        }
+    }
     let told = &settings.core.kinds[index];
     let span = |us: u64| Duration::from_micros(us);
     let group = EngineGroup {
+        cell,
         role: told.role,
         count: form.count_or("count", 1, 0, 10_000)? as usize,
         slots: settings.slots[index].max(1) as usize,
--- a/crates/pintally-day/src/traffic.rs
+++ b/crates/pintally-day/src/traffic.rs
@@ -122,6 +122,14 @@
         draft
     }
 
+    /// The next request of one tenant.
+    pub(crate) fn draw_for(&mut self, tenant: &str) -> Draft {
+        let mut draft = self.draw(0.0);
+        draft.tenant = Some(tenant.to_string());
+        draft.session |= 1 << 40;
+        draft
+    }
+
     fn begin(&mut self, class: usize, hot: bool) -> Session {
         let kind = &self.traffic.classes[class];
         let (turns, shared) = (kind.turns, kind.shared);
