Ports of engines and nodes are held while they are down; floods measured in pairs

Cause: several test programs at once failed now and then. The port of an engine that had crashed was given to another program's, and its work stood in the wrong record: attempts of a stranger's request came to decode-0 long after a request of the same name had ended.

Engines of several groups of one kind are numbered on.

--- a/crates/pintally-cli/src/measure.rs
+++ b/crates/pintally-cli/src/measure.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use comfy_table::Table;
-use pintally_measure::{added_latency, deciding, open_streams, saturation, Added};
+use pintally_day::Day;
+use pintally_measure::{added_latency, deciding, flood, open_streams, saturation, Added};
 
-use crate::Failure;
+use crate::{read, Failure};
 
 #[derive(clap::Args)]
 pub(crate) struct Args {
@@ -46,6 +47,26 @@
         #[arg(long, default_value_t = 500.0)]
         rate: f64,
     },
+    /// What one tenant's flood costs tenants of other cells, with cells and with one pool.
+    Flood {
+        /// A day with cells; its own faults are left out.
+        day: String,
+        /// Who floods.
+        #[arg(long)]
+        tenant: String,
+        /// Times its usual share.
+        #[arg(long, default_value_t = 10.0)]
+        times: f64,
+        /// Seeds, each a pair of runs at the same time.
+        #[arg(long, default_value_t = 6)]
+        seeds: u64,
+        /// Seconds of each run.
+        #[arg(long, default_value_t = 12.0)]
+        seconds: f64,
+        /// Nodes.
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 3])]
+        nodes: Vec<usize>,
+    },
     /// Streams that a node holds open, and the memory of each.
     Streams {
         /// Streams wanted.
@@ -85,6 +106,29 @@
             }
             println!("{table}");
         }
+        What::Flood { day, tenant, times, seeds, seconds, nodes } => {
+            let base = Day::parse(day, &read(day)?).map_err(Failure::usage)?;
+            let mut table = Table::new();
+            table.set_header(["nodes", "", "quiet", "flood", "change, 95% interval", "pairs", "rules"]);
+            for nodes in nodes {
+                let mut day = base.clone();
+                (day.nodes, day.length) = (*nodes, Duration::from_secs_f64(*seconds));
+                let first = day.seed;
+                for found in flood(&day, tenant, *times, first..first + seeds).map_err(Failure::failed)? {
+                    table.add_row([
+                        nodes.to_string(),
+                        found.name.to_string(),
+                        found.quiet.to_string(),
+                        found.flood.to_string(),
+                        found.change.to_string(),
+                        found.pairs.to_string(),
+                        if found.kept { "kept".to_string() } else { "broken".to_string() },
+                    ]);
+                }
+            }
+            println!("{table}");
+            println!("share of the worth asked by tenants of other cells that was served in time");
+        }
         What::Streams { count } => {
             let program = std::env::current_exe().map_err(Failure::failed)?;
             let folder = tempfile::tempdir().map_err(Failure::failed)?;
--- a/crates/pintally-day/src/engines.rs
+++ b/crates/pintally-day/src/engines.rs
@@ -1,5 +1,6 @@
 //! A day's engines: their figures, and the engines by themselves without nodes, clients or faults.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::path::Path;
@@ -17,8 +18,13 @@
 /// The figures of all engines with which a day begins.
 pub(crate) fn specs(day: &Day) -> Vec<EngineSpec> {
     let mut specs = Vec::new();
+    // Groups of one kind and cell are numbered on: their engines must not share names.
+    let mut named: BTreeMap<(&str, Option<&str>), usize> = BTreeMap::new();
     for group in &day.engines {
-        for place in 0..group.count {
+        for _ in 0..group.count {
+            let next = named.entry((&group.kind, group.cell.as_deref())).or_default();
+            let place = *next;
+            *next += 1;
             let rack = specs.len() as u64 % day.racks;
             let id = match &group.cell {
                 None => format!("{}-{place}", group.kind),
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -11,7 +11,7 @@
 use pintally_audit::{Answer, EngineFigures, Record, What};
 use pintally_cells::{CellsFile, Move, Step};
 use pintally_config::NodeSettings;
-use pintally_standin::{self as standin, Engine, EngineSpec, Fleet, Recorder, Reports};
+use pintally_standin::{self as standin, Engine, EngineSpec, Fleet, Port, Recorder, Reports};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tempfile::TempDir;
@@ -38,6 +38,8 @@
 struct Place {
     zone: usize,
     settings: Arc<NodeSettings>,
+    /// Holds its port while it is down.
+    _port: Port,
     running: Option<Box<dyn Running>>,
 }
 
@@ -174,7 +176,9 @@
             self.fleet.name_node(source, &name, &self.day.zones[zone]);
             let mut settings = self.day.settings.clone();
             settings.name = name;
-            settings.listen = SocketAddr::from(([127, 0, 0, 1], 0));
+            let held = Port::hold().and_then(|p| Ok((p.address()?, p)));
+            let (listen, port) = held.map_err(|e| RunError(format!("no port for node n{number}: {e}")))?;
+            settings.listen = listen;
             settings.source = Some(source);
             settings.engines_file = self.publisher.file(number).to_string_lossy().into_owned();
             let kept = self.publisher.file(number).with_extension("kept");
@@ -187,7 +191,7 @@
             settings.core.zone = self.day.zones[zone].clone();
             settings.core.node = number as u32;
             settings.core.nodes = self.day.nodes as u32;
-            self.nodes.push(Place { zone, settings: Arc::new(settings), running: None });
+            self.nodes.push(Place { zone, settings: Arc::new(settings), _port: port, running: None });
             self.start_node(number)?;
         }
         Ok(())
@@ -202,11 +206,7 @@
         let running = (self.launch)(self.nodes[number].settings.clone(), seed)
             .map_err(|e| RunError(format!("node n{number} cannot start: {e}")))?;
         let address = running.address();
-        // After a restart it listens where it listened before.
         let place = &mut self.nodes[number];
-        let mut settings = (*place.settings).clone();
-        settings.listen = address;
-        place.settings = Arc::new(settings);
         place.running = Some(running);
         let recorder = &self.fleet.recorder;
         recorder.note(What::NodeUp { node: format!("n{number}") });
--- a/crates/pintally-day/src/rig.rs
+++ b/crates/pintally-day/src/rig.rs
@@ -9,7 +9,7 @@
 use pintally_audit::{audit, EngineFigures, Report, What};
 use pintally_config::NodeSettings;
 use pintally_node::Node;
-use pintally_standin::{self as standin, Engine, EngineSpec, Fleet, Recorder};
+use pintally_standin::{self as standin, Engine, EngineSpec, Fleet, Port, Recorder};
 use tempfile::TempDir;
 
 use crate::client::{Client, Try};
@@ -29,6 +29,8 @@
     node: Option<Node>,
     publisher: Publisher,
     address: SocketAddr,
+    /// Holds the node's port while it is down.
+    _port: Port,
     folder: TempDir,
 }
 
@@ -47,14 +49,15 @@
             let engine = fleet.add(spec, false).map_err(|e| fail(&e))?;
             publisher.set(&engine, Listing::Serving, false);
         }
-        settings.listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let held = Port::hold().and_then(|p| Ok((p.address()?, p)));
+        let (address, port) = held.map_err(|e| fail(&e))?;
+        settings.listen = address;
         settings.source = Some(NODE_AT);
         settings.engines_file = publisher.file(0).to_string_lossy().into_owned();
         settings.kept_list = Some(publisher.file(0).with_extension("kept").to_string_lossy().into_owned());
         let client = Client { recorder };
-        let address = settings.listen;
         let (settings, node) = (Arc::new(settings), None);
-        let mut rig = Rig { fleet, client, settings, node, publisher, address, folder };
+        let mut rig = Rig { fleet, client, settings, node, publisher, address, _port: port, folder };
         rig.publish()?;
         rig.start_node()?;
         Ok(rig)
@@ -143,10 +146,7 @@
 
     /// Starts the node, where it listened before if it did, and waits until it knows an engine.
     pub fn start_node(&mut self) -> Result<(), RunError> {
-        let mut settings = (*self.settings).clone();
-        settings.listen = self.address;
-        let node = Node::start(Arc::new(settings), 7).map_err(|e| RunError(e.to_string()))?;
-        self.address = node.address();
+        let node = Node::start(self.settings.clone(), 7).map_err(|e| RunError(e.to_string()))?;
         self.fleet.recorder.note(What::NodeUp { node: "n0".into() });
         let by = std::time::Instant::now() + Duration::from_secs(10);
         while node.serving() == 0 {
--- /dev/null
+++ b/crates/pintally-measure/src/flood.rs
@@ -0,0 +1,181 @@
+//! What one tenant's flood costs the tenants of other cells: with cells, and with the same fleet as
+//! one pool.
+//!
+//! Each seed is a pair of runs, with the flood and without, that are played at the same time on the
+//! same machine, so that what the machine does strikes both.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::ops::Range;
+use std::thread;
+
+use pintally_audit::{Answer, What};
+use pintally_day::{run, Day, DayResult, Fault, Kind};
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+use crate::report::Spread;
+use crate::{error, MeasureError};
+
+/// A mean of paired differences with its 95% interval, by Student's t.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[allow(missing_docs)]
+pub struct Interval {
+    pub mean: f64,
+    pub least: f64,
+    pub most: f64,
+}
+
+impl Interval {
+    /// The interval of some differences; without two of them it says nothing and is infinite.
+    pub fn of(values: &[f64]) -> Interval {
+        let n = values.len() as f64;
+        let mean = values.iter().sum::<f64>() / n.max(1.0);
+        if values.len() < 2 {
+            return Interval { mean, least: f64::NEG_INFINITY, most: f64::INFINITY };
+        }
+        let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / (n - 1.0);
+        let t = StudentsT::new(0.0, 1.0, n - 1.0).map_or(f64::INFINITY, |t| t.inverse_cdf(0.975));
+        let half = t * (variance / n).sqrt();
+        Interval { mean, least: mean - half, most: mean + half }
+    }
+}
+
+impl fmt::Display for Interval {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:+.2}% ({:+.2}% to {:+.2}%)", self.mean * 100.0, self.least * 100.0, self.most * 100.0)
+    }
+}
+
+/// What a flood costs the others.
+#[derive(Clone, Debug)]
+pub struct Flood {
+    /// With cells, or as one pool.
+    pub name: &'static str,
+    /// Share of the others' worth that was served in time without the flood,
+    pub quiet: Spread,
+    /// and with it.
+    pub flood: Spread,
+    /// The change, pair by pair, as a share of what was served without it.
+    pub change: Interval,
+    /// Pairs of runs.
+    pub pairs: usize,
+    /// All rules were kept in all runs.
+    pub kept: bool,
+}
+
+/// Measures a flood over some seeds, with the day's cells and without.
+pub fn flood(day: &Day, tenant: &str, times: f64, seeds: Range<u64>) -> Result<Vec<Flood>, MeasureError> {
+    let Some(cells) = &day.cells else { return Err(error("the day has no cells")) };
+    let own: BTreeSet<_> = cells.home(tenant).into_iter().collect();
+    let others: BTreeSet<String> = day
+        .traffic
+        .tenants
+        .iter()
+        .map(|(name, _)| name.clone())
+        .filter(|name| cells.home(name).iter().all(|c| !own.contains(c)))
+        .collect();
+    if others.is_empty() {
+        return Err(error(format!("all tenants share a cell with `{tenant}`")));
+    }
+    let mut quiet = day.clone();
+    quiet.faults.clear();
+    let mut flooded = quiet.clone();
+    flooded.faults.push(Fault {
+        kind: Kind::TenantFlood,
+        at: day.length / 6,
+        length: day.length,
+        part: 0.0,
+        of: None,
+        cell: None,
+        engines: Vec::new(),
+        name: Some(tenant.to_string()),
+        size: times,
+        batch: 1,
+    });
+    let mut found = Vec::new();
+    for (name, divided) in [("cells", true), ("one pool", false)] {
+        let (mut quiet, mut flooded) = (quiet.clone(), flooded.clone());
+        if !divided {
+            for day in [&mut quiet, &mut flooded] {
+                day.cells = None;
+                day.engines.iter_mut().for_each(|e| e.cell = None);
+            }
+        }
+        let (mut without, mut with, mut kept) = (Vec::new(), Vec::new(), true);
+        for seed in seeds.clone() {
+            let (a, b) = thread::scope(|scope| {
+                let other = scope.spawn(|| run(&flooded, seed, None));
+                (run(&quiet, seed, None), other.join())
+            });
+            let b = b.map_err(|_| error("a run ended by a panic"))?;
+            let (a, b) = (a.map_err(error)?, b.map_err(error)?);
+            kept &= a.kept() && b.kept();
+            without.push(in_time(day, &a, &others));
+            with.push(in_time(day, &b, &others));
+        }
+        let changes: Vec<f64> = without.iter().zip(&with).map(|(a, b)| b / a.max(1e-9) - 1.0).collect();
+        found.push(Flood {
+            name,
+            quiet: Spread::of(without),
+            flood: Spread::of(with),
+            change: Interval::of(&changes),
+            pairs: changes.len(),
+            kept,
+        });
+    }
+    Ok(found)
+}
+
+/// The share of the worth asked by some tenants that was served with its first token in time. A try
+/// again is not another request.
+fn in_time(day: &Day, result: &DayResult, tenants: &BTreeSet<String>) -> f64 {
+    struct One {
+        at: u64,
+        aim: u64,
+        worth: f64,
+        first: Option<u64>,
+        served: bool,
+    }
+    let mut all: BTreeMap<&str, One> = BTreeMap::new();
+    for r in &result.record {
+        match &r.what {
+            What::Asked { request, class, tenant: Some(tenant), .. } if tenants.contains(tenant) => {
+                let Some(class) = day.settings.core.classes.iter().find(|c| c.name == *class) else {
+                    continue;
+                };
+                let one = One { at: r.at, aim: class.aim, worth: class.worth, first: None, served: false };
+                all.insert(request, one);
+            }
+            What::First { request } => {
+                if let Some(one) = all.get_mut(request.as_str()) {
+                    one.first = Some(r.at);
+                }
+            }
+            What::Answered { request, answer } => {
+                if let Some(one) = all.get_mut(request.as_str()) {
+                    one.served = *answer == Answer::Served;
+                    one.first = one.first.or(Some(r.at));
+                }
+            }
+            _ => {}
+        }
+    }
+    let first_try = |request: &str| !request.contains('~');
+    let asked: f64 = all.iter().filter(|(r, _)| first_try(r)).map(|(_, o)| o.worth).sum();
+    let good = all.values().filter(|o| o.served && o.first.is_some_and(|f| f <= o.at + o.aim));
+    good.map(|o| o.worth).sum::<f64>() / asked.max(1e-9)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn intervals_of_differences() {
+        let known = Interval::of(&[1.0, 2.0, 3.0, 4.0, 5.0]);
+        assert!((known.mean - 3.0).abs() < 1e-9);
+        // t(4, 0.975) = 2.776, standard error = 0.7071.
+        assert!((known.most - 4.963).abs() < 0.001, "{known:?}");
+        assert_eq!(Interval::of(&[1.0]).most, f64::INFINITY);
+    }
+}
--- a/crates/pintally-measure/src/lib.rs
+++ b/crates/pintally-measure/src/lib.rs
@@ -6,12 +6,14 @@
 //! sent, so that a stall hides nothing.
 
 mod added;
+mod flood;
 mod load;
 mod report;
 mod stage;
 mod streams;
 
 pub use added::{added_latency, deciding, saturation, Added, Deciding, Saturation};
+pub use flood::{flood, Flood, Interval};
 pub use report::{Spread, Stats};
 pub use streams::{open_streams, Streams};
 
--- a/crates/pintally-standin/src/engine.rs
+++ b/crates/pintally-standin/src/engine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -12,7 +12,7 @@
 
 use crate::fleet::lock;
 use crate::kept::Kept;
-use crate::{serve, EngineSpec, Faults, Fleet, Recorder, Reports, Role};
+use crate::{serve, EngineSpec, Faults, Fleet, Port, Recorder, Reports, Role};
 
 /// How often threads that wait look whether the engine still lives.
 pub(crate) const SLICE: Duration = Duration::from_millis(20);
@@ -23,6 +23,8 @@
     pub spec: EngineSpec,
     /// Where it listens, also after a restart.
     pub address: SocketAddr,
+    /// Holds its port while it is down.
+    _port: Port,
     pub(crate) fleet: Weak<Fleet>,
     pub(crate) recorder: Recorder,
     state: Mutex<State>,
@@ -62,8 +64,8 @@
 
 impl Engine {
     pub(crate) fn new(fleet: Weak<Fleet>, spec: EngineSpec, recorder: Recorder) -> io::Result<Arc<Engine>> {
-        // The port is held from the beginning, so that a restart finds it.
-        let address = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?;
+        let port = Port::hold()?;
+        let address = port.address()?;
         let state = State {
             up: false,
             life: 0,
@@ -83,7 +85,7 @@
             sent: VecDeque::new(),
         };
         let (state, changed) = (Mutex::new(state), Condvar::new());
-        Ok(Arc::new(Engine { spec, address, fleet, recorder, state, changed }))
+        Ok(Arc::new(Engine { spec, address, _port: port, fleet, recorder, state, changed }))
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/pintally-standin/src/lib.rs
+++ b/crates/pintally-standin/src/lib.rs
@@ -6,9 +6,11 @@
 mod engine;
 mod fleet;
 mod kept;
+mod port;
 mod serve;
 mod spec;
 
 pub use engine::Engine;
 pub use fleet::{Fleet, Recorder};
+pub use port::Port;
 pub use spec::{EngineSpec, Faults, Reports, Role};
