--- a/crates/pintally-cells/src/file.rs
+++ b/crates/pintally-cells/src/file.rs
@@ -66,6 +66,26 @@
     Shards(usize),
 }
 
+/// What an operator wants of a tenant's move.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// Announce a move.
+    Begin {
+        /// Where to.
+        to: Vec<CellName>,
+        /// Time until all sessions are over, in milliseconds.
+        over_ms: u64,
+    },
+    /// Let sessions go over from now on.
+    Go,
+    /// All sessions are over.
+    Done,
+    /// Let them return.
+    Back,
+    /// Make the place to which it came the tenant's home, and the move a thing of the past.
+    Settle,
+}
+
 impl CellsFile {
     /// Reads and checks a file. `file` is used in errors only; `core` names tenants and classes.
     pub fn parse(file: &str, text: &str, core: &Settings) -> Result<CellsFile, ConfigError> {
@@ -292,6 +312,56 @@
         crate::assign::pick(&among, session)
     }
 
+    /// The next version, in which a tenant's move takes a step; an error says why it may not.
+    pub fn step(&self, tenant: &str, turn: Turn, unix_ms: u64) -> Result<CellsFile, String> {
+        let mut next = CellsFile { version: self.version + 1, ..self.clone() };
+        let at = next.moves.iter().position(|m| m.tenant == tenant);
+        let Some(at) = at else {
+            let Turn::Begin { to, over_ms } = turn else {
+                return Err(format!("tenant `{tenant}` is not on the move"));
+            };
+            if let Some(cell) = to.iter().find(|c| self.cell_named(c).is_none()) {
+                return Err(format!("no cell is named `{cell}`"));
+            }
+            if to.is_empty() || to == self.home(tenant) {
+                return Err(format!("tenant `{tenant}` is there already"));
+            }
+            let (tenant, over_ms) = (tenant.to_string(), over_ms.max(1));
+            next.moves.push(Move { tenant, to, over_ms, step: Step::Prepare });
+            return Ok(next);
+        };
+        let old = next.moves[at].clone();
+        let one = &mut next.moves[at];
+        one.step = match (turn, old.step) {
+            (Turn::Begin { .. }, _) => return Err(format!("tenant `{tenant}` is on the move already")),
+            (Turn::Go, Step::Prepare) => Step::Both { since: unix_ms },
+            (Turn::Done, Step::Both { since }) if old.share(unix_ms) >= 1.0 => Step::Done { since },
+            (Turn::Done, Step::Both { .. }) => {
+                return Err(format!("only {:.0}% of the sessions are over", old.share(unix_ms) * 100.0))
+            }
+            (Turn::Back, Step::Prepare) => Step::Back { since: unix_ms, at: unix_ms },
+            (Turn::Back, Step::Both { since } | Step::Done { since }) => Step::Back { since, at: unix_ms },
+            (Turn::Settle, Step::Done { .. }) => {
+                next.moves.remove(at);
+                let home = Home::Pinned(old.to);
+                match next.tenants.iter_mut().find(|t| t.tenant == tenant) {
+                    Some(known) => known.home = home,
+                    None => next.tenants.push(TenantHome { tenant: tenant.to_string(), home }),
+                }
+                return Ok(next);
+            }
+            (Turn::Settle, Step::Back { .. }) if old.share(unix_ms) <= 0.0 => {
+                next.moves.remove(at);
+                return Ok(next);
+            }
+            (turn, step) => {
+                return Err(format!("a move that stands at {step:?} cannot take the turn {turn:?}"))
+            }
+        };
+        debug_assert!(next.moves[at].may_follow(&old));
+        Ok(next)
+    }
+
     /// A cell by its name.
     pub fn cell_named(&self, name: &CellName) -> Option<&CellSpec> {
         self.cells.iter().find(|c| c.name == *name)
--- a/crates/pintally-cells/src/lib.rs
+++ b/crates/pintally-cells/src/lib.rs
@@ -17,7 +17,7 @@
 pub use assign::{cells_of, draw};
 pub use edge::{Edge, Place};
 pub use facade::{Ask, Cells, Spread, Verdict};
-pub use file::{CellSpec, CellsFile, Home, Needs, TenantHome};
+pub use file::{CellSpec, CellsFile, Home, Needs, TenantHome, Turn};
 pub use health::{Ladder, Level};
 pub use loans::{Lendable, Loans};
 pub use moves::{Move, Step};
--- a/crates/pintally-cells/tests/cells.rs
+++ b/crates/pintally-cells/tests/cells.rs
@@ -272,6 +272,42 @@
     history.iter().position(|f| f.version >= node.file().version).unwrap_or(0)
 }
 
+/// The steps that an operator takes, each a version that a node which holds the one before takes.
+#[test]
+fn an_operators_turns_follow_each_other_and_no_others_do() {
+    let core = core(&["t", "u", "v"]);
+    let text = "(cells (version 1) (cell \"a\") (cell \"b\") (tenant \"t\" (cells \"a\")))";
+    let first = CellsFile::parse("cells", text, &core).unwrap();
+    let begin = Turn::Begin { to: vec!["b".into()], over_ms: 1000 };
+    for early in [Turn::Go, Turn::Done, Turn::Back, Turn::Settle] {
+        assert!(first.step("t", early, 0).is_err());
+    }
+    assert!(first.step("t", Turn::Begin { to: vec!["a".into()], over_ms: 1 }, 0).is_err());
+    assert!(first.step("t", Turn::Begin { to: vec!["z".into()], over_ms: 1 }, 0).is_err());
+    let walk = |turns: &[(Turn, u64)]| {
+        let mut node = Cells::new(first.clone(), 10, &core);
+        let mut file = first.clone();
+        for (turn, at) in turns {
+            file = file.step("t", turn.clone(), *at).unwrap();
+            assert_eq!(CellsFile::parse("again", &file.render(), &core).unwrap(), file);
+            node.replace(0, file.clone()).unwrap();
+        }
+        file
+    };
+    let there = walk(&[(begin.clone(), 0), (Turn::Go, 10), (Turn::Done, 1010), (Turn::Settle, 2000)]);
+    assert_eq!((there.version, there.home("t"), there.moves.len()), (5, vec!["b".into()], 0));
+    let back = walk(&[(begin.clone(), 0), (Turn::Go, 10), (Turn::Back, 500), (Turn::Settle, 5000)]);
+    assert_eq!((back.home("t"), back.moves.len()), (vec!["a".into()], 0));
+    let never = walk(&[(begin.clone(), 0), (Turn::Back, 5), (Turn::Settle, 6)]);
+    assert_eq!(never.home("t"), ["a".into()]);
+    // Not before its time, and not twice.
+    let going = first.step("t", begin.clone(), 0).unwrap().step("t", Turn::Go, 10).unwrap();
+    assert!(going.step("t", Turn::Done, 500).unwrap_err().contains("49%"));
+    assert!(going.step("t", begin, 500).is_err());
+    assert!(going.step("t", Turn::Go, 500).is_err());
+    assert!(going.step("t", Turn::Back, 500).unwrap().step("t", Turn::Settle, 600).is_err());
+}
+
 #[test]
 fn a_move_that_changes_its_mind_is_refused() {
     let both = a_move(Step::Both { since: 10 });
--- /dev/null
+++ b/crates/pintally-cli/src/cells.rs
@@ -0,0 +1,215 @@
+//! `pintally cells`: who belongs where, moves step by step, where each cell stands.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::{Subcommand, ValueEnum};
+use comfy_table::Table;
+use pintally_cells::{CellName, CellsFile, Turn};
+use pintally_config::NodeSettings;
+use pintally_http::{request, Part, ResponseReader};
+
+use crate::{read, Failure};
+
+/// Time for a node to tell its counters.
+const WAIT: Duration = Duration::from_secs(2);
+
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(clap::Args)]
+struct Files {
+    /// A node's settings: they name tenants and classes.
+    #[arg(long)]
+    config: String,
+    /// The file of cells; the one that the settings name if not given.
+    #[arg(long)]
+    cells: Option<String>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Print cells, homes and moves.
+    Show {
+        #[command(flatten)]
+        files: Files,
+    },
+    /// Take the next step of a tenant's move, as a new version of the file.
+    Move {
+        #[command(flatten)]
+        files: Files,
+        /// The tenant.
+        tenant: String,
+        /// The step.
+        #[arg(value_enum)]
+        turn: Step,
+        /// With `begin`: the cells to which it moves.
+        #[arg(long, value_delimiter = ',')]
+        to: Vec<String>,
+        /// With `begin`: milliseconds until all its sessions are over.
+        #[arg(long, default_value_t = 30_000)]
+        over_ms: u64,
+        /// Replace the file; without it the new version is only printed.
+        #[arg(long)]
+        write: bool,
+    },
+    /// Ask nodes where their cells stand.
+    Status {
+        /// Where nodes listen.
+        #[arg(required = true)]
+        nodes: Vec<SocketAddr>,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Step {
+    /// Announce it.
+    Begin,
+    /// Let sessions go over.
+    Go,
+    /// All sessions are over.
+    Done,
+    /// Let them return.
+    Back,
+    /// Make it a thing of the past.
+    Settle,
+}
+
+pub(crate) fn run(args: &Args) -> Result<ExitCode, Failure> {
+    match &args.command {
+        Command::Show { files } => show(files),
+        Command::Move { files, tenant, turn, to, over_ms, write } => {
+            let turn = match turn {
+                Step::Begin => {
+                    let to = to.iter().map(|c| CellName::from(c.as_str())).collect();
+                    Turn::Begin { to, over_ms: *over_ms }
+                }
+                Step::Go => Turn::Go,
+                Step::Done => Turn::Done,
+                Step::Back => Turn::Back,
+                Step::Settle => Turn::Settle,
+            };
+            step(files, tenant, turn, *write)
+        }
+        Command::Status { nodes } => status(nodes),
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// The settings, the file of cells and its path.
+fn load(files: &Files) -> Result<(NodeSettings, CellsFile, String), Failure> {
+    let settings = NodeSettings::parse(&files.config, &read(&files.config)?).map_err(Failure::usage)?;
+    let Some(path) = files.cells.clone().or(settings.cells_file.clone()) else {
+        return Err(Failure::usage(format!(
+            "{}: names no file of cells; give one with --cells",
+            files.config
+        )));
+    };
+    let cells = CellsFile::parse(&path, &read(&path)?, &settings.core).map_err(Failure::usage)?;
+    Ok((settings, cells, path))
+}
+
+fn show(files: &Files) -> Result<ExitCode, Failure> {
+    let (settings, file, _) = load(files)?;
+    let names = |cells: &[CellName]| cells.iter().map(|c| c.to_string()).collect::<Vec<_>>().join(", ");
+    println!("version {}", file.version);
+    let mut table = Table::new();
+    table.set_header(["cell", "weight", "readers", "writers", "fallback", "tenants"]);
+    for cell in &file.cells {
+        let lives = |t: &&pintally::interface::Tenant| file.home(&t.name).contains(&cell.name);
+        let tenants: Vec<&str> =
+            settings.core.tenants.iter().filter(lives).map(|t| t.name.as_str()).collect();
+        table.add_row([
+            cell.name.to_string(),
+            cell.weight.to_string(),
+            cell.needs.readers.to_string(),
+            cell.needs.writers.to_string(),
+            cell.fallback.as_ref().map(|c| c.to_string()).unwrap_or_default(),
+            tenants.join(", "),
+        ]);
+    }
+    println!("{table}");
+    for m in &file.moves {
+        let share = m.share(unix_ms()) * 100.0;
+        let (from, to) = (names(&file.home(&m.tenant)), names(&m.to));
+        println!(
+            "{} moves from {from} to {to}: {:?}, {share:.0}% of its sessions are over",
+            m.tenant, m.step
+        );
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn step(files: &Files, tenant: &str, turn: Turn, write: bool) -> Result<ExitCode, Failure> {
+    let (settings, file, path) = load(files)?;
+    if !settings.core.tenants.iter().any(|t| t.name == tenant) {
+        return Err(Failure::usage(format!("no tenant is named `{tenant}` in the settings")));
+    }
+    let next = file.step(tenant, turn, unix_ms()).map_err(Failure::failed)?.render();
+    // What is written must be what a node takes.
+    CellsFile::parse(&path, &next, &settings.core).map_err(Failure::failed)?;
+    if !write {
+        print!("{next}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let mut fresh = Path::new(&path).as_os_str().to_owned();
+    fresh.push(".new");
+    let written = std::fs::write(&fresh, &next).and_then(|()| std::fs::rename(&fresh, &path));
+    written.map_err(|e| Failure::failed(format!("{path}: {e}")))?;
+    println!("{path}: version {}", file.version + 1);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn status(nodes: &[SocketAddr]) -> Result<ExitCode, Failure> {
+    let mut table = Table::new();
+    table.set_header(["node", "cell", "level", "share of engines", "borrowed"]);
+    let mut silent = 0;
+    for node in nodes {
+        let Some(counters) = counters(*node) else {
+            silent += 1;
+            table.add_row([node.to_string(), "no answer".to_string()]);
+            continue;
+        };
+        for cell in counters["cells"].as_array().into_iter().flatten() {
+            let text = |key: &str| cell[key].as_str().unwrap_or("").to_string();
+            table.add_row([
+                node.to_string(),
+                text("cell"),
+                text("level"),
+                format!("{:.2}", cell["share"].as_f64().unwrap_or(0.0)),
+                cell["borrowed"].to_string(),
+            ]);
+        }
+    }
+    println!("{table}");
+    Ok(if silent == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// What a node has counted.
+fn counters(node: SocketAddr) -> Option<serde_json::Value> {
+    let mut stream = TcpStream::connect_timeout(&node, WAIT).ok()?;
+    stream.set_read_timeout(Some(WAIT)).ok()?;
+    stream.write_all(&request("GET", "/pintally/counters", &[("connection", "close")], b"")).ok()?;
+    let (mut reader, mut body, mut buffer) = (ResponseReader::new(16 << 10), Vec::new(), [0u8; 8192]);
+    loop {
+        match reader.next_part().ok()? {
+            Some(Part::Head(200, _)) => {}
+            Some(Part::Head(..)) => return None,
+            Some(Part::Body(bytes)) => body.extend(bytes),
+            Some(Part::End(_)) => return serde_json::from_slice(&body).ok(),
+            None => {
+                let n = stream.read(&mut buffer).ok().filter(|n| *n > 0)?;
+                reader.push(&buffer[..n]);
+            }
+        }
+    }
+}
--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 all well, 1 a rule broken or a check failed, 2 bad usage or settings.
 
 mod audit;
+mod cells;
 mod check;
 mod day;
 mod log;
@@ -40,6 +41,8 @@
     Serve(serve::Args),
     /// Load settings, a list of engines or a day, and say what is wrong and why.
     Check(check::Args),
+    /// Cells: who belongs where, moves step by step, where each cell stands.
+    Cells(cells::Args),
     /// Scripted days on loopback.
     Day(day::Args),
     /// Run stand-in engines on loopback and write their list.
@@ -77,6 +80,7 @@
     let done = match cli.command {
         Command::Serve(args) => serve::run(&args),
         Command::Check(args) => check::run(&args),
+        Command::Cells(args) => cells::run(&args),
         Command::Day(args) => day::run(&args),
         Command::Standin(args) => standin::run(&args),
         Command::Measure(args) => measure::run(&args),
--- a/examples/node.sexp
+++ b/examples/node.sexp
@@ -8,7 +8,7 @@
   (rules (attempts 6) (cold-from 0.3) (warm-after-ms 14000) (tip-multiple 2.5) (tip-window-ms 2000)
          (release-within-ms 500) (retry-after-most-ms 2000))
   (class "hint" (effect safe) (aim-ms 1000) (aim-per-1000-tokens-ms 40) (patience-ms 5000) (worth 2))
-  (class "test-feedback" (effect keyed (group zone) (window-ms 20000)) (aim-ms 3000) (patience-ms 15000))
+  (class "test-feedback" (effect keyed (group all) (window-ms 20000)) (aim-ms 3000) (patience-ms 15000))
   (class "graded-submit" (effect unsafe) (aim-ms 1500) (patience-ms 6000) (worth 3))
   (tenant "north" (quota-per-s 60))
   (kind "prefill" (role reader) (slots 8) (memory-tokens 240000))
