--- a/crates/pintally-cli/src/cells.rs
+++ b/crates/pintally-cli/src/cells.rs
@@ -59,6 +59,13 @@
         #[arg(long)]
         write: bool,
     },
+    /// Plan engines to cells and tenants to cells, and print the safe steps to get there.
+    Plan {
+        #[command(flatten)]
+        files: Files,
+        #[command(flatten)]
+        plan: crate::plan::Args,
+    },
     /// Ask nodes where their cells stand.
     Status {
         /// Where nodes listen.
@@ -97,6 +104,10 @@
             };
             step(files, tenant, turn, *write)
         }
+        Command::Plan { files, plan } => {
+            let (settings, cells, _) = load(files)?;
+            crate::plan::run(plan, &settings, &cells)
+        }
         Command::Status { nodes } => status(nodes),
     }
 }
--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -8,6 +8,7 @@
 mod day;
 mod log;
 mod measure;
+mod plan;
 mod serve;
 mod standin;
 
--- a/crates/pintally-cli/src/measure.rs
+++ b/crates/pintally-cli/src/measure.rs
@@ -5,7 +5,7 @@
 
 use comfy_table::Table;
 use pintally_day::Day;
-use pintally_measure::{added_latency, deciding, flood, open_streams, saturation, Added};
+use pintally_measure::{added_latency, deciding, flood, open_streams, plans, saturation, Added};
 
 use crate::{read, Failure};
 
@@ -67,6 +67,18 @@
         #[arg(long, value_delimiter = ',', default_values_t = [1, 3])]
         nodes: Vec<usize>,
     },
+    /// Plans of generated fleets: the model's against greedy ones.
+    Plans {
+        /// Tenants.
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 100, 1000])]
+        tenants: Vec<usize>,
+        /// Fleets of each size.
+        #[arg(long, default_value_t = 5)]
+        fleets: usize,
+        /// Seconds that the solver may take for each.
+        #[arg(long, default_value_t = 20.0)]
+        seconds: f64,
+    },
     /// Streams that a node holds open, and the memory of each.
     Streams {
         /// Streams wanted.
@@ -129,6 +141,37 @@
             println!("{table}");
             println!("share of the worth asked by tenants of other cells that was served in time");
         }
+        What::Plans { tenants, fleets, seconds } => {
+            let mut table = Table::new();
+            table.set_header([
+                "tenants",
+                "cells",
+                "fleets",
+                "planned",
+                "gave up",
+                "greedy planned",
+                "solver, s",
+                "greedy, s",
+                "greedy's cost over the model's",
+                "reached by safe steps",
+            ]);
+            for count in tenants {
+                let p = plans(*count, *fleets, *seconds);
+                table.add_row([
+                    p.tenants.to_string(),
+                    p.cells.to_string(),
+                    p.fleets.to_string(),
+                    p.planned.to_string(),
+                    p.gave_up.to_string(),
+                    p.greedy_planned.to_string(),
+                    p.seconds.to_string(),
+                    p.greedy_seconds.to_string(),
+                    p.ratio.to_string(),
+                    p.reachable.to_string(),
+                ]);
+            }
+            println!("{table}");
+        }
         What::Streams { count } => {
             let program = std::env::current_exe().map_err(Failure::failed)?;
             let folder = tempfile::tempdir().map_err(Failure::failed)?;
--- a/crates/pintally-measure/src/lib.rs
+++ b/crates/pintally-measure/src/lib.rs
@@ -8,12 +8,14 @@
 mod added;
 mod flood;
 mod load;
+mod plans;
 mod report;
 mod stage;
 mod streams;
 
 pub use added::{added_latency, deciding, saturation, Added, Deciding, Saturation};
 pub use flood::{flood, Flood, Interval};
+pub use plans::{plans, Plans};
 pub use report::{Spread, Stats};
 pub use streams::{open_streams, Streams};
 
--- a/crates/pintally-plan/src/model.rs
+++ b/crates/pintally-plan/src/model.rs
@@ -6,10 +6,11 @@
 use std::fmt;
 
 use good_lp::{
-    constraint, microlp, variable, Expression, ProblemVariables, Solution, SolverModel, Variable, WithMipGap,
-    WithTimeLimit,
+    constraint, microlp, variable, Expression, ProblemVariables, Solution, SolutionStatus, SolverModel,
+    Variable, WithMipGap, WithTimeLimit,
 };
 
+use crate::greedy::greedy;
 use crate::problem::{Binding, Plan, Problem, LEAVING};
 
 /// What one unit of a shortfall costs, against one engine moved.
@@ -131,9 +132,16 @@
     if !problem.is_lawful(&plan) {
         return Err(Unsolved::Gave("its solution uses what is not there".into()));
     }
-    if lacks.is_empty() {
-        Ok(plan)
-    } else {
-        Err(Unsolved::Bound(lacks))
+    // A solver that ran out of time may hold a worse plan than a rule of thumb does, or none.
+    let thumb = greedy(problem);
+    let thumb_holds = problem.is_lawful(&thumb) && problem.lacks(&thumb).is_empty();
+    match (lacks.is_empty(), thumb_holds) {
+        (true, true) if problem.cost(&thumb) < problem.cost(&plan) => Ok(thumb),
+        (true, _) => Ok(plan),
+        (false, true) => Ok(thumb),
+        (false, false) if matches!(solution.status(), SolutionStatus::TimeLimit) => {
+            Err(Unsolved::Gave(format!("no plan within {seconds} s")))
+        }
+        (false, false) => Err(Unsolved::Bound(lacks)),
     }
 }
