--- /dev/null
+++ b/examples/flood-day.sexp
@@ -0,0 +1,26 @@
+; Two small cells for `pintally measure flood examples/flood-day.sexp --tenant north`: a flood of ten times
+; north's share is more than the whole fleet can do. The engines are simulated.
+(day
+  (name "flood-day") (seed 1) (seconds 12) (settle-seconds 15)
+  (zones "hall-a" "hall-b") (racks 2)
+  (nodes 3 (notice-ms 300))
+  (slack-ms 200)
+  (limits (held 300) (answer-margin-ms 150))
+  (class "hint" (effect safe) (aim-ms 1000) (patience-ms 3000) (worth 2))
+  (class "graded-submit" (effect unsafe) (aim-ms 1500) (patience-ms 4000) (worth 3))
+  (tenant "north") (tenant "south") (tenant "east")
+  (kind "prefill" (role reader) (slots 8) (memory-tokens 60000))
+  (kind "decode" (role writer) (slots 8) (memory-tokens 30000))
+  (cells (version 1)
+    (cell "blue" (readers 1) (writers 2))
+    (cell "green" (readers 1) (writers 2))
+    (tenant "north" (cells "blue")) (tenant "south" (cells "blue")) (tenant "east" (cells "green")))
+  (engines "prefill" (cell "blue") (count 1) (queue 30) (read-per-s 12000))
+  (engines "decode" (cell "blue") (count 2) (queue 8) (token-gap-ms 12))
+  (engines "prefill" (cell "green") (count 1) (queue 30) (read-per-s 12000))
+  (engines "decode" (cell "green") (count 2) (queue 8) (token-gap-ms 12))
+  (traffic
+    (per-second 24) (retries 1) (retry-wait-ms 250) (shared-texts 8) (shared-tokens 200 500)
+    (class "hint" (share 60) (answer 15 40) (patience-percent 90 100))
+    (class "graded-submit" (share 40) (answer 15 40) (patience-percent 90 100))
+    (tenant "north" (share 40)) (tenant "south" (share 20)) (tenant "east" (share 40))))
