A read that ends just behind its node's death is nobody's duty to let go

Cause: in the twelfth run of four test programs at once a state was held against a node that was killed while the engine read: the kill was noted before the state was.

--- a/crates/pintally-audit/src/pinned.rs
+++ b/crates/pintally-audit/src/pinned.rs
@@ -34,7 +34,11 @@
     for r in &records {
         let What::Held { engine, node, request, state } = &r.what else { continue };
         let end = ends.get(&(engine.as_str(), state.as_str())).copied().unwrap_or(index.end);
-        if index.went_down(node, r.at, end) {
+        // What was read for a node that was killed meanwhile is no longer that node's duty: the time
+        // counts from the read's beginning, as it may end just behind the kill.
+        let works = index.by_request.get(request.as_str()).into_iter().flatten().map(|i| &index.works[*i]);
+        let begun = works.filter(|w| w.attempt == state).map(|w| w.at).min().unwrap_or(r.at);
+        if index.went_down(node, begun, end) {
             continue;
         }
         let mut spans: Vec<Span> = deaf.get(engine.as_str()).cloned().unwrap_or_default();
