One quoting, one way to replace a file, fleet status only when it changes

Cause: a read of the whole change. The deciding thread counted serving engines and built the cells' status after every batch of messages, though both change only with the list or the cells; texts were quoted by two pieces of code and list files replaced by three, one of them under a name that it could share.

Behaviour is as it was.

--- a/crates/pintally-cells/src/file.rs
+++ b/crates/pintally-cells/src/file.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 use pintally::interface::{Effect, Group, Settings};
-use pintally_config::form::{Document, Form};
+use pintally_config::form::{quoted, Document, Form};
 use pintally_config::ConfigError;
 
 use crate::assign::{cells_of, number};
@@ -133,7 +133,6 @@
 
     /// The file's text; [`CellsFile::parse`] reads it back.
     pub fn render(&self) -> String {
-        let quoted = |text: &str| format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""));
         let names = |cells: &[CellName]| cells.iter().map(|c| quoted(&c.0)).collect::<Vec<_>>().join(" ");
         let mut out = format!("(cells (version {})", self.version);
         for c in &self.cells {
--- a/crates/pintally-config/src/form.rs
+++ b/crates/pintally-config/src/form.rs
@@ -15,6 +15,11 @@
 /// The deepest nesting that is read: the parser recurses.
 const DEPTH_MOST: usize = 64;
 
+/// A text as it stands in a file.
+pub fn quoted(text: &str) -> String {
+    Value::string(text).to_string()
+}
+
 /// The text of a file, parsed.
 pub struct Document {
     file: String,
--- a/crates/pintally-config/src/members.rs
+++ b/crates/pintally-config/src/members.rs
@@ -5,7 +5,7 @@
 
 use pintally::interface::{EngineId, Listing, Member, Micros};
 
-use crate::form::Document;
+use crate::form::{quoted, Document};
 use crate::ConfigError;
 
 /// A list of engines with its version.
@@ -134,7 +134,3 @@
         }
     }
 }
-
-fn quoted(text: &str) -> String {
-    lexpr::Value::string(text).to_string()
-}
--- a/crates/pintally-day/src/engines.rs
+++ b/crates/pintally-day/src/engines.rs
@@ -1,7 +1,6 @@
 //! A day's engines: their figures, and the engines by themselves without nodes, clients or faults.
 
 use std::collections::BTreeMap;
-use std::fs;
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
@@ -11,7 +10,7 @@
 use pintally_config::EngineList;
 use pintally_standin::{self as standin, EngineSpec, Fleet, Recorder};
 
-use crate::publish::entry_of;
+use crate::publish::{entry_of, replace};
 use crate::run::RunError;
 use crate::spec::{Day, EngineGroup};
 
@@ -85,9 +84,7 @@
     pub fn write_list(&self, path: &str) -> io::Result<()> {
         let engines = self.fleet.engines();
         let entries = engines.iter().map(|e| entry_of(e, Listing::Serving, None)).collect();
-        let fresh = Path::new(path).with_extension("new");
-        fs::write(&fresh, EngineList { version: 1, engines: entries }.render())?;
-        fs::rename(fresh, path)
+        replace(Path::new(path), &EngineList { version: 1, engines: entries }.render())
     }
 
     /// How many there are.
--- a/crates/pintally-day/src/from_bench.rs
+++ b/crates/pintally-day/src/from_bench.rs
@@ -125,7 +125,7 @@
         self.classes()?;
         self.tenants()?;
         self.engines(servers)?;
-        self.traffic(servers.len())?;
+        self.traffic()?;
         self.troubles(&zones)?;
         self.out.push_str(")\n");
         Ok(())
@@ -276,7 +276,7 @@
         Ok(())
     }
 
-    fn traffic(&mut self, _servers: usize) -> Result<(), String> {
+    fn traffic(&mut self) -> Result<(), String> {
         let (day, clients) = (self.day, &self.day["clients"]);
         let talks = list(&day["fam"]["talks"], "fam.talks")?;
         let classes = list(&day["classes"], "classes")?;
--- a/crates/pintally-day/src/publish.rs
+++ b/crates/pintally-day/src/publish.rs
@@ -11,6 +11,14 @@
 use pintally_config::{EngineEntry, EngineList};
 use pintally_standin::{Engine, Recorder};
 
+/// Replaces a file as a whole: whoever reads it sees the old one or the new one.
+pub(crate) fn replace(file: &Path, text: &str) -> io::Result<()> {
+    let mut fresh = file.as_os_str().to_owned();
+    fresh.push(".new");
+    fs::write(&fresh, text)?;
+    fs::rename(fresh, file)
+}
+
 /// What a list says of an engine.
 pub(crate) fn entry_of(engine: &Engine, listing: Listing, started_unix_ms: Option<u64>) -> EngineEntry {
     EngineEntry {
@@ -79,9 +87,7 @@
         }
         let Some(text) = self.cells.get(&version) else { return Ok(()) };
         self.cells_written[node] = version;
-        let fresh = self.folder.join(format!("cells-{node}.new"));
-        fs::write(&fresh, text)?;
-        fs::rename(&fresh, self.cells_file(node))
+        replace(&self.cells_file(node), text)
     }
 
     /// Enters an engine, or changes what the list says of it.
@@ -107,7 +113,6 @@
         let Some(engines) = self.versions.get(&version).cloned() else { return Ok(()) };
         self.written[node] = version;
         let list = EngineList { version, engines };
-        let (file, fresh) = (self.file(node), self.folder.join(format!("engines-{node}.new")));
         // What is told is told from the moment of writing on, not from that of the rename.
         for entry in &list.engines {
             let old = self.told[node].insert(entry.id.clone(), entry.clone());
@@ -127,8 +132,7 @@
                 });
             }
         }
-        fs::write(&fresh, list.render())?;
-        fs::rename(&fresh, file)?;
+        replace(&self.file(node), &list.render())?;
         let least = self.written.iter().min().copied().unwrap_or(0);
         self.versions.retain(|v, _| *v >= least);
         Ok(())
--- a/crates/pintally-host/src/cellular.rs
+++ b/crates/pintally-host/src/cellular.rs
@@ -33,6 +33,7 @@
     }
 
     pub(crate) fn list(&mut self, now: Micros, form: ListForm, list: Vec<Listed>, out: &mut Vec<Command>) {
+        self.fleet_changed = true;
         if form == ListForm::Full {
             self.places.values_mut().for_each(|p| p.listing = Listing::Gone);
             self.members.clear();
@@ -117,6 +118,7 @@
     /// Gives each cell's core its engines. A cell that is no more keeps none; its core ends what it
     /// has in hand.
     fn hand_out(&mut self, now: Micros, spread: Spread, out: &mut Vec<Command>) {
+        self.fleet_changed = true;
         out.extend(spread.notes.into_iter().map(Command::Log));
         for cell in spread.cells.keys() {
             self.core_of(cell);
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -34,6 +34,8 @@
     /// The cells; without a file of them there is one, which has no name and every engine.
     pub(crate) cells: Option<Cells>,
     pub(crate) members: BTreeMap<EngineId, Listed>,
+    /// The fleet has changed since it was last asked.
+    pub(crate) fleet_changed: bool,
     /// A timer for cells is out.
     pub(crate) cells_due: Option<(Micros, u64)>,
     pub(crate) seed: u64,
@@ -61,6 +63,7 @@
             routers: BTreeMap::new(),
             cells: None,
             members: BTreeMap::new(),
+            fleet_changed: true,
             cells_due: None,
             seed,
             stamp: format!("{}-{:08x}", settings.name, seed as u32),
@@ -89,6 +92,11 @@
         self.entries.len()
     }
 
+    /// Whether engines or cells may stand otherwise than when this was last asked.
+    pub fn take_fleet_change(&mut self) -> bool {
+        std::mem::take(&mut self.fleet_changed)
+    }
+
     /// Engines that take work, by the list.
     pub fn serving(&self) -> usize {
         self.places.values().filter(|p| p.listing == Listing::Serving).count()
--- a/crates/pintally-node/src/decide.rs
+++ b/crates/pintally-node/src/decide.rs
@@ -56,10 +56,10 @@
         let busy = began.elapsed().as_nanos() as u64;
         shared.counts.busy_ns.fetch_add(busy, Ordering::Relaxed);
         *shared.host_counters.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.counters();
-        if shared.settings.cells_file.is_some() {
+        if decider.host.take_fleet_change() {
             *shared.cells.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.cells_status();
+            shared.serving.store(decider.host.serving(), Ordering::Relaxed);
         }
-        shared.serving.store(decider.host.serving(), Ordering::Relaxed);
     }
 }
 
