Latencies past two milliseconds count as they are, not as two microseconds

Cause: the histogram that grows by itself does not grow with saturating records; whatever is beyond its first 2,047 us is filed under its least value. So every answer later than 2 ms looked like the fastest, and p99 figures at higher rates were too good. Bounds are now fixed from 1 us to one minute; a test records late values.

--- a/crates/pintally-measure/src/load.rs
+++ b/crates/pintally-measure/src/load.rs
@@ -29,9 +29,16 @@
     Direct(Vec<SocketAddr>, Vec<SocketAddr>),
 }
 
+/// A histogram that holds every latency up to a minute. One that grows by itself must not be used with
+/// saturating records: it files whatever is beyond its first 2,047 under its least value, so that a
+/// node that is late looks like the fastest.
+fn latencies() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are in order")
+}
+
 /// Sends so many requests a second for a time and takes the time to each first token.
 pub(crate) fn drive(goal: &Goal, per_second: f64, span: Duration, first: u64) -> Stats {
-    let histogram = Mutex::new(Histogram::<u64>::new(3).expect("three digits are allowed"));
+    let histogram = Mutex::new(latencies());
     let (failed, late) = (AtomicU64::new(0), AtomicU64::new(0));
     let (sender, queue) = bounded::<(u64, Instant)>(1 << 16);
     thread::scope(|scope| {
@@ -39,7 +46,7 @@
             let (queue, histogram, failed) = (queue.clone(), &histogram, &failed);
             let run = move || {
                 let mut carrier = Carrier::default();
-                let mut own = Histogram::<u64>::new(3).expect("three digits are allowed");
+                let mut own = latencies();
                 for (number, due) in queue {
                     match carrier.carry(goal, number) {
                         Some(at) => own.saturating_record(at.duration_since(due).as_micros() as u64),
@@ -177,3 +184,17 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_late_answer_counts_as_late() {
+        let (mut own, mut all) = (latencies(), latencies());
+        [500, 3_000, 40_000, 5_000_000, 90_000_000].iter().for_each(|v| own.saturating_record(*v));
+        all.add(&own).expect("the same bounds");
+        assert!((39_900..40_100).contains(&all.value_at_quantile(0.5)));
+        assert!(all.value_at_quantile(0.2) < 501 && all.max() >= 59_990_000, "{}", all.max());
+    }
+}
