--- a/crates/pintally-cells/src/edge.rs
+++ b/crates/pintally-cells/src/edge.rs
@@ -28,28 +28,44 @@
 struct Used {
     part: usize,
     all: usize,
+    /// Room for bodies: the part of it that is the cell's, and what its requests hold.
+    room: usize,
+    bytes: usize,
     tenants: BTreeMap<Option<String>, usize>,
 }
 
-/// Places in use, by cell and tenant.
+/// A cell's part of the room for bodies of which so much is never lent: requests under way cannot give
+/// their bodies back at once.
+const NEVER_LENT: f64 = 0.5;
+
+/// Places and room in use, by cell and tenant.
 #[derive(Clone, Debug, Default)]
 pub struct Edge {
     places: usize,
     used: usize,
+    room: usize,
+    bytes: usize,
     cells: BTreeMap<CellName, Used>,
 }
 
 impl Edge {
-    /// Divides places over cells by their weights. Cells that are not among them keep what they use
-    /// and have no part of their own any more.
-    pub fn divide<'a>(&mut self, places: usize, weights: impl Iterator<Item = (&'a CellName, f64)>) {
+    /// Divides places, and room for so many bytes of bodies, over cells by their weights. Cells that
+    /// are not among them keep what they use and have no part of their own any more.
+    pub fn divide<'a>(
+        &mut self,
+        places: usize,
+        room: usize,
+        weights: impl Iterator<Item = (&'a CellName, f64)>,
+    ) {
         let weights: Vec<(&CellName, f64)> = weights.collect();
         let sum: f64 = weights.iter().map(|w| w.1.max(0.0)).sum();
-        self.places = places;
-        self.cells.values_mut().for_each(|c| c.part = 0);
+        (self.places, self.room) = (places, room);
+        self.cells.values_mut().for_each(|c| (c.part, c.room) = (0, 0));
         for (name, weight) in weights {
-            let part = if sum > 0.0 { places as f64 * weight.max(0.0) / sum } else { 0.0 };
-            self.cells.entry(name.clone()).or_default().part = (part as usize).max(1);
+            let part = if sum > 0.0 { weight.max(0.0) / sum } else { 0.0 };
+            let own = self.cells.entry(name.clone()).or_default();
+            own.part = ((places as f64 * part) as usize).max(1);
+            own.room = (room as f64 * part) as usize;
         }
         self.cells.retain(|_, c| c.part > 0 || c.all > 0);
     }
@@ -59,11 +75,29 @@
         self.cells.get(cell).map_or((0, 0), |c| (c.part, c.all))
     }
 
+    /// Bytes of bodies held.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Places in use.
     pub fn used(&self) -> usize {
         self.used
     }
 
+    /// Whether the body of a request has room in a cell. Half of each cell's part is kept for it
+    /// whatever the others do; the other half is lent while it is not used.
+    pub fn has_room(&self, cell: &CellName, bytes: usize) -> bool {
+        let Some(own) = self.cells.get(cell) else { return false };
+        let kept = |c: &Used| (c.room as f64 * NEVER_LENT) as usize;
+        if own.bytes + bytes <= kept(own) {
+            return true;
+        }
+        let others = self.cells.iter().filter(|(n, _)| *n != cell);
+        let reserved: usize = others.map(|(_, c)| kept(c).saturating_sub(c.bytes)).sum();
+        self.bytes + bytes + reserved <= self.room
+    }
+
     /// Whether a request of a tenant has a place in a cell whose part counts only by `share` now, as
     /// when it has lost engines. Takes nothing yet.
     pub fn ask(&self, cell: &CellName, tenant: Option<&str>, share: f64) -> Place {
@@ -114,16 +148,18 @@
         tenants.iter().filter(|(_, n)| **n > 0).max_by_key(|(_, n)| **n).map(|(t, _)| t.clone())
     }
 
-    /// Takes a place.
-    pub fn take(&mut self, cell: &CellName, tenant: Option<&str>) {
+    /// Takes a place, and room for a body.
+    pub fn take(&mut self, cell: &CellName, tenant: Option<&str>, bytes: usize) {
         self.used += 1;
+        self.bytes += bytes;
         let c = self.cells.entry(cell.clone()).or_default();
         c.all += 1;
+        c.bytes += bytes;
         *c.tenants.entry(tenant.map(str::to_string)).or_default() += 1;
     }
 
-    /// Gives a place back.
-    pub fn give_back(&mut self, cell: &CellName, tenant: Option<&str>) {
+    /// Gives a place back, and the room for a body.
+    pub fn give_back(&mut self, cell: &CellName, tenant: Option<&str>, bytes: usize) {
         let Some(c) = self.cells.get_mut(cell) else { return };
         let key = tenant.map(str::to_string);
         let Some(own) = c.tenants.get_mut(&key).filter(|n| **n > 0) else { return };
@@ -132,6 +168,8 @@
             c.tenants.remove(&key);
         }
         c.all -= 1;
+        c.bytes = c.bytes.saturating_sub(bytes);
         self.used -= 1;
+        self.bytes = self.bytes.saturating_sub(bytes);
     }
 }
--- a/crates/pintally-cells/src/facade.rs
+++ b/crates/pintally-cells/src/facade.rs
@@ -2,20 +2,28 @@
 
 use std::collections::BTreeMap;
 
-use pintally::interface::{Listing, Member, Micros, Role, Settings};
+use pintally::interface::{Effect, EngineId, Listing, Load, Member, Micros, Outcome, Role, Settings};
 
 use crate::edge::{Edge, Place};
 use crate::file::CellsFile;
 use crate::health::{Ladder, Level};
-use crate::loans::{Has, Lendable, Loans};
+use crate::loans::{counted, Has, Lendable, Loans};
+use crate::pace::Pace;
+use crate::strain::Strain;
+use crate::trust::Trust;
 use crate::CellName;
 
 /// A cell takes strangers from a lost one only while it uses less than this share of its own part.
 const STRANGERS: f64 = 0.7;
 /// Whoever finds his cell lost is told to come back after this many milliseconds.
 const LOST_MS: u64 = 2000;
-/// And whoever is shed, after this many.
+/// And whoever is shed, or finds no room for his body, after this many.
 const SHED_MS: u64 = 1000;
+/// Of the room for bodies this much is for requests that are held; the rest is for those that come in,
+/// whose cell nobody knows yet.
+const HELD: f64 = 0.75;
+/// While a cell is uneasy it is looked at this often.
+const LOOK_EVERY: Micros = 250_000;
 
 /// A request at the door.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +34,8 @@
     pub session: u64,
     /// Index of its class, if it has one.
     pub class: Option<usize>,
+    /// Bytes that it holds while it is here.
+    pub bytes: usize,
 }
 
 /// Where a request goes.
@@ -48,32 +58,63 @@
     pub notes: Vec<String>,
 }
 
+/// Where one cell stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CellStatus {
+    /// The cell.
+    pub cell: CellName,
+    /// Its level.
+    pub level: Level,
+    /// The share of what it is built for that its engines count for.
+    pub capacity: f64,
+    /// Engines that it has borrowed.
+    pub borrowed: usize,
+    /// It is late.
+    pub strained: bool,
+    /// Its engines are there and fail.
+    pub failing: bool,
+}
+
 /// All cells of a fleet as one node sees them.
 pub struct Cells {
     file: CellsFile,
     edge: Edge,
     places: usize,
+    room: usize,
     worths: Vec<f64>,
+    /// Whether a class may be run twice without harm.
+    safe: Vec<bool>,
+    trust: Trust,
+    strain: Strain,
+    pace: Pace,
+    /// Moves that are held back, so that each is told of once.
+    held: Vec<String>,
     ladders: BTreeMap<CellName, Ladder>,
     loans: Loans,
     /// A list of engines has come. Guards against a node that starts, knows the cells before their
     /// engines, takes all of them for lost and then climbs for many seconds while nothing is wrong.
     listed: bool,
     /// The list of engines as it holds: each with its cell.
-    members: BTreeMap<pintally::interface::EngineId, (Member, Role, Option<CellName>)>,
+    members: BTreeMap<EngineId, (Member, Role, Option<CellName>)>,
     /// When each loan was made.
-    borrowed: BTreeMap<pintally::interface::EngineId, Micros>,
+    borrowed: BTreeMap<EngineId, Micros>,
 }
 
 impl Cells {
-    /// Cells for a node with so many places.
-    pub fn new(file: CellsFile, places: usize, core: &Settings) -> Cells {
+    /// Cells for a node with so many places, and room for so many bytes of bodies.
+    pub fn new(file: CellsFile, places: usize, room: usize, core: &Settings) -> Cells {
         let worths: Vec<f64> = core.classes.iter().map(|c| c.worth).collect();
         let mut cells = Cells {
             file: CellsFile::default(),
             edge: Edge::default(),
             places,
+            room: (room as f64 * HELD) as usize,
             worths,
+            safe: core.classes.iter().map(|c| c.effect == Effect::Safe).collect(),
+            trust: Trust::default(),
+            strain: Strain::default(),
+            pace: Pace::default(),
+            held: Vec::new(),
             ladders: BTreeMap::new(),
             loans: Loans::default(),
             listed: false,
@@ -85,12 +126,16 @@
     }
 
     fn set(&mut self, file: CellsFile) {
-        self.edge.divide(self.places, file.cells.iter().map(|c| (&c.name, c.weight)));
+        self.edge.divide(self.places, self.room, file.cells.iter().map(|c| (&c.name, c.weight)));
         for cell in &file.cells {
             let worths = &self.worths;
             self.ladders.entry(cell.name.clone()).or_insert_with(|| Ladder::new(worths.iter().copied()));
         }
-        self.ladders.retain(|name, _| file.cells.iter().any(|c| c.name == *name));
+        let known = |name: &CellName| file.cells.iter().any(|c| c.name == *name);
+        self.ladders.retain(|name, _| known(name));
+        self.strain.keep(known);
+        self.pace.keep(|tenant| file.moves.iter().any(|m| m.tenant == tenant));
+        self.held.retain(|tenant| file.moves.iter().any(|m| m.tenant == *tenant));
         self.file = file;
     }
 
@@ -115,21 +160,56 @@
     pub fn list(&mut self, now: Micros, members: Vec<(Member, Role, Option<CellName>)>) -> Spread {
         self.listed |= !members.is_empty();
         self.members = members.into_iter().map(|m| (m.0.engine.clone(), m)).collect();
+        let members = &self.members;
+        self.trust.keep(|e| members.contains_key(e));
         self.spread(now)
     }
 
-    /// Where each cell stands, and how many engines it has borrowed.
-    pub fn status(&self) -> Vec<(CellName, Level, f64, usize)> {
+    /// An attempt of a tenant has ended at an engine.
+    pub fn ended(
+        &mut self,
+        now: Micros,
+        engine: &EngineId,
+        tenant: Option<usize>,
+        outcome: Outcome,
+        load: Option<&Load>,
+    ) {
+        self.trust.ended(now, engine, tenant, outcome, load);
+    }
+
+    /// A request of a cell has begun to be answered, late or not, or will never be.
+    pub fn heard(&mut self, now: Micros, cell: &CellName, late: bool) {
+        self.strain.heard(now, cell, late);
+    }
+
+    /// Where each cell stands.
+    pub fn status(&self, now: Micros) -> Vec<CellStatus> {
         let lent =
             |name: &CellName| self.members.keys().filter(|e| self.loans.borrower(e) == Some(name)).count();
-        self.ladders.iter().map(|(n, l)| (n.clone(), l.level(), l.capacity(), lent(n))).collect()
+        let one = |(name, ladder): (&CellName, &Ladder)| CellStatus {
+            cell: name.clone(),
+            level: ladder.level(),
+            capacity: ladder.capacity(),
+            borrowed: lent(name),
+            strained: self.strain.is_strained(now, name),
+            failing: ladder.is_failing(),
+        };
+        self.ladders.iter().map(one).collect()
+    }
+
+    /// How far each move under way has come at this node, as a share of the tenant's sessions.
+    pub fn moves(&self, unix_ms: u64) -> Vec<(String, f64)> {
+        let come = |m: &crate::Move| self.pace.of(&m.tenant).unwrap_or_else(|| m.share(unix_ms));
+        self.file.moves.iter().map(|m| (m.tenant.clone(), come(m))).collect()
     }
 
     /// When time alone may change something.
     pub fn next_change(&self, now: Micros) -> Option<Micros> {
         let climbs = self.ladders.values().any(|l| l.level() != Level::Well);
         let climb = climbs.then(|| now.saturating_add(1_000_000));
-        [self.loans.next_end(), climb].into_iter().flatten().min()
+        let uneasy = self.trust.is_uneasy(now) || self.strain.is_uneasy(now);
+        let look = uneasy.then(|| now.saturating_add(LOOK_EVERY));
+        [self.loans.next_end(), climb, look].into_iter().flatten().min()
     }
 
     /// Makes loans, takes steps, and says which engines each cell has.
@@ -138,18 +218,21 @@
         if !self.listed {
             return spread;
         }
+        self.trust.tick(now);
+        self.strain.tick(now);
         let known = |cell: &CellName| self.file.cells.iter().any(|c| c.name == *cell);
+        // An engine that fails is as good as gone: another may stand in for it, and it for none.
         let serving: Vec<Lendable> = self
             .members
             .values()
-            .filter(|(m, ..)| m.listing == Listing::Serving)
+            .filter(|(m, ..)| m.listing == Listing::Serving && !self.trust.is_failing(&m.engine))
             .map(|(m, role, cell)| Lendable {
                 engine: m.engine.clone(),
                 role: *role,
                 cell: cell.clone().filter(&known),
             })
             .collect();
-        if self.loans.update(now, &self.file.cells, &serving) {
+        if self.loans.update(now, &self.file.cells, &serving, |cell| self.strain.pairs(cell)) {
             for one in &serving {
                 match (self.loans.borrower(&one.engine), self.borrowed.contains_key(&one.engine)) {
                     (Some(cell), false) => {
@@ -166,7 +249,7 @@
             self.borrowed.retain(|e, _| self.loans.borrower(e).is_some());
         }
         for cell in &self.file.cells {
-            let mut has = Has::default();
+            let (mut has, mut weights) = (Has::default(), Vec::new());
             let mut members = Vec::new();
             for (member, role, own) in self.members.values() {
                 let lent = self.loans.borrower(&member.engine) == Some(&cell.name);
@@ -180,14 +263,16 @@
                 }
                 if member.listing == Listing::Serving {
                     has.add(*role);
+                    weights.push((*role, self.trust.weight(now, &member.engine)));
                 }
                 members.push(member);
             }
             let Some(ladder) = self.ladders.get_mut(&cell.name) else { continue };
-            if ladder.update(now, has.share(cell)) {
+            if ladder.update(now, has.share(cell), counted(cell, &weights)) {
                 let percent = (ladder.capacity() * 100.0).round();
+                let fails = if ladder.is_failing() { ", those that are there fail" } else { "" };
                 spread.notes.push(format!(
-                    "cell {} is {:?}: {percent}% of its engines",
+                    "cell {} is {:?}: {percent}% of its engines{fails}",
                     cell.name,
                     ladder.level()
                 ));
@@ -198,8 +283,8 @@
     }
 
     /// Where a request goes. A place is taken where there is one; [`Cells::give_back`] returns it.
-    pub fn admit(&mut self, ask: Ask, unix_ms: u64) -> Verdict {
-        let Some(home) = self.file.belongs(ask.tenant, ask.session, unix_ms) else {
+    pub fn admit(&mut self, now: Micros, ask: Ask, unix_ms: u64) -> Verdict {
+        let Some(home) = self.belongs(now, ask, unix_ms) else {
             return Verdict::Refused(None, LOST_MS, "no cell");
         };
         let Some(ladder) = self.ladders.get_mut(&home) else {
@@ -207,41 +292,75 @@
         };
         let (level, serves, share) = (ladder.level(), ladder.serves(ask.class), ladder.share());
         if level == Level::Lost {
-            return self.elsewhere(&home, ask);
+            let harmless = ask.class.and_then(|c| self.safe.get(c)).copied().unwrap_or(false);
+            let room = self.edge.used() < self.places && self.edge.has_room(&home, ask.bytes);
+            if !(harmless && room && ladder.trial(now)) {
+                return self.elsewhere(now, &home, ask);
+            }
+            self.edge.take(&home, ask.tenant, ask.bytes);
+            return Verdict::Into(home);
         }
         if !serves {
             return Verdict::Refused(Some(home), SHED_MS, "shed");
         }
+        if !self.edge.has_room(&home, ask.bytes) {
+            return Verdict::Refused(Some(home), SHED_MS, "no room for its body");
+        }
         match self.edge.ask(&home, ask.tenant, share) {
             Place::Free => {
-                self.edge.take(&home, ask.tenant);
+                self.edge.take(&home, ask.tenant, ask.bytes);
                 Verdict::Into(home)
             }
             Place::InPlaceOf(other) => {
-                self.edge.take(&home, ask.tenant);
+                self.edge.take(&home, ask.tenant, ask.bytes);
                 Verdict::InPlaceOf(home, other)
             }
             Place::None(after) => Verdict::Refused(Some(home), after, "over its part"),
         }
     }
 
+    /// The cell in which a request belongs: by the file, and by how far this node has let a move come.
+    fn belongs(&mut self, now: Micros, ask: Ask, unix_ms: u64) -> Option<CellName> {
+        let Cells { file, pace, ladders, strain, held, .. } = self;
+        file.belongs_at(ask.tenant, ask.session, |one| {
+            let level = |c: &CellName| ladders.get(c).map_or(Level::Lost, Ladder::level);
+            let worst = |cells: &[CellName]| cells.iter().map(level).max().unwrap_or(Level::Lost);
+            let full = one.to.iter().any(|c| strain.is_strained(now, c));
+            // Nobody is kept in a cell that is worse off than the one to which he moves.
+            let leaves = worst(&file.home(&one.tenant)) > worst(&one.to);
+            let pressed = (full || worst(&one.to) > Level::Well) && !leaves;
+            held.retain(|t| pressed || *t != one.tenant);
+            if pressed && !held.contains(&one.tenant) {
+                held.push(one.tenant.clone());
+            }
+            pace.share(one, unix_ms, pressed)
+        })
+    }
+
+    /// Tenants whose moves this node holds back for now.
+    pub fn held_moves(&self) -> &[String] {
+        &self.held
+    }
+
     /// A lost cell's request goes to the cell that stands in, as far as that has room of its own;
     /// what does not fit is refused at home.
-    fn elsewhere(&mut self, home: &CellName, ask: Ask) -> Verdict {
+    fn elsewhere(&mut self, now: Micros, home: &CellName, ask: Ask) -> Verdict {
         let lost = Verdict::Refused(Some(home.clone()), LOST_MS, "cell lost");
         let Some(other) = self.file.cell_named(home).and_then(|c| c.fallback.clone()) else { return lost };
-        let well = self.ladders.get(&other).is_some_and(|l| l.level() == Level::Well);
+        let well = self.ladders.get(&other).is_some_and(|l| l.level() == Level::Well)
+            && !self.strain.is_strained(now, &other);
         let (part, used) = self.edge.of(&other);
-        if !well || used as f64 >= part as f64 * STRANGERS || self.edge.used() >= self.places {
+        let room = self.edge.has_room(&other, ask.bytes);
+        if !well || !room || used as f64 >= part as f64 * STRANGERS || self.edge.used() >= self.places {
             return lost;
         }
-        self.edge.take(&other, ask.tenant);
+        self.edge.take(&other, ask.tenant, ask.bytes);
         Verdict::Into(other)
     }
 
     /// Gives a request's place back.
-    pub fn give_back(&mut self, cell: &CellName, tenant: Option<&str>) {
-        self.edge.give_back(cell, tenant);
+    pub fn give_back(&mut self, cell: &CellName, tenant: Option<&str>, bytes: usize) {
+        self.edge.give_back(cell, tenant, bytes);
     }
 
     /// The tenant that has the most places of a cell.
--- a/crates/pintally-cells/src/file.rs
+++ b/crates/pintally-cells/src/file.rs
@@ -298,13 +298,23 @@
         }
     }
 
-    /// The cells in which a request belongs, best first, at a time.
+    /// The cell in which a request belongs at a time.
     pub fn belongs(&self, tenant: Option<&str>, session: u64, unix_ms: u64) -> Option<CellName> {
+        self.belongs_at(tenant, session, |m| m.share(unix_ms))
+    }
+
+    /// The cell in which a request belongs when a move has come as far as `share` says.
+    pub fn belongs_at(
+        &self,
+        tenant: Option<&str>,
+        session: u64,
+        share: impl FnOnce(&Move) -> f64,
+    ) -> Option<CellName> {
         let Some(tenant) = tenant else {
             return cells_of(&self.cells, session, 1).into_iter().next();
         };
         let moving = self.moves.iter().find(|m| m.tenant == tenant);
-        let among = match moving.filter(|m| m.is_over(session, unix_ms)) {
+        let among = match moving.filter(|m| m.is_over_at(session, share(m))) {
             Some(over) => over.to.clone(),
             None => self.home(tenant),
         };
--- a/crates/pintally-cells/src/health.rs
+++ b/crates/pintally-cells/src/health.rs
@@ -12,6 +12,12 @@
 const MARGIN: f64 = 0.1;
 /// for this long.
 const CALM: Micros = 5_000_000;
+/// A cell whose engines count for less than this fails whatever it takes on: it counts as lost,
+const FAILING: f64 = 0.12;
+/// until they count for this much again.
+const RECOVERED: f64 = 0.5;
+/// While it fails, one harmless request goes in so often, to see whether it still does.
+const TRIAL_EVERY: Micros = 1_000_000;
 /// Weight of a new arrival in the shares of classes.
 const BLEND: f64 = 0.02;
 
@@ -25,7 +31,7 @@
     Thin,
     /// Only the most worthy classes are served, as many as there are engines for.
     Shed,
-    /// It cannot serve: no engine reads, or none writes.
+    /// It cannot serve: no engine reads, or none writes, or those that are there fail.
     Lost,
 }
 
@@ -36,6 +42,10 @@
     capacity: f64,
     /// Since when its capacity has been enough for one step up.
     calm: Option<Micros>,
+    /// It is lost because its engines fail, not because they are gone.
+    failing: bool,
+    /// When it may be tried again while it fails.
+    trial: Micros,
     /// Share of each class in what arrives, by its index, and what it is worth.
     classes: Vec<(f64, f64)>,
 }
@@ -46,7 +56,7 @@
         let classes: Vec<(f64, f64)> = worths.map(|w| (0.0, w)).collect();
         let even = 1.0 / classes.len().max(1) as f64;
         let classes = classes.into_iter().map(|(_, w)| (even, w)).collect();
-        Ladder { level: Level::Well, capacity: 1.0, calm: None, classes }
+        Ladder { level: Level::Well, capacity: 1.0, calm: None, failing: false, trial: 0, classes }
     }
 
     /// Where it stands.
@@ -68,12 +78,29 @@
         }
     }
 
-    /// Takes in what share of its engines a cell has, the scarcer role's. Returns whether the level
-    /// has changed.
-    pub fn update(&mut self, now: Micros, capacity: f64) -> bool {
-        self.capacity = capacity.clamp(0.0, 1.0);
+    /// Whether it is lost because its engines fail.
+    pub fn is_failing(&self) -> bool {
+        self.failing
+    }
+
+    /// Whether a harmless request may go into a failing cell now, to see whether it still fails.
+    pub fn trial(&mut self, now: Micros) -> bool {
+        let due = self.failing && now >= self.trial;
+        if due {
+            self.trial = now.saturating_add(TRIAL_EVERY);
+        }
+        due
+    }
+
+    /// Takes in what share of its engines a cell has, the scarcer role's: by the list, and by how far
+    /// they can be counted on. Returns whether the level has changed.
+    pub fn update(&mut self, now: Micros, listed: f64, counted: f64) -> bool {
+        self.capacity = listed.min(counted).clamp(0.0, 1.0);
+        let bad = if self.failing { RECOVERED } else { FAILING };
+        self.failing = listed > 0.0 && counted < bad && (self.failing || counted < FAILING);
+        let failing = self.failing;
         let fits = |capacity: f64| match capacity {
-            c if c <= 0.0 => Level::Lost,
+            c if c <= 0.0 || failing => Level::Lost,
             c if c < SHED => Level::Shed,
             c if c < THIN => Level::Thin,
             _ => Level::Well,
--- a/crates/pintally-cells/src/lib.rs
+++ b/crates/pintally-cells/src/lib.rs
@@ -13,14 +13,20 @@
 mod health;
 mod loans;
 mod moves;
+mod pace;
+mod strain;
+mod trust;
 
 pub use assign::{cells_of, draw};
 pub use edge::{Edge, Place};
-pub use facade::{Ask, Cells, Spread, Verdict};
+pub use facade::{Ask, CellStatus, Cells, Spread, Verdict};
 pub use file::{CellSpec, CellsFile, Home, Needs, TenantHome, Turn};
 pub use health::{Ladder, Level};
 pub use loans::{Lendable, Loans};
 pub use moves::{Move, Step};
+pub use pace::Pace;
+pub use strain::Strain;
+pub use trust::Trust;
 
 use std::sync::Arc;
 
--- a/crates/pintally-cells/src/loans.rs
+++ b/crates/pintally-cells/src/loans.rs
@@ -72,6 +72,28 @@
     }
 }
 
+/// The share of what a cell is built for that its engines count for, the scarcer role's, when each
+/// counts for a part of itself and mixed engines fill what lacks most.
+pub(crate) fn counted(cell: &CellSpec, engines: &[(Role, f64)]) -> f64 {
+    let (mut readers, mut writers) = (cell.needs.readers as f64, cell.needs.writers as f64);
+    for (role, weight) in engines {
+        match role {
+            Role::Reader => readers -= weight,
+            Role::Writer => writers -= weight,
+            Role::Mixed => {}
+        }
+    }
+    for (_, weight) in engines.iter().filter(|(role, _)| *role == Role::Mixed) {
+        if readers >= writers {
+            readers -= weight;
+        } else {
+            writers -= weight;
+        }
+    }
+    let of = |missing: f64, need: usize| 1.0 - missing.max(0.0) / need.max(1) as f64;
+    of(readers, cell.needs.readers).min(of(writers, cell.needs.writers))
+}
+
 impl Loans {
     /// The cell that has borrowed an engine.
     pub fn borrower(&self, engine: &EngineId) -> Option<&CellName> {
@@ -93,21 +115,30 @@
         self.whole.values().min().map(|since| since.saturating_add(WHOLE_FOR))
     }
 
-    /// Makes and ends loans for the engines that serve now. Returns whether anything has changed.
-    pub fn update(&mut self, now: Micros, cells: &[CellSpec], serving: &[Lendable]) -> bool {
+    /// Makes and ends loans for the engines that serve now. `pairs` says how many readers and writers
+    /// more than it is built for a cell asks for. Returns whether anything has changed.
+    ///
+    /// What cells have lost comes first: an engine that another has only asked for is taken back for
+    /// it at once. What is left goes to those that ask, the one that has borrowed least first.
+    pub fn update(
+        &mut self,
+        now: Micros,
+        cells: &[CellSpec],
+        serving: &[Lendable],
+        pairs: impl Fn(&CellName) -> usize,
+    ) -> bool {
         let before = self.lent.clone();
         let spare = |e: &EngineId| serving.iter().any(|s| s.engine == *e && s.cell.is_none());
         // An engine that is gone, or has been given to a cell for good, is lent no more.
         self.lent.retain(|engine, cell| spare(engine) && cells.iter().any(|c| c.name == *cell));
-        let mut own: BTreeMap<&CellName, Has> = cells.iter().map(|c| (&c.name, Has::default())).collect();
-        for one in serving {
-            if let Some(has) = one.cell.as_ref().and_then(|c| own.get_mut(c)) {
-                has.add(one.role);
-            }
-        }
+        let asked = |cell: &CellSpec| {
+            let (mut cell, more) = (cell.clone(), pairs(&cell.name));
+            cell.needs.readers += more;
+            cell.needs.writers += more;
+            cell
+        };
         for cell in cells {
-            let has = own[&cell.name];
-            let whole = has.missing(cell) == (0, 0);
+            let whole = self.without(cell, serving).missing(&asked(cell)) == (0, 0);
             let borrows = self.lent.values().any(|c| *c == cell.name);
             if !whole || !borrows {
                 self.whole.remove(&cell.name);
@@ -121,32 +152,104 @@
         }
         // Whoever has lost most is helped first, one engine at a time, so that none takes all.
         loop {
-            let mut worst: Option<(f64, &CellSpec, (usize, usize))> = None;
+            let mut worst: Option<(f64, &CellSpec, EngineId)> = None;
             for cell in cells {
-                let mut has = own[&cell.name];
-                let lent = serving.iter().filter(|s| self.lent.get(&s.engine) == Some(&cell.name));
-                lent.for_each(|s| has.add(s.role));
-                let missing = has.missing(cell);
-                let share = has.share(cell);
-                let fits = missing != (0, 0) && self.pick(cell, missing, serving).is_some();
-                if fits && worst.is_none_or(|(least, ..)| share < least) {
-                    worst = Some((share, cell, missing));
+                let has = self.with(cell, serving);
+                let (missing, share) = (has.missing(cell), has.share(cell));
+                if missing == (0, 0) || worst.as_ref().is_some_and(|w| share >= w.0) {
+                    continue;
+                }
+                let found = self.pick(cell, missing, serving);
+                if let Some(engine) = found.or_else(|| self.take_back(cell, missing, cells, serving)) {
+                    worst = Some((share, cell, engine));
                 }
             }
-            let Some((_, cell, missing)) = worst else { break };
-            let Some(engine) = self.pick(cell, missing, serving) else { break };
+            let Some((_, cell, engine)) = worst else { break };
+            self.lent.insert(engine, cell.name.clone());
+        }
+        // What nobody lacks goes to those that ask for more.
+        loop {
+            let mut least: Option<(usize, &CellSpec, EngineId)> = None;
+            for cell in cells.iter().filter(|c| pairs(&c.name) > 0) {
+                let missing = self.with(cell, serving).missing(&asked(cell));
+                let borrowed = self.borrowed(&cell.name);
+                if missing == (0, 0) || least.as_ref().is_some_and(|l| borrowed >= l.0) {
+                    continue;
+                }
+                let found = self.pick(cell, missing, serving);
+                if let Some(engine) = found.or_else(|| self.even_out(cell, missing, cells, serving)) {
+                    least = Some((borrowed, cell, engine));
+                }
+            }
+            let Some((_, cell, engine)) = least else { break };
             self.lent.insert(engine, cell.name.clone());
         }
         self.lent != before
     }
 
+    /// How many engines a cell has borrowed.
+    fn borrowed(&self, cell: &CellName) -> usize {
+        self.lent.values().filter(|c| *c == cell).count()
+    }
+
+    /// A cell's own engines.
+    fn without(&self, cell: &CellSpec, serving: &[Lendable]) -> Has {
+        let mut has = Has::default();
+        serving.iter().filter(|s| s.cell.as_ref() == Some(&cell.name)).for_each(|s| has.add(s.role));
+        has
+    }
+
+    /// A cell's own engines and those that it has borrowed.
+    fn with(&self, cell: &CellSpec, serving: &[Lendable]) -> Has {
+        let mut has = self.without(cell, serving);
+        let lent = serving.iter().filter(|s| self.lent.get(&s.engine) == Some(&cell.name));
+        lent.for_each(|s| has.add(s.role));
+        has
+    }
+
+    /// An engine lent to another cell that has all it is built for without it.
+    fn take_back(
+        &self,
+        cell: &CellSpec,
+        missing: (usize, usize),
+        cells: &[CellSpec],
+        serving: &[Lendable],
+    ) -> Option<EngineId> {
+        let mut found: Option<(usize, &EngineId)> = None;
+        for other in cells.iter().filter(|o| o.name != cell.name) {
+            let (mut without, borrowed) = (self.clone(), self.borrowed(&other.name));
+            for one in serving.iter().filter(|s| self.lent.get(&s.engine) == Some(&other.name)) {
+                if !fits(one.role, missing) {
+                    continue;
+                }
+                without.lent.remove(&one.engine);
+                let spared = without.with(other, serving).missing(other) == (0, 0);
+                without.lent.insert(one.engine.clone(), other.name.clone());
+                // The one that has borrowed most gives first.
+                if spared && found.is_none_or(|f| (borrowed, &one.engine) > f) {
+                    found = Some((borrowed, &one.engine));
+                }
+            }
+        }
+        found.map(|f| f.1.clone())
+    }
+
+    /// An engine that another cell has asked for, where that has borrowed two more than this one.
+    fn even_out(
+        &self,
+        cell: &CellSpec,
+        missing: (usize, usize),
+        cells: &[CellSpec],
+        serving: &[Lendable],
+    ) -> Option<EngineId> {
+        let engine = self.take_back(cell, missing, cells, serving)?;
+        let from = self.lent.get(&engine)?;
+        (self.borrowed(from) >= self.borrowed(&cell.name) + 2).then_some(engine)
+    }
+
     /// The spare engine that a cell would borrow next: of the role that it lacks more, by hash.
     fn pick(&self, cell: &CellSpec, missing: (usize, usize), serving: &[Lendable]) -> Option<EngineId> {
-        let wants = |role: Role| match role {
-            Role::Reader => missing.0,
-            Role::Writer => missing.1,
-            Role::Mixed => missing.0.max(missing.1),
-        };
+        let wants = |role: Role| wanted(role, missing);
         let free = serving.iter().filter(|s| s.cell.is_none() && !self.lent.contains_key(&s.engine));
         free.filter(|s| wants(s.role) > 0)
             .max_by(|a, b| {
@@ -160,3 +263,16 @@
             .map(|s| s.engine.clone())
     }
 }
+
+/// How many engines of a role would help whoever misses so many readers and writers.
+fn wanted(role: Role, missing: (usize, usize)) -> usize {
+    match role {
+        Role::Reader => missing.0,
+        Role::Writer => missing.1,
+        Role::Mixed => missing.0.max(missing.1),
+    }
+}
+
+fn fits(role: Role, missing: (usize, usize)) -> bool {
+    wanted(role, missing) > 0
+}
--- a/crates/pintally-cells/src/moves.rs
+++ b/crates/pintally-cells/src/moves.rs
@@ -62,7 +62,11 @@
     /// Whether a session is over at a time. Sessions go in an order of their own and return in the
     /// reverse of it.
     pub fn is_over(&self, session: u64, unix_ms: u64) -> bool {
-        let share = self.share(unix_ms);
+        self.is_over_at(session, self.share(unix_ms))
+    }
+
+    /// Whether a session is over when a share of all of them is.
+    pub fn is_over_at(&self, session: u64, share: f64) -> bool {
         share >= 1.0 || draw(&self.tenant, session) < share
     }
 
--- a/crates/pintally-cells/tests/cells.rs
+++ b/crates/pintally-cells/tests/cells.rs
@@ -259,7 +259,7 @@
                 }
             }
             // Whatever a node holds, each later version may follow, and no earlier one is taken.
-            let mut node = Cells::new(history[at[0]].clone(), 10, &core);
+            let mut node = Cells::new(history[at[0]].clone(), 10, 1 << 20, &core);
             for (v, next) in history.iter().enumerate() {
                 assert_eq!(node.replace(0, next.clone()).is_ok(), v >= node_version(&node, history));
             }
@@ -285,7 +285,7 @@
     assert!(first.step("t", Turn::Begin { to: vec!["a".into()], over_ms: 1 }, 0).is_err());
     assert!(first.step("t", Turn::Begin { to: vec!["z".into()], over_ms: 1 }, 0).is_err());
     let walk = |turns: &[(Turn, u64)]| {
-        let mut node = Cells::new(first.clone(), 10, &core);
+        let mut node = Cells::new(first.clone(), 10, 1 << 20, &core);
         let mut file = first.clone();
         for (turn, at) in turns {
             file = file.step("t", turn.clone(), *at).unwrap();
@@ -324,25 +324,25 @@
 fn a_cell_goes_down_at_once_and_up_step_by_step() {
     let mut ladder = Ladder::new([1.0, 2.0, 3.0].into_iter());
     let second = 1_000_000;
-    assert!(ladder.update(0, 0.2));
+    assert!(ladder.update(0, 0.2, 0.2));
     assert_eq!(ladder.level(), Level::Shed);
     // Just over the step's share is not enough to go up.
     for s in 1..20 {
-        ladder.update(s * second, 0.42);
+        ladder.update(s * second, 0.42, 0.42);
     }
     assert_eq!(ladder.level(), Level::Shed);
-    ladder.update(20 * second, 1.0);
+    ladder.update(20 * second, 1.0, 1.0);
     assert_eq!(ladder.level(), Level::Shed);
-    ladder.update(26 * second, 1.0);
+    ladder.update(26 * second, 1.0, 1.0);
     assert_eq!(ladder.level(), Level::Thin);
-    ladder.update(27 * second, 1.0);
+    ladder.update(27 * second, 1.0, 1.0);
     assert_eq!(ladder.level(), Level::Thin);
-    ladder.update(32 * second, 1.0);
+    ladder.update(32 * second, 1.0, 1.0);
     assert_eq!(ladder.level(), Level::Well);
-    ladder.update(33 * second, 0.0);
+    ladder.update(33 * second, 0.0, 0.0);
     assert_eq!(ladder.level(), Level::Lost);
     // Able to serve at all, it does so at once.
-    ladder.update(34 * second, 0.5);
+    ladder.update(34 * second, 0.5, 0.5);
     assert_eq!(ladder.level(), Level::Shed);
 }
 
@@ -350,9 +350,9 @@
 #[test]
 fn cells_without_a_list_are_not_lost() {
     let core = core(&["t", "u", "v"]);
-    let mut node = Cells::new(CellsFile::parse("cells", FILE, &core).unwrap(), 10, &core);
+    let mut node = Cells::new(CellsFile::parse("cells", FILE, &core).unwrap(), 10, 1 << 20, &core);
     node.list(0, Vec::new());
-    assert!(node.status().iter().all(|(_, level, ..)| *level == Level::Well));
+    assert!(node.status(9).iter().all(|s| s.level == Level::Well));
     let member = |id: &str| Member {
         engine: EngineId(id.into()),
         zone: String::new(),
@@ -371,16 +371,16 @@
         }
     }
     node.list(1, all.clone());
-    assert!(node.status().iter().all(|(_, level, ..)| *level == Level::Well));
+    assert!(node.status(9).iter().all(|s| s.level == Level::Well));
     // From then on it is: a list that is empty says that all engines are gone.
     node.list(2, Vec::new());
-    assert!(node.status().iter().all(|(_, level, ..)| *level == Level::Lost));
+    assert!(node.status(9).iter().all(|s| s.level == Level::Lost));
 }
 
 #[test]
 fn what_sheds_serves_the_most_worthy() {
     let mut ladder = Ladder::new([1.0, 2.0, 3.0].into_iter());
-    ladder.update(0, 0.3);
+    ladder.update(0, 0.3, 0.3);
     let mut served = [0; 3];
     for n in 0..3000 {
         let class = n % 3;
@@ -418,17 +418,17 @@
             up[which % all.len()] = is_up;
             now += seconds * 1_000_000;
             let serving: Vec<Lendable> = all.iter().zip(&up).filter(|(_, up)| **up).map(|(e, _)| e.clone()).collect();
-            one.update(now, &specs, &serving);
+            one.update(now, &specs, &serving, |_| 0);
             let mut other_order = serving.clone();
             other_order.reverse();
-            two.update(now, &specs, &other_order);
+            two.update(now, &specs, &other_order, |_| 0);
             for e in &all {
                 prop_assert_eq!(one.borrower(&e.engine), two.borrower(&e.engine));
                 if one.borrower(&e.engine).is_some() {
                     prop_assert!(e.cell.is_none() && serving.contains(e));
                 }
             }
-            prop_assert!(!one.update(now, &specs, &serving), "a second look at the same changed something");
+            prop_assert!(!one.update(now, &specs, &serving, |_| 0), "a second look at the same changed something");
             // Nobody goes without while there is a spare engine of the role that it lacks.
             for spec in &specs {
                 let mine = |s: &&Lendable| s.cell.as_ref() == Some(&spec.name) || one.borrower(&s.engine) == Some(&spec.name);
@@ -448,31 +448,31 @@
         let names: Vec<CellName> = ["a", "b", "c"].map(CellName::from).to_vec();
         let tenants = [Some("x"), Some("y"), None];
         let mut edge = Edge::default();
-        edge.divide(30, names.iter().map(|n| (n, 1.0)));
+        edge.divide(30, 0, names.iter().map(|n| (n, 1.0)));
         let mut held: Vec<(usize, usize)> = Vec::new();
         for (c, t, arrives) in steps {
             if !arrives {
                 if let Some(at) = held.iter().position(|h| *h == (c, t)) {
                     held.swap_remove(at);
-                    edge.give_back(&names[c], tenants[t]);
+                    edge.give_back(&names[c], tenants[t], 0);
                 }
                 continue;
             }
             let (part, used) = edge.of(&names[c]);
             match edge.ask(&names[c], tenants[t], 1.0) {
                 Place::Free => {
-                    edge.take(&names[c], tenants[t]);
+                    edge.take(&names[c], tenants[t], 0);
                     held.push((c, t));
                 }
                 Place::InPlaceOf(other) => {
                     let (their, used) = edge.of(&other);
                     prop_assert!(used > their || other == names[c], "{} of {} gave way", used, their);
                     let heaviest = edge.heaviest(&other).unwrap();
-                    edge.give_back(&other, heaviest.as_deref());
+                    edge.give_back(&other, heaviest.as_deref(), 0);
                     let index = names.iter().position(|n| *n == other).unwrap();
                     let tenant = tenants.iter().position(|t| t.map(str::to_string) == heaviest).unwrap();
                     held.swap_remove(held.iter().position(|h| *h == (index, tenant)).unwrap());
-                    edge.take(&names[c], tenants[t]);
+                    edge.take(&names[c], tenants[t], 0);
                     held.push((c, t));
                 }
                 Place::None(after) => {
@@ -491,18 +491,18 @@
 fn a_flooding_tenant_leaves_the_others_their_parts() {
     let name = CellName::from("a");
     let mut edge = Edge::default();
-    edge.divide(20, [(&name, 1.0)].into_iter());
+    edge.divide(20, 0, [(&name, 1.0)].into_iter());
     let mut flood = 0;
     while edge.ask(&name, Some("flood"), 1.0) == Place::Free {
-        edge.take(&name, Some("flood"));
+        edge.take(&name, Some("flood"), 0);
         flood += 1;
     }
     assert_eq!(flood, 20);
     for _ in 0..10 {
         assert_eq!(edge.ask(&name, Some("calm"), 1.0), Place::InPlaceOf(name.clone()));
         assert_eq!(edge.heaviest(&name), Some(Some("flood".into())));
-        edge.give_back(&name, Some("flood"));
-        edge.take(&name, Some("calm"));
+        edge.give_back(&name, Some("flood"), 0);
+        edge.take(&name, Some("calm"), 0);
     }
     assert!(matches!(edge.ask(&name, Some("calm"), 1.0), Place::None(_)));
     assert!(matches!(edge.ask(&name, Some("flood"), 1.0), Place::None(_)));
--- /dev/null
+++ b/crates/pintally-cells/tests/failing.rs
@@ -0,0 +1,366 @@
+//! Cells whose engines are there and fail, cells that are late, moves that wait, room for bodies.
+
+use std::collections::BTreeMap;
+
+use pintally::interface::*;
+use pintally_cells::*;
+use proptest::prelude::*;
+
+const SECOND: Micros = 1_000_000;
+
+fn id(name: &str) -> EngineId {
+    EngineId(name.into())
+}
+
+fn idle() -> Load {
+    Load { queue: Some(0.0), slots: Some(0.2), ..Load::default() }
+}
+
+fn full() -> Load {
+    Load { queue: Some(9.0), slots: Some(1.0), ..Load::default() }
+}
+
+// ---- trust ----
+
+#[test]
+fn an_engine_that_fails_everyone_counts_for_nothing_and_is_forgiven_in_time() {
+    let (mut trust, engine) = (Trust::default(), id("e"));
+    for n in 0..80 {
+        trust.ended(n * 50_000, &engine, Some(n as usize % 3), Outcome::Error, None);
+    }
+    let now = 4 * SECOND;
+    assert_eq!(trust.weight(now, &engine), 0.0);
+    assert!(trust.is_failing(&engine) && trust.is_uneasy(now));
+    assert_eq!(trust.weight(now, &id("other")), 1.0);
+    // Half of it fades in ten seconds; after two minutes nothing is held against it.
+    assert!((0.1..0.3).contains(&trust.weight(now + 15 * SECOND, &engine)));
+    trust.tick(now + 120 * SECOND);
+    assert!(!trust.is_failing(&engine) && !trust.is_uneasy(now + 120 * SECOND));
+}
+
+/// Guards against a tenant whose requests no engine can serve: they must not cost the others a cell.
+#[test]
+fn one_tenants_poison_takes_no_more_than_its_vote() {
+    let (mut trust, engine) = (Trust::default(), id("e"));
+    for n in 0..400 {
+        trust.ended(n * 10_000, &engine, Some(0), Outcome::Error, None);
+        if n % 10 == 0 {
+            trust.ended(n * 10_000, &engine, Some(1), Outcome::Served, None);
+            trust.ended(n * 10_000, &engine, Some(2), Outcome::Served, None);
+        }
+    }
+    let weight = trust.weight(4 * SECOND, &engine);
+    assert!((0.6..0.75).contains(&weight), "{weight}");
+    assert!(!trust.is_failing(&engine));
+}
+
+/// Guards against a flood that passes for a bad release: what a full engine is late with is not its
+/// fault, and neither is what it turns away.
+#[test]
+fn an_engine_that_is_full_is_not_failing() {
+    let mut trust = Trust::default();
+    for n in 0..200 {
+        let at = n * 10_000;
+        trust.ended(at, &id("full"), Some(n as usize % 2), Outcome::TimedOut, Some(&full()));
+        trust.ended(at, &id("mute"), Some(n as usize % 2), Outcome::TimedOut, None);
+        for outcome in [Outcome::Full, Outcome::NoState, Outcome::Cancelled, Outcome::NeverSent] {
+            trust.ended(at, &id("busy"), Some(0), outcome, None);
+        }
+        trust.ended(at, &id("idle"), Some(n as usize % 2), Outcome::TimedOut, Some(&idle()));
+    }
+    for name in ["full", "mute", "busy"] {
+        assert_eq!(trust.weight(2 * SECOND, &id(name)), 1.0, "{name}");
+    }
+    assert_eq!(trust.weight(2 * SECOND, &id("idle")), 0.0);
+}
+
+#[test]
+fn an_engine_that_falls_back_again_and_again_is_forgiven_more_slowly() {
+    let (mut trust, engine, mut now) = (Trust::default(), id("e"), 0);
+    let mut spans = Vec::new();
+    for _ in 0..4 {
+        (0..30).for_each(|_| trust.ended(now, &engine, None, Outcome::Broken, None));
+        assert!(trust.is_failing(&engine));
+        let began = now;
+        while trust.is_failing(&engine) {
+            now += SECOND;
+            trust.tick(now);
+        }
+        spans.push(now - began);
+    }
+    assert!(spans.windows(2).all(|w| w[1] >= w[0] * 3 / 2), "{spans:?}");
+    // Twenty good ends in a row, and it begins anew.
+    (0..20).for_each(|_| trust.ended(now, &engine, None, Outcome::Served, None));
+    now += 100 * SECOND;
+    (0..30).for_each(|_| trust.ended(now, &engine, None, Outcome::Broken, None));
+    let began = now;
+    while trust.is_failing(&engine) {
+        now += SECOND;
+        trust.tick(now);
+    }
+    assert!(now - began <= spans[0] * 2, "{} against {spans:?}", now - began);
+}
+
+// ---- cells whose engines fail ----
+
+fn core() -> Settings {
+    let text = r#"(pintally (node (name "n") (engines "unused"))
+      (class "safe" (effect safe) (aim-ms 500) (patience-ms 2000))
+      (class "once" (effect unsafe) (aim-ms 500) (patience-ms 2000) (worth 3))
+      (tenant "t") (tenant "u")
+      (kind "r" (role reader)) (kind "w" (role writer)))"#;
+    pintally_config::NodeSettings::parse("test", text).unwrap().core
+}
+
+const FILE: &str = r#"(cells (version 1)
+  (cell "a" (readers 1) (writers 2) (fallback "b")) (cell "b" (readers 1) (writers 2))
+  (tenant "t" (cells "a")) (tenant "u" (cells "b")))"#;
+
+/// Readers `ar`, `br`; writers `aw0`, `aw1`, `bw0`, `bw1`; spare `sr`, `sw`.
+fn cells(spare: bool) -> Cells {
+    let core = core();
+    let mut cells = Cells::new(CellsFile::parse("cells", FILE, &core).unwrap(), 100, 1 << 20, &core);
+    let member = |name: &str| Member {
+        engine: id(name),
+        zone: String::new(),
+        kind: String::new(),
+        rack: 0,
+        listing: Listing::Serving,
+        weight: 1.0,
+        started: None,
+    };
+    let mut all = Vec::new();
+    for cell in ["a", "b"] {
+        all.push((member(&format!("{cell}r")), Role::Reader, Some(cell.into())));
+        all.push((member(&format!("{cell}w0")), Role::Writer, Some(cell.into())));
+        all.push((member(&format!("{cell}w1")), Role::Writer, Some(cell.into())));
+    }
+    if spare {
+        all.push((member("sr"), Role::Reader, None));
+        all.push((member("sw"), Role::Writer, None));
+    }
+    cells.list(0, all);
+    cells
+}
+
+fn status(cells: &Cells, now: Micros, name: &str) -> CellStatus {
+    cells.status(now).into_iter().find(|s| *s.cell.0 == *name).unwrap()
+}
+
+fn ask(class: usize) -> Ask<'static> {
+    Ask { tenant: Some("t"), session: 1, class: Some(class), bytes: 100 }
+}
+
+/// A bad release: both writers of a cell answer every request with an error, late.
+fn release(cells: &mut Cells, from: Micros) -> Micros {
+    for n in 0..60 {
+        for engine in ["aw0", "aw1"] {
+            cells.ended(from + n * 50_000, &id(engine), Some(n as usize % 2), Outcome::Error, Some(&idle()));
+        }
+    }
+    let now = from + 60 * 50_000;
+    cells.spread(now);
+    now
+}
+
+#[test]
+fn a_cell_whose_engines_fail_counts_as_lost_is_tried_and_comes_back() {
+    let mut cells = cells(false);
+    let now = release(&mut cells, 0);
+    let a = status(&cells, now, "a");
+    assert_eq!((a.level, a.failing), (Level::Lost, true));
+    assert_eq!(status(&cells, now, "b").level, Level::Well);
+    // One harmless request a second goes in, to see; what may not be run twice never does.
+    assert_eq!(cells.admit(now, ask(1), 0), Verdict::Into("b".into()));
+    assert_eq!(cells.admit(now, ask(0), 0), Verdict::Into("a".into()));
+    assert_eq!(cells.admit(now, ask(0), 0), Verdict::Into("b".into()));
+    assert_eq!(cells.admit(now + SECOND, ask(0), 0), Verdict::Into("a".into()));
+    // The trials go well from here on: it comes back, step by step and for good.
+    let (mut at, mut levels) = (now, vec![Level::Lost]);
+    for _ in 0..90 {
+        at += SECOND;
+        for engine in ["aw0", "aw1"] {
+            cells.ended(at, &id(engine), Some(0), Outcome::Served, Some(&idle()));
+        }
+        cells.spread(at);
+        let level = status(&cells, at, "a").level;
+        if levels.last() != Some(&level) {
+            levels.push(level);
+        }
+    }
+    assert_eq!(levels, [Level::Lost, Level::Shed, Level::Thin, Level::Well]);
+}
+
+#[test]
+fn spare_engines_stand_in_for_those_that_fail() {
+    let mut cells = cells(true);
+    let now = release(&mut cells, 0);
+    let a = status(&cells, now, "a");
+    // One spare writer of the two that it lacks.
+    assert_eq!((a.borrowed, a.level, a.failing), (1, Level::Thin, false));
+    let spread = cells.spread(now + 1);
+    let lent = &spread.cells[&CellName::from("a")];
+    let fresh = lent.iter().find(|m| &*m.engine.0 == "sw").expect("the spare writer");
+    assert!(fresh.started.is_some(), "a borrowed engine starts as a cold one");
+    assert!(lent.iter().any(|m| &*m.engine.0 == "aw0"), "its own stay in its core, which tries them");
+}
+
+// ---- strain, and what is asked for ----
+
+#[test]
+fn a_late_cell_asks_for_engines_and_gives_them_back() {
+    let mut cells = cells(true);
+    let name = CellName::from("b");
+    let mut now = 0;
+    while now < 3 * SECOND {
+        now += 20_000;
+        cells.heard(now, &name, now % 60_000 == 0);
+        cells.spread(now);
+    }
+    let b = status(&cells, now, "b");
+    assert_eq!((b.borrowed, b.strained, b.level), (2, true, Level::Well));
+    // What another cell has lost comes first, at once.
+    let now = release(&mut cells, now);
+    assert_eq!(status(&cells, now, "a").borrowed, 1);
+    assert_eq!(status(&cells, now, "b").borrowed, 1);
+    // Calm again, it gives back what it asked for.
+    let mut at = now;
+    while at < now + 60 * SECOND {
+        at += 100_000;
+        cells.heard(at, &name, false);
+        cells.spread(at);
+    }
+    assert_eq!(status(&cells, at, "b").borrowed, 0);
+}
+
+#[test]
+fn two_cells_that_ask_share_what_is_spare() {
+    let mut loans = Loans::default();
+    let text = r#"(cells (version 1) (cell "a") (cell "b"))"#;
+    let file = CellsFile::parse("cells", text, &core()).unwrap();
+    let engine = |name: &str, role, cell: Option<&str>| Lendable {
+        engine: id(name),
+        role,
+        cell: cell.map(CellName::from),
+    };
+    let mut all = vec![
+        engine("ar", Role::Reader, Some("a")),
+        engine("aw", Role::Writer, Some("a")),
+        engine("br", Role::Reader, Some("b")),
+        engine("bw", Role::Writer, Some("b")),
+    ];
+    (0..4).for_each(|n| all.push(engine(&format!("s{n}"), Role::Mixed, None)));
+    let of = |loans: &Loans, name: &str| {
+        all.iter().filter(|e| loans.borrower(&e.engine).is_some_and(|c| *c.0 == *name)).count()
+    };
+    loans.update(0, &file.cells, &all, |c| if *c.0 == *"a" { 2 } else { 0 });
+    assert_eq!((of(&loans, "a"), of(&loans, "b")), (4, 0));
+    loans.update(1, &file.cells, &all, |_| 2);
+    assert_eq!((of(&loans, "a"), of(&loans, "b")), (2, 2));
+    assert!(!loans.update(2, &file.cells, &all, |_| 2), "they change hands for nothing");
+}
+
+// ---- the pace of a move ----
+
+fn a_move(step: Step) -> Move {
+    Move { tenant: "t".into(), to: vec!["b".into()], over_ms: 10_000, step }
+}
+
+#[test]
+fn a_move_waits_while_its_new_cell_is_late_and_then_goes_on_at_its_pace() {
+    let (mut pace, both) = (Pace::default(), a_move(Step::Both { since: 1000 }));
+    assert_eq!(pace.share(&both, 1000, false), 0.0);
+    assert!((pace.share(&both, 3000, false) - 0.2).abs() < 1e-9);
+    assert!((pace.share(&both, 8000, true) - 0.2).abs() < 1e-9);
+    // What was held does not come all at once.
+    assert!((pace.share(&both, 9000, false) - 0.3).abs() < 1e-9);
+    let done = a_move(Step::Done { since: 1000 });
+    assert!((pace.share(&done, 12_000, false) - 0.6).abs() < 1e-9);
+    assert_eq!(pace.share(&done, 60_000, false), 1.0);
+    // A node that restarts begins at the file's share.
+    assert!((Pace::default().share(&both, 6000, true) - 0.5).abs() < 1e-9);
+}
+
+#[test]
+fn a_lost_home_is_left_whatever_the_new_cell_feels() {
+    let core = core();
+    let mut cells = cells(false);
+    let moving = FILE.replace(
+        "(tenant \"u\"",
+        "(move \"t\" (to \"b\") (over-ms 1000) (step both) (since-unix-ms 5000)) (tenant \"u\"",
+    );
+    let moving = moving.replace("(version 1)", "(version 2)");
+    cells.replace(0, CellsFile::parse("cells", &moving, &core).unwrap()).unwrap();
+    let over = |cells: &mut Cells, now, unix_ms| {
+        let mut over = 0;
+        for session in 0..200 {
+            let ask = Ask { tenant: Some("t"), session, class: Some(1), bytes: 0 };
+            let verdict = cells.admit(now, ask, unix_ms);
+            over += usize::from(verdict == Verdict::Into("b".into()));
+            if let Verdict::Into(cell) = verdict {
+                cells.give_back(&cell, Some("t"), 0);
+            }
+        }
+        over
+    };
+    assert_eq!(over(&mut cells, 0, 5000), 0);
+    (0..40).for_each(|n| cells.heard(n, &"b".into(), true));
+    assert_eq!(over(&mut cells, 50, 5900), 0, "the new cell is late: nobody goes");
+    assert_eq!(cells.held_moves(), ["t"]);
+    // Its own cell fails altogether: now it is better off over there.
+    let now = release(&mut cells, 50);
+    (0..40).for_each(|n| cells.heard(now + n, &"b".into(), true));
+    over(&mut cells, now + 50, 5950);
+    assert!(cells.held_moves().is_empty());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever the cells feel and the clock does: sessions that are over stay over, and none goes
+    /// before the file lets it.
+    #[test]
+    fn a_held_move_never_turns_back_and_never_runs_ahead(steps in prop::collection::vec((0u64..3000, any::<bool>(), any::<bool>()), 1..60)) {
+        let (mut pace, mut unix, mut last) = (Pace::default(), 1000u64, 0.0f64);
+        for (passed, back, pressed) in steps {
+            unix = if back { unix.saturating_sub(passed / 8).max(1000) } else { unix + passed };
+            let both = a_move(Step::Both { since: 1000 });
+            let share = pace.share(&both, unix, pressed);
+            prop_assert!(share >= last);
+            prop_assert!(share <= both.share(unix).max(last));
+            last = share;
+        }
+        let back = a_move(Step::Back { since: 1000, at: unix });
+        prop_assert!(pace.share(&back, unix, false) <= last);
+        prop_assert_eq!(pace.share(&back, unix + 10_001, true), 0.0);
+    }
+
+    /// Room for bodies: half of a cell's part is there for it whatever the others have taken, all
+    /// together never hold more than there is, and what is taken and given back adds up.
+    #[test]
+    fn half_of_each_cells_room_is_its_own(steps in prop::collection::vec((0usize..3, 1usize..400, any::<bool>()), 1..200)) {
+        let names: Vec<CellName> = ["a", "b", "c"].map(CellName::from).to_vec();
+        let mut edge = Edge::default();
+        edge.divide(10_000, 3000, names.iter().map(|n| (n, 1.0)));
+        let mut held: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        for (cell, bytes, leaves) in steps {
+            let own = held.entry(cell).or_default();
+            if leaves {
+                if let Some(bytes) = own.pop() {
+                    edge.give_back(&names[cell], None, bytes);
+                }
+                continue;
+            }
+            let kept = own.iter().sum::<usize>() + bytes <= 500;
+            let has = edge.has_room(&names[cell], bytes);
+            prop_assert!(has || !kept, "a cell within its half was turned away");
+            if has {
+                edge.take(&names[cell], None, bytes);
+                own.push(bytes);
+            }
+            let all: usize = held.values().flatten().sum();
+            prop_assert_eq!(edge.held_bytes(), all);
+            prop_assert!(all <= 3000);
+        }
+    }
+}
--- a/crates/pintally-cli/src/cells.rs
+++ b/crates/pintally-cli/src/cells.rs
@@ -182,7 +182,7 @@
 
 fn status(nodes: &[SocketAddr]) -> Result<ExitCode, Failure> {
     let mut table = Table::new();
-    table.set_header(["node", "cell", "level", "share of engines", "borrowed"]);
+    table.set_header(["node", "cell", "level", "share of engines", "borrowed", ""]);
     let mut silent = 0;
     for node in nodes {
         let Some(counters) = counters(*node) else {
@@ -198,8 +198,19 @@
                 text("level"),
                 format!("{:.2}", cell["share"].as_f64().unwrap_or(0.0)),
                 cell["borrowed"].to_string(),
+                ["strained", "failing"]
+                    .into_iter()
+                    .filter(|w| cell[*w] == true)
+                    .collect::<Vec<_>>()
+                    .join(", "),
             ]);
         }
+        for one in counters["moves"].as_array().into_iter().flatten() {
+            let tenant = one["tenant"].as_str().unwrap_or("");
+            let over = one["share"].as_f64().unwrap_or(0.0) * 100.0;
+            let held = if one["held"] == true { ", held back" } else { "" };
+            table.add_row([node.to_string(), format!("tenant {tenant}: {over:.0}% over{held}")]);
+        }
     }
     println!("{table}");
     Ok(if silent == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
--- a/crates/pintally-host/src/cellular.rs
+++ b/crates/pintally-host/src/cellular.rs
@@ -2,7 +2,7 @@
 
 use pintally::interface::{EngineId, Event, ListForm, Listing, Micros, Role};
 use pintally::Router;
-use pintally_cells::{Ask, CellName, Cells, CellsFile, Level, Spread, Verdict};
+use pintally_cells::{Ask, CellName, CellStatus, Cells, CellsFile, Spread, Verdict};
 
 use crate::host::{Host, Place};
 use crate::input::{Arrival, Command, Final, Listed, Ticket};
@@ -12,9 +12,30 @@
 const UNKNOWN: Micros = 1_000_000;
 
 impl Host {
-    /// Where each cell stands: its level, the share of its engines, and those that it has borrowed.
-    pub fn cells_status(&self) -> Vec<(CellName, Level, f64, usize)> {
-        self.cells.as_ref().map(Cells::status).unwrap_or_default()
+    /// Where each cell stands.
+    pub fn cells_status(&self) -> Vec<CellStatus> {
+        self.cells.as_ref().map(|c| c.status(self.now)).unwrap_or_default()
+    }
+
+    /// Tenants on the move, the share of their sessions that this node has let go, and whether it
+    /// holds the others back.
+    pub fn moves_status(&self, unix_ms: u64) -> Vec<(String, f64, bool)> {
+        let Some(cells) = &self.cells else { return Vec::new() };
+        let held = |tenant: &String| cells.held_moves().contains(tenant);
+        cells
+            .moves(unix_ms)
+            .into_iter()
+            .map(|(t, share)| (held(&t), t, share))
+            .map(|(h, t, s)| (t, s, h))
+            .collect()
+    }
+
+    /// The cell's requests hear how one of them fared: its answer has begun, or never will.
+    pub(crate) fn hear(&mut self, now: Micros, cell: &CellName, late: bool) {
+        if let Some(cells) = &mut self.cells {
+            cells.heard(now, cell, late);
+            self.uneasy |= late;
+        }
     }
 
     /// Whether the settings name a file of cells: without one, one cell without a name has all.
@@ -83,7 +104,7 @@
         let all = listed.map(|l| (l.member.clone(), role(&l.member.engine), l.cell.clone())).collect();
         let Some(cells) = &mut self.cells else { return };
         let spread = cells.list(now, all);
-        self.hand_out(now, spread, out);
+        self.hand_out(now, spread, true, out);
     }
 
     /// A version of the cells file has come.
@@ -91,12 +112,13 @@
         let version = file.version;
         match &mut self.cells {
             None => {
-                let places = self.settings.limits.held;
-                self.cells = Some(Cells::new(file, places, &self.settings.core));
+                let limits = &self.settings.limits;
+                let (places, room) = (limits.held, limits.bodies_bytes);
+                self.cells = Some(Cells::new(file, places, room, &self.settings.core));
                 self.list_to_cells(now, out);
             }
             Some(cells) => match cells.replace(now, file) {
-                Ok(spread) => self.hand_out(now, spread, out),
+                Ok(spread) => self.hand_out(now, spread, true, out),
                 Err(why) => {
                     out.push(Command::Log(format!(
                         "version {version} of the cells file does not hold: {why}"
@@ -111,13 +133,13 @@
         self.cells_due = None;
         if let Some(cells) = &mut self.cells {
             let spread = cells.spread(now);
-            self.hand_out(now, spread, out);
+            self.hand_out(now, spread, false, out);
         }
     }
 
     /// Gives each cell's core its engines. A cell that is no more keeps none; its core ends what it
-    /// has in hand.
-    fn hand_out(&mut self, now: Micros, spread: Spread, out: &mut Vec<Command>) {
+    /// has in hand. Where only time has passed a core hears of what has changed, and of nothing else.
+    fn hand_out(&mut self, now: Micros, spread: Spread, all: bool, out: &mut Vec<Command>) {
         self.fleet_changed = true;
         out.extend(spread.notes.into_iter().map(Command::Log));
         for cell in spread.cells.keys() {
@@ -125,12 +147,27 @@
         }
         for cell in self.routers.keys().cloned().collect::<Vec<_>>() {
             let members = spread.cells.get(&cell).cloned().unwrap_or_default();
+            let shape = members.iter().map(|m| (m.engine.clone(), m.started)).collect();
+            let before = self.handed.insert(cell.clone(), shape);
+            if !all && before.as_ref() == self.handed.get(&cell) {
+                continue;
+            }
             self.event(now, &cell, Event::Members(ListForm::Full, members), out);
         }
-        let next = self.cells.as_ref().and_then(|c| c.next_change(now));
-        if let (Some(at), None) = (next, self.cells_due) {
-            self.cells_due = Some(self.timers.set(at.max(now + 1), Due::Cells));
+        self.watch_cells(now);
+    }
+
+    /// Sees to it that cells are looked at when time alone may change something.
+    pub(crate) fn watch_cells(&mut self, now: Micros) {
+        let Some(at) = self.cells.as_ref().and_then(|c| c.next_change(now)) else { return };
+        let at = at.max(now + 1);
+        if let Some(set) = self.cells_due {
+            if set.0 <= at {
+                return;
+            }
+            self.timers.unset(set);
         }
+        self.cells_due = Some(self.timers.set(at, Due::Cells));
     }
 
     /// The cell for a request, with a place in it; `None` if it was turned away.
@@ -152,7 +189,8 @@
             self.turn_away(arrival.ticket, Some(UNKNOWN), out);
             return None;
         };
-        match cells.admit(Ask { tenant, session, class: arrival.class }, arrival.unix_ms) {
+        let ask = Ask { tenant, session, class: arrival.class, bytes: arrival.bytes };
+        match cells.admit(now, ask, arrival.unix_ms) {
             Verdict::Into(cell) => Some(cell),
             Verdict::InPlaceOf(cell, other) => {
                 self.give_way(now, &other, out);
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -36,6 +36,13 @@
     pub(crate) members: BTreeMap<EngineId, Listed>,
     /// The fleet has changed since it was last asked.
     pub(crate) fleet_changed: bool,
+    /// The engines that each cell's core was last told of, and when they started: all that time alone
+    /// can change of them.
+    pub(crate) handed: BTreeMap<CellName, Vec<(EngineId, Option<Micros>)>>,
+    /// Something has gone wrong since cells were last looked at.
+    pub(crate) uneasy: bool,
+    /// The time of the last input.
+    pub(crate) now: Micros,
     /// A timer for cells is out.
     pub(crate) cells_due: Option<(Micros, u64)>,
     pub(crate) seed: u64,
@@ -64,6 +71,9 @@
             cells: None,
             members: BTreeMap::new(),
             fleet_changed: true,
+            handed: BTreeMap::new(),
+            uneasy: false,
+            now: 0,
             cells_due: None,
             seed,
             stamp: format!("{}-{:08x}", settings.name, seed as u32),
@@ -114,6 +124,7 @@
 
     /// Does what has come due.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
+        self.now = now;
         while let Some(due) = self.timers.pop(now) {
             match due {
                 Due::Core(cell, timer) => self.event(now, &cell, Event::Elapsed(timer), out),
@@ -128,6 +139,7 @@
 
     /// Takes in one input and appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        self.now = now;
         match input {
             Input::List(form, members) => self.list(now, form, members, out),
             Input::Cells(file) => self.take_cells(now, *file, out),
@@ -238,10 +250,15 @@
         // The core answers by the deadline; the guard stands behind it, before the client gives up.
         let deadline = now.saturating_add(left);
         let guard = self.timers.set(deadline + margin / 2, Due::Answer(arrival.ticket));
+        let aims = arrival.class.and_then(|c| self.settings.core.classes.get(c));
+        let aim = aims.map_or(left, |c| c.aim + c.aim_per_1000_tokens * arrival.prompt_tokens / 1000);
         let entry = Entry {
             id: id.clone(),
             cell: cell.clone(),
             tenant: arrival.tenant,
+            bytes: arrival.bytes,
+            aim: now.saturating_add(aim),
+            heard: false,
             streamed: arrival.streamed,
             max_tokens,
             deadline,
@@ -338,8 +355,12 @@
         if entry.streamed {
             self.timers.unset(entry.guard);
         }
-        let (id, cell) = (entry.id.clone(), entry.cell.clone());
+        let (id, cell, late) = (entry.id.clone(), entry.cell.clone(), now > entry.aim);
+        let first = !std::mem::replace(&mut entry.heard, true);
         self.touched.push(ticket);
+        if first {
+            self.hear(now, &cell, late);
+        }
         self.event(now, &cell, Event::FirstToken(id, attempt), out);
     }
 
@@ -362,6 +383,10 @@
         };
         self.touched.push(ticket);
         let (id, cell) = (entry.id.clone(), entry.cell.clone());
+        if let Some(cells) = &mut self.cells {
+            cells.ended(now, &ended.engine, entry.tenant, outcome, load.as_ref());
+            self.uneasy |= !matches!(outcome, Outcome::Served | Outcome::Read);
+        }
         let mut outcome = outcome;
         if ended.step == Step::Read {
             let engine = ended.engine.clone();
@@ -413,6 +438,10 @@
         entry.over = true;
         self.touched.push(ticket);
         self.timers.unset(entry.guard);
+        if !std::mem::replace(&mut entry.heard, true) {
+            let (cell, late) = (entry.cell.clone(), answer != Final::Served || self.now > entry.aim);
+            self.hear(self.now, &cell, late);
+        }
         match answer {
             Final::Served => self.counters.served += 1,
             Final::Refused(_) => self.counters.refused += 1,
@@ -529,7 +558,7 @@
             self.by_id.remove(&entry.id);
             if let Some(cells) = &mut self.cells {
                 let tenant = entry.tenant.and_then(|t| self.settings.core.tenants.get(t));
-                cells.give_back(&entry.cell, tenant.map(|t| t.name.as_str()));
+                cells.give_back(&entry.cell, tenant.map(|t| t.name.as_str()), entry.bytes);
             }
             self.timers.unset(entry.guard);
             out.push(Command::Over(ticket));
@@ -538,6 +567,9 @@
                 self.release_at(&entry.id, state, out);
             }
         }
+        if std::mem::take(&mut self.uneasy) {
+            self.watch_cells(self.now);
+        }
         if self.stopping && !self.stopped && self.entries.is_empty() && self.releases.len() == 0 {
             self.stopped = true;
             out.push(Command::Stopped);
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -36,6 +36,8 @@
     pub streamed: bool,
     /// The client comes back after a broken stream.
     pub resumed: bool,
+    /// Bytes that it holds while it is here.
+    pub bytes: usize,
     /// Unix time at which it came, in milliseconds: moves between cells go by it.
     pub unix_ms: u64,
 }
--- a/crates/pintally-host/src/ledger.rs
+++ b/crates/pintally-host/src/ledger.rs
@@ -30,6 +30,12 @@
     /// The cell in which it lives, from its arrival to its end.
     pub(crate) cell: CellName,
     pub(crate) tenant: Option<usize>,
+    /// Bytes that it holds.
+    pub(crate) bytes: usize,
+    /// Its answer begins in time if it begins by then.
+    pub(crate) aim: Micros,
+    /// Its cell has heard whether it began in time.
+    pub(crate) heard: bool,
     pub(crate) streamed: bool,
     pub(crate) max_tokens: u64,
     pub(crate) deadline: Micros,
--- a/crates/pintally-node/src/connection.rs
+++ b/crates/pintally-node/src/connection.rs
@@ -164,12 +164,20 @@
     let cells = shared.cells.lock().unwrap_or_else(|e| e.into_inner());
     let cells: Vec<_> = cells
         .iter()
-        .map(|(name, level, share, borrowed)| {
-            serde_json::json!({ "cell": &*name.0, "level": format!("{level:?}"), "share": share, "borrowed": borrowed })
+        .map(|c| {
+            serde_json::json!({
+                "cell": &*c.cell.0, "level": format!("{:?}", c.level), "share": c.capacity,
+                "borrowed": c.borrowed, "strained": c.strained, "failing": c.failing,
+            })
         })
         .collect();
+    let moves = shared.moves.lock().unwrap_or_else(|e| e.into_inner());
+    let moves: Vec<_> = moves
+        .iter()
+        .map(|(tenant, share, held)| serde_json::json!({ "tenant": tenant, "share": share, "held": held }))
+        .collect();
     serde_json::json!({
-        "cells": cells, "at_the_edge": h.at_the_edge, "gave_way": h.gave_way,
+        "cells": cells, "moves": moves, "at_the_edge": h.at_the_edge, "gave_way": h.gave_way,
         "connections": c.connections, "open_connections": shared.open_connections(),
         "over_limit": c.over_limit, "bad_requests": c.bad_requests, "turned_away": c.turned_away,
         "unwritten": c.unwritten, "lists_refused": c.lists_refused,
@@ -186,7 +194,7 @@
     let settings = &shared.settings;
     let asked = Ask::parse(form, &request.body, request.headers.get(DEADLINE_HEADER))
         .map_err(|e| e.0)
-        .and_then(|ask| arrival(shared, form, &ask).map(|arrival| (ask, arrival)));
+        .and_then(|ask| arrival(shared, form, &ask, request.body.len()).map(|arrival| (ask, arrival)));
     match asked {
         Ok((ask, arrival)) => {
             let asked = Asked { ask, form, model: settings.model.clone(), keep_alive: request.keep_alive };
@@ -200,7 +208,7 @@
 }
 
 /// What the host is told of a request; an error says which name is not known.
-fn arrival(shared: &Shared, form: Form, ask: &Ask) -> Result<Arrival, String> {
+fn arrival(shared: &Shared, form: Form, ask: &Ask, bytes: usize) -> Result<Arrival, String> {
     let core = &shared.settings.core;
     let class = match &ask.class {
         None => None,
@@ -230,6 +238,7 @@
         patience: ask.deadline_ms.map(|ms| ms * 1000),
         streamed: form == Form::Stream,
         resumed: ask.resumed,
+        bytes,
         unix_ms: shared.clock.unix_ms(),
     })
 }
--- a/crates/pintally-node/src/shared.rs
+++ b/crates/pintally-node/src/shared.rs
@@ -8,7 +8,7 @@
 
 use crossbeam_channel::Sender;
 use pintally::interface::{Attempt, EngineId, RequestId};
-use pintally_cells::{CellName, Level};
+use pintally_cells::CellStatus;
 use pintally_config::NodeSettings;
 use pintally_host::{Arrival, Counters, Final, Input, Order};
 
@@ -92,7 +92,9 @@
     pub(crate) counts: DoorCounts,
     pub(crate) host_counters: Mutex<Counters>,
     /// Where each cell stands.
-    pub(crate) cells: Mutex<Vec<(CellName, Level, f64, usize)>>,
+    pub(crate) cells: Mutex<Vec<CellStatus>>,
+    /// Tenants on the move: the share of their sessions that is over, and whether it is held back.
+    pub(crate) moves: Mutex<Vec<(String, f64, bool)>>,
     /// Engines that take work, by the list; the node is ready while there are any.
     pub(crate) serving: AtomicUsize,
     pub(crate) next_ticket: AtomicU64,
@@ -117,6 +119,7 @@
             counts: DoorCounts::default(),
             host_counters: Mutex::default(),
             cells: Mutex::default(),
+            moves: Mutex::default(),
             serving: AtomicUsize::new(0),
             next_ticket: AtomicU64::new(1),
             bodies: AtomicUsize::new(0),
