--- a/crates/pintally-cells/src/facade.rs
+++ b/crates/pintally-cells/src/facade.rs
@@ -162,6 +162,7 @@
         self.members = members.into_iter().map(|m| (m.0.engine.clone(), m)).collect();
         let members = &self.members;
         self.trust.keep(|e| members.contains_key(e));
+        members.values().for_each(|(m, ..)| self.trust.listed(&m.engine, m.started));
         self.spread(now)
     }
 
@@ -175,6 +176,16 @@
         load: Option<&Load>,
     ) {
         self.trust.ended(now, engine, tenant, outcome, load);
+        let own = self.members.get(engine).and_then(|(.., own)| own.as_ref());
+        let cell = self.loans.borrower(engine).or(own);
+        if let Some(ladder) = cell.and_then(|c| self.ladders.get_mut(c)) {
+            ladder.tried(matches!(outcome, Outcome::Served | Outcome::Read));
+        }
+    }
+
+    /// An engine has answered a probe.
+    pub fn reached(&mut self, now: Micros, engine: &EngineId) {
+        self.trust.reached(now, engine);
     }
 
     /// A request of a cell has begun to be answered, late or not, or will never be.
--- a/crates/pintally-cells/src/health.rs
+++ b/crates/pintally-cells/src/health.rs
@@ -13,11 +13,13 @@
 /// for this long.
 const CALM: Micros = 5_000_000;
 /// A cell whose engines count for less than this fails whatever it takes on: it counts as lost,
-const FAILING: f64 = 0.12;
+const FAILING: f64 = 0.15;
 /// until they count for this much again.
 const RECOVERED: f64 = 0.5;
-/// While it fails, one harmless request goes in so often, to see whether it still does.
+/// While it fails, one harmless request goes in so often, to see whether it still does;
 const TRIAL_EVERY: Micros = 1_000_000;
+/// each good end halves the time to the next, down to this.
+const TRIAL_LEAST: Micros = 60_000;
 /// Weight of a new arrival in the shares of classes.
 const BLEND: f64 = 0.02;
 
@@ -46,6 +48,7 @@
     failing: bool,
     /// When it may be tried again while it fails.
     trial: Micros,
+    trial_every: Micros,
     /// Share of each class in what arrives, by its index, and what it is worth.
     classes: Vec<(f64, f64)>,
 }
@@ -56,7 +59,15 @@
         let classes: Vec<(f64, f64)> = worths.map(|w| (0.0, w)).collect();
         let even = 1.0 / classes.len().max(1) as f64;
         let classes = classes.into_iter().map(|(_, w)| (even, w)).collect();
-        Ladder { level: Level::Well, capacity: 1.0, calm: None, failing: false, trial: 0, classes }
+        Ladder {
+            level: Level::Well,
+            capacity: 1.0,
+            calm: None,
+            failing: false,
+            trial: 0,
+            trial_every: TRIAL_EVERY,
+            classes,
+        }
     }
 
     /// Where it stands.
@@ -87,11 +98,18 @@
     pub fn trial(&mut self, now: Micros) -> bool {
         let due = self.failing && now >= self.trial;
         if due {
-            self.trial = now.saturating_add(TRIAL_EVERY);
+            self.trial = now.saturating_add(self.trial_every);
         }
         due
     }
 
+    /// An attempt has ended in a cell that fails.
+    pub fn tried(&mut self, good: bool) {
+        if self.failing {
+            self.trial_every = if good { (self.trial_every / 2).max(TRIAL_LEAST) } else { TRIAL_EVERY };
+        }
+    }
+
     /// Takes in what share of its engines a cell has, the scarcer role's: by the list, and by how far
     /// they can be counted on. Returns whether the level has changed.
     pub fn update(&mut self, now: Micros, listed: f64, counted: f64) -> bool {
--- a/crates/pintally-cells/tests/failing.rs
+++ b/crates/pintally-cells/tests/failing.rs
@@ -364,3 +364,28 @@
         }
     }
 }
+
+/// Guards against a past that outlives its cause: an engine that is back after a cut, or has started
+/// anew, is not held to what happened before.
+#[test]
+fn what_is_mended_counts_again_at_once() {
+    let mut trust = Trust::default();
+    for name in ["cut", "restarted", "mended"] {
+        for _ in 0..40 {
+            trust.ended(0, &id(name), None, Outcome::Unreachable, None);
+        }
+        trust.listed(&id(name), Some(1));
+        (0..40).for_each(|_| trust.ended(0, &id(name), None, Outcome::Broken, None));
+        assert_eq!(trust.weight(0, &id(name)), 0.0);
+    }
+    trust.reached(1, &id("cut"));
+    trust.listed(&id("restarted"), Some(2));
+    (0..9).for_each(|_| trust.ended(1, &id("mended"), None, Outcome::Served, None));
+    for name in ["cut", "restarted", "mended"] {
+        assert!(trust.weight(1, &id(name)) > 0.75 && !trust.is_failing(&id(name)), "{name}");
+    }
+    // An answer to a probe says nothing of an engine that fails at its work.
+    (0..40).for_each(|_| trust.ended(2, &id("bad"), None, Outcome::Error, None));
+    trust.reached(3, &id("bad"));
+    assert_eq!(trust.weight(3, &id("bad")), 0.0);
+}
--- a/crates/pintally-day/src/faults.rs
+++ b/crates/pintally-day/src/faults.rs
@@ -13,7 +13,7 @@
 use crate::spec::{Fault, Kind};
 
 /// Name, kind, and the usual size.
-const KINDS: [(&str, Kind, f64); 23] = [
+const KINDS: [(&str, Kind, f64); 24] = [
     ("crash", Kind::Crash, 0.0),
     ("restart", Kind::Restart, 0.0),
     ("hang", Kind::Hang, 0.0),
@@ -37,6 +37,7 @@
     ("hot-text", Kind::HotText, 0.3),
     ("tenant-flood", Kind::TenantFlood, 10.0),
     ("move-tenant", Kind::MoveTenant, 0.0),
+    ("bad-release", Kind::BadRelease, 400.0),
 ];
 
 /// The name of a kind.
@@ -250,6 +251,10 @@
             Kind::SlowLinks => {
                 both(script, Act::Links(target.clone(), fault.size.max(1.0)), Act::Links(target, 1.0))
             }
+            Kind::BadRelease => {
+                let after = Some(Duration::from_secs_f64(fault.size / 1e3));
+                both(script, Act::FailAfter(target.clone(), after), Act::FailAfter(target, None));
+            }
             Kind::StaleReports => both(script, Act::Stale(target.clone(), true), Act::Stale(target, false)),
             Kind::LyingReports => both(script, Act::Lie(target.clone(), true), Act::Lie(target, false)),
             Kind::Drain => both(script, Act::Drain(target.clone()), Act::Undrain(target)),
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -325,6 +325,7 @@
             Act::Slow(t, factor) => with(self, &t, &|f| f.slow = factor),
             Act::SlowConnect(t, delay) => with(self, &t, &|f| f.connect_delay = delay),
             Act::Links(t, factor) => with(self, &t, &|f| f.links = factor),
+            Act::FailAfter(t, after) => with(self, &t, &|f| f.fail_after = after),
             Act::FullFor(t, tenant) => with(self, &t, &|f| f.full_for = tenant.clone()),
             Act::Stale(t, on) => {
                 with(self, &t, &|f| f.reports = if on { Reports::Stale } else { Reports::Honest })
--- a/crates/pintally-day/src/script.rs
+++ b/crates/pintally-day/src/script.rs
@@ -17,6 +17,8 @@
     Slow(Target, f64),
     SlowConnect(Target, Duration),
     Links(Target, f64),
+    /// Whatever an engine takes on ends with an error after this time, or no more.
+    FailAfter(Target, Option<Duration>),
     Stale(Target, bool),
     Lie(Target, bool),
     FullFor(Target, Option<String>),
--- a/crates/pintally-day/src/spec.rs
+++ b/crates/pintally-day/src/spec.rs
@@ -142,6 +142,7 @@
     HotText,
     TenantFlood,
     MoveTenant,
+    BadRelease,
 }
 
 /// One trouble of a day.
--- a/crates/pintally-day/tests/cells.rs
+++ b/crates/pintally-day/tests/cells.rs
@@ -62,6 +62,15 @@
     counts
 }
 
+/// The tenant of each request.
+fn tenants(result: &DayResult) -> BTreeMap<&str, &str> {
+    let of = result.record.iter().filter_map(|r| match &r.what {
+        What::Asked { request, tenant: Some(tenant), .. } => Some((request.as_str(), tenant.as_str())),
+        _ => None,
+    });
+    of.collect()
+}
+
 /// Every attempt of a tenant stays in the cells that it may be in: `allowed` says which at what time.
 fn confined(result: &DayResult, allowed: impl Fn(&str, &str) -> bool) {
     let mut of: BTreeMap<&str, &str> = BTreeMap::new();
@@ -117,16 +126,7 @@
     });
     whole_in_one_cell(&result);
     let souths = |cell: &str| {
-        let of: BTreeMap<&str, &str> = result
-            .record
-            .iter()
-            .filter_map(|r| match &r.what {
-                What::Asked { request, tenant: Some(tenant), .. } => {
-                    Some((request.as_str(), tenant.as_str()))
-                }
-                _ => None,
-            })
-            .collect();
+        let of = tenants(&result);
         let took = result.record.iter().filter(|r| match &r.what {
             What::Took { request, engine, .. } => of[request.as_str()] == "south" && engine.contains(cell),
             _ => false,
@@ -165,14 +165,7 @@
     let fallen = play("fallback", 2, "(fallback \"green\")", lost);
     let mut strangers = 0;
     confined(&fallen, |tenant, engine| tenant != "east" || engine.contains("green"));
-    let of: BTreeMap<&str, &str> = fallen
-        .record
-        .iter()
-        .filter_map(|r| match &r.what {
-            What::Asked { request, tenant: Some(tenant), .. } => Some((request.as_str(), tenant.as_str())),
-            _ => None,
-        })
-        .collect();
+    let of = tenants(&fallen);
     for r in &fallen.record {
         if let What::Took { request, engine, .. } = &r.what {
             strangers += usize::from(of[request.as_str()] != "east" && engine.contains("green"));
@@ -193,14 +186,51 @@
     whole_in_one_cell(&play("receiver", 2, "", dies));
 }
 
-/// A bad release: every engine of one cell is slow and hangs now and then.
+/// A bad release: every engine of one cell fails whatever it takes on, late.
+#[test]
+fn a_bad_release_that_fails_slowly_sends_its_tenants_to_the_cell_that_stands_in() {
+    let bad = r#"(fault bad-release (at 1) (for 6.5) (cell "blue") (part 1) (size 300))"#;
+    let result = play("release", 2, "(fallback \"green\")", bad);
+    confined(&result, |tenant, engine| tenant != "east" || engine.contains("green"));
+    whole_in_one_cell(&result);
+    let counts = served(&result);
+    let (asked, well) = counts["east"];
+    assert!(well * 100 >= asked * 95, "east was served {well} of {asked}");
+    let of = tenants(&result);
+    let begin = result.record.iter().find(|r| matches!(&r.what, What::Asked { .. })).map_or(0, |r| r.at);
+    let stood_in = result.record.iter().filter(|r| match &r.what {
+        What::Took { request, engine, .. } => of[request.as_str()] != "east" && engine.contains("green"),
+        _ => false,
+    });
+    assert!(stood_in.count() > 10, "nobody went to the cell that stands in");
+    // Once the cell counts as lost, next to nothing goes into it any more.
+    let tried = result.record.iter().filter(|r| match &r.what {
+        What::Took { engine, .. } => {
+            engine.contains("blue") && r.at > begin + 5_000_000 && r.at < begin + 7_000_000
+        }
+        _ => false,
+    });
+    let (tried, before) = (tried.count(), counts["north"].0 + counts["south"].0);
+    assert!(tried * 10 < before as usize, "{tried} attempts went into a cell that fails");
+}
+
+/// The same without a cell that stands in: its tenants hear of it at once, the others notice nothing.
 #[test]
 fn a_bad_release_in_one_cell_harms_that_cell_only() {
-    let bad = r#"(fault slow (at 1) (for 6) (cell "blue") (part 1) (size 12))
-      (fault hang (at 3) (for 1) (cell "blue") (part 0.5))"#;
+    let bad = r#"(fault bad-release (at 1) (for 6.5) (cell "blue") (part 1) (size 300))
+      (fault slow (at 1) (for 3) (cell "blue") (part 0.5) (size 8))"#;
     let result = play("release", 2, "", bad);
     let counts = served(&result);
     let (asked, well) = counts["east"];
     assert!(well * 100 >= asked * 98, "east was served {well} of {asked}");
     confined(&result, |tenant, engine| engine.contains("blue") != (tenant == "east"));
+    assert!(result.report.refused > result.report.failed, "{:?}", result.report);
+}
+
+/// A new cell that is late holds a move back; the rules hold while it waits.
+#[test]
+fn a_move_into_a_cell_that_is_slow_loses_nothing() {
+    let slow = r#"(fault move-tenant (at 0.5) (for 5) (tenant "south") (cell "green"))
+      (fault slow (at 1.5) (for 3) (cell "green") (part 1) (size 20))"#;
+    whole_in_one_cell(&play("held", 2, "", slow));
 }
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -150,6 +150,9 @@
             }
             Input::Left(ticket) => self.left(now, ticket, out),
             Input::Probed(engine, answered, load) => {
+                if let Some(cells) = self.cells.as_mut().filter(|_| answered) {
+                    cells.reached(now, &engine);
+                }
                 // Whoever has the engine has asked; a second cell hears of it in vain.
                 for cell in self.routers.keys().cloned().collect::<Vec<_>>() {
                     self.event(now, &cell, Event::Probed(engine.clone(), answered, load), out);
--- a/crates/pintally-standin/src/serve.rs
+++ b/crates/pintally-standin/src/serve.rs
@@ -241,12 +241,30 @@
         if tenant_full {
             return self.turn_away(work, 429, "full");
         }
+        let fails = self.engine.lock().faults.fail_after;
+        if let Some(after) = fails {
+            return self.fail(Instant::now() + after);
+        }
         match work.step {
             Step::Read => self.read(work),
             Step::Fetch | Step::Both => self.write_answer(work, answers),
         }
     }
 
+    /// Ends with an error once a time has come: nobody can tell whether anything was done.
+    fn fail(&mut self, at: Instant) -> Result<(), Gone> {
+        loop {
+            let left = at.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return self.refuse(500, "internal", false);
+            }
+            if !self.lives() || self.left() {
+                return Err(Gone);
+            }
+            drop(self.engine.wait(self.engine.lock(), left));
+        }
+    }
+
     fn turn_away(&mut self, work: &Work, status: u16, kind: &str) -> Result<(), Gone> {
         let (engine, attempt) = (self.engine.spec.id.clone(), work.attempt.clone());
         self.engine.recorder.note(What::TurnedAway { engine, attempt });
--- a/crates/pintally-standin/src/spec.rs
+++ b/crates/pintally-standin/src/spec.rs
@@ -78,6 +78,8 @@
     pub connect_delay: Duration,
     /// This tenant is turned away.
     pub full_for: Option<String>,
+    /// Whatever it takes on ends with an error after this time.
+    pub fail_after: Option<Duration>,
     /// States move this many times slower.
     pub links: f64,
     /// How load reports are made.
@@ -92,6 +94,7 @@
             silent: false,
             connect_delay: Duration::ZERO,
             full_for: None,
+            fail_after: None,
             links: 1.0,
             reports: Reports::Honest,
         }
