--- a/crates/pintally-cli/src/measure.rs
+++ b/crates/pintally-cli/src/measure.rs
@@ -5,7 +5,9 @@
 
 use comfy_table::Table;
 use pintally_day::Day;
-use pintally_measure::{added_latency, deciding, flood, open_streams, plans, saturation, Added};
+use pintally_measure::{
+    added_latency, deciding, flood, moves, open_streams, plans, price, saturation, Added,
+};
 
 use crate::{read, Failure};
 
@@ -67,6 +69,34 @@
         #[arg(long, value_delimiter = ',', default_values_t = [1, 3])]
         nodes: Vec<usize>,
     },
+    /// What a tenant's move costs it and its neighbours, at its pace and with all sessions at once.
+    Moves {
+        /// A day with cells; its own faults are left out.
+        day: String,
+        /// Who moves,
+        #[arg(long)]
+        tenant: String,
+        /// and into which cell.
+        #[arg(long)]
+        to: String,
+        /// Seeds, each played three ways at the same time.
+        #[arg(long, default_value_t = 25)]
+        seeds: u64,
+        /// Groups of seeds for the spread.
+        #[arg(long, default_value_t = 5)]
+        groups: usize,
+    },
+    /// The price of cells: one pool against so many cells, with and without lending.
+    Price {
+        /// A day with tenants and without cells; its own faults are left out.
+        day: String,
+        /// Numbers of cells.
+        #[arg(long, value_delimiter = ',', default_values_t = [2, 4, 8])]
+        cells: Vec<usize>,
+        /// Seeds.
+        #[arg(long, default_value_t = 4)]
+        seeds: u64,
+    },
     /// Plans of generated fleets: the model's against greedy ones.
     Plans {
         /// Tenants.
@@ -141,6 +171,37 @@
             println!("{table}");
             println!("share of the worth asked by tenants of other cells that was served in time");
         }
+        What::Moves { day, tenant, to, seeds, groups } => {
+            let day = Day::parse(day, &read(day)?).map_err(Failure::usage)?;
+            let (first, mut table) = (day.seed, Table::new());
+            let found = moves(&day, tenant, to, first..first + seeds, *groups).map_err(Failure::failed)?;
+            table.set_header(["who", "when", "", "requests", "p50, ms", "p99, ms", "late or not served"]);
+            for p in &found.parts {
+                let (p50, p99) = (p.p50_ms.to_string(), p.p99_ms.to_string());
+                let (requests, late) = (p.requests.to_string(), p.late.to_string());
+                table.add_row([p.who.into(), p.when.into(), p.how.to_string(), requests, p50, p99, late]);
+            }
+            println!("{table}");
+            println!("{} moves; runs in which a rule was broken: {}", found.moves, found.broken);
+            println!("first tokens; a request that was not served counts as endless; over groups of seeds");
+            if found.broken > 0 {
+                return Ok(ExitCode::FAILURE);
+            }
+        }
+        What::Price { day, cells, seeds } => {
+            let day = Day::parse(day, &read(day)?).map_err(Failure::usage)?;
+            let first = day.seed;
+            let mut table = Table::new();
+            table.set_header(["", "served in time", "change against one pool, 95% interval", "rules"]);
+            for p in price(&day, cells, first..first + seeds).map_err(Failure::failed)? {
+                let rules = if p.kept { "kept" } else { "broken" }.to_string();
+                table.add_row([p.name.clone(), p.in_time.to_string(), p.change.to_string(), rules]);
+            }
+            println!("{table}");
+            println!(
+                "share of the worth asked that was served in time; each against the pool of the same engines"
+            );
+        }
         What::Plans { tenants, fleets, seconds } => {
             let mut table = Table::new();
             table.set_header([
--- a/crates/pintally-day/src/faults.rs
+++ b/crates/pintally-day/src/faults.rs
@@ -177,8 +177,9 @@
         Kind::MoveTenant => {
             let (tenant, to_cell) =
                 (fault.name.clone().unwrap_or_default(), fault.cell.clone().unwrap_or_default());
-            // Announced, then over a third of the time all sessions go, then it is done.
-            let over = fault.length / 3;
+            // Announced, then all sessions go, over a third of the time if not told, then it is done.
+            let told = Duration::from_secs_f64(fault.size / 1e3);
+            let over = if told.is_zero() { fault.length / 3 } else { told };
             script.add(from, Act::Move(tenant.clone(), MoveStep::Prepare { to: to_cell, over }));
             script.add(from + fault.length / 3, Act::Move(tenant.clone(), MoveStep::Both));
             script.add(to, Act::Move(tenant, MoveStep::Done));
--- a/crates/pintally-day/src/spec.rs
+++ b/crates/pintally-day/src/spec.rs
@@ -80,6 +80,8 @@
     pub streamed: f64,
     /// How many shared beginnings there are, by falling popularity.
     pub shared: u64,
+    /// Each tenant has so many of its own, rather than all of them the same.
+    pub own_texts: bool,
     /// Tokens of a shared beginning.
     pub shared_tokens: (u64, u64),
     /// The classes.
@@ -318,6 +320,7 @@
         heed: form.number_or("heed", 0.7, 0.0, 1.0)?,
         streamed: form.number_or("streamed", 0.8, 0.0, 1.0)?,
         shared: form.count_or("shared-texts", 12, 1, 1 << 20)?,
+        own_texts: form.count_or("own-texts", 0, 0, 1)? == 1,
         shared_tokens: range(form, "shared-tokens", (200, 800), 1 << 20)?,
         classes,
         tenants: tenants.into_iter().filter(|(_, share)| *share > 0.0).collect(),
--- a/crates/pintally-day/src/traffic.rs
+++ b/crates/pintally-day/src/traffic.rs
@@ -139,15 +139,15 @@
             false => None,
         };
         let (least, most) = self.traffic.shared_tokens;
-        let prefix_tokens = prefix.map_or(0, |p| ChaCha8Rng::seed_from_u64(p).random_range(least..=most));
         let tenants: Vec<f64> = self.traffic.tenants.iter().map(|t| t.1).collect();
-        let tenant = match tenants.is_empty() {
+        let place = match tenants.is_empty() {
             true => None,
-            false => {
-                let at = self.pick(&tenants);
-                Some(self.traffic.tenants[at].0.clone())
-            }
+            false => Some(self.pick(&tenants)),
         };
+        let own = place.filter(|_| self.traffic.own_texts && !hot).map_or(0, |p| (p as u64 + 1) << 24);
+        let prefix = prefix.map(|p| p | own);
+        let prefix_tokens = prefix.map_or(0, |p| ChaCha8Rng::seed_from_u64(p).random_range(least..=most));
+        let tenant = place.map(|p| self.traffic.tenants[p].0.clone());
         self.sessions += 1;
         Session {
             class,
--- a/crates/pintally-measure/src/flood.rs
+++ b/crates/pintally-measure/src/flood.rs
@@ -4,16 +4,16 @@
 //! Each seed is a pair of runs, with the flood and without, that are played at the same time on the
 //! same machine, so that what the machine does strikes both.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::fmt;
 use std::ops::Range;
 use std::thread;
 
-use pintally_audit::{Answer, What};
-use pintally_day::{run, Day, DayResult, Fault, Kind};
+use pintally_day::{run, Day, Fault, Kind};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
 use crate::report::Spread;
+use crate::worth::{in_time, requests};
 use crate::{error, MeasureError};
 
 /// A mean of paired differences with its 95% interval, by Student's t.
@@ -110,8 +110,8 @@
             let b = b.map_err(|_| error("a run ended by a panic"))?;
             let (a, b) = (a.map_err(error)?, b.map_err(error)?);
             kept &= a.kept() && b.kept();
-            without.push(in_time(day, &a, &others));
-            with.push(in_time(day, &b, &others));
+            without.push(in_time(requests(day, &a).iter().filter(|r| r.of(&others))));
+            with.push(in_time(requests(day, &b).iter().filter(|r| r.of(&others))));
         }
         let changes: Vec<f64> = without.iter().zip(&with).map(|(a, b)| b / a.max(1e-9) - 1.0).collect();
         found.push(Flood {
@@ -126,46 +126,6 @@
     Ok(found)
 }
 
-/// The share of the worth asked by some tenants that was served with its first token in time. A try
-/// again is not another request.
-fn in_time(day: &Day, result: &DayResult, tenants: &BTreeSet<String>) -> f64 {
-    struct One {
-        at: u64,
-        aim: u64,
-        worth: f64,
-        first: Option<u64>,
-        served: bool,
-    }
-    let mut all: BTreeMap<&str, One> = BTreeMap::new();
-    for r in &result.record {
-        match &r.what {
-            What::Asked { request, class, tenant: Some(tenant), .. } if tenants.contains(tenant) => {
-                let Some(class) = day.settings.core.classes.iter().find(|c| c.name == *class) else {
-                    continue;
-                };
-                let one = One { at: r.at, aim: class.aim, worth: class.worth, first: None, served: false };
-                all.insert(request, one);
-            }
-            What::First { request } => {
-                if let Some(one) = all.get_mut(request.as_str()) {
-                    one.first = Some(r.at);
-                }
-            }
-            What::Answered { request, answer } => {
-                if let Some(one) = all.get_mut(request.as_str()) {
-                    one.served = *answer == Answer::Served;
-                    one.first = one.first.or(Some(r.at));
-                }
-            }
-            _ => {}
-        }
-    }
-    let first_try = |request: &str| !request.contains('~');
-    let asked: f64 = all.iter().filter(|(r, _)| first_try(r)).map(|(_, o)| o.worth).sum();
-    let good = all.values().filter(|o| o.served && o.first.is_some_and(|f| f <= o.at + o.aim));
-    good.map(|o| o.worth).sum::<f64>() / asked.max(1e-9)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/pintally-measure/src/lib.rs
+++ b/crates/pintally-measure/src/lib.rs
@@ -8,14 +8,19 @@
 mod added;
 mod flood;
 mod load;
+mod moves;
 mod plans;
+mod price;
 mod report;
 mod stage;
 mod streams;
+mod worth;
 
 pub use added::{added_latency, deciding, saturation, Added, Deciding, Saturation};
 pub use flood::{flood, Flood, Interval};
+pub use moves::{moves, Moves, Part};
 pub use plans::{plans, Plans};
+pub use price::{price, Price};
 pub use report::{Spread, Stats};
 pub use streams::{open_streams, Streams};
 
--- /dev/null
+++ b/examples/move-day.sexp
@@ -0,0 +1,27 @@
+; Two cells for `pintally measure moves examples/move-day.sexp --tenant south --to green`: each tenant has
+; texts of its own, so that the new cell has none of the mover's. The engines are simulated.
+(day
+  (name "move-day") (seed 1) (seconds 24) (settle-seconds 10)
+  (zones "hall-a" "hall-b") (racks 2)
+  (nodes 2 (notice-ms 300))
+  (slack-ms 400)
+  (limits (held 400) (answer-margin-ms 150))
+  (class "hint" (effect safe) (aim-ms 700) (patience-ms 3000) (worth 2))
+  (class "test-feedback" (effect keyed (group all) (window-ms 20000)) (aim-ms 1000) (patience-ms 4000))
+  (class "graded-submit" (effect unsafe) (aim-ms 1000) (patience-ms 4000) (worth 3))
+  (tenant "north") (tenant "south") (tenant "east")
+  (kind "prefill" (role reader) (slots 8) (memory-tokens 60000))
+  (kind "decode" (role writer) (slots 10) (memory-tokens 40000))
+  (cells (version 1)
+    (cell "blue" (readers 2) (writers 3)) (cell "green" (readers 2) (writers 3))
+    (tenant "north" (cells "blue")) (tenant "south" (cells "blue")) (tenant "east" (cells "green")))
+  (engines "prefill" (cell "blue") (count 2) (queue 30) (read-per-s 8000))
+  (engines "decode" (cell "blue") (count 3) (queue 8) (token-gap-ms 15))
+  (engines "prefill" (cell "green") (count 2) (queue 30) (read-per-s 8000))
+  (engines "decode" (cell "green") (count 3) (queue 8) (token-gap-ms 15))
+  (traffic
+    (per-second 34) (retries 1) (retry-wait-ms 250) (shared-texts 16) (own-texts 1) (shared-tokens 600 1200)
+    (class "hint" (share 50) (turns 2 8) (answer 15 40) (patience-percent 90 100))
+    (class "test-feedback" (share 25) (turns 1 4) (answer 15 40) (patience-percent 90 100))
+    (class "graded-submit" (share 25) (answer 15 40) (patience-percent 90 100))
+    (tenant "north" (share 15)) (tenant "south" (share 40)) (tenant "east" (share 45))))
