--- a/crates/pintally-cli/src/measure.rs
+++ b/crates/pintally-cli/src/measure.rs
@@ -105,6 +105,9 @@
         /// Fleets of each size.
         #[arg(long, default_value_t = 5)]
         fleets: usize,
+        /// Hardly more engines than all cells need together, none spare.
+        #[arg(long)]
+        tight: bool,
         /// Seconds that the solver may take for each.
         #[arg(long, default_value_t = 20.0)]
         seconds: f64,
@@ -202,7 +205,7 @@
                 "share of the worth asked that was served in time; each against the pool of the same engines"
             );
         }
-        What::Plans { tenants, fleets, seconds } => {
+        What::Plans { tenants, fleets, tight, seconds } => {
             let mut table = Table::new();
             table.set_header([
                 "tenants",
@@ -217,7 +220,7 @@
                 "reached by safe steps",
             ]);
             for count in tenants {
-                let p = plans(*count, *fleets, *seconds);
+                let p = plans(*count, *fleets, *tight, *seconds);
                 table.add_row([
                     p.tenants.to_string(),
                     p.cells.to_string(),
--- a/crates/pintally-measure/src/plans.rs
+++ b/crates/pintally-measure/src/plans.rs
@@ -28,8 +28,12 @@
     pub reachable: usize,
 }
 
-/// A fleet whose demand has drifted from the plan that it was given.
-fn fleet(tenants: usize, cells: usize, rng: &mut ChaCha8Rng) -> Problem {
+/// How much a fleet has over what its tenants demand with the margin, when it is tight.
+const TIGHT: f64 = 1.04;
+
+/// A fleet whose demand has drifted from the plan that it was given. A tight one has hardly more
+/// engines than all cells need together, none spare, and more of each cell's in one zone.
+fn fleet(tenants: usize, cells: usize, tight: bool, rng: &mut ChaCha8Rng) -> Problem {
     let (mut all, mut demand) = (Vec::new(), vec![(0.0, 0.0); cells]);
     for i in 0..tenants {
         // A few large tenants, many small ones.
@@ -45,12 +49,20 @@
     for zone in 0..2 {
         for reader in [true, false] {
             let (reads, writes) = if reader { (each, 0.0) } else { (0.0, each) };
+            let name = format!("{}-{zone}", if reader { "readers" } else { "writers" });
+            if tight {
+                let of = |d: &(f64, f64)| if reader { d.0 } else { d.1 };
+                let needed = demand.iter().map(of).sum::<f64>() * 1.2 * TIGHT / each / 2.0;
+                let drifted: Vec<f64> = demand.iter().map(|d| of(d) * rng.random_range(0.5..1.5)).collect();
+                let now = parts(needed.ceil() as usize, &drifted);
+                groups.push(Group { name, zone, reads, writes, now, spare: 0 });
+                continue;
+            }
             // What each cell has fits the demand of some time ago, give or take a fifth.
             let now = demand.iter().map(|(r, w)| {
                 let need = if reader { *r } else { *w } * 1.2 * rng.random_range(0.75..1.35);
                 (need / each / 2.0).ceil() as usize
             });
-            let name = format!("{}-{zone}", if reader { "readers" } else { "writers" });
             groups.push(Group { name, zone, reads, writes, now: now.collect(), spare: 1 });
         }
     }
@@ -58,13 +70,25 @@
     Problem { cells, groups, tenants: all, margin: 0.2, zone_share: 0.7, tenant_cost: 3.0 }
 }
 
+/// Divides so many by weights, the largest remainders first.
+fn parts(many: usize, weights: &[f64]) -> Vec<usize> {
+    let sum: f64 = weights.iter().sum::<f64>().max(1e-9);
+    let exact: Vec<f64> = weights.iter().map(|w| many as f64 * w / sum).collect();
+    let mut parts: Vec<usize> = exact.iter().map(|e| *e as usize).collect();
+    let mut order: Vec<usize> = (0..parts.len()).collect();
+    order.sort_by(|a, b| exact[*b].fract().total_cmp(&exact[*a].fract()));
+    let left = many - parts.iter().sum::<usize>();
+    order.into_iter().cycle().take(left).for_each(|i| parts[i] += 1);
+    parts
+}
+
 /// Measures plans for so many tenants over seeds; the solver may take so many seconds for each.
-pub fn plans(tenants: usize, fleets: usize, seconds: f64) -> Plans {
+pub fn plans(tenants: usize, fleets: usize, tight: bool, seconds: f64) -> Plans {
     let cells = (tenants / 10).clamp(2, 8);
     let (mut planned, mut gave_up, mut greedy_planned, mut reachable) = (0, 0, 0, 0);
     let (mut took, mut thumb_took, mut ratios) = (Vec::new(), Vec::new(), Vec::new());
     for seed in 0..fleets as u64 {
-        let problem = fleet(tenants, cells, &mut ChaCha8Rng::seed_from_u64(seed));
+        let problem = fleet(tenants, cells, tight, &mut ChaCha8Rng::seed_from_u64(seed));
         let began = Instant::now();
         let thumb = greedy(&problem);
         thumb_took.push(began.elapsed().as_secs_f64());
@@ -99,3 +123,14 @@
         reachable,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn parts_add_up_and_follow_weights() {
+        assert_eq!(parts(10, &[1.0, 2.0, 2.0]), [2, 4, 4]);
+        assert_eq!(parts(7, &[1.0, 1.0, 1.0]).iter().sum::<usize>(), 7);
+    }
+}
