Engine emulator: batches by iteration, paged memory, fair links; checked by theory

Begins the engine emulator: the core without sockets or clock, to replace the small stand-ins. Continuous batching with chunked reads, blocks in a prefix tree, preemption of the newest, states that pin memory, max-min links, cold starts that fall over, reports late as told, faults. Tests: M/D/1, M/M/1, M/M/k, M/G/k within 99% intervals, Little's law on each run, memory conserved after every input of generated histories, determinism, and the hard cases of a kept text evicted while a decode waits, a cold engine in a burst, memory full of states, a reader dying in a transfer.

--- a/crates/pintally-cli/src/measure.rs
+++ b/crates/pintally-cli/src/measure.rs
@@ -6,7 +6,7 @@
 use comfy_table::Table;
 use pintally_day::Day;
 use pintally_measure::{
-    added_latency, deciding, flood, moves, open_streams, plans, price, saturation, Added,
+    added_latency, deciding, emulated, flood, moves, open_streams, plans, price, saturation, Added,
 };
 
 use crate::{read, Failure};
@@ -112,6 +112,21 @@
         #[arg(long, default_value_t = 20.0)]
         seconds: f64,
     },
+    /// What the emulator itself costs, in virtual time and without sockets.
+    Emulator {
+        /// Engines, a third of them readers.
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 110])]
+        engines: Vec<usize>,
+        /// Requests a second for each engine.
+        #[arg(long, default_value_t = 4.0)]
+        each: f64,
+        /// Virtual seconds.
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        /// Seeds.
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// Streams that a node holds open, and the memory of each.
     Streams {
         /// Streams wanted.
@@ -236,6 +251,22 @@
             }
             println!("{table}");
         }
+        What::Emulator { engines, each, seconds, seeds } => {
+            let mut table = Table::new();
+            table.set_header(["engines", "requests/s", "virtual s a second", "ns a token", "answered"]);
+            for count in engines {
+                let span = Duration::from_secs_f64(*seconds);
+                let e = emulated(*count, *count as f64 * each, span, *seeds);
+                table.add_row([
+                    e.engines.to_string(),
+                    e.per_second.to_string(),
+                    e.speed.to_string(),
+                    e.token_ns.to_string(),
+                    e.served.to_string(),
+                ]);
+            }
+            println!("{table}");
+        }
         What::Streams { count } => {
             let program = std::env::current_exe().map_err(Failure::failed)?;
             let folder = tempfile::tempdir().map_err(Failure::failed)?;
--- /dev/null
+++ b/crates/pintally-emulator/src/engine.rs
@@ -0,0 +1,593 @@
+//! One engine: a queue, a batch that goes step by step, and memory.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::cold::Warmth;
+use crate::faults::Faults;
+use crate::memory::{Hash, Memory};
+use crate::notice::{FreedBy, Notice, Refusal};
+use crate::report::{Report, Teller};
+use crate::spec::{Kind, Spec};
+use crate::Micros;
+
+/// Names one piece of work in a whole run.
+pub type WorkId = u64;
+
+/// One piece of work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    /// Its name; the read state of a read goes by it as well.
+    pub id: WorkId,
+    /// It only reads, and leaves a state.
+    pub reads_only: bool,
+    /// The state that it fetches instead of reading.
+    pub fetches: Option<WorkId>,
+    /// The chain of its prompt's whole blocks.
+    pub chain: Vec<Hash>,
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Tokens of its answer.
+    pub answer: u64,
+    /// Whoever sends this again within the window sends a repeat.
+    pub key: Option<u64>,
+}
+
+/// Blocks that one piece of work or one state holds.
+#[derive(Clone, Debug, Default)]
+struct Hold {
+    /// Held blocks of the tree: a chain's beginning.
+    kept: Vec<Hash>,
+    /// Blocks of its own.
+    own: u64,
+}
+
+impl Hold {
+    fn blocks(&self) -> u64 {
+        self.kept.len() as u64 + self.own
+    }
+}
+
+/// Work that waits or runs.
+#[derive(Clone, Debug)]
+struct Seq {
+    work: Work,
+    hold: Hold,
+    /// Tokens whose state is here.
+    done: u64,
+    /// Tokens that must be here before the next one of the answer can be made.
+    goal: u64,
+    /// Tokens of the answer that are out.
+    out: u64,
+    /// Tokens that were found kept at first.
+    found: Option<u64>,
+    /// The state that it fetches has come: from here on it is made here.
+    here: bool,
+    /// Nobody waits for it any more; it goes when the step that runs is over.
+    gone: bool,
+}
+
+impl Seq {
+    /// Whether its next token is one of its answer, not of its prompt.
+    fn writes(&self) -> bool {
+        self.goal - self.done == 1 && (self.out > 0 || self.here)
+    }
+}
+
+/// How a transfer of a state has ended for the work that wanted it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// The state is here.
+    Whole,
+    /// It broke off.
+    Broken,
+    /// There was none any more.
+    Missing,
+}
+
+/// A read state that waits.
+#[derive(Clone, Debug)]
+struct State {
+    hold: Hold,
+    since: Micros,
+    /// A transfer of it is under way: it is not let go before that ends.
+    moving: u32,
+    released: bool,
+}
+
+/// A step that runs.
+#[derive(Clone, Debug)]
+struct Step {
+    until: Micros,
+    /// Tokens that each running piece of work gets done, by its place in the batch.
+    share: Vec<u64>,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    spec: Spec,
+    faults: Faults,
+    up: bool,
+    warmth: Warmth,
+    memory: Memory,
+    waiting: VecDeque<Seq>,
+    /// Work whose state is on its way here.
+    fetching: BTreeMap<WorkId, Seq>,
+    running: Vec<Seq>,
+    step: Option<Step>,
+    states: BTreeMap<WorkId, State>,
+    /// Keys that ran within the window, and in the order in which they came.
+    seen: BTreeSet<u64>,
+    seen_at: VecDeque<(Micros, u64)>,
+    /// A pause held a step back until then.
+    held_back: Option<Micros>,
+    teller: Teller,
+    rng: ChaCha8Rng,
+    /// Microseconds of steps so far, and tokens read and written in them.
+    busy: u64,
+    read: u64,
+    written: u64,
+    preempted: u64,
+}
+
+impl Engine {
+    /// An engine that runs and is warm.
+    pub fn new(spec: Spec, seed: u64) -> Engine {
+        Engine {
+            memory: Memory::new(spec.blocks),
+            spec,
+            faults: Faults::default(),
+            up: true,
+            warmth: Warmth::default(),
+            waiting: VecDeque::new(),
+            fetching: BTreeMap::new(),
+            running: Vec::new(),
+            step: None,
+            states: BTreeMap::new(),
+            seen: BTreeSet::new(),
+            seen_at: VecDeque::new(),
+            held_back: None,
+            teller: Teller::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            busy: 0,
+            read: 0,
+            written: 0,
+            preempted: 0,
+        }
+    }
+
+    /// Its figures.
+    pub fn spec(&self) -> &Spec {
+        &self.spec
+    }
+
+    /// Whether it runs.
+    pub fn is_up(&self) -> bool {
+        self.up
+    }
+
+    /// What is wrong with it.
+    pub fn faults(&mut self) -> &mut Faults {
+        &mut self.faults
+    }
+
+    /// Microseconds of steps, tokens read, tokens written, and answers that had to begin anew, so far.
+    pub fn totals(&self) -> (u64, u64, u64, u64) {
+        (self.busy, self.read, self.written, self.preempted)
+    }
+
+    /// Work that waits, fetches or runs.
+    pub fn held(&self) -> usize {
+        self.waiting.len() + self.fetching.len() + self.running.len()
+    }
+
+    /// Read states that wait.
+    pub fn states(&self) -> usize {
+        self.states.len()
+    }
+
+    /// How many tokens of a prompt are kept here.
+    pub fn kept(&self, work: &Work) -> u64 {
+        self.memory.found(&work.chain) as u64 * self.spec.block_tokens
+    }
+
+    /// Dies at once: all work ends, states are gone, nothing is kept.
+    pub fn crash(&mut self, out: &mut Vec<Notice>) {
+        if !std::mem::replace(&mut self.up, false) {
+            return;
+        }
+        let broken = self.running.drain(..).chain(self.waiting.drain(..)).filter(|s| !s.gone);
+        out.extend(broken.map(|s| Notice::Broken(s.work.id)));
+        out.extend(std::mem::take(&mut self.fetching).into_keys().map(Notice::Broken));
+        out.extend(std::mem::take(&mut self.states).into_keys().map(|id| Notice::Freed(id, FreedBy::Died)));
+        self.memory = Memory::new(self.spec.blocks);
+        self.step = None;
+        self.held_back = None;
+        self.teller = Teller::default();
+    }
+
+    /// Starts after a crash, cold if its figures say so.
+    pub fn start(&mut self, now: Micros) {
+        if !std::mem::replace(&mut self.up, true) {
+            self.warmth.start(now);
+        }
+    }
+
+    /// Forgets all kept texts that nobody holds.
+    pub fn forget(&mut self) {
+        self.memory.forget();
+    }
+
+    /// Takes work on, or turns it away.
+    pub fn submit(&mut self, now: Micros, work: Work, out: &mut Vec<Notice>) {
+        let refuse = |why| Notice::Refused(work.id, why);
+        let fits = match self.spec.kind {
+            Kind::Reader => work.reads_only,
+            Kind::Writer => work.fetches.is_some(),
+            Kind::Mixed => true,
+        };
+        if !self.up {
+            return out.push(refuse(Refusal::Down));
+        }
+        if !fits || work.prompt == 0 || (work.answer == 0 && !work.reads_only) {
+            return out.push(refuse(Refusal::NoState));
+        }
+        let ends = work.prompt + if work.reads_only { 0 } else { work.answer };
+        if self.blocks_for(ends) > self.spec.blocks {
+            return out.push(refuse(Refusal::TooLong));
+        }
+        if self.held() >= self.spec.slots + self.spec.queue {
+            return out.push(refuse(Refusal::Full));
+        }
+        if let Some(key) = work.key.filter(|_| self.spec.dedup > 0 && !work.reads_only) {
+            while self.seen_at.front().is_some_and(|(at, _)| at + self.spec.dedup <= now) {
+                if let Some((_, old)) = self.seen_at.pop_front() {
+                    self.seen.remove(&old);
+                }
+            }
+            if !self.seen.insert(key) {
+                return out.push(refuse(Refusal::Repeat));
+            }
+            self.seen_at.push_back((now, key));
+        }
+        let cost = self.estimate(&work);
+        if self.warmth.sent(self.spec.cold.as_ref(), now, cost) {
+            out.push(refuse(Refusal::Down));
+            out.push(Notice::Fell);
+            return self.crash(out);
+        }
+        let goal = work.prompt;
+        let hold = Hold::default();
+        self.waiting.push_back(Seq {
+            work,
+            hold,
+            done: 0,
+            goal,
+            out: 0,
+            found: None,
+            here: false,
+            gone: false,
+        });
+        self.look(now);
+        if self.step.is_none() {
+            self.begin_step(now, out);
+        }
+    }
+
+    /// Microseconds of its full speed that work will take.
+    fn estimate(&self, work: &Work) -> f64 {
+        let cost = &self.spec.cost;
+        let unread = work.prompt.saturating_sub(self.kept(work)) as f64;
+        let reads = if work.fetches.is_none() { unread * cost.read_token } else { 0.0 };
+        let each = cost.step / self.spec.slots.max(1) as f64 + cost.write_token;
+        reads + if work.reads_only { 0.0 } else { work.answer as f64 * each }
+    }
+
+    /// Nobody waits for work any more. What runs in a step goes when that is over.
+    pub fn cancel(&mut self, now: Micros, id: WorkId, out: &mut Vec<Notice>) {
+        if let Some(at) = self.waiting.iter().position(|s| s.work.id == id) {
+            self.waiting.remove(at);
+        } else if let Some(seq) = self.fetching.remove(&id) {
+            self.drop_hold(seq.hold);
+        } else if let Some(seq) = self.running.iter_mut().find(|s| s.work.id == id) {
+            seq.gone = true;
+        }
+        self.look(now);
+        if self.step.is_none() {
+            self.begin_step(now, out);
+        }
+    }
+
+    /// Lets a read state go; one that is on its way somewhere goes afterwards.
+    pub fn release(&mut self, now: Micros, id: WorkId, out: &mut Vec<Notice>) {
+        match self.states.get_mut(&id) {
+            Some(state) if state.moving > 0 => state.released = true,
+            Some(_) => self.free_state(id, FreedBy::Released, out),
+            None => {}
+        }
+        self.look(now);
+        if self.step.is_none() {
+            self.begin_step(now, out);
+        }
+    }
+
+    /// A transfer of a state to elsewhere begins; `false` if it does not wait here.
+    pub fn begin_move(&mut self, id: WorkId) -> bool {
+        match self.states.get_mut(&id).filter(|s| !s.released) {
+            Some(state) => {
+                state.moving += 1;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// A transfer of a state has ended, whole or not.
+    pub fn end_move(&mut self, now: Micros, id: WorkId, whole: bool, out: &mut Vec<Notice>) {
+        let Some(state) = self.states.get_mut(&id) else { return };
+        state.moving -= 1;
+        if state.moving == 0 && (whole || state.released) {
+            let by = if whole { FreedBy::Fetched } else { FreedBy::Released };
+            self.free_state(id, by, out);
+        }
+        self.look(now);
+        if self.step.is_none() {
+            self.begin_step(now, out);
+        }
+    }
+
+    /// The state that work wanted is here, or will not come.
+    pub fn arrived(&mut self, now: Micros, id: WorkId, how: Arrival, out: &mut Vec<Notice>) {
+        let Some(mut seq) = self.fetching.remove(&id) else { return };
+        if how == Arrival::Whole {
+            (seq.done, seq.here) = (seq.goal - 1, true);
+            self.keep(&mut seq);
+            self.running.push(seq);
+        } else {
+            self.drop_hold(seq.hold);
+            let missing = Notice::Refused(id, Refusal::NoState);
+            out.push(if how == Arrival::Missing { missing } else { Notice::Broken(id) });
+        }
+        self.look(now);
+        if self.step.is_none() {
+            self.begin_step(now, out);
+        }
+    }
+
+    /// When [`Engine::tick`] has something to do.
+    pub fn next_wake(&self) -> Option<Micros> {
+        let step = self.step.as_ref().map(|s| s.until);
+        let moving = |s: &&State| s.moving == 0;
+        let expiry = self.states.values().filter(moving).map(|s| s.since + self.spec.state_for).min();
+        [step, self.held_back, expiry].into_iter().flatten().min()
+    }
+
+    /// Does what has come due.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Notice>) {
+        let late = |s: &State| s.moving == 0 && now >= s.since + self.spec.state_for;
+        let late: Vec<WorkId> = self.states.iter().filter(|(_, s)| late(s)).map(|(id, _)| *id).collect();
+        late.into_iter().for_each(|id| self.free_state(id, FreedBy::Expired, out));
+        if self.step.as_ref().is_some_and(|s| s.until <= now) {
+            self.end_step(now, out);
+        }
+        if self.step.is_none() {
+            self.begin_step(now, out);
+        }
+    }
+
+    /// What it says of its load.
+    pub fn report(&mut self, now: Micros) -> Report {
+        let Engine { teller, spec, faults, rng, .. } = self;
+        teller.tell(&spec.telling, now, faults.reports, || rng.random_range(-1.0..=1.0))
+    }
+
+    /// Its load as it is.
+    pub fn load(&self) -> Report {
+        let unread = |s: &Seq| s.goal.saturating_sub(s.done) as f64;
+        let all = self.waiting.iter().chain(self.running.iter()).chain(self.fetching.values());
+        Report {
+            running: (self.running.len() + self.fetching.len()) as f64,
+            waiting: self.waiting.len() as f64,
+            memory: self.memory.held_share(),
+            backlog: all.map(unread).sum(),
+        }
+    }
+
+    /// What of its memory does not add up, if anything.
+    pub fn check(&self) -> Result<(), String> {
+        let work = self.waiting.iter().chain(&self.running).chain(self.fetching.values()).map(|s| &s.hold);
+        let holds = work.chain(self.states.values().map(|s| &s.hold));
+        let (own, kept) = holds.fold((0, 0), |(o, k), h| (o + h.own, k + h.kept.len() as u64));
+        self.memory.check(own, kept)?;
+        let short = |s: &Seq| s.hold.blocks() < self.blocks_for(s.done);
+        match self.running.iter().find(|s| short(s)) {
+            Some(seq) => Err(format!("work {} has more tokens done than blocks for them", seq.work.id)),
+            None => Ok(()),
+        }
+    }
+
+    // ---- steps ----
+
+    fn begin_step(&mut self, now: Micros, out: &mut Vec<Notice>) {
+        self.held_back = None;
+        if !self.up {
+            return;
+        }
+        if now < self.faults.paused_until {
+            self.held_back = (self.held() > 0).then_some(self.faults.paused_until);
+            return;
+        }
+        self.admit(out);
+        let Some(share) = self.plan(out) else { return };
+        let cost = &self.spec.cost;
+        let mut took = cost.step;
+        for (seq, tokens) in self.running.iter().zip(&share) {
+            if seq.writes() && *tokens == 1 {
+                took += cost.write_token + cost.context * seq.done as f64 / 1000.0;
+            } else {
+                took += cost.read_token * *tokens as f64;
+            }
+        }
+        let drawn = if self.faults.noisy > 0.0 { self.rng.random::<f64>() } else { 0.0 };
+        took *= self.faults.factor(now, drawn) / self.warmth.share(self.spec.cold.as_ref(), now).max(1e-3);
+        let took = (took.round() as u64).max(1);
+        self.busy += took;
+        self.step = Some(Step { until: now + took, share });
+        self.look(now);
+    }
+
+    /// Work from the queue joins the batch while slots and memory last, in the order in which it came.
+    fn admit(&mut self, out: &mut Vec<Notice>) {
+        while self.running.len() + self.fetching.len() < self.spec.slots {
+            let Some(front) = self.waiting.front() else { return };
+            let found = self.memory.found(&front.work.chain);
+            // The last token is read in any case: the answer begins with it.
+            let most = ((front.goal - 1) / self.spec.block_tokens) as usize;
+            let found = found.min(most);
+            let need = self.blocks_for(front.goal) - found as u64;
+            // What it would hold of the tree cannot be evicted for its other blocks.
+            let Some(mut seq) = self.waiting.pop_front() else { return };
+            let kept = seq.work.chain[..found].to_vec();
+            self.memory.hold(&kept);
+            if !self.memory.take(need) {
+                self.memory.let_go(&kept);
+                self.waiting.push_front(seq);
+                return;
+            }
+            seq.hold = Hold { kept, own: need };
+            seq.done = found as u64 * self.spec.block_tokens;
+            seq.found.get_or_insert(seq.done);
+            if seq.work.fetches.is_some() && !seq.here {
+                out.push(Notice::Wants(seq.work.id, seq.goal - seq.done));
+                self.fetching.insert(seq.work.id, seq);
+            } else {
+                self.running.push(seq);
+            }
+        }
+    }
+
+    /// The tokens that each piece of work gets done in the next step: one for each answer, then chunks
+    /// of prompts while the budget lasts. `None` if there is nothing to do.
+    fn plan(&mut self, out: &mut Vec<Notice>) -> Option<Vec<u64>> {
+        loop {
+            // An answer that has no block for its next token makes the newest one give way.
+            let lacks = self
+                .running
+                .iter()
+                .position(|s| s.done + 1 == s.goal && s.hold.blocks() < self.blocks_for(s.goal));
+            let Some(at) = lacks else { break };
+            if self.memory.take(1) {
+                self.running[at].hold.own += 1;
+                continue;
+            }
+            self.preempt(out);
+        }
+        let mut left = self.spec.budget.max(1);
+        let mut share = vec![0; self.running.len()];
+        for pass in [true, false] {
+            for (seq, tokens) in self.running.iter().zip(&mut share) {
+                if seq.writes() == pass && left > 0 {
+                    *tokens = (seq.goal - seq.done).min(left);
+                    left -= *tokens;
+                }
+            }
+        }
+        share.iter().any(|t| *t > 0).then_some(share)
+    }
+
+    /// The newest piece of work gives up its memory and begins anew, before all that wait.
+    fn preempt(&mut self, out: &mut Vec<Notice>) {
+        let Some(mut seq) = self.running.pop() else { return };
+        self.preempted += 1;
+        self.drop_hold(std::mem::take(&mut seq.hold));
+        if seq.gone {
+            return;
+        }
+        out.push(Notice::Preempted(seq.work.id));
+        seq.done = 0;
+        // Whatever is out need not be made again, but its state must be.
+        self.waiting.push_front(seq);
+    }
+
+    fn end_step(&mut self, now: Micros, out: &mut Vec<Notice>) {
+        let Some(step) = self.step.take() else { return };
+        let mut still = Vec::with_capacity(self.running.len());
+        for (at, mut seq) in std::mem::take(&mut self.running).into_iter().enumerate() {
+            let tokens = step.share.get(at).copied().unwrap_or(0);
+            if seq.gone {
+                self.drop_hold(seq.hold);
+                continue;
+            }
+            if seq.writes() {
+                self.written += tokens;
+            } else {
+                self.read += tokens;
+            }
+            seq.done += tokens;
+            self.keep(&mut seq);
+            if seq.done < seq.goal || tokens == 0 {
+                still.push(seq);
+                continue;
+            }
+            let id = seq.work.id;
+            if seq.work.reads_only {
+                out.push(Notice::Read(id, seq.found.unwrap_or(0)));
+                let state = State { hold: seq.hold, since: now, moving: 0, released: false };
+                self.states.insert(id, state);
+                continue;
+            }
+            seq.out += 1;
+            seq.goal += 1;
+            out.push(Notice::Token(id, seq.out));
+            if seq.out >= seq.work.answer {
+                out.push(Notice::Done(id, seq.found.unwrap_or(0)));
+                self.drop_hold(seq.hold);
+            } else {
+                still.push(seq);
+            }
+        }
+        self.running = still;
+        self.look(now);
+    }
+
+    /// Whole blocks of a prompt that are done join the tree.
+    fn keep(&mut self, seq: &mut Seq) {
+        let whole = (seq.done.min(seq.work.prompt) / self.spec.block_tokens) as usize;
+        for at in seq.hold.kept.len()..whole.min(seq.work.chain.len()) {
+            let hash = seq.work.chain[at];
+            self.memory.keep(hash, at.checked_sub(1).map(|p| seq.work.chain[p]));
+            seq.hold.kept.push(hash);
+            seq.hold.own -= 1;
+        }
+    }
+
+    // ---- memory ----
+
+    fn blocks_for(&self, tokens: u64) -> u64 {
+        tokens.div_ceil(self.spec.block_tokens)
+    }
+
+    fn drop_hold(&mut self, hold: Hold) {
+        self.memory.let_go(&hold.kept);
+        self.memory.give(hold.own);
+    }
+
+    fn free_state(&mut self, id: WorkId, by: FreedBy, out: &mut Vec<Notice>) {
+        let Some(state) = self.states.remove(&id) else { return };
+        if self.faults.leaks > 0.0 && self.rng.random::<f64>() < self.faults.leaks {
+            self.memory.let_go(&state.hold.kept);
+            self.memory.leak(state.hold.own);
+        } else {
+            self.drop_hold(state.hold);
+        }
+        out.push(Notice::Freed(id, by));
+    }
+
+    fn look(&mut self, now: Micros) {
+        let load = self.load();
+        self.teller.look(&self.spec.telling, now, load);
+    }
+}
--- /dev/null
+++ b/crates/pintally-emulator/src/fleet.rs
@@ -0,0 +1,328 @@
+//! Engines joined by links: read states move from one to the other.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::engine::{Arrival, Engine, Work, WorkId};
+use crate::links::{FlowId, LinkId, Links};
+use crate::notice::{Notice, Refusal};
+use crate::spec::{Spec, Wires};
+use crate::Micros;
+
+/// Where an engine stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// Its zone.
+    pub zone: u32,
+    /// Its rack; racks of two zones are two racks.
+    pub rack: u32,
+}
+
+/// A state on its way.
+#[derive(Clone, Debug)]
+struct Transfer {
+    work: WorkId,
+    state: WorkId,
+    from: usize,
+    to: usize,
+    /// It breaks off when what is left of it is done.
+    breaks: bool,
+}
+
+/// Engines, by number, and what joins them.
+pub struct Fleet {
+    engines: Vec<Engine>,
+    places: Vec<Place>,
+    wires: Wires,
+    links: Links,
+    ports: Vec<(LinkId, LinkId)>,
+    racks: BTreeMap<Place, (LinkId, LinkId)>,
+    zones: BTreeMap<(u32, u32), LinkId>,
+    /// From where the work that fetches is to have its state.
+    sources: BTreeMap<WorkId, (usize, WorkId)>,
+    transfers: BTreeMap<FlowId, Transfer>,
+    next_flow: FlowId,
+    /// When each engine has something to do.
+    wakes: BTreeSet<(Micros, usize)>,
+    wake_of: Vec<Option<Micros>>,
+    seed: u64,
+    rng: ChaCha8Rng,
+    notices: Vec<Notice>,
+}
+
+impl Fleet {
+    /// A fleet without engines.
+    pub fn new(wires: Wires, seed: u64) -> Fleet {
+        Fleet {
+            engines: Vec::new(),
+            places: Vec::new(),
+            wires,
+            links: Links::default(),
+            ports: Vec::new(),
+            racks: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            sources: BTreeMap::new(),
+            transfers: BTreeMap::new(),
+            next_flow: 0,
+            wakes: BTreeSet::new(),
+            wake_of: Vec::new(),
+            seed,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            notices: Vec::new(),
+        }
+    }
+
+    /// Adds an engine that runs and is warm; returns its number.
+    pub fn add(&mut self, spec: Spec, place: Place) -> usize {
+        let number = self.engines.len();
+        self.engines
+            .push(Engine::new(spec, self.seed ^ (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)));
+        self.places.push(place);
+        self.ports.push((self.links.add(self.wires.port), self.links.add(self.wires.port)));
+        if !self.racks.contains_key(&place) {
+            let pair = (self.links.add(self.wires.rack), self.links.add(self.wires.rack));
+            self.racks.insert(place, pair);
+        }
+        for other in 0..number {
+            let (a, b) = (self.places[other].zone, place.zone);
+            if a != b && !self.zones.contains_key(&(a.min(b), a.max(b))) {
+                let link = self.links.add(self.wires.zone);
+                self.zones.insert((a.min(b), a.max(b)), link);
+            }
+        }
+        self.wake_of.push(None);
+        number
+    }
+
+    /// An engine.
+    pub fn engine(&self, number: usize) -> &Engine {
+        &self.engines[number]
+    }
+
+    /// How many engines there are.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// States on their way.
+    pub fn moving(&self) -> usize {
+        self.transfers.len()
+    }
+
+    /// Changes what is wrong with an engine.
+    pub fn fault(&mut self, number: usize, change: impl FnOnce(&mut crate::Faults)) {
+        change(self.engines[number].faults());
+        self.rewake(number);
+    }
+
+    /// Makes a zone's links to all others so many times slower; infinity cuts it off.
+    pub fn slow_zone(&mut self, now: Micros, zone: u32, times: f64) {
+        let links: Vec<LinkId> =
+            self.zones.iter().filter(|((a, b), _)| *a == zone || *b == zone).map(|(_, l)| *l).collect();
+        links.into_iter().for_each(|l| self.links.set(now, l, self.wires.zone / times.max(1e-9)));
+    }
+
+    /// What an engine says of its load.
+    pub fn report(&mut self, now: Micros, number: usize) -> crate::Report {
+        self.engines[number].report(now)
+    }
+
+    /// Gives an engine work; work that fetches names the engine at which its state waits.
+    pub fn submit(
+        &mut self,
+        now: Micros,
+        number: usize,
+        work: Work,
+        source: Option<usize>,
+        out: &mut Vec<(usize, Notice)>,
+    ) {
+        if let (Some(state), Some(source)) = (work.fetches, source) {
+            self.sources.insert(work.id, (source, state));
+        }
+        self.with(now, number, out, |engine, notices| engine.submit(now, work, notices));
+    }
+
+    /// Nobody waits for work any more.
+    pub fn cancel(&mut self, now: Micros, number: usize, work: WorkId, out: &mut Vec<(usize, Notice)>) {
+        let flow = self.transfers.iter().find(|(_, t)| t.work == work && t.to == number).map(|(f, _)| *f);
+        if let Some(flow) = flow {
+            self.end_flow(now, flow, None, out);
+        }
+        self.sources.remove(&work);
+        self.with(now, number, out, |engine, notices| engine.cancel(now, work, notices));
+    }
+
+    /// Lets a read state go.
+    pub fn release(&mut self, now: Micros, number: usize, state: WorkId, out: &mut Vec<(usize, Notice)>) {
+        self.with(now, number, out, |engine, notices| engine.release(now, state, notices));
+    }
+
+    /// An engine dies; transfers from it and to it end with it.
+    pub fn crash(&mut self, now: Micros, number: usize, out: &mut Vec<(usize, Notice)>) {
+        self.with(now, number, out, |engine, notices| engine.crash(notices));
+    }
+
+    /// An engine starts after it died.
+    pub fn start(&mut self, now: Micros, number: usize) {
+        self.engines[number].start(now);
+        self.rewake(number);
+    }
+
+    /// An engine forgets what it keeps.
+    pub fn forget(&mut self, number: usize) {
+        self.engines[number].forget();
+    }
+
+    /// When [`Fleet::tick`] has something to do.
+    pub fn next_wake(&self) -> Option<Micros> {
+        let engines = self.wakes.first().map(|w| w.0);
+        [engines, self.links.next()].into_iter().flatten().min()
+    }
+
+    /// Does what has come due.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<(usize, Notice)>) {
+        loop {
+            for flow in self.links.finished(now) {
+                let whole = self.transfers.get(&flow).is_some_and(|t| !t.breaks);
+                self.end_flow(now, flow, Some(whole), out);
+            }
+            let Some((at, number)) = self.wakes.first().copied().filter(|w| w.0 <= now) else { return };
+            let _ = at;
+            self.with(now, number, out, |engine, notices| engine.tick(now, notices));
+            if self.wake_of[number].is_some_and(|w| w <= now) {
+                // An engine that wants to be woken for what it has just not done would spin.
+                self.set_wake(number, Some(now + 1));
+            }
+        }
+    }
+
+    /// What does not add up in any engine's memory.
+    pub fn check(&self) -> Result<(), String> {
+        self.engines
+            .iter()
+            .enumerate()
+            .try_for_each(|(n, e)| e.check().map_err(|w| format!("engine {n}: {w}")))
+    }
+
+    /// Hands an engine something and sees to what it says.
+    fn with(
+        &mut self,
+        now: Micros,
+        number: usize,
+        out: &mut Vec<(usize, Notice)>,
+        what: impl FnOnce(&mut Engine, &mut Vec<Notice>),
+    ) {
+        let was_up = self.engines[number].is_up();
+        let mut notices = std::mem::take(&mut self.notices);
+        what(&mut self.engines[number], &mut notices);
+        self.rewake(number);
+        let said: Vec<Notice> = std::mem::take(&mut notices);
+        self.notices = notices;
+        for notice in said {
+            match notice {
+                Notice::Wants(work, tokens) => self.begin_flow(now, number, work, tokens, out),
+                Notice::Refused(work, _) | Notice::Broken(work) => {
+                    self.sources.remove(&work);
+                    out.push((number, notice));
+                }
+                _ => out.push((number, notice)),
+            }
+        }
+        if was_up && !self.engines[number].is_up() {
+            let ended = self.transfers.iter().filter(|(_, t)| t.from == number || t.to == number);
+            for flow in ended.map(|(f, _)| *f).collect::<Vec<_>>() {
+                self.end_flow(now, flow, Some(false), out);
+            }
+        }
+    }
+
+    fn begin_flow(
+        &mut self,
+        now: Micros,
+        to: usize,
+        work: WorkId,
+        tokens: u64,
+        out: &mut Vec<(usize, Notice)>,
+    ) {
+        let source =
+            self.sources.remove(&work).filter(|(from, state)| self.engines[*from].begin_move(*state));
+        let Some((from, state)) = source else {
+            return self.with(now, to, out, |e, notices| e.arrived(now, work, Arrival::Missing, notices));
+        };
+        self.rewake(from);
+        let chance = self.engines[to].faults().breaks;
+        let breaks = chance > 0.0 && self.rng.random::<f64>() < chance;
+        let bytes = tokens as f64 * self.wires.token_bytes * if breaks { 0.5 } else { 1.0 };
+        let flow = self.next_flow;
+        self.next_flow += 1;
+        self.transfers.insert(flow, Transfer { work, state, from, to, breaks });
+        let path = self.path(from, to);
+        self.links.begin(now, flow, path, bytes);
+    }
+
+    /// A transfer is over: whole, broken off, or called off by who wanted it.
+    fn end_flow(&mut self, now: Micros, flow: FlowId, whole: Option<bool>, out: &mut Vec<(usize, Notice)>) {
+        let Some(t) = self.transfers.remove(&flow) else { return };
+        self.links.cancel(now, flow);
+        let done = whole == Some(true);
+        self.with(now, t.from, out, |e, notices| e.end_move(now, t.state, done, notices));
+        if let Some(whole) = whole {
+            let how = if whole { Arrival::Whole } else { Arrival::Broken };
+            self.with(now, t.to, out, |e, notices| e.arrived(now, t.work, how, notices));
+        }
+    }
+
+    fn path(&self, from: usize, to: usize) -> Vec<LinkId> {
+        if from == to {
+            return Vec::new();
+        }
+        let (a, b) = (self.places[from], self.places[to]);
+        let mut path = vec![self.ports[from].0, self.ports[to].1];
+        if a != b {
+            path.extend([self.racks[&a].0, self.racks[&b].1]);
+        }
+        if a.zone != b.zone {
+            path.extend(self.zones.get(&(a.zone.min(b.zone), a.zone.max(b.zone))));
+        }
+        path
+    }
+
+    fn rewake(&mut self, number: usize) {
+        let wake = self.engines[number].next_wake();
+        self.set_wake(number, wake);
+    }
+
+    fn set_wake(&mut self, number: usize, wake: Option<Micros>) {
+        if let Some(old) = self.wake_of[number] {
+            self.wakes.remove(&(old, number));
+        }
+        if let Some(at) = wake {
+            self.wakes.insert((at, number));
+        }
+        self.wake_of[number] = wake;
+    }
+}
+
+impl Notice {
+    /// Whether work ends with it.
+    pub fn ends(&self) -> Option<WorkId> {
+        match self {
+            Notice::Refused(id, _) | Notice::Read(id, _) | Notice::Done(id, _) | Notice::Broken(id) => {
+                Some(*id)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether work was turned away for want of room.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Notice::Refused(_, Refusal::Full))
+    }
+}
--- /dev/null
+++ b/crates/pintally-emulator/src/report.rs
@@ -0,0 +1,71 @@
+//! Load reports: late, rounded by noise, or wrong, as told.
+
+use std::collections::VecDeque;
+
+use crate::faults::Reports;
+use crate::spec::Telling;
+use crate::Micros;
+
+/// What an engine says of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests that run.
+    pub running: f64,
+    /// Requests that wait.
+    pub waiting: f64,
+    /// Share of memory that is held.
+    pub memory: f64,
+    /// Prompt tokens waiting to be read or fetched.
+    pub backlog: f64,
+}
+
+/// Looks at itself so often, and tells what it saw some time ago.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Teller {
+    seen: VecDeque<(Micros, Report)>,
+    told: Report,
+}
+
+impl Teller {
+    /// The state is this from now on.
+    pub(crate) fn look(&mut self, telling: &Telling, now: Micros, state: Report) {
+        // Between two looks only the last state counts.
+        let slot = |at: Micros| at / telling.every.max(1);
+        match self.seen.back_mut() {
+            Some(last) if slot(last.0) == slot(now) => *last = (now, state),
+            _ => self.seen.push_back((now, state)),
+        }
+        let by = slot(now.saturating_sub(telling.delay));
+        while self.seen.len() > 1 && slot(self.seen[1].0) < by {
+            self.seen.pop_front();
+        }
+    }
+
+    /// What it tells; `draw` is from -1 to 1, anew for each figure.
+    pub(crate) fn tell(
+        &mut self,
+        telling: &Telling,
+        now: Micros,
+        how: Reports,
+        mut draw: impl FnMut() -> f64,
+    ) -> Report {
+        let slot = |at: Micros| at / telling.every.max(1);
+        let by = slot(now.saturating_sub(telling.delay));
+        let old = self.seen.iter().rev().find(|(at, _)| slot(*at) < by);
+        let true_state = old.map_or(Report::default(), |(_, r)| *r);
+        match how {
+            Reports::Stale => return self.told,
+            Reports::Idle => return Report::default(),
+            Reports::Full => return Report { running: 1e3, waiting: 1e3, memory: 1.0, backlog: 1e6 },
+            Reports::Honest => {}
+        }
+        let mut off = |v: f64| if telling.noise > 0.0 { v * (1.0 + telling.noise * draw()) } else { v };
+        self.told = Report {
+            running: off(true_state.running),
+            waiting: off(true_state.waiting),
+            memory: off(true_state.memory).min(1.0),
+            backlog: off(true_state.backlog),
+        };
+        self.told
+    }
+}
--- /dev/null
+++ b/crates/pintally-emulator/tests/common/mod.rs
@@ -0,0 +1,121 @@
+//! Figures, chains and a clock for the tests.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use pintally_emulator::*;
+
+pub const BLOCK: u64 = 16;
+
+pub fn cost() -> Cost {
+    Cost { step: 4000.0, read_token: 50.0, write_token: 100.0, context: 20.0 }
+}
+
+pub fn spec(kind: Kind) -> Spec {
+    Spec {
+        kind,
+        slots: 8,
+        queue: 16,
+        blocks: 400,
+        block_tokens: BLOCK,
+        budget: 512,
+        cost: cost(),
+        cold: None,
+        state_for: 5_000_000,
+        telling: Telling { every: 100_000, delay: 50_000, noise: 0.0 },
+        dedup: 0,
+    }
+}
+
+pub fn wires() -> Wires {
+    Wires { port: 1000.0, rack: 4000.0, zone: 2000.0, token_bytes: 20_000.0 }
+}
+
+/// The chain of a prompt that begins with a text of its own.
+pub fn chain(text: u64, tokens: u64) -> Vec<Hash> {
+    (0..tokens / BLOCK).map(|b| text << 32 | b).collect()
+}
+
+pub fn read(id: WorkId, text: u64, prompt: u64) -> Work {
+    Work { id, reads_only: true, fetches: None, chain: chain(text, prompt), prompt, answer: 0, key: None }
+}
+
+pub fn fetch(id: WorkId, state: WorkId, text: u64, prompt: u64, answer: u64) -> Work {
+    Work {
+        id,
+        reads_only: false,
+        fetches: Some(state),
+        chain: chain(text, prompt),
+        prompt,
+        answer,
+        key: None,
+    }
+}
+
+pub fn both(id: WorkId, text: u64, prompt: u64, answer: u64) -> Work {
+    Work { id, reads_only: false, fetches: None, chain: chain(text, prompt), prompt, answer, key: None }
+}
+
+/// A fleet with its clock and all that it has said.
+pub struct World {
+    pub fleet: Fleet,
+    pub now: Micros,
+    pub said: Vec<(Micros, usize, Notice)>,
+}
+
+impl World {
+    pub fn new(specs: &[Spec], seed: u64) -> World {
+        let mut fleet = Fleet::new(wires(), seed);
+        for (n, spec) in specs.iter().enumerate() {
+            fleet.add(spec.clone(), Place { zone: n as u32 % 2, rack: n as u32 % 3 });
+        }
+        World { fleet, now: 0, said: Vec::new() }
+    }
+
+    fn note(&mut self, out: Vec<(usize, Notice)>) {
+        self.said.extend(out.into_iter().map(|(n, notice)| (self.now, n, notice)));
+        self.fleet.check().unwrap();
+    }
+
+    pub fn submit(&mut self, engine: usize, work: Work, source: Option<usize>) {
+        let mut out = Vec::new();
+        self.fleet.submit(self.now, engine, work, source, &mut out);
+        self.note(out);
+    }
+
+    pub fn act(&mut self, f: impl FnOnce(&mut Fleet, Micros, &mut Vec<(usize, Notice)>)) {
+        let mut out = Vec::new();
+        f(&mut self.fleet, self.now, &mut out);
+        self.note(out);
+    }
+
+    /// Plays all that is due until a time.
+    pub fn until(&mut self, end: Micros) {
+        while let Some(at) = self.fleet.next_wake().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.act(|fleet, now, out| fleet.tick(now, out));
+        }
+        self.now = end;
+    }
+
+    /// The time of the first notice that fits.
+    pub fn at(&self, fits: impl Fn(&Notice) -> bool) -> Option<Micros> {
+        self.said.iter().find(|(.., n)| fits(n)).map(|s| s.0)
+    }
+
+    /// How each piece of work ended, and how often.
+    pub fn ends(&self) -> BTreeMap<WorkId, Vec<Notice>> {
+        let mut ends: BTreeMap<WorkId, Vec<Notice>> = BTreeMap::new();
+        for (.., notice) in &self.said {
+            if let Some(id) = notice.ends() {
+                ends.entry(id).or_default().push(*notice);
+            }
+        }
+        ends
+    }
+
+    /// The record as text.
+    pub fn record(&self) -> String {
+        self.said.iter().map(|(at, n, notice)| format!("{at} {n} {notice:?}\n")).collect()
+    }
+}
--- a/crates/pintally-measure/src/lib.rs
+++ b/crates/pintally-measure/src/lib.rs
@@ -6,6 +6,7 @@
 //! sent, so that a stall hides nothing.
 
 mod added;
+mod emulator;
 mod flood;
 mod load;
 mod moves;
@@ -17,6 +18,7 @@
 mod worth;
 
 pub use added::{added_latency, deciding, saturation, Added, Deciding, Saturation};
+pub use emulator::{emulated, Emulated};
 pub use flood::{flood, Flood, Interval};
 pub use moves::{moves, Moves, Part};
 pub use plans::{plans, Plans};
--- a/crates/pintally-measure/src/moves.rs
+++ b/crates/pintally-measure/src/moves.rs
@@ -118,8 +118,7 @@
             heard[arm].push(requests(&arms[arm].1, &result));
         }
     }
-    let whens =
-        [("before", from, begin), ("during", begin, settled), ("after", settled, day.length * 2)];
+    let whens = [("before", from, begin), ("during", begin, settled), ("after", settled, day.length * 2)];
     let mut parts = Vec::new();
     for (who, tenants) in &people {
         for (when, from, to) in whens {
