--- a/crates/pintally-emulator/src/engine.rs
+++ b/crates/pintally-emulator/src/engine.rs
@@ -209,9 +209,11 @@
         self.teller = Teller::default();
     }
 
-    /// Starts after a crash, cold if its figures say so.
-    pub fn start(&mut self, now: Micros) {
-        if !std::mem::replace(&mut self.up, true) {
+    /// Runs from here on: cold, as its figures say, or warm.
+    pub fn start(&mut self, now: Micros, cold: bool) {
+        self.up = true;
+        self.warmth = Warmth::default();
+        if cold {
             self.warmth.start(now);
         }
     }
@@ -345,6 +347,7 @@
         if how == Arrival::Whole {
             (seq.done, seq.here) = (seq.goal - 1, true);
             self.keep(&mut seq);
+            out.push(Notice::Began(id));
             self.running.push(seq);
         } else {
             self.drop_hold(seq.hold);
@@ -459,11 +462,15 @@
             }
             seq.hold = Hold { kept, own: need };
             seq.done = found as u64 * self.spec.block_tokens;
+            let first = seq.found.is_none();
             seq.found.get_or_insert(seq.done);
             if seq.work.fetches.is_some() && !seq.here {
                 out.push(Notice::Wants(seq.work.id, seq.goal - seq.done));
                 self.fetching.insert(seq.work.id, seq);
             } else {
+                if first && !seq.work.reads_only {
+                    out.push(Notice::Began(seq.work.id));
+                }
                 self.running.push(seq);
             }
         }
--- a/crates/pintally-emulator/src/fleet.rs
+++ b/crates/pintally-emulator/src/fleet.rs
@@ -76,11 +76,11 @@
 
     /// Adds an engine that runs and is warm; returns its number.
     pub fn add(&mut self, spec: Spec, place: Place) -> usize {
-        let number = self.engines.len();
+        let (number, port) = (self.engines.len(), spec.port);
         self.engines
             .push(Engine::new(spec, self.seed ^ (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)));
         self.places.push(place);
-        self.ports.push((self.links.add(self.wires.port), self.links.add(self.wires.port)));
+        self.ports.push((self.links.add(port), self.links.add(port)));
         if !self.racks.contains_key(&place) {
             let pair = (self.links.add(self.wires.rack), self.links.add(self.wires.rack));
             self.racks.insert(place, pair);
@@ -129,6 +129,13 @@
         links.into_iter().for_each(|l| self.links.set(now, l, self.wires.zone / times.max(1e-9)));
     }
 
+    /// Makes an engine's port so many times slower.
+    pub fn slow_port(&mut self, now: Micros, number: usize, times: f64) {
+        let (out, into) = self.ports[number];
+        let capacity = self.engines[number].spec().port / times.max(1e-9);
+        [out, into].into_iter().for_each(|l| self.links.set(now, l, capacity));
+    }
+
     /// What an engine says of its load.
     pub fn report(&mut self, now: Micros, number: usize) -> crate::Report {
         self.engines[number].report(now)
@@ -169,9 +176,9 @@
         self.with(now, number, out, |engine, notices| engine.crash(notices));
     }
 
-    /// An engine starts after it died.
-    pub fn start(&mut self, now: Micros, number: usize) {
-        self.engines[number].start(now);
+    /// An engine runs from here on, cold or warm.
+    pub fn start(&mut self, now: Micros, number: usize, cold: bool) {
+        self.engines[number].start(now, cold);
         self.rewake(number);
     }
 
--- a/crates/pintally-emulator/src/notice.rs
+++ b/crates/pintally-emulator/src/notice.rs
@@ -35,6 +35,8 @@
 pub enum Notice {
     /// It was turned away.
     Refused(WorkId, Refusal),
+    /// Its answer is being made from here on.
+    Began(WorkId),
     /// So many of its answer's tokens are out.
     Token(WorkId, u64),
     /// Its prompt is read and the state waits; so many tokens were found kept.
--- a/crates/pintally-emulator/src/spec.rs
+++ b/crates/pintally-emulator/src/spec.rs
@@ -53,8 +53,6 @@
 /// Bandwidth, in bytes a microsecond, and what a token's state weighs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Wires {
-    /// Of an engine's port, each way.
-    pub port: f64,
     /// Of all that leaves or enters a rack.
     pub rack: f64,
     /// Of all between two zones.
@@ -86,6 +84,8 @@
     pub state_for: Micros,
     /// How it tells its load.
     pub telling: Telling,
+    /// Bandwidth of its port, each way, in bytes a microsecond.
+    pub port: f64,
     /// Repeats of a keyed request are dropped within this time; never if 0.
     pub dedup: Micros,
 }
--- a/crates/pintally-emulator/tests/common/mod.rs
+++ b/crates/pintally-emulator/tests/common/mod.rs
@@ -23,12 +23,13 @@
         cold: None,
         state_for: 5_000_000,
         telling: Telling { every: 100_000, delay: 50_000, noise: 0.0 },
+        port: 1000.0,
         dedup: 0,
     }
 }
 
 pub fn wires() -> Wires {
-    Wires { port: 1000.0, rack: 4000.0, zone: 2000.0, token_bytes: 20_000.0 }
+    Wires { rack: 4000.0, zone: 2000.0, token_bytes: 20_000.0 }
 }
 
 /// The chain of a prompt that begins with a text of its own.
--- a/crates/pintally-emulator/tests/engines.rs
+++ b/crates/pintally-emulator/tests/engines.rs
@@ -116,7 +116,7 @@
     let play = |reads: u64| {
         let mut w = World::new(std::slice::from_ref(&fresh), 1);
         w.act(|f, now, out| f.crash(now, 0, out));
-        w.act(|f, now, _| f.start(now, 0));
+        w.act(|f, now, _| f.start(now, 0, true));
         (0..reads).for_each(|n| w.submit(0, read(n, n + 1, 1600), None));
         w.until(20_000_000);
         w
@@ -308,7 +308,7 @@
                     }
                     9 => {
                         w.act(|f, now, out| f.crash(now, at, out));
-                        w.act(|f, now, _| f.start(now, at));
+                        w.act(|f, now, _| f.start(now, at, true));
                     }
                     10 => w.act(|f, now, out| f.release(now, at, id.saturating_sub(2), out)),
                     _ => {
--- a/crates/pintally-emulator/tests/theory.rs
+++ b/crates/pintally-emulator/tests/theory.rs
@@ -65,7 +65,7 @@
                     times += (now - arrived[id as usize]) as f64;
                     done += 1;
                 }
-                Notice::Token(..) => {}
+                Notice::Token(..) | Notice::Began(_) => {}
                 other => panic!("{other:?}"),
             }
         }
--- a/crates/pintally-measure/src/emulator.rs
+++ b/crates/pintally-measure/src/emulator.rs
@@ -52,6 +52,7 @@
         cold: None,
         state_for: 10_000_000,
         telling: Telling { every: 100_000, delay: 100_000, noise: 0.05 },
+        port: 12_000.0,
         dedup: 0,
     }
 }
@@ -59,7 +60,7 @@
 /// Readers and writers drawn at random: this measures the emulator, not a policy. Returns tokens read
 /// and written, requests that came, and those that were answered whole.
 fn run(engines: usize, per_second: f64, span: Duration, seed: u64) -> (u64, u64, u64) {
-    let wires = Wires { port: 12_000.0, rack: 50_000.0, zone: 100_000.0, token_bytes: 100_000.0 };
+    let wires = Wires { rack: 50_000.0, zone: 100_000.0, token_bytes: 100_000.0 };
     let mut fleet = Fleet::new(wires, seed);
     let readers = (engines / 3).max(1);
     for n in 0..engines.max(2) {
--- a/crates/pintally-standin/src/engine.rs
+++ b/crates/pintally-standin/src/engine.rs
@@ -1,19 +1,26 @@
 //! One engine: its state under a lock, its life and death, and the thread that accepts.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use pintally_audit::{FreedBy, What};
+use pintally_audit::What;
+use pintally_emulator as emulator;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 
+use crate::clock::Clock;
 use crate::fleet::lock;
-use crate::kept::Kept;
 use crate::{serve, EngineSpec, Faults, Fleet, Port, Recorder, Reports, Role};
 
+/// Tokens in a block of memory.
+pub(crate) const BLOCK: u64 = 16;
+/// Tokens of prompts that one step may read.
+const CHUNK: u64 = 512;
+/// Microseconds of a step at an engine that only reads, besides its tokens.
+const READ_STEP: f64 = 100.0;
 /// How often threads that wait look whether the engine still lives.
 pub(crate) const SLICE: Duration = Duration::from_millis(20);
 
@@ -27,16 +34,13 @@
     _port: Port,
     pub(crate) fleet: Weak<Fleet>,
     pub(crate) recorder: Recorder,
+    /// Carries the emulated engine, which has this number.
+    pub(crate) clock: Arc<Clock>,
+    pub(crate) number: usize,
     state: Mutex<State>,
     pub(crate) changed: Condvar,
 }
 
-/// A read state that waits.
-pub(crate) struct ReadState {
-    pub(crate) tokens: u64,
-    pub(crate) since: Instant,
-}
-
 pub(crate) struct State {
     pub(crate) up: bool,
     /// Grows with each start and each end.
@@ -45,25 +49,17 @@
     pub(crate) started: Option<Instant>,
     pub(crate) faults: Faults,
     pub(crate) deaf: bool,
-    /// When the last read that has been taken on will be done.
-    pub(crate) read_until: Option<Instant>,
-    pub(crate) reading: usize,
-    /// Prompt tokens taken on and not yet read.
-    pub(crate) unread: u64,
-    pub(crate) streams: usize,
-    pub(crate) waiting: VecDeque<u64>,
-    pub(crate) serial: u64,
-    /// Tokens held by states and running answers.
-    pub(crate) memory: u64,
-    pub(crate) kept: Kept,
-    pub(crate) states: HashMap<String, ReadState>,
-    pub(crate) report: Option<(Instant, [f64; 4])>,
     /// What came in while cold, in seconds of full capacity, and from whom.
     sent: VecDeque<(Instant, f64, String)>,
 }
 
 impl Engine {
-    pub(crate) fn new(fleet: Weak<Fleet>, spec: EngineSpec, recorder: Recorder) -> io::Result<Arc<Engine>> {
+    pub(crate) fn new(
+        fleet: Weak<Fleet>,
+        spec: EngineSpec,
+        recorder: Recorder,
+        (clock, number): (Arc<Clock>, usize),
+    ) -> io::Result<Arc<Engine>> {
         let port = Port::hold()?;
         let address = port.address()?;
         let state = State {
@@ -72,20 +68,10 @@
             started: None,
             faults: Faults::default(),
             deaf: false,
-            read_until: None,
-            reading: 0,
-            unread: 0,
-            streams: 0,
-            waiting: VecDeque::new(),
-            serial: 0,
-            memory: 0,
-            kept: Kept::default(),
-            states: HashMap::new(),
-            report: None,
             sent: VecDeque::new(),
         };
         let (state, changed) = (Mutex::new(state), Condvar::new());
-        Ok(Arc::new(Engine { spec, address, _port: port, fleet, recorder, state, changed }))
+        Ok(Arc::new(Engine { spec, address, _port: port, fleet, recorder, clock, number, state, changed }))
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
@@ -112,6 +98,7 @@
         state.life += 1;
         state.started = cold.then(Instant::now);
         state.sent.clear();
+        self.clock.act(|fleet, now, _| fleet.start(now, self.number, cold));
         let (own, life) = (self.clone(), state.life);
         drop(state);
         if cold {
@@ -128,19 +115,8 @@
         let mut state = self.lock();
         state.up = false;
         state.life += 1;
-        state.read_until = None;
-        state.reading = 0;
-        state.unread = 0;
-        state.streams = 0;
-        state.waiting.clear();
-        state.memory = 0;
-        state.kept.clear();
-        state.report = None;
-        let states: Vec<String> = state.states.drain().map(|(name, _)| name).collect();
         drop(state);
-        for state in states {
-            self.freed(state, FreedBy::Died);
-        }
+        self.clock.act(|fleet, now, said| fleet.crash(now, self.number, said));
         self.changed.notify_all();
     }
 
@@ -151,19 +127,34 @@
 
     /// Changes what is wrong with it.
     pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
-        change(&mut self.lock().faults);
+        let faults = {
+            let mut state = self.lock();
+            change(&mut state.faults);
+            state.faults.clone()
+        };
+        self.clock.act(|fleet, now, _| {
+            fleet.slow_port(now, self.number, faults.links);
+            fleet.fault(self.number, |f| {
+                f.slow = faults.slow;
+                f.reports = match faults.reports {
+                    Reports::Honest => emulator::Reports::Honest,
+                    Reports::Stale => emulator::Reports::Stale,
+                    Reports::Lying => emulator::Reports::Idle,
+                };
+            });
+        });
         self.changed.notify_all();
         self.note_deafness();
     }
 
     /// Forgets all kept texts; read states stay.
     pub fn forget(&self) {
-        self.lock().kept.clear();
+        self.clock.act(|fleet, _, _| fleet.forget(self.number));
     }
 
     /// How many read states wait here.
     pub fn states(&self) -> usize {
-        self.lock().states.len()
+        self.clock.act(|fleet, _, _| fleet.engine(self.number).states())
     }
 
     /// Notes whether it hears, if that has changed.
@@ -178,10 +169,6 @@
         }
     }
 
-    pub(crate) fn freed(&self, state: String, by: FreedBy) {
-        self.recorder.note(What::Freed { engine: self.spec.id.clone(), state, by });
-    }
-
     /// The share of its capacity that it has now.
     pub(crate) fn share(&self, state: &State) -> f64 {
         let Some(started) = state.started else { return 1.0 };
@@ -220,46 +207,11 @@
 
     /// Running, waiting, memory share and thousands of tokens to be read, as it reports them.
     pub(crate) fn report(&self) -> [f64; 4] {
-        let mut state = self.lock();
-        let waiting = state.waiting.len() + state.reading.saturating_sub(self.spec.slots);
-        let running = state.streams + state.reading.min(self.spec.slots);
-        let memory = state.memory as f64 / self.spec.memory_tokens.max(1) as f64;
-        let fresh = [running as f64, waiting as f64, memory, state.unread as f64 / 1000.0];
-        let now = Instant::now();
-        match (state.faults.reports, state.report) {
-            (Reports::Lying, _) => [0.0; 4],
-            (Reports::Stale, Some((_, old))) => old,
-            (_, Some((at, old))) if now < at + self.spec.report_every => old,
-            _ => {
-                state.report = Some((now, fresh));
-                fresh
-            }
-        }
-    }
-
-    /// Drops read states that nobody has fetched for too long.
-    fn expire(&self) {
-        let mut state = self.lock();
-        let now = Instant::now();
-        let late: Vec<String> = state
-            .states
-            .iter()
-            .filter(|(_, s)| now > s.since + self.spec.state_for)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in &late {
-            if let Some(old) = state.states.remove(name) {
-                state.memory = state.memory.saturating_sub(old.tokens);
-            }
-        }
-        drop(state);
-        for name in late {
-            self.freed(name, FreedBy::Expired);
-        }
+        let report = self.clock.act(|fleet, now, _| fleet.report(now, self.number));
+        [report.running, report.waiting, report.memory, report.backlog / 1000.0]
     }
 
     fn accept(self: &Arc<Self>, listener: &TcpListener, life: u64) {
-        let mut next_expiry = Instant::now();
         loop {
             let slice = Timespec { tv_sec: 0, tv_nsec: SLICE.as_nanos() as i64 };
             let _ = poll(&mut [PollFd::new(listener, PollFlags::IN)], Some(&slice));
@@ -270,10 +222,6 @@
                 }
                 state.faults.connect_delay
             };
-            if Instant::now() >= next_expiry {
-                next_expiry = Instant::now() + Duration::from_millis(200);
-                self.expire();
-            }
             while let Ok((stream, peer)) = listener.accept() {
                 let own = self.clone();
                 let run = move || {
@@ -285,15 +233,39 @@
             }
         }
     }
+}
 
-    /// Whether it writes answers.
-    pub(crate) fn writes(&self) -> bool {
-        self.spec.role != Role::Reader
-    }
-
-    /// Whether it reads prompts.
-    pub(crate) fn reads(&self) -> bool {
-        self.spec.role != Role::Writer
+/// The emulated engine's figures.
+pub(crate) fn emulated(spec: &EngineSpec) -> emulator::Spec {
+    let micros = |d: Duration| d.as_micros() as u64;
+    emulator::Spec {
+        kind: match spec.role {
+            Role::Reader => emulator::Kind::Reader,
+            Role::Writer => emulator::Kind::Writer,
+            Role::Mixed => emulator::Kind::Mixed,
+        },
+        slots: spec.slots.max(1),
+        queue: spec.queue,
+        blocks: (spec.memory_tokens / BLOCK).max(1),
+        block_tokens: BLOCK,
+        budget: CHUNK + spec.slots as u64,
+        cost: emulator::Cost {
+            step: if spec.role == Role::Reader { READ_STEP } else { spec.token_gap.as_secs_f64() * 1e6 },
+            read_token: 1e6 / spec.read_per_s.max(1e-9),
+            write_token: 0.0,
+            context: 0.0,
+        },
+        cold: Some(emulator::Cold {
+            from: spec.cold_from,
+            warm_after: micros(spec.warm_after),
+            // Falling over is judged here, where it is known which node sent what.
+            tip_multiple: f64::INFINITY,
+            tip_window: micros(spec.tip_window),
+        }),
+        state_for: micros(spec.state_for),
+        telling: emulator::Telling { every: micros(spec.report_every), delay: 0, noise: 0.0 },
+        port: spec.link_per_s / 1e6,
+        dedup: 0,
     }
 }
 
--- a/crates/pintally-standin/src/fleet.rs
+++ b/crates/pintally-standin/src/fleet.rs
@@ -9,6 +9,10 @@
 
 use pintally_audit::{Record, What, LATE_HOPS, LATE_MOST};
 
+use pintally_emulator::{Place, Wires};
+
+use crate::clock::Clock;
+use crate::engine::emulated;
 use crate::{Engine, EngineSpec};
 
 /// How often the machine's lateness is looked at; less than this does not count.
@@ -16,6 +20,9 @@
 /// For so long a lateness is remembered for clients that wait.
 const LATE_FOR: Duration = Duration::from_secs(3);
 
+/// What joins racks and zones: states weigh one a token, so these are tokens a microsecond.
+const WIRES: Wires = Wires { rack: 2.0, zone: 1.0, token_bytes: 1.0 };
+
 /// A record in the making.
 #[derive(Clone)]
 pub struct Recorder {
@@ -125,6 +132,9 @@
 pub struct Fleet {
     /// Where everything is noted.
     pub recorder: Recorder,
+    clock: Arc<Clock>,
+    /// Zones, by the numbers that the emulator knows them by.
+    zones: Mutex<Vec<String>>,
     engines: RwLock<BTreeMap<String, Arc<Engine>>>,
     /// Names and zones of nodes by the address from which they connect.
     nodes: RwLock<BTreeMap<IpAddr, (String, String)>>,
@@ -136,6 +146,8 @@
     /// A fleet without engines.
     pub fn new(recorder: Recorder) -> Arc<Fleet> {
         Arc::new(Fleet {
+            clock: Clock::start(WIRES, 1, recorder.clone()),
+            zones: Mutex::default(),
             recorder,
             engines: RwLock::default(),
             nodes: RwLock::default(),
@@ -145,7 +157,10 @@
 
     /// Adds an engine that listens at once; `cold` if it begins as one that has just started.
     pub fn add(self: &Arc<Self>, spec: EngineSpec, cold: bool) -> std::io::Result<Arc<Engine>> {
-        let engine = Engine::new(Arc::downgrade(self), spec, self.recorder.clone())?;
+        let place = Place { zone: self.zone(&spec.zone), rack: spec.rack as u32 };
+        let number = self.clock.add(emulated(&spec), place);
+        let emulated = (self.clock.clone(), number);
+        let engine = Engine::new(Arc::downgrade(self), spec, self.recorder.clone(), emulated)?;
         self.engines
             .write()
             .unwrap_or_else(|e| e.into_inner())
@@ -154,6 +169,16 @@
         Ok(engine)
     }
 
+    /// The number of a zone.
+    fn zone(&self, name: &str) -> u32 {
+        let mut zones = lock(&self.zones);
+        let at = zones.iter().position(|z| z == name).unwrap_or_else(|| {
+            zones.push(name.to_string());
+            zones.len() - 1
+        });
+        at as u32
+    }
+
     /// An engine by its id.
     pub fn engine(&self, id: &str) -> Option<Arc<Engine>> {
         self.engines.read().unwrap_or_else(|e| e.into_inner()).get(id).cloned()
@@ -185,6 +210,9 @@
             zones.remove(zone)
         };
         drop(zones);
+        let number = self.zone(zone);
+        let times = if cut { f64::INFINITY } else { 1.0 };
+        self.clock.act(|fleet, now, _| fleet.slow_zone(now, number, times));
         self.engines().iter().for_each(|e| e.note_deafness());
     }
 
@@ -202,6 +230,7 @@
     /// Ends all engines and their threads.
     pub fn shut_down(&self) {
         self.engines().iter().for_each(|e| e.crash());
+        self.clock.end();
     }
 }
 
--- a/crates/pintally-standin/src/lib.rs
+++ b/crates/pintally-standin/src/lib.rs
@@ -1,14 +1,16 @@
-//! Small stand-in engines on loopback: readers, writers and mixed ones that speak the completion
-//! interface, with faults by script, and a record of all that comes to them.
+//! Emulated engines behind sockets on loopback: readers, writers and mixed ones that speak the
+//! completion interface, with faults by script, and a record of all that comes to them.
 //!
-//! They are simulated servers: their speeds are settings, not measurements of any real engine.
+//! What an engine does with its work is `pintally-emulator`'s; here are its connections, and the faults
+//! of those. They are simulated servers: their speeds are settings, not measurements of any real engine.
 
+mod clock;
 mod engine;
 mod fleet;
-mod kept;
 mod port;
 mod serve;
 mod spec;
+mod text;
 
 pub use engine::Engine;
 pub use fleet::{Fleet, Recorder};
--- a/crates/pintally-standin/src/serve.rs
+++ b/crates/pintally-standin/src/serve.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use pintally_audit::{FreedBy, Step, What};
+use pintally_audit::{Step, What};
+use pintally_emulator::{self as emulator, Notice, Refusal};
 use pintally_engine::{extension, LOAD_HEADER};
 use pintally_http::{chunk, response, response_head, sse_event, Request, RequestReader, LAST_CHUNK};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -13,8 +14,9 @@
 use serde_json::{json, Value};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::engine::{Engine, ReadState, SLICE};
-use crate::kept::{blocks, tokens};
+use crate::clock::Told;
+use crate::engine::{Engine, SLICE};
+use crate::text::{blocks, tokens};
 
 /// Tokens that go out at once in a stream.
 const CHUNK: u64 = 4;
@@ -146,7 +148,7 @@
                 let engine = self.engine.spec.id.clone();
                 self.engine.recorder.note(What::ReleaseSeen { engine, state: name.clone() });
                 self.hear()?;
-                self.let_go(&name, FreedBy::Released);
+                self.engine.clock.release(self.engine.number, &name);
                 self.write(&response(200, &[("content-type", "application/json")], b"{}"))
             }
             ("GET", "/metrics") => {
@@ -166,15 +168,6 @@
         }
     }
 
-    fn let_go(&self, name: &str, by: FreedBy) {
-        let mut state = self.engine.lock();
-        let Some(old) = state.states.remove(name) else { return };
-        state.memory = state.memory.saturating_sub(old.tokens);
-        drop(state);
-        self.engine.freed(name.to_string(), by);
-        self.engine.changed.notify_all();
-    }
-
     fn load(&self) -> String {
         let [running, waiting, memory, backlog] = self.engine.report();
         let named = json!({
@@ -215,10 +208,9 @@
         let spec = &self.engine.spec;
         let gap = spec.token_gap.as_secs_f64();
         let answers = answer_tokens(work);
-        let unread = {
-            let state = self.engine.lock();
-            tokens(&work.prompt).saturating_sub(state.kept.found(&blocks(&work.prompt)))
-        };
+        let whole = self.emulated(work, answers);
+        let kept = self.engine.clock.act(|fleet, _, _| fleet.engine(self.engine.number).kept(&whole));
+        let unread = whole.prompt.saturating_sub(kept);
         let read_cost = unread as f64 / spec.read_per_s;
         let write_cost = answers as f64 * gap / spec.slots.max(1) as f64;
         let cost = match work.step {
@@ -234,10 +226,6 @@
             let state = self.engine.lock();
             state.faults.full_for.is_some() && state.faults.full_for == work.tenant
         };
-        let able = if work.step == Step::Fetch { self.engine.writes() } else { self.engine.reads() };
-        if !able {
-            return self.turn_away(work, 409, extension::NO_STATE);
-        }
         if tenant_full {
             return self.turn_away(work, 429, "full");
         }
@@ -245,10 +233,92 @@
         if let Some(after) = fails {
             return self.fail(Instant::now() + after);
         }
-        match work.step {
-            Step::Read => self.read(work),
-            Step::Fetch | Step::Both => self.write_answer(work, answers),
+        self.carry(work, whole, answers)
+    }
+
+    /// A piece of work as the emulator takes it.
+    fn emulated(&self, work: &Work, answers: u64) -> emulator::Work {
+        emulator::Work {
+            id: 0,
+            reads_only: work.step == Step::Read,
+            fetches: None,
+            chain: blocks(&work.prompt),
+            prompt: tokens(&work.prompt).max(1),
+            answer: if work.step == Step::Read { 0 } else { answers },
+            key: None,
+        }
+    }
+
+    /// Hands work to the emulator and passes on what comes of it.
+    fn carry(&mut self, work: &Work, whole: emulator::Work, answers: u64) -> Result<(), Gone> {
+        let told = Told {
+            engine: self.engine.spec.id.clone(),
+            node: self.node.clone(),
+            request: work.key.clone(),
+            attempt: work.attempt.clone(),
+        };
+        let (clock, number) = (&self.engine.clock, self.engine.number);
+        let source = match &work.source {
+            _ if work.step != Step::Fetch => None,
+            None => return self.turn_away(work, 409, extension::NO_STATE),
+            Some((engine, name)) => {
+                let other = self.engine.fleet.upgrade().and_then(|f| f.engine(engine));
+                match other {
+                    Some(other) => Some((other.number, name.as_str())),
+                    None => return self.turn_away(work, 409, extension::NO_STATE),
+                }
+            }
+        };
+        let Some((id, mail)) = clock.submit(number, told, whole, source) else {
+            return self.turn_away(work, 409, extension::NO_STATE);
+        };
+        let clock = clock.clone();
+        let mut answer = Answer { sent: 0, made: 0, of: answers };
+        let done = loop {
+            match mail.recv_timeout(SLICE) {
+                Ok(notice) => match self.heard(work, &mut answer, notice) {
+                    Ok(false) => {}
+                    Ok(true) => break Ok(()),
+                    Err(Gone) => break Err(Gone),
+                },
+                // A running answer notices a client that is gone when it writes.
+                Err(_) if !self.lives() || (answer.sent == 0 && self.left()) => break Err(Gone),
+                Err(_) => {}
+            }
+        };
+        if done.is_err() {
+            clock.cancel(number, id);
         }
+        done
+    }
+
+    /// Passes one notice on; whether it was the last.
+    fn heard(&mut self, work: &Work, answer: &mut Answer, notice: Notice) -> Result<bool, Gone> {
+        match notice {
+            Notice::Refused(_, Refusal::Full | Refusal::TooLong) => self.turn_away(work, 429, "full")?,
+            Notice::Refused(_, Refusal::NoState | Refusal::Repeat) => {
+                self.turn_away(work, 409, extension::NO_STATE)?
+            }
+            Notice::Refused(_, Refusal::Down) => return Err(Gone),
+            // The engine died, or its state broke off on the way: then nothing was run of it.
+            Notice::Broken(_) if !self.lives() => return Err(Gone),
+            Notice::Broken(_) => self.turn_away(work, 409, extension::NO_STATE)?,
+            Notice::Read(_, kept) => self.read_done(work, kept)?,
+            Notice::Token(_, made) => {
+                answer.made = made;
+                let group = if answer.sent == 0 { 1 } else { CHUNK };
+                if made - answer.sent >= group {
+                    self.stream(answer)?;
+                }
+                return Ok(false);
+            }
+            Notice::Done(_, kept) => {
+                self.stream(answer)?;
+                self.stream_end(work, answer.of, kept)?;
+            }
+            _ => return Ok(false),
+        }
+        Ok(true)
     }
 
     /// Ends with an error once a time has come: nobody can tell whether anything was done.
@@ -271,67 +341,9 @@
         self.refuse(status, kind, status == 429)
     }
 
-    /// Takes a prompt into the line of reads and waits until it is read; `None` if there is no room.
-    fn take_read(&mut self, work: &Work) -> Result<Option<u64>, Gone> {
-        let spec = &self.engine.spec;
-        let chain = blocks(&work.prompt);
-        let prompt = tokens(&work.prompt);
-        let mut state = self.engine.lock();
-        if state.reading >= spec.slots + spec.queue || state.memory + prompt > spec.memory_tokens {
-            return Ok(None);
-        }
-        let kept = state.kept.found(&chain).min(prompt.saturating_sub(1));
-        let unread = prompt - kept;
-        let speed = spec.read_per_s * self.engine.share(&state) / state.faults.slow;
-        let now = Instant::now();
-        let from = state.read_until.map_or(now, |until| until.max(now));
-        let until = from + Duration::from_secs_f64(unread as f64 / speed);
-        state.read_until = Some(until);
-        state.reading += 1;
-        state.unread += unread;
-        state.memory += prompt;
-        let mut gone = false;
-        while state.life == self.life {
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                break;
-            }
-            state = self.engine.wait(state, left);
-            // Work that nobody waits for goes on, as a step that runs cannot be taken back.
-            gone = gone || (state.life == self.life && left > SLICE && self.left());
-        }
-        if state.life != self.life {
-            return Err(Gone);
-        }
-        state.reading -= 1;
-        state.unread = state.unread.saturating_sub(unread);
-        let room = spec.memory_tokens.saturating_sub(state.memory);
-        state.kept.keep(&chain, room);
-        if gone || self.left() {
-            state.memory = state.memory.saturating_sub(prompt);
-            return Err(Gone);
-        }
-        Ok(Some(kept))
-    }
-
-    fn read(&mut self, work: &Work) -> Result<(), Gone> {
-        let Some(kept) = self.take_read(work)? else { return self.turn_away(work, 429, "full") };
-        let prompt = tokens(&work.prompt);
-        {
-            let mut state = self.engine.lock();
-            if state.life != self.life {
-                return Err(Gone);
-            }
-            let held = ReadState { tokens: prompt, since: Instant::now() };
-            state.states.insert(work.attempt.clone(), held);
-        }
-        let engine = self.engine.spec.id.clone();
-        self.engine.recorder.note(What::Held {
-            engine: engine.clone(),
-            node: self.node.clone(),
-            request: work.key.clone(),
-            state: work.attempt.clone(),
-        });
+    /// Tells that a prompt is read and its state waits.
+    fn read_done(&mut self, work: &Work, kept: u64) -> Result<(), Gone> {
+        let (engine, prompt) = (self.engine.spec.id.clone(), tokens(&work.prompt));
         self.hear()?;
         let body = json!({
             "object": "text_completion",
@@ -355,157 +367,27 @@
         self.write(&response(200, &headers, body.to_string().as_bytes()))
     }
 
-    fn write_answer(&mut self, work: &Work, answers: u64) -> Result<(), Gone> {
-        let mut kept = 0;
-        if work.step == Step::Both {
-            match self.take_read(work)? {
-                None => return self.turn_away(work, 429, "full"),
-                Some(found) => kept = found,
-            }
-        }
-        let hold = tokens(&work.prompt) + answers;
-        let own = if work.step == Step::Both { tokens(&work.prompt) } else { 0 };
-        let slot = self.take_slot(hold, own)?;
-        if !slot {
-            if work.step == Step::Both {
-                let mut state = self.engine.lock();
-                state.memory = state.memory.saturating_sub(own);
-            }
-            return self.turn_away(work, 429, "full");
-        }
-        let answered = match self.fetch(work) {
-            Ok(true) => self.stream(work, answers, kept),
-            Ok(false) => self.turn_away(work, 409, extension::NO_STATE),
-            Err(Gone) => Err(Gone),
-        };
-        let mut state = self.engine.lock();
-        if state.life == self.life {
-            state.streams -= 1;
-            state.memory = state.memory.saturating_sub(hold);
-            drop(state);
-            self.engine.changed.notify_all();
-        }
-        answered
-    }
-
-    /// Waits for a slot and memory; `false` if there is no room to wait either.
-    fn take_slot(&mut self, hold: u64, own: u64) -> Result<bool, Gone> {
-        let spec = &self.engine.spec;
-        let mut state = self.engine.lock();
-        state.serial += 1;
-        let serial = state.serial;
-        loop {
-            if state.life != self.life {
-                return Err(Gone);
-            }
-            let slots = ((spec.slots as f64 * self.engine.share(&state)).ceil() as usize).max(1);
-            let first = state.waiting.front().is_none_or(|s| *s == serial);
-            if first && state.streams < slots && state.memory - own + hold <= spec.memory_tokens {
-                if state.waiting.front() == Some(&serial) {
-                    state.waiting.pop_front();
-                }
-                state.streams += 1;
-                state.memory = state.memory - own + hold;
-                let room = spec.memory_tokens - state.memory;
-                state.kept.shrink(room);
-                drop(state);
-                self.engine.changed.notify_all();
-                return Ok(true);
-            }
-            if !state.waiting.contains(&serial) {
-                if state.waiting.len() >= spec.queue {
-                    return Ok(false);
-                }
-                state.waiting.push_back(serial);
-            }
-            state = self.engine.wait(state, SLICE);
-            if state.life == self.life && self.left() {
-                state.waiting.retain(|s| *s != serial);
-                state.memory = state.memory.saturating_sub(own);
-                return Err(Gone);
-            }
+    /// Sends the tokens that are made and have not gone out.
+    fn stream(&mut self, answer: &mut Answer) -> Result<(), Gone> {
+        if answer.made == answer.sent {
+            return Ok(());
         }
-    }
-
-    /// Moves the read state here; `false` if there is none.
-    fn fetch(&mut self, work: &Work) -> Result<bool, Gone> {
-        let Some((source, name)) = &work.source else { return Ok(work.step == Step::Both) };
-        let Some(fleet) = self.engine.fleet.upgrade() else { return Err(Gone) };
-        let Some(reader) = fleet.engine(source) else { return Ok(false) };
-        let (own, other) = (&self.engine.spec, &reader.spec);
-        let mut moved = 0.0;
-        let mut last = Instant::now();
-        loop {
-            let tokens = match reader.lock().states.get(name) {
-                Some(state) => state.tokens as f64,
-                None => return Ok(false),
-            };
-            // The link is the reader's; further away it is slower, and over a cut nothing moves.
-            let distance = match (own.zone == other.zone, own.rack == other.rack) {
-                (true, true) => 1.0,
-                (true, false) => 2.0,
-                _ => 4.0,
-            };
-            // One lock at a time: a mixed engine may fetch from itself.
-            let theirs = reader.lock().faults.links;
-            let slow = theirs.max(self.engine.lock().faults.links);
-            let now = Instant::now();
-            if !fleet.is_cut(&own.zone, &other.zone) {
-                moved += (now - last).as_secs_f64() * other.link_per_s / (distance * slow);
-            }
-            last = now;
-            if moved >= tokens {
-                break;
-            }
-            let left = Duration::from_secs_f64((tokens - moved) * distance * slow / other.link_per_s);
-            drop(self.engine.wait(self.engine.lock(), left));
-            if !self.lives() || self.left() {
-                return Err(Gone);
-            }
+        self.hear()?;
+        let mut bytes = Vec::new();
+        if answer.sent == 0 {
+            let load = self.load();
+            let headers = [("content-type", "text/event-stream"), (LOAD_HEADER, load.as_str())];
+            bytes = response_head(200, &headers);
         }
-        let mut state = reader.lock();
-        let Some(old) = state.states.remove(name) else { return Ok(false) };
-        state.memory = state.memory.saturating_sub(old.tokens);
-        drop(state);
-        reader.freed(name.clone(), FreedBy::Fetched);
-        reader.changed.notify_all();
-        Ok(true)
+        let text: String = (answer.sent..answer.made).map(|n| format!("{:03} ", n % 1000)).collect();
+        answer.sent = answer.made;
+        let finish = (answer.sent == answer.of).then_some("length");
+        let event = json!({ "choices": [{ "index": 0, "text": text, "finish_reason": finish }] });
+        bytes.extend(chunk(&sse_event(&event.to_string())));
+        self.write(&bytes)
     }
 
-    fn stream(&mut self, work: &Work, answers: u64, kept: u64) -> Result<(), Gone> {
-        self.engine.recorder.note(What::Ran {
-            engine: self.engine.spec.id.clone(),
-            request: work.key.clone(),
-            attempt: work.attempt.clone(),
-        });
-        let load = self.load();
-        let headers = [("content-type", "text/event-stream"), (LOAD_HEADER, load.as_str())];
-        let mut bytes = response_head(200, &headers);
-        let mut sent = 0;
-        while sent < answers {
-            // The first token comes after one gap, the others in small groups.
-            let group = if sent == 0 { 1 } else { CHUNK.min(answers - sent) };
-            let slow = self.engine.lock().faults.slow;
-            let until = Instant::now() + self.engine.spec.token_gap.mul_f64(group as f64 * slow);
-            loop {
-                let left = until.saturating_duration_since(Instant::now());
-                if left.is_zero() {
-                    break;
-                }
-                drop(self.engine.wait(self.engine.lock(), left));
-                if !self.lives() {
-                    return Err(Gone);
-                }
-            }
-            self.hear()?;
-            let text: String = (sent..sent + group).map(|n| format!("{:03} ", n % 1000)).collect();
-            sent += group;
-            let finish = (sent == answers).then_some("length");
-            let event = json!({ "choices": [{ "index": 0, "text": text, "finish_reason": finish }] });
-            bytes.extend(chunk(&sse_event(&event.to_string())));
-            self.write(&bytes)?;
-            bytes.clear();
-        }
+    fn stream_end(&mut self, work: &Work, answers: u64, kept: u64) -> Result<(), Gone> {
         let usage = json!({
             "choices": [],
             "usage": {
@@ -514,13 +396,20 @@
                 "prompt_tokens_details": { "cached_tokens": kept },
             },
         });
-        bytes.extend(chunk(&sse_event(&usage.to_string())));
+        let mut bytes = chunk(&sse_event(&usage.to_string()));
         bytes.extend(chunk(&sse_event("[DONE]")));
         bytes.extend_from_slice(LAST_CHUNK);
         self.write(&bytes)
     }
 }
 
+/// How far an answer has come.
+struct Answer {
+    sent: u64,
+    made: u64,
+    of: u64,
+}
+
 /// How many tokens an answer has: the same for the same prompt, between half and all of the most.
 fn answer_tokens(work: &Work) -> u64 {
     let half = work.max_tokens.div_ceil(2);
