--- /dev/null
+++ b/crates/pintally-cli/src/lab.rs
@@ -0,0 +1,116 @@
+//! `pintally lab`: days in virtual time, policies side by side.
+
+use std::process::ExitCode;
+
+use comfy_table::Table;
+use pintally_day::Day;
+use pintally_lab::{compare, size, supported};
+
+use crate::{read, Failure};
+
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(clap::Subcommand)]
+enum What {
+    /// The module beside random, least-loaded and round-robin, paired by seed.
+    Policies {
+        /// The day; faults that virtual time cannot play are named and left out.
+        day: String,
+        /// Times the day's rate.
+        #[arg(long, value_delimiter = ',', default_values_t = [1.0])]
+        loads: Vec<f64>,
+        /// Seeds.
+        #[arg(long, default_value_t = 8)]
+        seeds: u64,
+        /// One line of JSON for each policy and load.
+        #[arg(long)]
+        json: bool,
+    },
+    /// How fast a day goes with so many engines and nodes.
+    Size {
+        /// The day; its engines and its rate are scaled together.
+        day: String,
+        /// Engines.
+        #[arg(long, default_value_t = 110)]
+        engines: usize,
+        /// Nodes.
+        #[arg(long, default_value_t = 47)]
+        nodes: usize,
+        /// Seeds.
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
+}
+
+pub(crate) fn run(args: &Args) -> Result<ExitCode, Failure> {
+    match &args.what {
+        What::Policies { day, loads, seeds, json } => {
+            let day = load(day)?;
+            let found = compare(&day, loads, day.seed..day.seed + seeds).map_err(Failure::failed)?;
+            let broken = found.iter().any(|c| c.broken > 0);
+            if *json {
+                for c in &found {
+                    let line = serde_json::json!({
+                        "policy": c.which.name(), "load": c.load,
+                        "in_time": [c.in_time.least, c.in_time.median, c.in_time.most],
+                        "against_module": [c.against_module.least, c.against_module.mean, c.against_module.most],
+                        "p99_ms": [c.p99_ms.least, c.p99_ms.median, c.p99_ms.most],
+                        "runs_with_broken_rules": c.broken, "fell_over": c.fell,
+                    });
+                    println!("{line}");
+                }
+                return Ok(if broken { ExitCode::FAILURE } else { ExitCode::SUCCESS });
+            }
+            let mut table = Table::new();
+            table.set_header([
+                "load",
+                "policy",
+                "served in time",
+                "less the module's, 95% interval",
+                "p99 to first token, ms",
+                "runs with a broken rule",
+                "engines that fell over",
+            ]);
+            for c in &found {
+                table.add_row([
+                    c.load.to_string(),
+                    c.which.name().to_string(),
+                    c.in_time.to_string(),
+                    c.against_module.to_string(),
+                    c.p99_ms.to_string(),
+                    c.broken.to_string(),
+                    c.fell.to_string(),
+                ]);
+            }
+            println!("{table}");
+            println!("share of the worth asked that was served in time; emulated engines in virtual time");
+            Ok(if broken { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+        }
+        What::Size { day, engines, nodes, seeds } => {
+            let day = load(day)?;
+            let s = size(&day, *engines, *nodes, *seeds).map_err(Failure::failed)?;
+            println!(
+                "{} engines, {} nodes, {:.0} requests/s: {} seconds of the day in one of the wall's, on one core; \
+                 served in time {}; runs with a broken rule: {}",
+                s.engines, s.nodes, s.per_second, s.speed, s.in_time, s.broken
+            );
+            Ok(if s.broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
+    }
+}
+
+/// A day, with what it cannot play in virtual time told.
+fn load(path: &str) -> Result<Day, Failure> {
+    let day = Day::parse(path, &read(path)?).map_err(Failure::usage)?;
+    let mut left: Vec<String> =
+        day.faults.iter().filter(|f| !supported(f.kind)).map(|f| format!("{:?}", f.kind)).collect();
+    left.dedup();
+    if !left.is_empty() {
+        eprintln!("not played in virtual time: {}", left.join(", "));
+    }
+    Ok(day)
+}
--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -6,6 +6,7 @@
 mod cells;
 mod check;
 mod day;
+mod lab;
 mod log;
 mod measure;
 mod plan;
@@ -48,6 +49,8 @@
     Day(day::Args),
     /// Run stand-in engines on loopback and write their list.
     Standin(standin::Args),
+    /// Play days in virtual time: policies side by side, large fleets.
+    Lab(lab::Args),
     /// Measure a node beside its baseline, against simulated engines.
     Measure(measure::Args),
     /// Check the five rules over a record.
@@ -84,6 +87,7 @@
         Command::Cells(args) => cells::run(&args),
         Command::Day(args) => day::run(&args),
         Command::Standin(args) => standin::run(&args),
+        Command::Lab(args) => lab::run(&args),
         Command::Measure(args) => measure::run(&args),
         Command::Audit(args) => audit::run(&args),
     };
--- a/crates/pintally-day/src/engines.rs
+++ b/crates/pintally-day/src/engines.rs
@@ -15,7 +15,7 @@
 use crate::spec::{Day, EngineGroup};
 
 /// The figures of all engines with which a day begins.
-pub(crate) fn specs(day: &Day) -> Vec<EngineSpec> {
+pub fn specs(day: &Day) -> Vec<EngineSpec> {
     let mut specs = Vec::new();
     // Groups of one kind and cell are numbered on: their engines must not share names.
     let mut named: BTreeMap<(&str, Option<&str>), usize> = BTreeMap::new();
--- a/crates/pintally-day/src/lib.rs
+++ b/crates/pintally-day/src/lib.rs
@@ -16,8 +16,9 @@
 
 pub use client::{Client, Ended, Try};
 
-pub use engines::Engines;
+pub use engines::{specs, Engines};
 pub use from_bench::{from_bench, Converted, Scale};
 pub use rig::Rig;
-pub use run::{run, DayResult, Launch, RunError, Running};
+pub use run::{run, with_figures, DayResult, Launch, RunError, Running};
 pub use spec::{ClassTraffic, Day, EngineGroup, Fault, Kind, Traffic};
+pub use traffic::{Draft, Source};
--- a/crates/pintally-day/src/run.rs
+++ b/crates/pintally-day/src/run.rs
@@ -117,8 +117,9 @@
     Ok(DayResult { day: day.name.clone(), seed, took_s, troubles, report, no_node, record })
 }
 
-/// The record with the figures that the rules go by as its first line.
-pub(crate) fn with_figures(
+/// The record with the figures that the rules go by as its first line; times in microseconds: the
+/// grace after a drain was told, and what the measuring may add.
+pub fn with_figures(
     settings: &NodeSettings,
     (drain_grace_us, slack_us): (u64, u64),
     engines: Vec<EngineFigures>,
--- a/crates/pintally-day/src/traffic.rs
+++ b/crates/pintally-day/src/traffic.rs
@@ -16,20 +16,21 @@
 
 /// One request before it has a node.
 #[derive(Clone, Debug)]
-pub(crate) struct Draft {
-    pub(crate) class: String,
-    pub(crate) tenant: Option<String>,
-    pub(crate) zone: usize,
-    pub(crate) session: u64,
-    pub(crate) prefix: Option<u64>,
-    pub(crate) prefix_tokens: u64,
-    pub(crate) prompt: String,
-    pub(crate) max_tokens: u64,
-    pub(crate) patience: Duration,
-    pub(crate) streamed: bool,
-    pub(crate) heeds: bool,
+#[allow(missing_docs)]
+pub struct Draft {
+    pub class: String,
+    pub tenant: Option<String>,
+    pub zone: usize,
+    pub session: u64,
+    pub prefix: Option<u64>,
+    pub prefix_tokens: u64,
+    pub prompt: String,
+    pub max_tokens: u64,
+    pub patience: Duration,
+    pub streamed: bool,
+    pub heeds: bool,
     /// Where in its patience it leaves, should clients leave early, and whether it is one of those.
-    pub(crate) leaves: (f64, f64),
+    pub leaves: (f64, f64),
 }
 
 struct Session {
@@ -43,7 +44,7 @@
 }
 
 /// Draws requests.
-pub(crate) struct Source {
+pub struct Source {
     traffic: Traffic,
     patience: Vec<Duration>,
     zones: usize,
@@ -54,7 +55,8 @@
 }
 
 impl Source {
-    pub(crate) fn new(traffic: &Traffic, settings: &NodeSettings, zones: usize, seed: u64) -> Source {
+    /// Draws what `traffic` says from a seed, for clients in so many zones.
+    pub fn new(traffic: &Traffic, settings: &NodeSettings, zones: usize, seed: u64) -> Source {
         let patience = |c: &ClassTraffic| {
             let index = settings.core.classes.iter().position(|k| k.name == c.name);
             Duration::from_micros(index.map_or(1_000_000, |i| settings.classes[i].patience))
@@ -73,14 +75,14 @@
     }
 
     /// The time until the next request, at a multiple of the usual rate.
-    pub(crate) fn gap(&mut self, rate: f64) -> Duration {
+    pub fn gap(&mut self, rate: f64) -> Duration {
         let per_second = (self.traffic.per_second * rate).max(1e-3);
         let gap = Exp::new(per_second).map_or(1.0, |e| e.sample(&mut self.rng));
         Duration::from_secs_f64(gap.min(60.0))
     }
 
     /// The next request; `hot` is the share that begins with one text of its own.
-    pub(crate) fn draw(&mut self, hot: f64) -> Draft {
+    pub fn draw(&mut self, hot: f64) -> Draft {
         let class = self.pick(&self.traffic.classes.iter().map(|c| c.share).collect::<Vec<_>>());
         let hot = self.rng.random::<f64>() < hot;
         let ready: Vec<usize> = (0..self.open.len()).filter(|&i| self.open[i].class == class).collect();
@@ -123,7 +125,7 @@
     }
 
     /// The next request of one tenant.
-    pub(crate) fn draw_for(&mut self, tenant: &str) -> Draft {
+    pub fn draw_for(&mut self, tenant: &str) -> Draft {
         let mut draft = self.draw(0.0);
         draft.tenant = Some(tenant.to_string());
         draft.session |= 1 << 40;
--- /dev/null
+++ b/crates/pintally-lab/src/baseline.rs
@@ -0,0 +1,297 @@
+//! Baselines: textbook policies with the least that makes them keep the rules.
+//!
+//! They know the list of engines, what they themselves have under way, and the last load that each
+//! engine told. They try again elsewhere where nothing can have run, and for classes that may run
+//! twice; they have no memory of who keeps what, and no bounds of their own.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pintally::interface::{
+    Attempt, Effect, EngineId, ListForm, Listing, Load, Micros, Outcome, RequestId, Role,
+};
+use pintally_config::NodeSettings;
+use pintally_engine::Step;
+use pintally_host::{Arrival, Command, Final, Input, Order, Ticket};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+
+use crate::policy::{Policy, Which};
+
+struct Known {
+    address: SocketAddr,
+    role: Role,
+    listing: Listing,
+    open: u64,
+    load: Load,
+}
+
+struct Asked {
+    id: RequestId,
+    safe: bool,
+    streamed: bool,
+    max_tokens: u64,
+    by: Micros,
+    attempts: Attempt,
+    /// The attempt that is out, at which engine, what it does, and whether its answer has begun.
+    out: Option<(Attempt, EngineId, Step, bool)>,
+    state: Option<(Attempt, EngineId, Arc<Value>)>,
+    over: bool,
+}
+
+/// A baseline at one node.
+pub struct Baseline {
+    which: Which,
+    settings: Arc<NodeSettings>,
+    engines: BTreeMap<EngineId, Known>,
+    open: BTreeMap<Ticket, Asked>,
+    due: BTreeSet<(Micros, Ticket)>,
+    turn: usize,
+    rng: ChaCha8Rng,
+}
+
+impl Baseline {
+    /// A baseline that knows its settings and nothing of the fleet.
+    pub fn new(which: Which, settings: Arc<NodeSettings>, seed: u64) -> Baseline {
+        Baseline {
+            which,
+            settings,
+            engines: BTreeMap::new(),
+            open: BTreeMap::new(),
+            due: BTreeSet::new(),
+            turn: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// An engine that does a role, or both.
+    fn pick(&mut self, role: Role) -> Option<EngineId> {
+        let does = |k: &Known| k.listing == Listing::Serving && (k.role == role || k.role == Role::Mixed);
+        let able: Vec<&EngineId> = self.engines.iter().filter(|(_, k)| does(k)).map(|(e, _)| e).collect();
+        if able.is_empty() {
+            return None;
+        }
+        let at = match self.which {
+            Which::LeastLoaded => {
+                let load = |e: &EngineId| {
+                    let k = &self.engines[e];
+                    let told = k.load.queue.unwrap_or(0.0) + k.load.slots.unwrap_or(0.0);
+                    k.open as f64 + told
+                };
+                let least = able.iter().map(|e| load(e)).fold(f64::INFINITY, f64::min);
+                let same: Vec<usize> = (0..able.len()).filter(|i| load(able[*i]) <= least).collect();
+                same[self.rng.random_range(0..same.len())]
+            }
+            Which::RoundRobin => {
+                self.turn += 1;
+                self.turn % able.len()
+            }
+            _ => self.rng.random_range(0..able.len()),
+        };
+        Some(able[at].clone())
+    }
+
+    fn arrived(&mut self, now: Micros, a: Arrival, out: &mut Vec<Command>) {
+        let class = a.class.and_then(|c| self.settings.classes.get(c));
+        let usual = class.map_or(1_000_000, |c| c.patience);
+        let margin = self.settings.limits.answer_margin;
+        let left = a.patience.map_or(usual, |own| own.min(usual)).saturating_sub(margin);
+        let safe = a.class.and_then(|c| self.settings.core.classes.get(c));
+        let asked = Asked {
+            id: RequestId(format!("{}-{}", self.settings.name, a.ticket).into()),
+            safe: safe.is_some_and(|c| c.effect == Effect::Safe),
+            streamed: a.streamed,
+            max_tokens: a.max_tokens.or(class.map(|c| c.max_tokens)).unwrap_or(256),
+            by: now + left,
+            attempts: 0,
+            out: None,
+            state: None,
+            over: false,
+        };
+        self.due.insert((asked.by, a.ticket));
+        self.open.insert(a.ticket, asked);
+        self.go_on(now, a.ticket, out);
+    }
+
+    /// The next attempt of a request, or its end.
+    fn go_on(&mut self, now: Micros, ticket: Ticket, out: &mut Vec<Command>) {
+        let Some(asked) = self.open.get(&ticket) else { return };
+        let fetches = asked.state.is_some();
+        let most = self.settings.core.max_attempts;
+        if asked.attempts >= most || now >= asked.by {
+            return self.answer(ticket, Final::Refused(None), out);
+        }
+        let Some(engine) = self.pick(if fetches { Role::Writer } else { Role::Reader }) else {
+            return self.answer(ticket, Final::Refused(None), out);
+        };
+        let (Some(asked), Some(known)) = (self.open.get_mut(&ticket), self.engines.get_mut(&engine)) else {
+            return;
+        };
+        let step = match (fetches, known.role) {
+            (true, _) => Step::Fetch,
+            (false, Role::Reader) => Step::Read,
+            (false, _) => Step::Both,
+        };
+        known.open += 1;
+        let attempt = asked.attempts;
+        asked.attempts += 1;
+        asked.out = Some((attempt, engine.clone(), step, false));
+        let left = asked.by - now;
+        out.push(Command::Attempt(Order {
+            ticket,
+            request: asked.id.clone(),
+            attempt,
+            cell: Default::default(),
+            engine,
+            address: known.address,
+            step,
+            state: asked.state.as_ref().map(|s| s.2.clone()),
+            slots: 0,
+            max_tokens: asked.max_tokens,
+            timeout: left,
+            whole: (!asked.streamed && step != Step::Read).then_some(left),
+        }));
+    }
+
+    fn answer(&mut self, ticket: Ticket, answer: Final, out: &mut Vec<Command>) {
+        let Some(asked) = self.open.get_mut(&ticket) else { return };
+        if !std::mem::replace(&mut asked.over, true) {
+            self.due.remove(&(asked.by, ticket));
+            out.push(Command::Answer(ticket, answer));
+        }
+        self.settle(ticket, out);
+    }
+
+    fn settle(&mut self, ticket: Ticket, out: &mut Vec<Command>) {
+        if !self.open.get(&ticket).is_some_and(|a| a.over && a.out.is_none()) {
+            return;
+        }
+        let Some(asked) = self.open.remove(&ticket) else { return };
+        out.push(Command::Over(ticket));
+        if let Some((attempt, engine, _)) = asked.state {
+            self.release(&asked.id, attempt, engine, out);
+        }
+    }
+
+    fn release(&self, id: &RequestId, attempt: Attempt, engine: EngineId, out: &mut Vec<Command>) {
+        if let Some(known) = self.engines.get(&engine) {
+            let name = RequestId(format!("{}.{attempt}", id.0).into());
+            out.push(Command::Release(name, engine, known.address));
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now: Micros,
+        (ticket, attempt): (Ticket, Attempt),
+        outcome: Outcome,
+        state: Option<Arc<Value>>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(asked) = self.open.get_mut(&ticket) else { return };
+        let Some((_, engine, step, started)) = asked.out.take_if(|o| o.0 == attempt) else { return };
+        if let Some(known) = self.engines.get_mut(&engine) {
+            known.open = known.open.saturating_sub(1);
+        }
+        let read = step == Step::Read;
+        if let (Outcome::Read, Some(state)) = (outcome, state) {
+            asked.state = Some((attempt, engine, state));
+        } else if read && !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent) {
+            let id = asked.id.clone();
+            self.release(&id, attempt, engine, out);
+        } else if matches!(outcome, Outcome::Served | Outcome::NoState) {
+            asked.state = None;
+        }
+        let Some(asked) = self.open.get(&ticket) else { return };
+        if asked.over {
+            return self.settle(ticket, out);
+        }
+        let unsure =
+            matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled);
+        match outcome {
+            Outcome::Served => self.answer(ticket, Final::Served, out),
+            _ if started => self.answer(ticket, Final::Cut, out),
+            // A read has no effect; an answer that may have begun has, unless it may run twice.
+            _ if unsure && !read && !asked.safe => self.answer(ticket, Final::Failed, out),
+            _ => self.go_on(now, ticket, out),
+        }
+    }
+}
+
+impl Policy for Baseline {
+    fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        match input {
+            Input::List(form, list) => {
+                if form == ListForm::Full {
+                    self.engines.values_mut().for_each(|k| k.listing = Listing::Gone);
+                }
+                for one in list {
+                    let kinds = &self.settings.core.kinds;
+                    let Some(kind) = kinds.iter().find(|k| k.name == one.member.kind) else { continue };
+                    let known = self.engines.entry(one.member.engine.clone()).or_insert(Known {
+                        address: one.address,
+                        role: kind.role,
+                        listing: one.member.listing,
+                        open: 0,
+                        load: Load::default(),
+                    });
+                    known.listing = one.member.listing;
+                }
+            }
+            Input::Arrived(arrival) => self.arrived(now, arrival, out),
+            Input::FirstToken(ticket, attempt) => {
+                let asked = self.open.get_mut(&ticket);
+                let begun = asked.and_then(|a| {
+                    let own = a.out.as_mut().filter(|o| o.0 == attempt)?;
+                    own.3 = true;
+                    // A state that was fetched is not held any more.
+                    a.state = None;
+                    a.streamed.then_some(a.by)
+                });
+                if let Some(by) = begun {
+                    self.due.remove(&(by, ticket));
+                }
+            }
+            Input::Ended { ticket, attempt, outcome, load, state, .. } => {
+                let engine = self.open.get(&ticket).and_then(|a| a.out.as_ref()).map(|o| o.1.clone());
+                if let (Some(load), Some(known)) = (load, engine.and_then(|e| self.engines.get_mut(&e))) {
+                    known.load = load;
+                }
+                self.ended(now, (ticket, attempt), outcome, state, out);
+            }
+            Input::Left(ticket) => {
+                let Some(asked) = self.open.get_mut(&ticket) else { return };
+                asked.over = true;
+                self.due.remove(&(asked.by, ticket));
+                if let Some((attempt, ..)) = asked.out {
+                    out.push(Command::Cancel(ticket, attempt));
+                }
+                self.settle(ticket, out);
+            }
+            Input::Probed(engine, _, load) => {
+                if let (Some(load), Some(known)) = (load, self.engines.get_mut(&engine)) {
+                    known.load = load;
+                }
+            }
+            Input::Cells(_) | Input::Released(..) | Input::Stop => {}
+        }
+    }
+
+    fn tick(&mut self, now: Micros, out: &mut Vec<Command>) {
+        while let Some((_, ticket)) = self.due.first().copied().filter(|d| d.0 <= now) {
+            self.due.pop_first();
+            let attempt = self.open.get(&ticket).and_then(|a| a.out.as_ref()).map(|o| (o.0, o.3));
+            let started = attempt.is_some_and(|a| a.1);
+            if let Some((attempt, _)) = attempt {
+                out.push(Command::Cancel(ticket, attempt));
+            }
+            self.answer(ticket, if started { Final::Cut } else { Final::Failed }, out);
+        }
+    }
+
+    fn next_wake(&self) -> Option<Micros> {
+        self.due.first().map(|d| d.0)
+    }
+}
--- /dev/null
+++ b/crates/pintally-lab/src/compare.rs
@@ -0,0 +1,184 @@
+//! Days of several policies side by side, paired by seed, on all cores.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+use std::thread;
+use std::time::Instant;
+
+use pintally_audit::audit;
+use pintally_day::{with_figures, Day};
+use pintally_measure::{in_time, requests, Interval, Spread};
+
+use crate::policy::Which;
+use crate::world::World;
+
+/// What came of one day.
+#[derive(Clone, Debug)]
+pub struct Played {
+    /// Share of the worth asked that was served in time.
+    pub in_time: f64,
+    /// Milliseconds to the first token, median and 99th percentile, of what was served.
+    pub p50_ms: f64,
+    /// The same, 99th percentile.
+    pub p99_ms: f64,
+    /// Requests, tries again among them, and how they ended.
+    pub asked: u64,
+    /// Served.
+    pub served: u64,
+    /// Turned away.
+    pub refused: u64,
+    /// Failed or cut off.
+    pub failed: u64,
+    /// Rules that were broken, each as often as it was.
+    pub broken: usize,
+    /// Engines that fell over.
+    pub fell: u64,
+    /// Seconds of the wall's clock for each of the day's.
+    pub wall_share: f64,
+    /// Things that happened, for each second of the wall's clock.
+    pub steps_per_s: f64,
+}
+
+/// Plays one day in virtual time.
+pub fn play(day: &Day, which: Which, seed: u64) -> Result<Played, String> {
+    let begun = Instant::now();
+    let (record, engines, fell, steps) = World::new(day, which, seed).play();
+    let wall = begun.elapsed().as_secs_f64().max(1e-9);
+    let span = record.last().map_or(1.0, |r| r.at as f64 / 1e6).max(1e-9);
+    let times = (day.drain_grace.as_micros() as u64, day.slack.as_micros() as u64);
+    let record = with_figures(&day.settings, times, engines, record);
+    let report = audit(&record).map_err(|e| e.to_string())?;
+    let all = requests(day, &record);
+    let served = all.iter().filter(|o| o.served).filter_map(|o| o.first.map(|f| f - o.at));
+    let mut firsts: Vec<u64> = served.collect();
+    firsts.sort_unstable();
+    let at = |q: f64| {
+        let place = ((firsts.len() as f64 * q) as usize).min(firsts.len().max(1) - 1);
+        firsts.get(place).map_or(f64::NAN, |f| *f as f64 / 1e3)
+    };
+    Ok(Played {
+        in_time: in_time(all.iter()),
+        p50_ms: at(0.5),
+        p99_ms: at(0.99),
+        asked: report.requests,
+        served: report.served,
+        refused: report.refused,
+        failed: report.failed,
+        broken: report.rules.each().iter().map(|(_, found)| found.len()).sum(),
+        fell,
+        wall_share: wall / span,
+        steps_per_s: steps as f64 / wall,
+    })
+}
+
+/// A policy at a load, against the module at the same load and seeds.
+#[derive(Clone, Debug)]
+pub struct Compared {
+    /// The policy.
+    pub which: Which,
+    /// Times the day's rate.
+    pub load: f64,
+    /// Share of the worth asked that was served in time.
+    pub in_time: Spread,
+    /// Less what the module's was, seed by seed, in parts of one.
+    pub against_module: Interval,
+    /// Milliseconds to the first token, 99th percentile.
+    pub p99_ms: Spread,
+    /// Runs in which a rule was broken, and engines that fell over in all.
+    pub broken: usize,
+    /// Engines that fell over.
+    pub fell: u64,
+}
+
+/// Plays a day under all policies at several loads, over seeds.
+pub fn compare(day: &Day, loads: &[f64], seeds: std::ops::Range<u64>) -> Result<Vec<Compared>, String> {
+    let seeds: Vec<u64> = seeds.collect();
+    let mut jobs = Vec::new();
+    for load in loads {
+        for which in Which::ALL {
+            jobs.extend(seeds.iter().map(|seed| (*load, which, *seed)));
+        }
+    }
+    let results: Mutex<Vec<Option<Result<Played, String>>>> = Mutex::new(vec![None; jobs.len()]);
+    let next = AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for _ in 0..thread::available_parallelism().map_or(1, |n| n.get()) {
+            scope.spawn(|| {
+                while let Some((load, which, seed)) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let at = jobs.iter().position(|j| j == &(*load, *which, *seed));
+                    let mut day = day.clone();
+                    day.traffic.per_second *= load;
+                    let played = play(&day, *which, *seed);
+                    if let Some(at) = at {
+                        results.lock().unwrap_or_else(|e| e.into_inner())[at] = Some(played);
+                    }
+                }
+            });
+        }
+    });
+    let results = results.into_inner().unwrap_or_else(|e| e.into_inner());
+    let mut played = Vec::with_capacity(results.len());
+    for result in results {
+        played.push(result.ok_or("a run ended by a panic")??);
+    }
+    let mut found = Vec::new();
+    for (l, load) in loads.iter().enumerate() {
+        let of = |w: usize| {
+            let from = (l * Which::ALL.len() + w) * seeds.len();
+            &played[from..from + seeds.len()]
+        };
+        for (w, which) in Which::ALL.into_iter().enumerate() {
+            let differences: Vec<f64> =
+                of(w).iter().zip(of(0)).map(|(own, module)| own.in_time - module.in_time).collect();
+            found.push(Compared {
+                which,
+                load: *load,
+                in_time: Spread::of(of(w).iter().map(|p| p.in_time)),
+                against_module: Interval::of(&differences),
+                p99_ms: Spread::of(of(w).iter().map(|p| p.p99_ms)),
+                broken: of(w).iter().filter(|p| p.broken > 0).count(),
+                fell: of(w).iter().map(|p| p.fell).sum(),
+            });
+        }
+    }
+    Ok(found)
+}
+
+/// How fast a day goes at a size.
+#[derive(Clone, Debug)]
+pub struct Size {
+    /// Engines and nodes.
+    pub engines: usize,
+    /// Nodes.
+    pub nodes: usize,
+    /// Requests a second.
+    pub per_second: f64,
+    /// Seconds of the day for each of the wall's clock.
+    pub speed: Spread,
+    /// Share of the worth asked that was served in time.
+    pub in_time: Spread,
+    /// Runs in which a rule was broken.
+    pub broken: usize,
+}
+
+/// Plays a day one after the other, scaled to so many engines and nodes at the same load for each
+/// engine.
+pub fn size(day: &Day, engines: usize, nodes: usize, seeds: u64) -> Result<Size, String> {
+    let mut day = day.clone();
+    let all: usize = day.engines.iter().map(|e| e.count).sum();
+    let times = engines as f64 / all.max(1) as f64;
+    day.engines.iter_mut().for_each(|e| e.count = ((e.count as f64 * times).round() as usize).max(1));
+    let made: usize = day.engines.iter().map(|e| e.count).sum();
+    day.traffic.per_second *= times;
+    day.nodes = nodes;
+    let played =
+        (0..seeds).map(|s| play(&day, Which::Module, day.seed + s)).collect::<Result<Vec<_>, _>>()?;
+    Ok(Size {
+        engines: made,
+        nodes,
+        per_second: day.traffic.per_second,
+        speed: Spread::of(played.iter().map(|p| 1.0 / p.wall_share)),
+        in_time: Spread::of(played.iter().map(|p| p.in_time)),
+        broken: played.iter().filter(|p| p.broken > 0).count(),
+    })
+}
--- /dev/null
+++ b/crates/pintally-lab/src/lib.rs
@@ -0,0 +1,20 @@
+//! Days in virtual time: the same hosts that run behind sockets, emulated engines, and clients, with
+//! nothing between them but delays.
+//!
+//! A [`World`] has one clock, which jumps from one thing that is due to the next. Everything drawn
+//! comes from the seed, so a day plays the same every time. Nodes decide by a [`Policy`]: the module
+//! inside its host, or a baseline to compare it with. The record is of the same kind as that of a day
+//! over sockets and is audited by the same rules.
+
+mod baseline;
+mod clients;
+mod compare;
+mod policy;
+mod script;
+mod world;
+
+pub use baseline::Baseline;
+pub use compare::{compare, play, size, Compared, Played, Size};
+pub use policy::{Policy, Which};
+pub use script::{supported, Act};
+pub use world::World;
--- /dev/null
+++ b/crates/pintally-lab/src/script.rs
@@ -0,0 +1,100 @@
+//! Faults of a day as acts in virtual time.
+
+use pintally_day::{Day, Fault, Kind};
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
+/// One act; engines by their numbers, times in microseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// An engine dies, or starts cold.
+    Up(usize, bool),
+    /// An engine is so many times slower.
+    Slow(usize, f64),
+    /// An engine's links are so many times slower.
+    Links(usize, f64),
+    /// An engine drains, or serves again.
+    Drain(usize, bool),
+    /// An engine forgets what it keeps.
+    Forget(usize),
+    /// An engine's load reports are as they are, old, or say that it idles.
+    Reports(usize, pintally_emulator::Reports),
+    /// An engine does nothing for a time.
+    Pause(usize, u64),
+    /// Clients send so many times as much.
+    Rate(f64),
+    /// This share of the requests begins with one text.
+    Hot(f64),
+}
+
+/// Whether a kind of fault can be played in virtual time.
+pub fn supported(kind: Kind) -> bool {
+    matches!(
+        kind,
+        Kind::Crash
+            | Kind::Restart
+            | Kind::Hang
+            | Kind::Slow
+            | Kind::SlowLinks
+            | Kind::Drain
+            | Kind::Forget
+            | Kind::StaleReports
+            | Kind::LyingReports
+            | Kind::Burst
+            | Kind::HotText
+    )
+}
+
+/// The acts of a day's faults, in order of time. Engines come with their kinds and cells.
+pub(crate) fn script(
+    day: &Day,
+    engines: &[(String, Option<String>)],
+    rng: &mut ChaCha8Rng,
+) -> Vec<(u64, Act)> {
+    let mut acts = Vec::new();
+    for fault in day.faults.iter().filter(|f| supported(f.kind)) {
+        let (from, to) = (fault.at.as_micros() as u64, (fault.at + fault.length).as_micros() as u64);
+        match fault.kind {
+            Kind::Burst => acts.extend([(from, Act::Rate(fault.size)), (to, Act::Rate(1.0))]),
+            Kind::HotText => acts.extend([(from, Act::Hot(fault.size.min(1.0))), (to, Act::Hot(0.0))]),
+            _ => {
+                for engine in struck(fault, engines, rng) {
+                    acts.extend(of_engine(fault, engine, from, to));
+                }
+            }
+        }
+    }
+    acts.sort_by_key(|a| a.0);
+    acts
+}
+
+fn struck(fault: &Fault, engines: &[(String, Option<String>)], rng: &mut ChaCha8Rng) -> Vec<usize> {
+    let fits = |(kind, cell): &(String, Option<String>)| {
+        fault.of.as_ref().is_none_or(|of| of == kind) && (fault.cell.is_none() || fault.cell == *cell)
+    };
+    let mut all: Vec<usize> = (0..engines.len()).filter(|n| fits(&engines[*n])).collect();
+    all.shuffle(rng);
+    all.truncate((all.len() as f64 * fault.part).round().max(1.0) as usize);
+    all
+}
+
+fn of_engine(fault: &Fault, engine: usize, from: u64, to: u64) -> Vec<(u64, Act)> {
+    use pintally_emulator::Reports;
+    let both = |begin: Act, end: Act| vec![(from, begin), (to, end)];
+    match fault.kind {
+        Kind::Crash => both(Act::Up(engine, false), Act::Up(engine, true)),
+        Kind::Restart => vec![(from, Act::Up(engine, false)), (from + 100_000, Act::Up(engine, true))],
+        Kind::Slow => both(Act::Slow(engine, fault.size.max(1.0)), Act::Slow(engine, 1.0)),
+        Kind::SlowLinks => both(Act::Links(engine, fault.size.max(1.0)), Act::Links(engine, 1.0)),
+        Kind::Drain => both(Act::Drain(engine, true), Act::Drain(engine, false)),
+        Kind::Hang => vec![(from, Act::Pause(engine, to))],
+        Kind::Forget => vec![(from, Act::Forget(engine))],
+        Kind::StaleReports => {
+            both(Act::Reports(engine, Reports::Stale), Act::Reports(engine, Reports::Honest))
+        }
+        Kind::LyingReports => {
+            both(Act::Reports(engine, Reports::Idle), Act::Reports(engine, Reports::Honest))
+        }
+        _ => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/pintally-lab/src/world.rs
@@ -0,0 +1,639 @@
+//! One clock, and everything that it drives: nodes, engines, clients, faults.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use pintally::interface::{Attempt, EngineId, ListForm, Listing, Load, Member, Micros, Outcome, RequestId};
+use pintally_audit::{Answer, EngineFigures, Listed as ListedAs, Record, Step as AuditStep, What};
+use pintally_config::NodeSettings;
+use pintally_day::{specs, Day, Draft, Source};
+use pintally_emulator::{Fleet, FreedBy, Notice, Place, Refusal, Wires, Work, WorkId};
+use pintally_engine::Step;
+use pintally_host::{Arrival, Command, Final, Input, Listed, Order, Ticket};
+use pintally_standin::{blocks, emulated, tokens, EngineSpec};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+
+use crate::clients::{name, Tries, Try};
+use crate::policy::{Policy, Which};
+use crate::script::{script, Act};
+
+/// What a message takes from one end to the other.
+const HOP: Micros = 100;
+/// Unix time at which days begin, in milliseconds.
+const UNIX_MS: u64 = 1_700_000_000_000;
+/// An engine that fell over comes back, cold, after this time.
+const UP_AGAIN: Micros = 5_000_000;
+
+/// What one node of a day is told.
+fn settings(day: &Day, number: usize) -> NodeSettings {
+    let mut settings = day.settings.clone();
+    settings.name = format!("n{number}");
+    settings.core.zone = day.zones[number % day.zones.len()].clone();
+    settings.core.node = number as u32;
+    settings.core.nodes = day.nodes as u32;
+    settings.cells_file = day.cells.as_ref().map(|_| "in virtual time".to_string());
+    settings
+}
+
+enum Event {
+    /// A client sends a request, for the first time or again.
+    Ask(u64, u32, Rc<Draft>),
+    /// A node learns something.
+    Tell(usize, Box<Input>),
+    /// An attempt reaches its engine.
+    Begin(usize, Box<Order>),
+    /// A release reaches its engine.
+    Release(usize, RequestId, EngineId),
+    /// An attempt's time is up: for its first token, or for all of it.
+    Late(usize, Ticket, Attempt, bool),
+    /// A client's patience is over.
+    GiveUp(usize, Ticket),
+    /// A fault begins or ends.
+    Act(Act),
+}
+
+/// An attempt under way.
+struct Flight {
+    engine: usize,
+    work: Option<WorkId>,
+    first: bool,
+    reads: bool,
+    /// The client's name of the request, and the attempt's own.
+    request: String,
+    name: String,
+}
+
+type Key = (usize, Ticket, Attempt);
+
+/// A day in virtual time.
+pub struct World<'a> {
+    day: &'a Day,
+    now: Micros,
+    serial: u64,
+    events: BTreeMap<(Micros, u64), Event>,
+    fleet: Fleet,
+    specs: Vec<EngineSpec>,
+    index: HashMap<EngineId, usize>,
+    listing: Vec<Listing>,
+    started: Vec<Option<Micros>>,
+    nodes: Vec<Box<dyn Policy>>,
+    wakes: BTreeSet<(Micros, usize)>,
+    wake_of: Vec<Option<Micros>>,
+    tickets: Vec<Ticket>,
+    tries: Tries,
+    flights: BTreeMap<Key, Flight>,
+    works: HashMap<WorkId, Key>,
+    /// States that wait, by engine and name, and the other way round.
+    states: HashMap<(usize, String), WorkId>,
+    names: HashMap<WorkId, (usize, String)>,
+    next_work: WorkId,
+    source: Source,
+    rate: f64,
+    hot: f64,
+    rng: ChaCha8Rng,
+    record: Vec<Record>,
+    out: Vec<Command>,
+    said: Vec<(usize, Notice)>,
+    fell: u64,
+    steps: u64,
+}
+
+impl<'a> World<'a> {
+    /// A day with a policy at each node, before its first moment.
+    pub fn new(day: &'a Day, which: Which, seed: u64) -> World<'a> {
+        let wires = Wires { rack: 2.0, zone: 1.0, token_bytes: 1.0 };
+        let mut fleet = Fleet::new(wires, seed);
+        let specs = specs(day);
+        let zone = |name: &str| day.zones.iter().position(|z| z == name).unwrap_or(0);
+        for spec in &specs {
+            let mut own = emulated(spec);
+            if let Some(cold) = &mut own.cold {
+                cold.tip_multiple = spec.tip_multiple;
+            }
+            fleet.add(own, Place { zone: zone(&spec.zone) as u32, rack: spec.rack as u32 });
+        }
+        let mut nodes: Vec<Box<dyn Policy>> = Vec::new();
+        for number in 0..day.nodes {
+            let own = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64;
+            nodes.push(which.build(Arc::new(settings(day, number)), own));
+        }
+        let index = specs.iter().enumerate().map(|(n, s)| (EngineId(s.id.as_str().into()), n)).collect();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x1ab);
+        let kinds: Vec<(String, Option<String>)> =
+            specs.iter().map(|s| (s.kind.clone(), s.cell.clone())).collect();
+        let acts = script(day, &kinds, &mut rng);
+        let mut world = World {
+            now: 0,
+            serial: 0,
+            events: BTreeMap::new(),
+            fleet,
+            index,
+            listing: vec![Listing::Serving; specs.len()],
+            started: vec![None; specs.len()],
+            wakes: BTreeSet::new(),
+            wake_of: vec![None; nodes.len()],
+            tickets: vec![0; nodes.len()],
+            nodes,
+            tries: Tries::new(),
+            flights: BTreeMap::new(),
+            works: HashMap::new(),
+            states: HashMap::new(),
+            names: HashMap::new(),
+            next_work: 1,
+            source: Source::new(&day.traffic, &day.settings, day.zones.len(), seed),
+            rate: 1.0,
+            hot: 0.0,
+            rng,
+            record: Vec::new(),
+            out: Vec::new(),
+            said: Vec::new(),
+            fell: 0,
+            steps: 0,
+            specs,
+            day,
+        };
+        for node in 0..world.nodes.len() {
+            world.note(What::NodeUp { node: format!("n{node}") });
+            if let Some(cells) = &day.cells {
+                world.at(0, Event::Tell(node, Box::new(Input::Cells(Box::new(cells.clone())))));
+            }
+            world.list(node, 0);
+        }
+        for (at, act) in acts {
+            world.at(at, Event::Act(act));
+        }
+        world
+    }
+
+    /// Puts other policies in the nodes' places, as tests do with broken ones.
+    pub fn replace(&mut self, build: impl Fn(Arc<NodeSettings>, u64) -> Box<dyn Policy>) {
+        for number in 0..self.nodes.len() {
+            self.nodes[number] = build(Arc::new(settings(self.day, number)), number as u64);
+        }
+    }
+
+    /// Plays the day to its end; returns the record, engines that fell over, and things that happened.
+    pub fn play(mut self) -> (Vec<Record>, Vec<EngineFigures>, u64, u64) {
+        let length = self.day.length.as_micros() as Micros;
+        let last = length + self.day.settle.as_micros() as Micros;
+        let mut next = self.source.gap(1.0).as_micros() as Micros;
+        let mut number = 0;
+        loop {
+            let arrival = Some(next).filter(|at| *at < length);
+            let due = [
+                self.events.keys().next().map(|k| k.0),
+                self.fleet.next_wake(),
+                self.wakes.first().map(|w| w.0),
+                arrival,
+            ];
+            let Some(at) = due.into_iter().flatten().min().filter(|at| *at <= last) else { break };
+            if arrival.is_none() && self.tries.is_empty() && self.states.is_empty() {
+                break;
+            }
+            self.now = self.now.max(at);
+            self.steps += 1;
+            if arrival == Some(at) {
+                number += 1;
+                let draft = Rc::new(self.source.draw(self.hot));
+                next += (self.source.gap(self.rate).as_micros() as Micros).max(1);
+                self.ask(number, 0, draft);
+            } else if self.fleet.next_wake().is_some_and(|w| w <= at) {
+                let mut said = std::mem::take(&mut self.said);
+                self.fleet.tick(self.now, &mut said);
+                self.said = said;
+            } else if let Some((_, node)) = self.wakes.first().copied().filter(|w| w.0 <= at) {
+                let mut out = std::mem::take(&mut self.out);
+                self.nodes[node].tick(self.now, &mut out);
+                self.rewake(node);
+                self.carry_out(node, &mut out);
+                self.out = out;
+            } else if let Some((_, event)) = self.events.pop_first() {
+                self.happen(event);
+            }
+            while !self.said.is_empty() {
+                for (engine, notice) in std::mem::take(&mut self.said) {
+                    self.heard(engine, notice);
+                }
+            }
+        }
+        self.record.sort_by_key(|r| r.at);
+        let figures = self.specs.iter().map(|s| EngineFigures {
+            engine: s.id.clone(),
+            zone: s.zone.clone(),
+            rack: s.rack,
+        });
+        (self.record, figures.collect(), self.fell, self.steps)
+    }
+
+    fn at(&mut self, at: Micros, event: Event) {
+        self.serial += 1;
+        self.events.insert((at, self.serial), event);
+    }
+
+    fn note(&mut self, what: What) {
+        self.note_at(self.now, what);
+    }
+
+    fn note_at(&mut self, at: Micros, what: What) {
+        self.record.push(Record { at, what });
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Ask(number, tries, draft) => self.ask(number, tries, draft),
+            Event::Tell(node, input) => self.tell(node, *input),
+            Event::Begin(node, order) => self.begin(node, *order),
+            Event::Release(node, name, engine) => self.release(node, name, engine),
+            Event::Late(node, ticket, attempt, whole) => {
+                let flight = self.flights.get(&(node, ticket, attempt));
+                if flight.is_some_and(|f| whole || !f.first) {
+                    self.call_off((node, ticket, attempt), Outcome::TimedOut);
+                }
+            }
+            Event::GiveUp(node, ticket) => {
+                let Some(one) = self.tries.get_mut(&(node, ticket)).filter(|t| !t.done) else { return };
+                if one.draft.streamed && one.first {
+                    return;
+                }
+                one.done = true;
+                let request = one.id.clone();
+                self.note(What::Unanswered { request });
+                self.tell(node, Input::Left(ticket));
+            }
+            Event::Act(act) => self.act(act),
+        }
+    }
+
+    // ---- clients ----
+
+    fn ask(&mut self, number: u64, tries: u32, draft: Rc<Draft>) {
+        let zones = self.day.zones.len();
+        let near: Vec<usize> = (0..self.nodes.len()).filter(|n| n % zones == draft.zone).collect();
+        let node = match near.is_empty() {
+            true => self.rng.random_range(0..self.nodes.len()),
+            false => near[self.rng.random_range(0..near.len())],
+        };
+        self.tickets[node] += 1;
+        let (ticket, core) = (self.tickets[node], &self.day.settings.core);
+        let patience = draft.patience.as_micros() as Micros;
+        let arrival = Arrival {
+            ticket,
+            class: core.classes.iter().position(|c| c.name == draft.class),
+            tenant: core.tenants.iter().position(|t| Some(&t.name) == draft.tenant.as_ref()),
+            session: Some(draft.session),
+            prefix: draft.prefix,
+            prompt_tokens: tokens(&draft.prompt),
+            prefix_tokens: draft.prefix_tokens,
+            max_tokens: Some(draft.max_tokens),
+            patience: Some(patience),
+            streamed: draft.streamed,
+            resumed: false,
+            bytes: draft.prompt.len(),
+            unix_ms: UNIX_MS + self.now / 1000,
+        };
+        let one = Try {
+            id: name(number, tries),
+            number,
+            tries,
+            chain: Rc::new(blocks(&draft.prompt)),
+            by: self.now + patience,
+            first: false,
+            done: false,
+            draft,
+        };
+        self.note(What::Asked {
+            request: one.id.clone(),
+            node: format!("n{node}"),
+            class: one.draft.class.clone(),
+            tenant: one.draft.tenant.clone(),
+            patience_us: patience,
+            streamed: one.draft.streamed,
+        });
+        self.at(one.by, Event::GiveUp(node, ticket));
+        self.tries.insert((node, ticket), one);
+        self.at(self.now + HOP, Event::Tell(node, Box::new(Input::Arrived(arrival))));
+    }
+
+    fn answered(&mut self, node: usize, ticket: Ticket, answer: Final) {
+        let Some(one) = self.tries.get_mut(&(node, ticket)).filter(|t| !t.done) else { return };
+        one.done = true;
+        let one = one.clone();
+        let told = match answer {
+            Final::Served => Answer::Served,
+            Final::Refused(_) => Answer::Refused,
+            Final::Failed => Answer::Failed,
+            Final::Cut => Answer::Cut,
+        };
+        self.note_at(self.now + HOP, What::Answered { request: one.id, answer: told });
+        if let Final::Refused(after) = answer {
+            let traffic = &self.day.traffic;
+            let usual = traffic.retry_wait.as_micros() as Micros;
+            let wait = after.filter(|_| one.draft.heeds).unwrap_or(usual);
+            if one.tries < traffic.retries {
+                self.at(self.now + HOP + wait, Event::Ask(one.number, one.tries + 1, one.draft));
+            }
+        }
+    }
+
+    // ---- nodes ----
+
+    fn tell(&mut self, node: usize, input: Input) {
+        let mut out = std::mem::take(&mut self.out);
+        self.nodes[node].handle(self.now, input, &mut out);
+        self.rewake(node);
+        self.carry_out(node, &mut out);
+        self.out = out;
+    }
+
+    fn rewake(&mut self, node: usize) {
+        if let Some(old) = self.wake_of[node] {
+            self.wakes.remove(&(old, node));
+        }
+        // What is due now is done at the next turn of the clock.
+        let wake = self.nodes[node].next_wake().map(|at| at.max(self.now));
+        if let Some(at) = wake {
+            self.wakes.insert((at, node));
+        }
+        self.wake_of[node] = wake;
+    }
+
+    fn carry_out(&mut self, node: usize, out: &mut Vec<Command>) {
+        for command in out.drain(..) {
+            match command {
+                Command::Attempt(order) => {
+                    let Some(&engine) = self.index.get(&order.engine) else { continue };
+                    let request =
+                        self.tries.get(&(node, order.ticket)).map_or(String::new(), |t| t.id.clone());
+                    let flight = Flight {
+                        engine,
+                        work: None,
+                        first: false,
+                        reads: order.step == Step::Read,
+                        request,
+                        name: format!("{}.{}", order.request.0, order.attempt),
+                    };
+                    self.flights.insert((node, order.ticket, order.attempt), flight);
+                    self.at(self.now + order.timeout, Event::Late(node, order.ticket, order.attempt, false));
+                    if let Some(whole) = order.whole {
+                        self.at(self.now + whole, Event::Late(node, order.ticket, order.attempt, true));
+                    }
+                    self.at(self.now + HOP, Event::Begin(node, Box::new(order)));
+                }
+                Command::Cancel(ticket, attempt) => {
+                    self.call_off((node, ticket, attempt), Outcome::Cancelled)
+                }
+                Command::Answer(ticket, answer) => self.answered(node, ticket, answer),
+                Command::Over(ticket) => {
+                    self.tries.remove(&(node, ticket));
+                }
+                Command::Release(name, engine, _) => {
+                    self.at(self.now + HOP, Event::Release(node, name, engine));
+                }
+                Command::Probe(engine, ..) => {
+                    let Some(&number) = self.index.get(&engine) else { continue };
+                    let up = self.fleet.engine(number).is_up();
+                    let load = up.then(|| self.load(number));
+                    self.at(self.now + 2 * HOP, Event::Tell(node, Box::new(Input::Probed(engine, up, load))));
+                }
+                Command::Reread => self.list(node, HOP),
+                Command::Log(_) | Command::Stopped => {}
+            }
+        }
+    }
+
+    /// A node reads the list as it is now, after a time.
+    fn list(&mut self, node: usize, after: Micros) {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let mut list = Vec::new();
+        for (n, spec) in self.specs.iter().enumerate() {
+            let member = Member {
+                engine: EngineId(spec.id.as_str().into()),
+                zone: spec.zone.clone(),
+                kind: spec.kind.clone(),
+                rack: spec.rack,
+                listing: self.listing[n],
+                weight: 1.0,
+                started: self.started[n],
+            };
+            list.push(Listed { member, address, cell: spec.cell.as_deref().map(Into::into) });
+        }
+        let at = self.now + after;
+        for one in &list {
+            let listing = match one.member.listing {
+                Listing::Serving => ListedAs::Serving,
+                Listing::Draining => ListedAs::Draining,
+                Listing::Gone => ListedAs::Gone,
+            };
+            let (node, engine) = (format!("n{node}"), one.member.engine.0.to_string());
+            let started = one.member.started.is_some();
+            self.record.push(Record { at, what: What::Listed { node, engine, listing, started } });
+        }
+        self.at(at, Event::Tell(node, Box::new(Input::List(ListForm::Full, list))));
+    }
+
+    fn publish(&mut self) {
+        let notice = self.day.notice.as_micros() as Micros;
+        (0..self.nodes.len()).for_each(|node| self.list(node, notice));
+    }
+
+    // ---- attempts ----
+
+    fn begin(&mut self, node: usize, order: Order) {
+        let key = (node, order.ticket, order.attempt);
+        let Some(flight) = self.flights.get_mut(&key) else { return };
+        let Some(one) = self.tries.get(&(node, order.ticket)) else { return };
+        let engine = flight.engine;
+        let state = order.state.as_ref().and_then(|s| Some((s["engine"].as_u64()?, s["work"].as_u64()?)));
+        let id = self.next_work;
+        self.next_work += 1;
+        flight.work = Some(id);
+        let (half, prompt) = (order.max_tokens.div_ceil(2), tokens(&one.draft.prompt).max(1));
+        let answer = half + one.number.wrapping_mul(0x9e37_79b9) % (order.max_tokens - half + 1);
+        let work = Work {
+            id,
+            reads_only: order.step == Step::Read,
+            fetches: state.map(|s| s.1).filter(|_| order.step == Step::Fetch),
+            chain: one.chain.as_ref().clone(),
+            prompt,
+            answer: if order.step == Step::Read { 0 } else { answer },
+            key: None,
+        };
+        let (request, attempt) = (flight.request.clone(), flight.name.clone());
+        let step = match order.step {
+            Step::Read => AuditStep::Read,
+            Step::Fetch => AuditStep::Fetch,
+            Step::Both => AuditStep::Both,
+        };
+        let (engine_id, node_name) = (self.specs[engine].id.clone(), format!("n{node}"));
+        self.note(What::Took { engine: engine_id, node: node_name, request, attempt, step, reached: true });
+        self.works.insert(id, key);
+        let mut said = std::mem::take(&mut self.said);
+        let source = state.map(|s| s.0 as usize).filter(|_| work.fetches.is_some());
+        self.fleet.submit(self.now, engine, work, source, &mut said);
+        self.said = said;
+    }
+
+    /// A node calls an attempt off, or its time is up: it ends there at once.
+    fn call_off(&mut self, key: Key, outcome: Outcome) {
+        let Some(flight) = self.flights.get(&key) else { return };
+        if let Some(work) = flight.work {
+            let mut said = std::mem::take(&mut self.said);
+            self.fleet.cancel(self.now, flight.engine, work, &mut said);
+            self.said = said;
+        }
+        self.end(key, outcome, 0, None, 0);
+    }
+
+    fn end(&mut self, key: Key, outcome: Outcome, kept: u64, state: Option<WorkId>, hop: Micros) {
+        let Some(flight) = self.flights.remove(&key) else { return };
+        if let Some(work) = flight.work {
+            self.works.remove(&work);
+            let (engine, attempt) = (self.specs[flight.engine].id.clone(), flight.name.clone());
+            self.note(What::Done { engine, attempt });
+        }
+        let told = matches!(outcome, Outcome::Read | Outcome::Served | Outcome::Full | Outcome::NoState);
+        let load = told.then(|| self.load(flight.engine));
+        let state = state.map(|work| Arc::new(json!({ "engine": flight.engine, "work": work })));
+        let (node, ticket, attempt) = key;
+        let input = Input::Ended { ticket, attempt, outcome, kept, load, state };
+        self.at(self.now + hop, Event::Tell(node, Box::new(input)));
+    }
+
+    fn load(&mut self, engine: usize) -> Load {
+        let r = self.fleet.report(self.now, engine);
+        let slots = self.specs[engine].slots.max(1) as f64;
+        Load {
+            slots: Some(r.running / slots),
+            queue: Some(r.waiting),
+            memory: Some(r.memory),
+            backlog: Some(r.backlog / 1000.0),
+        }
+    }
+
+    // ---- engines ----
+
+    fn heard(&mut self, engine: usize, notice: Notice) {
+        match notice {
+            Notice::Freed(state, by) => {
+                let Some((engine, name)) = self.names.remove(&state) else { return };
+                self.states.remove(&(engine, name.clone()));
+                let by = match by {
+                    FreedBy::Fetched => pintally_audit::FreedBy::Fetched,
+                    FreedBy::Released => pintally_audit::FreedBy::Released,
+                    FreedBy::Expired => pintally_audit::FreedBy::Expired,
+                    FreedBy::Died => pintally_audit::FreedBy::Died,
+                };
+                self.note(What::Freed { engine: self.specs[engine].id.clone(), state: name, by });
+            }
+            Notice::Fell => {
+                self.fell += 1;
+                self.listing[engine] = Listing::Gone;
+                self.publish();
+                self.at(self.now + UP_AGAIN, Event::Act(Act::Up(engine, true)));
+            }
+            Notice::Read(id, kept) => {
+                // A read that was called off may still be done: its state waits until it is let go.
+                let Some(&key) = self.works.get(&id) else {
+                    let mut said = std::mem::take(&mut self.said);
+                    self.fleet.release(self.now, engine, id, &mut said);
+                    self.said = said;
+                    return;
+                };
+                let Some(flight) = self.flights.get(&key) else { return };
+                let (state, request) = (flight.name.clone(), flight.request.clone());
+                self.states.insert((engine, state.clone()), id);
+                self.names.insert(id, (engine, state.clone()));
+                let (engine, node) = (self.specs[engine].id.clone(), format!("n{}", key.0));
+                self.note(What::Held { engine, node, request, state });
+                self.end(key, Outcome::Read, kept, Some(id), HOP);
+            }
+            Notice::Began(id) => {
+                let Some(flight) = self.works.get(&id).and_then(|k| self.flights.get(k)) else { return };
+                let (request, attempt) = (flight.request.clone(), flight.name.clone());
+                self.note(What::Ran { engine: self.specs[engine].id.clone(), request, attempt });
+            }
+            Notice::Token(id, 1) => {
+                let Some(&key) = self.works.get(&id) else { return };
+                let Some(flight) = self.flights.get_mut(&key).filter(|f| !f.reads) else { return };
+                flight.first = true;
+                self.at(self.now + HOP, Event::Tell(key.0, Box::new(Input::FirstToken(key.1, key.2))));
+                let at = self.now + 2 * HOP;
+                let Some(one) = self.tries.get_mut(&(key.0, key.1)).filter(|t| !t.done) else { return };
+                if one.draft.streamed && !std::mem::replace(&mut one.first, true) {
+                    let request = one.id.clone();
+                    self.note_at(at, What::First { request });
+                }
+            }
+            Notice::Done(id, kept) => {
+                if let Some(&key) = self.works.get(&id) {
+                    self.end(key, Outcome::Served, kept, None, HOP);
+                }
+            }
+            Notice::Refused(id, why) => {
+                let Some(&key) = self.works.get(&id) else { return };
+                let outcome = match why {
+                    Refusal::Full | Refusal::TooLong => Outcome::Full,
+                    Refusal::NoState | Refusal::Repeat => Outcome::NoState,
+                    Refusal::Down => Outcome::Unreachable,
+                };
+                self.end(key, outcome, 0, None, HOP);
+            }
+            Notice::Broken(id) => {
+                let Some(&key) = self.works.get(&id) else { return };
+                let up = self.fleet.engine(engine).is_up();
+                self.end(key, if up { Outcome::NoState } else { Outcome::Broken }, 0, None, HOP);
+            }
+            Notice::Token(..) | Notice::Wants(..) | Notice::Preempted(_) => {}
+        }
+    }
+
+    fn release(&mut self, node: usize, name: RequestId, engine: EngineId) {
+        let Some(&number) = self.index.get(&engine) else { return };
+        let up = self.fleet.engine(number).is_up();
+        if up {
+            let state = name.0.to_string();
+            self.note(What::ReleaseSeen { engine: engine.0.to_string(), state: state.clone() });
+            if let Some(work) = self.states.get(&(number, state)).copied() {
+                let mut said = std::mem::take(&mut self.said);
+                self.fleet.release(self.now, number, work, &mut said);
+                self.said = said;
+            }
+        }
+        self.at(self.now + HOP, Event::Tell(node, Box::new(Input::Released(name, engine, up))));
+    }
+
+    fn act(&mut self, act: Act) {
+        match act {
+            Act::Up(engine, false) => {
+                let mut said = std::mem::take(&mut self.said);
+                self.fleet.crash(self.now, engine, &mut said);
+                self.said = said;
+                self.listing[engine] = Listing::Gone;
+                self.publish();
+            }
+            Act::Up(engine, true) => {
+                self.fleet.start(self.now, engine, true);
+                (self.listing[engine], self.started[engine]) = (Listing::Serving, Some(self.now));
+                self.note(What::Started { engine: self.specs[engine].id.clone() });
+                self.publish();
+            }
+            Act::Slow(engine, times) => self.fleet.fault(engine, |f| f.slow = times),
+            Act::Links(engine, times) => self.fleet.slow_port(self.now, engine, times),
+            Act::Pause(engine, until) => self.fleet.fault(engine, |f| f.paused_until = until),
+            Act::Forget(engine) => self.fleet.forget(engine),
+            Act::Reports(engine, how) => self.fleet.fault(engine, |f| f.reports = how),
+            Act::Drain(engine, drains) => {
+                if self.listing[engine] != Listing::Gone {
+                    self.listing[engine] = if drains { Listing::Draining } else { Listing::Serving };
+                    self.publish();
+                }
+            }
+            Act::Rate(rate) => self.rate = rate,
+            Act::Hot(share) => self.hot = share,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-lab/tests/days.rs
@@ -0,0 +1,103 @@
+//! Days in virtual time: the rules are kept, the same seed gives the same record, policies differ where
+//! they should and nowhere else.
+
+use pintally_day::{with_figures, Day};
+use pintally_lab::*;
+
+const DAY: &str = r#"(day (name "lab") (seed 1) (seconds 20) (settle-seconds 20)
+  (zones "a" "b") (racks 4) (nodes 3 (notice-ms 200)) (slack-ms 5)
+  (rules (warm-after-ms 3000) (tip-window-ms 500))
+  (limits (held 600) (answer-margin-ms 50))
+  (class "hint" (effect safe) (aim-ms 800) (patience-ms 3000) (worth 2))
+  (class "keyed" (effect keyed (group all) (window-ms 9000)) (aim-ms 1000) (patience-ms 4000))
+  (class "graded-submit" (effect unsafe) (aim-ms 1000) (patience-ms 4000) (worth 3))
+  (tenant "north") (tenant "south")
+  (kind "prefill" (role reader) (slots 8) (memory-tokens 60000))
+  (kind "decode" (role writer) (slots 16) (memory-tokens 60000))
+  (engines "prefill" (count 4) (queue 20) (read-per-s 9000))
+  (engines "decode" (count 6) (queue 12) (token-gap-ms 15))
+  (traffic (per-second 45) (retries 1) (retry-wait-ms 200) (own-texts 1) (shared-texts 10) (shared-tokens 400 900)
+    (class "hint" (share 50)) (class "keyed" (share 25)) (class "graded-submit" (share 25))
+    (tenant "north" (share 60)) (tenant "south" (share 40)))
+  FAULTS)"#;
+
+const FAULTS: &str = r#"(fault crash (at 3) (for 4) (part 0.25)) (fault slow (at 6) (for 5) (part 0.3) (size 5))
+  (fault drain (at 9) (for 4) (part 0.2)) (fault forget (at 10) (part 1)) (fault burst (at 12) (for 3) (size 3))
+  (fault hang (at 8) (for 2) (part 0.2)) (fault slow-links (at 14) (for 3) (part 0.5) (size 8))
+  (fault restart (at 5) (part 0.2)) (fault stale-reports (at 2) (for 9) (part 0.5))
+  (fault lying-reports (at 12) (for 4) (part 0.3)) (fault hot-text (at 16) (for 3) (size 0.5))"#;
+
+fn day(faults: &str) -> Day {
+    Day::parse("lab", &DAY.replace("FAULTS", faults)).unwrap()
+}
+
+#[test]
+fn rules_are_kept_on_bad_days_by_the_module() {
+    let day = day(FAULTS);
+    for seed in 1..6 {
+        let (record, engines, _, _) = World::new(&day, Which::Module, seed).play();
+        let times = (day.drain_grace.as_micros() as u64, day.slack.as_micros() as u64);
+        let record = with_figures(&day.settings, times, engines, record);
+        let report = pintally_audit::audit(&record).unwrap();
+        assert!(report.rules.kept(), "seed {seed}: {:#?}", report.rules);
+        assert!(report.requests > 700 && report.served * 2 > report.requests, "seed {seed}: {report:?}");
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_record_and_another_does_not() {
+    let day = day(FAULTS);
+    let text = |which, seed| format!("{:?}", World::new(&day, which, seed).play().0);
+    for which in Which::ALL {
+        let first = text(which, 7);
+        assert!(first == text(which, 7), "{}", which.name());
+        assert!(first != text(which, 8), "{}", which.name());
+    }
+}
+
+/// An audit that could not fail would say nothing: a policy that sends an unsafe request again after
+/// it may have run is found out.
+#[test]
+fn a_policy_that_breaks_a_rule_is_found_out() {
+    use pintally::interface::Outcome;
+    use pintally_host::{Command, Host, Input};
+    /// Tells its host that whatever broke off was never sent.
+    struct Heedless(Host);
+    impl Policy for Heedless {
+        fn handle(&mut self, now: u64, input: Input, out: &mut Vec<Command>) {
+            let input = match input {
+                Input::Ended { ticket, attempt, outcome: Outcome::Broken | Outcome::TimedOut, .. } => {
+                    let (kept, load, state) = (0, None, None);
+                    Input::Ended { ticket, attempt, outcome: Outcome::NeverSent, kept, load, state }
+                }
+                other => other,
+            };
+            self.0.handle(now, input, out);
+        }
+        fn tick(&mut self, now: u64, out: &mut Vec<Command>) {
+            self.0.tick(now, out);
+        }
+        fn next_wake(&self) -> Option<u64> {
+            self.0.next_wake()
+        }
+    }
+    let day = day("(fault crash (at 4) (for 3) (of \"decode\") (part 0.5)) (fault crash (at 10) (for 3) (of \"decode\") (part 0.5))");
+    let mut world = World::new(&day, Which::Module, 3);
+    world.replace(|settings, seed| Box::new(Heedless(Host::new(settings, seed))));
+    let (record, engines, _, _) = world.play();
+    let record = with_figures(&day.settings, (1_000_000, 5_000), engines, record);
+    let report = pintally_audit::audit(&record).unwrap();
+    assert!(!report.rules.twice.is_empty(), "{report:?}");
+}
+
+/// Kept texts are worth something where readers are short: the module must not fall behind policies
+/// that do not know of them.
+#[test]
+fn the_module_serves_more_in_time_than_random_where_reading_is_short() {
+    let found = compare(&day(""), &[1.6], 1..7).unwrap();
+    let of = |which| found.iter().find(|c| c.which == which).unwrap();
+    let random = of(Which::Random);
+    println!("{found:#?}");
+    assert!(of(Which::Module).broken == 0);
+    assert!(random.against_module.most < 0.0, "{random:?}");
+}
--- a/crates/pintally-measure/src/flood.rs
+++ b/crates/pintally-measure/src/flood.rs
@@ -110,8 +110,8 @@
             let b = b.map_err(|_| error("a run ended by a panic"))?;
             let (a, b) = (a.map_err(error)?, b.map_err(error)?);
             kept &= a.kept() && b.kept();
-            without.push(in_time(requests(day, &a).iter().filter(|r| r.of(&others))));
-            with.push(in_time(requests(day, &b).iter().filter(|r| r.of(&others))));
+            without.push(in_time(requests(day, &a.record).iter().filter(|r| r.of(&others))));
+            with.push(in_time(requests(day, &b.record).iter().filter(|r| r.of(&others))));
         }
         let changes: Vec<f64> = without.iter().zip(&with).map(|(a, b)| b / a.max(1e-9) - 1.0).collect();
         found.push(Flood {
--- a/crates/pintally-measure/src/lib.rs
+++ b/crates/pintally-measure/src/lib.rs
@@ -25,6 +25,7 @@
 pub use price::{price, Price};
 pub use report::{Spread, Stats};
 pub use streams::{open_streams, Streams};
+pub use worth::{in_time, requests, One};
 
 use std::fmt;
 
--- a/crates/pintally-measure/src/moves.rs
+++ b/crates/pintally-measure/src/moves.rs
@@ -115,7 +115,7 @@
         for (arm, result) in results {
             let result = result?;
             broken += usize::from(!result.kept());
-            heard[arm].push(requests(&arms[arm].1, &result));
+            heard[arm].push(requests(&arms[arm].1, &result.record));
         }
     }
     let whens = [("before", from, begin), ("during", begin, settled), ("after", settled, day.length * 2)];
--- a/crates/pintally-measure/src/price.rs
+++ b/crates/pintally-measure/src/price.rs
@@ -57,7 +57,7 @@
             for (place, result) in results.into_iter().enumerate() {
                 let result = result.map_err(|_| error("a run ended by a panic"))?.map_err(error)?;
                 let one = &mut found[chunk * 2 + place];
-                one.0.push(in_time(requests(&pair[place].1, &result).iter()));
+                one.0.push(in_time(requests(&pair[place].1, &result.record).iter()));
                 one.1 &= result.kept();
             }
         }
--- a/crates/pintally-measure/src/worth.rs
+++ b/crates/pintally-measure/src/worth.rs
@@ -2,38 +2,39 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pintally_audit::{Answer, What};
-use pintally_day::{Day, DayResult};
+use pintally_audit::{Answer, Record, What};
+use pintally_day::Day;
 
 /// One request as its client saw it; times in microseconds.
 #[derive(Clone, Debug)]
-pub(crate) struct One {
-    pub(crate) tenant: Option<String>,
-    pub(crate) at: u64,
-    pub(crate) aim: u64,
-    pub(crate) worth: f64,
-    pub(crate) first: Option<u64>,
-    pub(crate) served: bool,
+#[allow(missing_docs)]
+pub struct One {
+    pub tenant: Option<String>,
+    pub at: u64,
+    pub aim: u64,
+    pub worth: f64,
+    pub first: Option<u64>,
+    pub served: bool,
     /// It is a try again, which asks for nothing new.
     again: bool,
 }
 
 impl One {
     /// Whether it is a request of one of some tenants.
-    pub(crate) fn of(&self, tenants: &BTreeSet<String>) -> bool {
+    pub fn of(&self, tenants: &BTreeSet<String>) -> bool {
         self.tenant.as_ref().is_some_and(|t| tenants.contains(t))
     }
 
     /// Whether it was served and began in time.
-    pub(crate) fn in_time(&self) -> bool {
+    pub fn in_time(&self) -> bool {
         self.served && self.first.is_some_and(|f| f <= self.at + self.aim)
     }
 }
 
 /// The requests of a day, in the order in which they came.
-pub(crate) fn requests(day: &Day, result: &DayResult) -> Vec<One> {
+pub fn requests(day: &Day, record: &[Record]) -> Vec<One> {
     let mut all: BTreeMap<&str, One> = BTreeMap::new();
-    for r in &result.record {
+    for r in record {
         match &r.what {
             What::Asked { request, class, tenant, .. } => {
                 let Some(class) = day.settings.core.classes.iter().find(|c| c.name == *class) else {
@@ -63,7 +64,7 @@
 }
 
 /// The share of the worth asked that was served in time. A try again is not another request.
-pub(crate) fn in_time<'a>(requests: impl Iterator<Item = &'a One>) -> f64 {
+pub fn in_time<'a>(requests: impl Iterator<Item = &'a One>) -> f64 {
     let (mut asked, mut good) = (0.0, 0.0);
     for one in requests {
         asked += if one.again { 0.0 } else { one.worth };
--- a/crates/pintally-standin/src/engine.rs
+++ b/crates/pintally-standin/src/engine.rs
@@ -236,7 +236,7 @@
 }
 
 /// The emulated engine's figures.
-pub(crate) fn emulated(spec: &EngineSpec) -> emulator::Spec {
+pub fn emulated(spec: &EngineSpec) -> emulator::Spec {
     let micros = |d: Duration| d.as_micros() as u64;
     emulator::Spec {
         kind: match spec.role {
--- a/crates/pintally-standin/src/lib.rs
+++ b/crates/pintally-standin/src/lib.rs
@@ -12,7 +12,8 @@
 mod spec;
 mod text;
 
-pub use engine::Engine;
+pub use engine::{emulated, Engine};
 pub use fleet::{Fleet, Recorder};
 pub use port::Port;
 pub use spec::{EngineSpec, Faults, Reports, Role};
+pub use text::{blocks, tokens};
