--- a/crates/pintally-cli/src/lab.rs
+++ b/crates/pintally-cli/src/lab.rs
@@ -87,6 +87,11 @@
                 ]);
             }
             println!("{table}");
+            for c in &found {
+                if let Some(first) = &c.first {
+                    println!("{} at {}: {first}", c.which.name(), c.load);
+                }
+            }
             println!("share of the worth asked that was served in time; emulated engines in virtual time");
             Ok(if broken { ExitCode::FAILURE } else { ExitCode::SUCCESS })
         }
@@ -98,6 +103,9 @@
                  served in time {}; runs with a broken rule: {}",
                 s.engines, s.nodes, s.per_second, s.speed, s.in_time, s.broken
             );
+            if let Some(first) = &s.first {
+                println!("{first}");
+            }
             Ok(if s.broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
     }
--- a/crates/pintally-emulator/src/fleet.rs
+++ b/crates/pintally-emulator/src/fleet.rs
@@ -200,8 +200,7 @@
                 let whole = self.transfers.get(&flow).is_some_and(|t| !t.breaks);
                 self.end_flow(now, flow, Some(whole), out);
             }
-            let Some((at, number)) = self.wakes.first().copied().filter(|w| w.0 <= now) else { return };
-            let _ = at;
+            let Some((_, number)) = self.wakes.first().copied().filter(|w| w.0 <= now) else { return };
             self.with(now, number, out, |engine, notices| engine.tick(now, notices));
             if self.wake_of[number].is_some_and(|w| w <= now) {
                 // An engine that wants to be woken for what it has just not done would spin.
--- a/crates/pintally-lab/src/compare.rs
+++ b/crates/pintally-lab/src/compare.rs
@@ -29,8 +29,8 @@
     pub refused: u64,
     /// Failed or cut off.
     pub failed: u64,
-    /// Rules that were broken, each as often as it was.
-    pub broken: usize,
+    /// Rules that were broken, each as often as it was, in words.
+    pub broken: Vec<String>,
     /// Engines that fell over.
     pub fell: u64,
     /// Seconds of the wall's clock for each of the day's.
@@ -64,7 +64,12 @@
         served: report.served,
         refused: report.refused,
         failed: report.failed,
-        broken: report.rules.each().iter().map(|(_, found)| found.len()).sum(),
+        broken: report
+            .rules
+            .each()
+            .iter()
+            .flat_map(|(rule, found)| found.iter().map(move |what| format!("{rule}: {what}")))
+            .collect(),
         fell,
         wall_share: wall / span,
         steps_per_s: steps as f64 / wall,
@@ -84,8 +89,10 @@
     pub against_module: Interval,
     /// Milliseconds to the first token, 99th percentile.
     pub p99_ms: Spread,
-    /// Runs in which a rule was broken, and engines that fell over in all.
+    /// Runs in which a rule was broken.
     pub broken: usize,
+    /// What was broken first, if anything.
+    pub first: Option<String>,
     /// Engines that fell over.
     pub fell: u64,
 }
@@ -136,7 +143,8 @@
                 in_time: Spread::of(of(w).iter().map(|p| p.in_time)),
                 against_module: Interval::of(&differences),
                 p99_ms: Spread::of(of(w).iter().map(|p| p.p99_ms)),
-                broken: of(w).iter().filter(|p| p.broken > 0).count(),
+                broken: of(w).iter().filter(|p| !p.broken.is_empty()).count(),
+                first: of(w).iter().flat_map(|p| p.broken.first()).next().cloned(),
                 fell: of(w).iter().map(|p| p.fell).sum(),
             });
         }
@@ -159,6 +167,8 @@
     pub in_time: Spread,
     /// Runs in which a rule was broken.
     pub broken: usize,
+    /// What was broken first, if anything.
+    pub first: Option<String>,
 }
 
 /// Plays a day one after the other, scaled to so many engines and nodes at the same load for each
@@ -179,6 +189,7 @@
         per_second: day.traffic.per_second,
         speed: Spread::of(played.iter().map(|p| 1.0 / p.wall_share)),
         in_time: Spread::of(played.iter().map(|p| p.in_time)),
-        broken: played.iter().filter(|p| p.broken > 0).count(),
+        broken: played.iter().filter(|p| !p.broken.is_empty()).count(),
+        first: played.iter().flat_map(|p| p.broken.first()).next().cloned(),
     })
 }
--- a/crates/pintally-lab/src/world.rs
+++ b/crates/pintally-lab/src/world.rs
@@ -580,17 +580,27 @@
                     Refusal::NoState | Refusal::Repeat => Outcome::NoState,
                     Refusal::Down => Outcome::Unreachable,
                 };
+                self.turned_away(engine, key);
                 self.end(key, outcome, 0, None, HOP);
             }
             Notice::Broken(id) => {
                 let Some(&key) = self.works.get(&id) else { return };
                 let up = self.fleet.engine(engine).is_up();
+                if up {
+                    self.turned_away(engine, key);
+                }
                 self.end(key, if up { Outcome::NoState } else { Outcome::Broken }, 0, None, HOP);
             }
             Notice::Token(..) | Notice::Wants(..) | Notice::Preempted(_) => {}
         }
     }
 
+    /// An engine says that it has run nothing of an attempt.
+    fn turned_away(&mut self, engine: usize, key: Key) {
+        let Some(attempt) = self.flights.get(&key).map(|f| f.name.clone()) else { return };
+        self.note(What::TurnedAway { engine: self.specs[engine].id.clone(), attempt });
+    }
+
     fn release(&mut self, node: usize, name: RequestId, engine: EngineId) {
         let Some(&number) = self.index.get(&engine) else { return };
         let up = self.fleet.engine(number).is_up();
--- a/crates/pintally-lab/tests/days.rs
+++ b/crates/pintally-lab/tests/days.rs
@@ -81,7 +81,8 @@
             self.0.next_wake()
         }
     }
-    let day = day("(fault crash (at 4) (for 3) (of \"decode\") (part 0.5)) (fault crash (at 10) (for 3) (of \"decode\") (part 0.5))");
+    // Answers begin, and their first token takes longer than the node waits.
+    let day = day("(fault slow (at 4) (for 6) (of \"decode\") (part 0.5) (size 300))");
     let mut world = World::new(&day, Which::Module, 3);
     world.replace(|settings, seed| Box::new(Heedless(Host::new(settings, seed))));
     let (record, engines, _, _) = world.play();
