The price of cells is measured in virtual time too

measure price plays over sockets, two runs at a time, some minutes for a few seeds; lab price plays the same divisions in virtual time, as many seeds and seconds as asked for.

--- a/crates/pintally-cli/src/lab.rs
+++ b/crates/pintally-cli/src/lab.rs
@@ -1,11 +1,14 @@
 //! `pintally lab`: days in virtual time, policies side by side.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use comfy_table::Table;
 use pintally_day::Day;
-use pintally_lab::{compare, size, supported};
+use pintally_lab::{compare, play, size, supported, Which};
+use pintally_measure::{price, MeasureError};
 
+use crate::measure::print_prices;
 use crate::{read, Failure};
 
 #[derive(clap::Args)]
@@ -30,6 +33,23 @@
         #[arg(long)]
         json: bool,
     },
+    /// The price of cells: one pool against so many cells, with and without lending.
+    Price {
+        /// A day with tenants and without cells; its own faults are left out.
+        day: String,
+        /// Numbers of cells.
+        #[arg(long, value_delimiter = ',', default_values_t = [2, 4, 8])]
+        cells: Vec<usize>,
+        /// Times the day's rate.
+        #[arg(long, default_value_t = 1.0)]
+        rate: f64,
+        /// Seconds of each day, rather than the day's own.
+        #[arg(long)]
+        seconds: Option<f64>,
+        /// Seeds.
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+    },
     /// How fast a day goes with so many engines and nodes.
     Size {
         /// The day; its engines and its rate are scaled together.
@@ -95,6 +115,19 @@
             println!("share of the worth asked that was served in time; emulated engines in virtual time");
             Ok(if broken { ExitCode::FAILURE } else { ExitCode::SUCCESS })
         }
+        What::Price { day, cells, rate, seconds, seeds } => {
+            let mut day = load(day)?;
+            day.length = seconds.map_or(day.length, Duration::from_secs_f64);
+            day.traffic.per_second *= rate;
+            let own = |day: &Day, seed: u64| {
+                let played = play(day, Which::Module, seed).map_err(MeasureError)?;
+                Ok((played.in_time, played.broken.is_empty()))
+            };
+            let (first, cores) = (day.seed, std::thread::available_parallelism().map_or(1, |n| n.get()));
+            let found = price(&day, cells, first..first + seeds, cores, &own).map_err(Failure::failed)?;
+            print_prices(&found);
+            Ok(if found.iter().all(|p| p.kept) { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         What::Size { day, engines, nodes, seeds } => {
             let day = load(day)?;
             let s = size(&day, *engines, *nodes, *seeds).map_err(Failure::failed)?;
--- a/crates/pintally-cli/src/measure.rs
+++ b/crates/pintally-cli/src/measure.rs
@@ -6,7 +6,8 @@
 use comfy_table::Table;
 use pintally_day::Day;
 use pintally_measure::{
-    added_latency, deciding, emulated, flood, moves, open_streams, plans, price, saturation, Added,
+    added_latency, deciding, emulated, flood, moves, open_streams, over_sockets, plans, price, saturation,
+    Added, Price,
 };
 
 use crate::{read, Failure};
@@ -209,16 +210,10 @@
         What::Price { day, cells, seeds } => {
             let day = Day::parse(day, &read(day)?).map_err(Failure::usage)?;
             let first = day.seed;
-            let mut table = Table::new();
-            table.set_header(["", "served in time", "change against one pool, 95% interval", "rules"]);
-            for p in price(&day, cells, first..first + seeds).map_err(Failure::failed)? {
-                let rules = if p.kept { "kept" } else { "broken" }.to_string();
-                table.add_row([p.name.clone(), p.in_time.to_string(), p.change.to_string(), rules]);
-            }
-            println!("{table}");
-            println!(
-                "share of the worth asked that was served in time; each against the pool of the same engines"
-            );
+            // Two at a time: more would strain the machine that carries node, engines and clients.
+            let found =
+                price(&day, cells, first..first + seeds, 2, &over_sockets).map_err(Failure::failed)?;
+            print_prices(&found);
         }
         What::Plans { tenants, fleets, tight, seconds } => {
             let mut table = Table::new();
@@ -286,6 +281,18 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// The price of cells as a table.
+pub(crate) fn print_prices(prices: &[Price]) {
+    let mut table = Table::new();
+    table.set_header(["", "served in time", "change against one pool, 95% interval", "rules"]);
+    for p in prices {
+        let rules = if p.kept { "kept" } else { "broken" }.to_string();
+        table.add_row([p.name.clone(), p.in_time.to_string(), p.change.to_string(), rules]);
+    }
+    println!("{table}");
+    println!("share of the worth asked that was served in time; each against the pool of the same engines");
+}
+
 fn print_added(steps: &[Added]) {
     let mut table = Table::new();
     table.set_header([
--- a/crates/pintally-measure/src/lib.rs
+++ b/crates/pintally-measure/src/lib.rs
@@ -22,7 +22,7 @@
 pub use flood::{flood, Flood, Interval};
 pub use moves::{moves, Moves, Part};
 pub use plans::{plans, Plans};
-pub use price::{price, Price};
+pub use price::{over_sockets, price, Player, Price};
 pub use report::{Spread, Stats};
 pub use streams::{open_streams, Streams};
 pub use worth::{in_time, requests, One};
--- a/crates/pintally-measure/src/price.rs
+++ b/crates/pintally-measure/src/price.rs
@@ -26,9 +26,26 @@
     pub kept: bool,
 }
 
+/// Plays a day with a seed: the share of the worth asked that was served in time, and whether all rules
+/// were kept.
+pub type Player<'a> = &'a (dyn Fn(&Day, u64) -> Result<(f64, bool), MeasureError> + Sync);
+
+/// Plays a day over sockets.
+pub fn over_sockets(day: &Day, seed: u64) -> Result<(f64, bool), MeasureError> {
+    let result = run(day, seed, None).map_err(error)?;
+    Ok((in_time(requests(day, &result.record).iter()), result.kept()))
+}
+
 /// Measures a day without cells as one pool and divided into each number of cells. Of each group of
 /// engines what a number does not divide is spare: lent in one of the two ways, left out in the other.
-pub fn price(day: &Day, numbers: &[usize], seeds: Range<u64>) -> Result<Vec<Price>, MeasureError> {
+/// `at_once` runs are played at the same time.
+pub fn price(
+    day: &Day,
+    numbers: &[usize],
+    seeds: Range<u64>,
+    at_once: usize,
+    play: Player,
+) -> Result<Vec<Price>, MeasureError> {
     if day.cells.is_some() || day.traffic.tenants.is_empty() {
         return Err(error("the day must have tenants and no cells: cells are made here"));
     }
@@ -47,18 +64,17 @@
     }
     let mut found: Vec<(Vec<f64>, bool)> = vec![(Vec::new(), true); all.len()];
     for seed in seeds {
-        // Two at a time: more would strain the machine that carries node, engines and clients.
-        for (chunk, pair) in all.chunks(2).enumerate() {
+        for (chunk, some) in all.chunks(at_once.max(1)).enumerate() {
             let results: Vec<_> = thread::scope(|scope| {
                 let runs: Vec<_> =
-                    pair.iter().map(|(_, day, _)| scope.spawn(move || run(day, seed, None))).collect();
+                    some.iter().map(|(_, day, _)| scope.spawn(move || play(day, seed))).collect();
                 runs.into_iter().map(|r| r.join()).collect()
             });
             for (place, result) in results.into_iter().enumerate() {
-                let result = result.map_err(|_| error("a run ended by a panic"))?.map_err(error)?;
-                let one = &mut found[chunk * 2 + place];
-                one.0.push(in_time(requests(&pair[place].1, &result.record).iter()));
-                one.1 &= result.kept();
+                let (share, kept) = result.map_err(|_| error("a run ended by a panic"))??;
+                let one = &mut found[chunk * at_once.max(1) + place];
+                one.0.push(share);
+                one.1 &= kept;
             }
         }
     }
