--- a/crates/pintally-cli/src/lab.rs
+++ b/crates/pintally-cli/src/lab.rs
@@ -5,10 +5,10 @@
 
 use comfy_table::Table;
 use pintally_day::Day;
-use pintally_lab::{compare, play, size, supported, Which};
-use pintally_measure::{price, MeasureError};
+use pintally_lab::{compare, play, record, size, supported, Which};
+use pintally_measure::{moves, price, MeasureError};
 
-use crate::measure::print_prices;
+use crate::measure::{print_moves, print_prices};
 use crate::{read, Failure};
 
 #[derive(clap::Args)]
@@ -33,6 +33,26 @@
         #[arg(long)]
         json: bool,
     },
+    /// What a tenant's move costs it and its neighbours, at its pace and with all sessions at once.
+    Moves {
+        /// A day with cells; its own faults are left out.
+        day: String,
+        /// Who moves,
+        #[arg(long)]
+        tenant: String,
+        /// and into which cell.
+        #[arg(long)]
+        to: String,
+        /// Times the day's rate.
+        #[arg(long, default_value_t = 1.0)]
+        rate: f64,
+        /// Seeds, each played three ways.
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        /// Groups of seeds for the spread.
+        #[arg(long, default_value_t = 5)]
+        groups: usize,
+    },
     /// The price of cells: one pool against so many cells, with and without lending.
     Price {
         /// A day with tenants and without cells; its own faults are left out.
@@ -115,6 +135,16 @@
             println!("share of the worth asked that was served in time; emulated engines in virtual time");
             Ok(if broken { ExitCode::FAILURE } else { ExitCode::SUCCESS })
         }
+        What::Moves { day, tenant, to, rate, seeds, groups } => {
+            let mut day = load(day)?;
+            day.traffic.per_second *= rate;
+            let own = |day: &Day, seed: u64| record(day, Which::Module, seed).map_err(MeasureError);
+            let (first, cores) = (day.seed, std::thread::available_parallelism().map_or(1, |n| n.get()));
+            let found = moves(&day, tenant, to, first..first + seeds, *groups, (cores, &own))
+                .map_err(Failure::failed)?;
+            print_moves(&found);
+            Ok(if found.broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         What::Price { day, cells, rate, seconds, seeds } => {
             let mut day = load(day)?;
             day.length = seconds.map_or(day.length, Duration::from_secs_f64);
--- a/crates/pintally-cli/src/measure.rs
+++ b/crates/pintally-cli/src/measure.rs
@@ -6,8 +6,8 @@
 use comfy_table::Table;
 use pintally_day::Day;
 use pintally_measure::{
-    added_latency, deciding, emulated, flood, moves, open_streams, over_sockets, plans, price, saturation,
-    Added, Price,
+    added_latency, deciding, emulated, flood, moves, open_streams, over_sockets, plans, price, recorded,
+    saturation, Added, Moves, Price,
 };
 
 use crate::{read, Failure};
@@ -192,17 +192,11 @@
         }
         What::Moves { day, tenant, to, seeds, groups } => {
             let day = Day::parse(day, &read(day)?).map_err(Failure::usage)?;
-            let (first, mut table) = (day.seed, Table::new());
-            let found = moves(&day, tenant, to, first..first + seeds, *groups).map_err(Failure::failed)?;
-            table.set_header(["who", "when", "", "requests", "p50, ms", "p99, ms", "late or not served"]);
-            for p in &found.parts {
-                let (p50, p99) = (p.p50_ms.to_string(), p.p99_ms.to_string());
-                let (requests, late) = (p.requests.to_string(), p.late.to_string());
-                table.add_row([p.who.into(), p.when.into(), p.how.to_string(), requests, p50, p99, late]);
-            }
-            println!("{table}");
-            println!("{} moves; runs in which a rule was broken: {}", found.moves, found.broken);
-            println!("first tokens; a request that was not served counts as endless; over groups of seeds");
+            let first = day.seed;
+            // Two seeds at a time: six runs, which the machine carries without being late itself.
+            let found = moves(&day, tenant, to, first..first + seeds, *groups, (2, &recorded))
+                .map_err(Failure::failed)?;
+            print_moves(&found);
             if found.broken > 0 {
                 return Ok(ExitCode::FAILURE);
             }
@@ -281,6 +275,20 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Moves as a table.
+pub(crate) fn print_moves(found: &Moves) {
+    let mut table = Table::new();
+    table.set_header(["who", "when", "", "requests", "p50, ms", "p99, ms", "late or not served"]);
+    for p in &found.parts {
+        let (p50, p99) = (p.p50_ms.to_string(), p.p99_ms.to_string());
+        let (requests, late) = (p.requests.to_string(), p.late.to_string());
+        table.add_row([p.who.into(), p.when.into(), p.how.to_string(), requests, p50, p99, late]);
+    }
+    println!("{table}");
+    println!("{} moves; runs in which a rule was broken: {}", found.moves, found.broken);
+    println!("first tokens; a request that was not served counts as endless; over groups of seeds");
+}
+
 /// The price of cells as a table.
 pub(crate) fn print_prices(prices: &[Price]) {
     let mut table = Table::new();
--- a/crates/pintally-lab/src/compare.rs
+++ b/crates/pintally-lab/src/compare.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Instant;
 
-use pintally_audit::audit;
+use pintally_audit::{audit, Record};
 use pintally_day::{with_figures, Day};
 use pintally_measure::{in_time, requests, Interval, Spread};
 
@@ -39,6 +39,15 @@
     pub steps_per_s: f64,
 }
 
+/// Plays one day in virtual time; its record, and whether all rules were kept.
+pub fn record(day: &Day, which: Which, seed: u64) -> Result<(Vec<Record>, bool), String> {
+    let (record, engines, ..) = World::new(day, which, seed).play();
+    let times = (day.drain_grace.as_micros() as u64, day.slack.as_micros() as u64);
+    let record = with_figures(&day.settings, times, engines, record);
+    let report = audit(&record).map_err(|e| e.to_string())?;
+    Ok((record, report.rules.kept()))
+}
+
 /// Plays one day in virtual time.
 pub fn play(day: &Day, which: Which, seed: u64) -> Result<Played, String> {
     let begun = Instant::now();
--- a/crates/pintally-lab/src/lib.rs
+++ b/crates/pintally-lab/src/lib.rs
@@ -14,7 +14,7 @@
 mod world;
 
 pub use baseline::Baseline;
-pub use compare::{compare, play, size, Compared, Played, Size};
+pub use compare::{compare, play, record, size, Compared, Played, Size};
 pub use policy::{Policy, Which};
 pub use script::{supported, Act};
 pub use world::World;
--- a/crates/pintally-lab/src/script.rs
+++ b/crates/pintally-lab/src/script.rs
@@ -23,6 +23,10 @@
     Pause(usize, u64),
     /// Clients send so many times as much.
     Rate(f64),
+    /// A tenant's move takes a step: announced, into a cell within so many microseconds,
+    Announce(String, String, u64),
+    /// begun, or done.
+    Move(String, bool),
     /// This share of the requests begins with one text.
     Hot(f64),
 }
@@ -42,6 +46,7 @@
             | Kind::LyingReports
             | Kind::Burst
             | Kind::HotText
+            | Kind::MoveTenant
     )
 }
 
@@ -56,6 +61,16 @@
         let (from, to) = (fault.at.as_micros() as u64, (fault.at + fault.length).as_micros() as u64);
         match fault.kind {
             Kind::Burst => acts.extend([(from, Act::Rate(fault.size)), (to, Act::Rate(1.0))]),
+            Kind::MoveTenant => {
+                let (tenant, cell) =
+                    (fault.name.clone().unwrap_or_default(), fault.cell.clone().unwrap_or_default());
+                let told = (fault.size * 1e3) as u64;
+                let third = (to - from) / 3;
+                let over = if told == 0 { third } else { told };
+                acts.push((from, Act::Announce(tenant.clone(), cell, over)));
+                acts.push((from + third, Act::Move(tenant.clone(), false)));
+                acts.push((to, Act::Move(tenant, true)));
+            }
             Kind::HotText => acts.extend([(from, Act::Hot(fault.size.min(1.0))), (to, Act::Hot(0.0))]),
             _ => {
                 for engine in struck(fault, engines, rng) {
--- a/crates/pintally-lab/src/world.rs
+++ b/crates/pintally-lab/src/world.rs
@@ -7,6 +7,7 @@
 
 use pintally::interface::{Attempt, EngineId, ListForm, Listing, Load, Member, Micros, Outcome, RequestId};
 use pintally_audit::{Answer, EngineFigures, Listed as ListedAs, Record, Step as AuditStep, What};
+use pintally_cells::{CellsFile, Turn};
 use pintally_config::NodeSettings;
 use pintally_day::{specs, Day, Draft, Source};
 use pintally_emulator::{Fleet, FreedBy, Notice, Place, Refusal, Wires, Work, WorkId};
@@ -25,6 +26,8 @@
 const HOP: Micros = 100;
 /// Unix time at which days begin, in milliseconds.
 const UNIX_MS: u64 = 1_700_000_000_000;
+/// The last node sees a version of the file of cells so long after the first.
+const APART: Micros = 5_000_000;
 /// An engine that fell over comes back, cold, after this time.
 const UP_AGAIN: Micros = 5_000_000;
 
@@ -94,6 +97,7 @@
     source: Source,
     rate: f64,
     hot: f64,
+    cells: Option<CellsFile>,
     rng: ChaCha8Rng,
     record: Vec<Record>,
     out: Vec<Command>,
@@ -147,6 +151,7 @@
             source: Source::new(&day.traffic, &day.settings, day.zones.len(), seed),
             rate: 1.0,
             hot: 0.0,
+            cells: day.cells.clone(),
             rng,
             record: Vec::new(),
             out: Vec::new(),
@@ -435,6 +440,21 @@
         self.at(at, Event::Tell(node, Box::new(Input::List(ListForm::Full, list))));
     }
 
+    /// A tenant's move takes a step: a version of the file that nodes see one after the other, the last
+    /// of them five seconds after the first.
+    fn turn(&mut self, tenant: &str, turn: Turn) {
+        let unix_ms = UNIX_MS + self.now / 1000;
+        // A day's script may end a move before its time; nodes then go on as the file had it.
+        let Some(Ok(next)) = self.cells.as_ref().map(|c| c.step(tenant, turn, unix_ms)) else { return };
+        let (notice, last) = (self.day.notice.as_micros() as Micros, self.nodes.len().max(2) as u64 - 1);
+        for node in 0..self.nodes.len() {
+            let late = notice + APART * node as u64 / last;
+            let input = Input::Cells(Box::new(next.clone()));
+            self.at(self.now + late, Event::Tell(node, Box::new(input)));
+        }
+        self.cells = Some(next);
+    }
+
     fn publish(&mut self) {
         let notice = self.day.notice.as_micros() as Micros;
         (0..self.nodes.len()).for_each(|node| self.list(node, notice));
@@ -642,6 +662,11 @@
                     self.publish();
                 }
             }
+            Act::Announce(tenant, cell, over) => {
+                let (to, over_ms) = (vec![cell.as_str().into()], (over / 1000).max(1));
+                self.turn(&tenant, Turn::Begin { to, over_ms });
+            }
+            Act::Move(tenant, done) => self.turn(&tenant, if done { Turn::Done } else { Turn::Go }),
             Act::Rate(rate) => self.rate = rate,
             Act::Hot(share) => self.hot = share,
         }
--- a/crates/pintally-measure/src/moves.rs
+++ b/crates/pintally-measure/src/moves.rs
@@ -8,8 +8,9 @@
 use std::thread;
 use std::time::Duration;
 
+use pintally_audit::Record;
 use pintally_cells::CellName;
-use pintally_day::{run, Day, DayResult, Fault, Kind};
+use pintally_day::{run, Day, Fault, Kind};
 
 use crate::report::Spread;
 use crate::worth::{requests, One};
@@ -48,13 +49,24 @@
     pub broken: usize,
 }
 
-/// Plays moves over some seeds, in groups for the spread.
+/// What a player of a day gives: its record, and whether all rules were kept.
+pub type Recorded = Result<(Vec<Record>, bool), MeasureError>;
+
+/// Plays a day over sockets.
+pub fn recorded(day: &Day, seed: u64) -> Recorded {
+    let result = run(day, seed, None).map_err(error)?;
+    let kept = result.kept();
+    Ok((result.record, kept))
+}
+
+/// Plays moves over some seeds, in groups for the spread; so many seeds at the same time.
 pub fn moves(
     day: &Day,
     tenant: &str,
     to: &str,
     seeds: Range<u64>,
     groups: usize,
+    (at_once, play): (usize, &(dyn Fn(&Day, u64) -> Recorded + Sync)),
 ) -> Result<Moves, MeasureError> {
     let Some(cells) = &day.cells else { return Err(error("the day has no cells")) };
     let home: BTreeSet<CellName> = cells.home(tenant).into_iter().collect();
@@ -100,22 +112,21 @@
     let mut heard: Vec<Vec<Vec<One>>> = vec![Vec::new(); arms.len()];
     let mut broken = 0;
     let all: Vec<u64> = seeds.collect();
-    for pair in all.chunks(2) {
-        // Two seeds at a time: six runs, which the machine carries without being late itself.
-        let results: Vec<(usize, Result<DayResult, MeasureError>)> = thread::scope(|scope| {
+    for pair in all.chunks(at_once.max(1)) {
+        let results: Vec<(usize, Recorded)> = thread::scope(|scope| {
             let mut runs = Vec::new();
             for seed in pair {
                 for (arm, (_, day)) in arms.iter().enumerate() {
-                    runs.push((arm, scope.spawn(move || run(day, *seed, None).map_err(error))));
+                    runs.push((arm, scope.spawn(move || play(day, *seed))));
                 }
             }
             let panicked = || Err(error("a run ended by a panic"));
             runs.into_iter().map(|(arm, r)| (arm, r.join().unwrap_or_else(|_| panicked()))).collect()
         });
         for (arm, result) in results {
-            let result = result?;
-            broken += usize::from(!result.kept());
-            heard[arm].push(requests(&arms[arm].1, &result.record));
+            let (record, kept) = result?;
+            broken += usize::from(!kept);
+            heard[arm].push(requests(&arms[arm].1, &record));
         }
     }
     let whens = [("before", from, begin), ("during", begin, settled), ("after", settled, day.length * 2)];
