--- a/crates/pintally-measure/src/lib.rs
+++ b/crates/pintally-measure/src/lib.rs
@@ -20,7 +20,7 @@
 pub use added::{added_latency, deciding, saturation, Added, Deciding, Saturation};
 pub use emulator::{emulated, Emulated};
 pub use flood::{flood, Flood, Interval};
-pub use moves::{moves, recorded, Moves, Part, Recorded};
+pub use moves::{moves, recorded, Moves, Part, Recorded, Recorder};
 pub use plans::{plans, Plans};
 pub use price::{over_sockets, price, Player, Price};
 pub use report::{Spread, Stats};
--- a/crates/pintally-measure/src/moves.rs
+++ b/crates/pintally-measure/src/moves.rs
@@ -52,6 +52,9 @@
 /// What a player of a day gives: its record, and whether all rules were kept.
 pub type Recorded = Result<(Vec<Record>, bool), MeasureError>;
 
+/// Plays a day with a seed.
+pub type Recorder<'a> = &'a (dyn Fn(&Day, u64) -> Recorded + Sync);
+
 /// Plays a day over sockets.
 pub fn recorded(day: &Day, seed: u64) -> Recorded {
     let result = run(day, seed, None).map_err(error)?;
@@ -66,7 +69,7 @@
     to: &str,
     seeds: Range<u64>,
     groups: usize,
-    (at_once, play): (usize, &(dyn Fn(&Day, u64) -> Recorded + Sync)),
+    (at_once, play): (usize, Recorder),
 ) -> Result<Moves, MeasureError> {
     let Some(cells) = &day.cells else { return Err(error("the day has no cells")) };
     let home: BTreeSet<CellName> = cells.home(tenant).into_iter().collect();
