--- a/crates/pintally-cells/src/pace.rs
+++ b/crates/pintally-cells/src/pace.rs
@@ -2,8 +2,10 @@
 //!
 //! The file says how far a move may have come. While the receiving cell is late or short of engines
 //! the node lets no further session go, and afterwards goes on at the file's pace, so that what was
-//! held does not come all at once. Sessions that are over stay over. A node that restarts begins at
-//! the file's share: a session's cell decides where its texts are kept, not whether it is served.
+//! held does not come all at once. The same holds for a node that hears late that sessions may go: it
+//! lets them go at the pace, not all at once that went elsewhere meanwhile. Sessions that are over
+//! stay over. A node that restarts, or has never heard that the move was announced, begins at the
+//! file's share: a session's cell decides where its texts are kept, not whether it is served.
 
 use std::collections::BTreeMap;
 
@@ -28,12 +30,20 @@
     pub fn share(&mut self, one: &Move, unix_ms: u64, pressed: bool) -> f64 {
         let file = one.share(unix_ms);
         let since = match one.step {
-            Step::Prepare => return 0.0,
+            Step::Prepare => {
+                let waits = Going { since: 0, share: 0.0, at: unix_ms };
+                self.moves.insert(one.tenant.clone(), waits);
+                return 0.0;
+            }
             Step::Both { since } | Step::Done { since } | Step::Back { since, .. } => since,
         };
         let fresh = Going { since, share: file, at: unix_ms };
         let going = match self.moves.get_mut(&one.tenant) {
             Some(going) if going.since == since => going,
+            Some(going) if going.since == 0 => {
+                going.since = since;
+                going
+            }
             _ => {
                 self.moves.insert(one.tenant.clone(), fresh);
                 return file;
--- a/crates/pintally-cells/tests/failing.rs
+++ b/crates/pintally-cells/tests/failing.rs
@@ -277,6 +277,11 @@
     let done = a_move(Step::Done { since: 1000 });
     assert!((pace.share(&done, 12_000, false) - 0.6).abs() < 1e-9);
     assert_eq!(pace.share(&done, 60_000, false), 1.0);
+    // A node that hears of it late goes at the pace from then on.
+    let mut late = Pace::default();
+    assert_eq!(late.share(&a_move(Step::Prepare), 5000, false), 0.0);
+    assert!((late.share(&both, 6000, false) - 0.1).abs() < 1e-9);
+    assert!((late.share(&both, 9000, false) - 0.4).abs() < 1e-9);
     // A node that restarts begins at the file's share.
     assert!((Pace::default().share(&both, 6000, true) - 0.5).abs() < 1e-9);
 }
