A cell that sheds opens again while it keeps up

What it serves now grows by a tenth each second while it is not late, and halves each second while it is.

--- a/crates/pintally-cells/src/facade.rs
+++ b/crates/pintally-cells/src/facade.rs
@@ -301,6 +301,7 @@
         let Some(ladder) = self.ladders.get_mut(&home) else {
             return Verdict::Refused(Some(home), LOST_MS, "no cell");
         };
+        ladder.feel(now, self.strain.is_strained(now, &home));
         let (level, serves, share) = (ladder.level(), ladder.serves(ask.class), ladder.share());
         if level == Level::Lost {
             let harmless = ask.class.and_then(|c| self.safe.get(c)).copied().unwrap_or(false);
--- a/crates/pintally-cells/src/health.rs
+++ b/crates/pintally-cells/src/health.rs
@@ -20,6 +20,10 @@
 const TRIAL_EVERY: Micros = 1_000_000;
 /// each good end halves the time to the next, down to this.
 const TRIAL_LEAST: Micros = 60_000;
+/// A cell that sheds and is not late opens to this much more of what comes each second;
+const OPENS: f64 = 0.1;
+/// late, it closes again by half each second, down to what its engines are.
+const CLOSES: f64 = 0.5;
 /// Weight of a new arrival in the shares of classes.
 const BLEND: f64 = 0.02;
 
@@ -49,6 +53,9 @@
     /// When it may be tried again while it fails.
     trial: Micros,
     trial_every: Micros,
+    /// The share of what arrives that it serves while it sheds, and when that was last looked at.
+    open: f64,
+    felt: Micros,
     /// Share of each class in what arrives, by its index, and what it is worth.
     classes: Vec<(f64, f64)>,
 }
@@ -66,6 +73,8 @@
             failing: false,
             trial: 0,
             trial_every: TRIAL_EVERY,
+            open: 1.0,
+            felt: 0,
             classes,
         }
     }
@@ -82,11 +91,27 @@
 
     /// The share of its places that it may use.
     pub fn share(&self) -> f64 {
-        if self.level == Level::Well {
-            1.0
+        match self.level {
+            Level::Well => 1.0,
+            Level::Shed => self.open,
+            _ => self.capacity,
+        }
+    }
+
+    /// Takes in whether the cell is late. How many engines it has lost says what it could do when it
+    /// was full; how much of what comes it can do now shows only in whether it keeps up. Guards
+    /// against a cell with room to spare that turns away what it could serve.
+    pub fn feel(&mut self, now: Micros, late: bool) {
+        let passed = now.saturating_sub(self.felt) as f64 / 1e6;
+        self.felt = self.felt.max(now);
+        if self.level != Level::Shed {
+            self.open = self.capacity;
+        } else if late {
+            self.open *= CLOSES.powf(passed);
         } else {
-            self.capacity
+            self.open += OPENS * passed;
         }
+        self.open = self.open.max(self.capacity).min(1.0);
     }
 
     /// Whether it is lost because its engines fail.
@@ -126,6 +151,9 @@
         let wanted = fits(self.capacity);
         if wanted >= self.level {
             let changed = wanted > self.level;
+            if changed {
+                self.open = self.capacity;
+            }
             self.level = wanted;
             self.calm = None;
             return changed;
@@ -163,7 +191,7 @@
             Level::Shed => {
                 let Some(&(_, worth)) = class.and_then(|c| self.classes.get(c)) else { return false };
                 let above: f64 = self.classes.iter().filter(|(_, w)| *w > worth).map(|(s, _)| s).sum();
-                above < self.capacity
+                above < self.open.max(self.capacity)
             }
         }
     }
--- a/crates/pintally-cells/tests/cells.rs
+++ b/crates/pintally-cells/tests/cells.rs
@@ -377,6 +377,22 @@
     assert!(node.status(9).iter().all(|s| s.level == Level::Lost));
 }
 
+/// What a cell can do shows in whether it keeps up: it opens while it does, and closes when it does not.
+#[test]
+fn what_sheds_opens_while_it_keeps_up() {
+    let mut ladder = Ladder::new([1.0, 2.0, 3.0].into_iter());
+    let second = 1_000_000;
+    ladder.update(0, 0.2, 0.2);
+    ladder.feel(0, false);
+    let served = |ladder: &mut Ladder| (0..300).filter(|n| ladder.serves(Some(n % 3))).count();
+    assert_eq!(served(&mut ladder), 100);
+    (1..=6).for_each(|s| ladder.feel(s * second, false));
+    assert_eq!(served(&mut ladder), 300, "at 0.8 the least worthy third begins below it");
+    (7..=9).for_each(|s| ladder.feel(s * second, true));
+    assert_eq!(served(&mut ladder), 100);
+    assert!(ladder.share() >= 0.2);
+}
+
 #[test]
 fn what_sheds_serves_the_most_worthy() {
     let mut ladder = Ladder::new([1.0, 2.0, 3.0].into_iter());
