--- a/crates/pintally-lab/src/compare.rs
+++ b/crates/pintally-lab/src/compare.rs
@@ -120,14 +120,13 @@
     thread::scope(|scope| {
         for _ in 0..thread::available_parallelism().map_or(1, |n| n.get()) {
             scope.spawn(|| {
-                while let Some((load, which, seed)) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let at = jobs.iter().position(|j| j == &(*load, *which, *seed));
+                let mut at = next.fetch_add(1, Ordering::Relaxed);
+                while let Some((load, which, seed)) = jobs.get(at) {
                     let mut day = day.clone();
                     day.traffic.per_second *= load;
                     let played = play(&day, *which, *seed);
-                    if let Some(at) = at {
-                        results.lock().unwrap_or_else(|e| e.into_inner())[at] = Some(played);
-                    }
+                    results.lock().unwrap_or_else(|e| e.into_inner())[at] = Some(played);
+                    at = next.fetch_add(1, Ordering::Relaxed);
                 }
             });
         }
