--- a/crates/pintally-cells/src/facade.rs
+++ b/crates/pintally-cells/src/facade.rs
@@ -87,7 +87,7 @@
     trust: Trust,
     strain: Strain,
     pace: Pace,
-    /// Moves that are held back, so that each is told of once.
+    /// Tenants whose moves are held back.
     held: Vec<String>,
     ladders: BTreeMap<CellName, Ladder>,
     loans: Loans,
--- a/crates/pintally-cells/src/loans.rs
+++ b/crates/pintally-cells/src/loans.rs
@@ -152,41 +152,43 @@
         }
         // Whoever has lost most is helped first, one engine at a time, so that none takes all.
         loop {
-            let mut worst: Option<(f64, &CellSpec, EngineId)> = None;
-            for cell in cells {
-                let has = self.with(cell, serving);
-                let (missing, share) = (has.missing(cell), has.share(cell));
-                if missing == (0, 0) || worst.as_ref().is_some_and(|w| share >= w.0) {
-                    continue;
-                }
-                let found = self.pick(cell, missing, serving);
-                if let Some(engine) = found.or_else(|| self.take_back(cell, missing, cells, serving)) {
-                    worst = Some((share, cell, engine));
-                }
-            }
-            let Some((_, cell, engine)) = worst else { break };
-            self.lent.insert(engine, cell.name.clone());
+            let lost = cells.iter().map(|c| (c, c.clone(), self.with(c, serving).share(c)));
+            let next = self.next_loan(lost, serving, |c, missing| self.take_back(c, missing, cells, serving));
+            let Some((cell, engine)) = next else { break };
+            self.lent.insert(engine, cell);
         }
         // What nobody lacks goes to those that ask for more.
         loop {
-            let mut least: Option<(usize, &CellSpec, EngineId)> = None;
-            for cell in cells.iter().filter(|c| pairs(&c.name) > 0) {
-                let missing = self.with(cell, serving).missing(&asked(cell));
-                let borrowed = self.borrowed(&cell.name);
-                if missing == (0, 0) || least.as_ref().is_some_and(|l| borrowed >= l.0) {
-                    continue;
-                }
-                let found = self.pick(cell, missing, serving);
-                if let Some(engine) = found.or_else(|| self.even_out(cell, missing, cells, serving)) {
-                    least = Some((borrowed, cell, engine));
-                }
-            }
-            let Some((_, cell, engine)) = least else { break };
-            self.lent.insert(engine, cell.name.clone());
+            let asks = cells.iter().filter(|c| pairs(&c.name) > 0);
+            let asks = asks.map(|c| (c, asked(c), self.borrowed(&c.name)));
+            let next = self.next_loan(asks, serving, |c, missing| self.even_out(c, missing, cells, serving));
+            let Some((cell, engine)) = next else { break };
+            self.lent.insert(engine, cell);
         }
         self.lent != before
     }
 
+    /// Of cells with what each is to have and a rank: the least one that lacks something and can have
+    /// it, and the engine that helps, a spare one or else one that another gives.
+    fn next_loan<'c, R: PartialOrd>(
+        &self,
+        cells: impl Iterator<Item = (&'c CellSpec, CellSpec, R)>,
+        serving: &[Lendable],
+        given: impl Fn(&CellSpec, (usize, usize)) -> Option<EngineId>,
+    ) -> Option<(CellName, EngineId)> {
+        let mut least: Option<(R, &CellSpec, EngineId)> = None;
+        for (cell, goal, rank) in cells {
+            let missing = self.with(cell, serving).missing(&goal);
+            if missing == (0, 0) || least.as_ref().is_some_and(|l| rank >= l.0) {
+                continue;
+            }
+            if let Some(engine) = self.pick(cell, missing, serving).or_else(|| given(cell, missing)) {
+                least = Some((rank, cell, engine));
+            }
+        }
+        least.map(|(_, cell, engine)| (cell.name.clone(), engine))
+    }
+
     /// How many engines a cell has borrowed.
     fn borrowed(&self, cell: &CellName) -> usize {
         self.lent.values().filter(|c| *c == cell).count()
--- a/crates/pintally-cells/tests/cells.rs
+++ b/crates/pintally-cells/tests/cells.rs
@@ -1,8 +1,11 @@
 //! Assignment, moves, loans, ladder and edge over generated histories, and an exhaustive search of
 //! moves as three nodes see them.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 
+use common::member;
 use pintally::interface::*;
 use pintally_cells::*;
 use proptest::prelude::*;
@@ -353,15 +356,6 @@
     let mut node = Cells::new(CellsFile::parse("cells", FILE, &core).unwrap(), 10, 1 << 20, &core);
     node.list(0, Vec::new());
     assert!(node.status(9).iter().all(|s| s.level == Level::Well));
-    let member = |id: &str| Member {
-        engine: EngineId(id.into()),
-        zone: String::new(),
-        kind: String::new(),
-        rack: 0,
-        listing: Listing::Serving,
-        weight: 1.0,
-        started: None,
-    };
     let mut all = Vec::new();
     for cell in ["a", "b"] {
         for (id, role) in
--- a/crates/pintally-cells/tests/failing.rs
+++ b/crates/pintally-cells/tests/failing.rs
@@ -1,7 +1,10 @@
 //! Cells whose engines are there and fail, cells that are late, moves that wait, room for bodies.
 
+mod common;
+
 use std::collections::BTreeMap;
 
+use common::member;
 use pintally::interface::*;
 use pintally_cells::*;
 use proptest::prelude::*;
@@ -120,15 +123,6 @@
 fn cells(spare: bool) -> Cells {
     let core = core();
     let mut cells = Cells::new(CellsFile::parse("cells", FILE, &core).unwrap(), 100, 1 << 20, &core);
-    let member = |name: &str| Member {
-        engine: id(name),
-        zone: String::new(),
-        kind: String::new(),
-        rack: 0,
-        listing: Listing::Serving,
-        weight: 1.0,
-        started: None,
-    };
     let mut all = Vec::new();
     for cell in ["a", "b"] {
         all.push((member(&format!("{cell}r")), Role::Reader, Some(cell.into())));
--- a/crates/pintally-cli/src/lab.rs
+++ b/crates/pintally-cli/src/lab.rs
@@ -8,7 +8,7 @@
 use pintally_lab::{compare, play, record, size, supported, Which};
 use pintally_measure::{moves, price, MeasureError};
 
-use crate::measure::{print_moves, print_prices};
+use crate::measure::{print_moves, print_prices, MoveOf};
 use crate::{read, Failure};
 
 #[derive(clap::Args)]
@@ -35,23 +35,14 @@
     },
     /// What a tenant's move costs it and its neighbours, at its pace and with all sessions at once.
     Moves {
-        /// A day with cells; its own faults are left out.
-        day: String,
-        /// Who moves,
-        #[arg(long)]
-        tenant: String,
-        /// and into which cell.
-        #[arg(long)]
-        to: String,
+        #[command(flatten)]
+        of: MoveOf,
         /// Times the day's rate.
         #[arg(long, default_value_t = 1.0)]
         rate: f64,
         /// Seeds, each played three ways.
         #[arg(long, default_value_t = 100)]
         seeds: u64,
-        /// Groups of seeds for the spread.
-        #[arg(long, default_value_t = 5)]
-        groups: usize,
     },
     /// The price of cells: one pool against so many cells, with and without lending.
     Price {
@@ -135,12 +126,12 @@
             println!("share of the worth asked that was served in time; emulated engines in virtual time");
             Ok(if broken { ExitCode::FAILURE } else { ExitCode::SUCCESS })
         }
-        What::Moves { day, tenant, to, rate, seeds, groups } => {
-            let mut day = load(day)?;
+        What::Moves { of, rate, seeds } => {
+            let mut day = load(&of.day)?;
             day.traffic.per_second *= rate;
             let own = |day: &Day, seed: u64| record(day, Which::Module, seed).map_err(MeasureError);
             let (first, cores) = (day.seed, std::thread::available_parallelism().map_or(1, |n| n.get()));
-            let found = moves(&day, tenant, to, first..first + seeds, *groups, (cores, &own))
+            let found = moves(&day, &of.tenant, &of.to, first..first + seeds, of.groups, (cores, &own))
                 .map_err(Failure::failed)?;
             print_moves(&found);
             Ok(if found.broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
--- a/crates/pintally-cli/src/measure.rs
+++ b/crates/pintally-cli/src/measure.rs
@@ -72,20 +72,11 @@
     },
     /// What a tenant's move costs it and its neighbours, at its pace and with all sessions at once.
     Moves {
-        /// A day with cells; its own faults are left out.
-        day: String,
-        /// Who moves,
-        #[arg(long)]
-        tenant: String,
-        /// and into which cell.
-        #[arg(long)]
-        to: String,
+        #[command(flatten)]
+        of: MoveOf,
         /// Seeds, each played three ways at the same time.
         #[arg(long, default_value_t = 25)]
         seeds: u64,
-        /// Groups of seeds for the spread.
-        #[arg(long, default_value_t = 5)]
-        groups: usize,
     },
     /// The price of cells: one pool against so many cells, with and without lending.
     Price {
@@ -136,6 +127,22 @@
     },
 }
 
+/// A tenant's move to be measured.
+#[derive(clap::Args)]
+pub(crate) struct MoveOf {
+    /// A day with cells; its own faults are left out.
+    pub(crate) day: String,
+    /// Who moves,
+    #[arg(long)]
+    pub(crate) tenant: String,
+    /// and into which cell.
+    #[arg(long)]
+    pub(crate) to: String,
+    /// Groups of seeds for the spread.
+    #[arg(long, default_value_t = 5)]
+    pub(crate) groups: usize,
+}
+
 pub(crate) fn run(args: &Args) -> Result<ExitCode, Failure> {
     match &args.what {
         What::Latency { rate, blocks, seconds } => {
@@ -190,11 +197,11 @@
             println!("{table}");
             println!("share of the worth asked by tenants of other cells that was served in time");
         }
-        What::Moves { day, tenant, to, seeds, groups } => {
-            let day = Day::parse(day, &read(day)?).map_err(Failure::usage)?;
+        What::Moves { of, seeds } => {
+            let day = Day::parse(&of.day, &read(&of.day)?).map_err(Failure::usage)?;
             let first = day.seed;
             // Two seeds at a time: six runs, which the machine carries without being late itself.
-            let found = moves(&day, tenant, to, first..first + seeds, *groups, (2, &recorded))
+            let found = moves(&day, &of.tenant, &of.to, first..first + seeds, of.groups, (2, &recorded))
                 .map_err(Failure::failed)?;
             print_moves(&found);
             if found.broken > 0 {
--- a/crates/pintally-day/src/lib.rs
+++ b/crates/pintally-day/src/lib.rs
@@ -20,5 +20,5 @@
 pub use from_bench::{from_bench, Converted, Scale};
 pub use rig::Rig;
 pub use run::{run, with_figures, DayResult, Launch, RunError, Running};
-pub use spec::{ClassTraffic, Day, EngineGroup, Fault, Kind, Traffic};
+pub use spec::{ClassTraffic, Day, EngineGroup, Fault, Kind, Traffic, APART};
 pub use traffic::{Draft, Source};
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -170,12 +170,10 @@
     fn build_nodes(&mut self) -> Result<(), RunError> {
         for number in 0..self.day.nodes {
             let zone = number % self.day.zones.len();
-            let name = format!("n{number}");
+            let mut settings = self.day.node(number);
             // Each node connects from an address of its own, by which engines know it.
             let source = IpAddr::V4(Ipv4Addr::new(127, 0, 1, number as u8 + 1));
-            self.fleet.name_node(source, &name, &self.day.zones[zone]);
-            let mut settings = self.day.settings.clone();
-            settings.name = name;
+            self.fleet.name_node(source, &settings.name, &settings.core.zone);
             let held = Port::hold().and_then(|p| Ok((p.address()?, p)));
             let (listen, port) = held.map_err(|e| RunError(format!("no port for node n{number}: {e}")))?;
             settings.listen = listen;
@@ -188,9 +186,6 @@
                 settings.cells_file = Some(file.to_string_lossy().into_owned());
                 settings.kept_cells = Some(kept.with_extension("kept").to_string_lossy().into_owned());
             }
-            settings.core.zone = self.day.zones[zone].clone();
-            settings.core.node = number as u32;
-            settings.core.nodes = self.day.nodes as u32;
             self.nodes.push(Place { zone, settings: Arc::new(settings), _port: port, running: None });
             self.start_node(number)?;
         }
@@ -400,9 +395,8 @@
         }
         let (version, text) = (cells.version, cells.render());
         self.publisher.set_cells(version, text);
-        let last = self.day.nodes.saturating_sub(1).max(1) as u32;
         for node in 0..self.day.nodes {
-            let late = self.day.notice + Duration::from_secs(5) * node as u32 / last;
+            let late = self.day.hears_after(node);
             self.script.add(self.begin.elapsed() + late, Act::WriteCells(node, version));
         }
     }
--- a/crates/pintally-day/src/spec.rs
+++ b/crates/pintally-day/src/spec.rs
@@ -172,7 +172,25 @@
     pub batch: usize,
 }
 
+/// The last node sees a version of the file of cells so long after the first.
+pub const APART: Duration = Duration::from_secs(5);
+
 impl Day {
+    /// The settings of one node, without the addresses and files that its surroundings give it.
+    pub fn node(&self, number: usize) -> NodeSettings {
+        let mut settings = self.settings.clone();
+        settings.name = format!("n{number}");
+        settings.core.zone = self.zones[number % self.zones.len()].clone();
+        settings.core.node = number as u32;
+        settings.core.nodes = self.nodes as u32;
+        settings
+    }
+
+    /// How long after a version of the file of cells was written a node sees it.
+    pub fn hears_after(&self, node: usize) -> Duration {
+        self.notice + APART * node as u32 / self.nodes.saturating_sub(1).max(1) as u32
+    }
+
     /// Reads and checks a day. `file` is used in errors only.
     pub fn parse(file: &str, text: &str) -> Result<Day, ConfigError> {
         let document = Document::parse(file, text)?;
--- a/crates/pintally-emulator/src/engine.rs
+++ b/crates/pintally-emulator/src/engine.rs
@@ -273,10 +273,7 @@
             here: false,
             gone: false,
         });
-        self.look(now);
-        if self.step.is_none() {
-            self.begin_step(now, out);
-        }
+        self.go_on(now, out);
     }
 
     /// Microseconds of its full speed that work will take.
@@ -297,10 +294,7 @@
         } else if let Some(seq) = self.running.iter_mut().find(|s| s.work.id == id) {
             seq.gone = true;
         }
-        self.look(now);
-        if self.step.is_none() {
-            self.begin_step(now, out);
-        }
+        self.go_on(now, out);
     }
 
     /// Lets a read state go; one that is on its way somewhere goes afterwards.
@@ -310,10 +304,7 @@
             Some(_) => self.free_state(id, FreedBy::Released, out),
             None => {}
         }
-        self.look(now);
-        if self.step.is_none() {
-            self.begin_step(now, out);
-        }
+        self.go_on(now, out);
     }
 
     /// A transfer of a state to elsewhere begins; `false` if it does not wait here.
@@ -335,10 +326,7 @@
             let by = if whole { FreedBy::Fetched } else { FreedBy::Released };
             self.free_state(id, by, out);
         }
-        self.look(now);
-        if self.step.is_none() {
-            self.begin_step(now, out);
-        }
+        self.go_on(now, out);
     }
 
     /// The state that work wanted is here, or will not come.
@@ -354,10 +342,7 @@
             let missing = Notice::Refused(id, Refusal::NoState);
             out.push(if how == Arrival::Missing { missing } else { Notice::Broken(id) });
         }
-        self.look(now);
-        if self.step.is_none() {
-            self.begin_step(now, out);
-        }
+        self.go_on(now, out);
     }
 
     /// When [`Engine::tick`] has something to do.
@@ -412,6 +397,14 @@
         }
     }
 
+    /// Something has changed between steps.
+    fn go_on(&mut self, now: Micros, out: &mut Vec<Notice>) {
+        self.look(now);
+        if self.step.is_none() {
+            self.begin_step(now, out);
+        }
+    }
+
     // ---- steps ----
 
     fn begin_step(&mut self, now: Micros, out: &mut Vec<Notice>) {
--- a/crates/pintally-emulator/src/fleet.rs
+++ b/crates/pintally-emulator/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use crate::engine::{Arrival, Engine, Work, WorkId};
 use crate::links::{FlowId, LinkId, Links};
-use crate::notice::{Notice, Refusal};
+use crate::notice::Notice;
 use crate::spec::{Spec, Wires};
 use crate::Micros;
 
@@ -326,9 +326,4 @@
             _ => None,
         }
     }
-
-    /// Whether work was turned away for want of room.
-    pub fn is_full(&self) -> bool {
-        matches!(self, Notice::Refused(_, Refusal::Full))
-    }
 }
--- a/crates/pintally-emulator/src/memory.rs
+++ b/crates/pintally-emulator/src/memory.rs
@@ -31,7 +31,6 @@
     /// Those among them that no block continues, the longest unused first.
     idle: BTreeSet<(u64, Hash)>,
     clock: u64,
-    evicted: u64,
 }
 
 impl Memory {
@@ -45,7 +44,6 @@
             unheld: 0,
             idle: BTreeSet::new(),
             clock: 0,
-            evicted: 0,
         }
     }
 
@@ -64,11 +62,6 @@
         1.0 - self.available() as f64 / self.blocks.max(1) as f64
     }
 
-    /// Kept blocks that had to go so far.
-    pub fn evicted(&self) -> u64 {
-        self.evicted
-    }
-
     /// How many blocks of a chain's beginning are kept.
     pub fn found(&self, chain: &[Hash]) -> usize {
         chain.iter().take_while(|h| self.nodes.contains_key(h)).count()
@@ -154,7 +147,6 @@
         let Some((_, hash)) = self.idle.pop_first() else { return };
         let Some(node) = self.nodes.remove(&hash) else { return };
         self.unheld -= 1;
-        self.evicted += 1;
         let Some(parent) = node.parent else { return };
         if let Some(above) = self.nodes.get_mut(&parent) {
             above.children -= 1;
--- a/crates/pintally-host/src/cellular.rs
+++ b/crates/pintally-host/src/cellular.rs
@@ -21,13 +21,11 @@
     /// holds the others back.
     pub fn moves_status(&self, unix_ms: u64) -> Vec<(String, f64, bool)> {
         let Some(cells) = &self.cells else { return Vec::new() };
-        let held = |tenant: &String| cells.held_moves().contains(tenant);
-        cells
-            .moves(unix_ms)
-            .into_iter()
-            .map(|(t, share)| (held(&t), t, share))
-            .map(|(h, t, s)| (t, s, h))
-            .collect()
+        let status = |(tenant, share)| {
+            let held = cells.held_moves().contains(&tenant);
+            (tenant, share, held)
+        };
+        cells.moves(unix_ms).into_iter().map(status).collect()
     }
 
     /// The cell's requests hear how one of them fared: its answer has begun, or never will.
--- a/crates/pintally-lab/src/clients.rs
+++ b/crates/pintally-lab/src/clients.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use pintally::interface::Micros;
 use pintally_day::Draft;
 use pintally_emulator::Hash;
 use pintally_host::Ticket;
@@ -18,8 +17,6 @@
     pub(crate) draft: Rc<Draft>,
     /// The chain of the prompt's whole blocks.
     pub(crate) chain: Rc<Vec<Hash>>,
-    /// It waits until then.
-    pub(crate) by: Micros,
     /// Its answer has begun.
     pub(crate) first: bool,
     /// It has its answer, or has given up.
--- a/crates/pintally-lab/src/compare.rs
+++ b/crates/pintally-lab/src/compare.rs
@@ -3,9 +3,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use pintally_audit::{audit, Record};
+use pintally_audit::{audit, Record, Report};
 use pintally_day::{with_figures, Day};
 use pintally_measure::{in_time, requests, Interval, Spread};
 
@@ -17,62 +17,45 @@
 pub struct Played {
     /// Share of the worth asked that was served in time.
     pub in_time: f64,
-    /// Milliseconds to the first token, median and 99th percentile, of what was served.
-    pub p50_ms: f64,
-    /// The same, 99th percentile.
+    /// Milliseconds to the first token, 99th percentile of what was served.
     pub p99_ms: f64,
-    /// Requests, tries again among them, and how they ended.
-    pub asked: u64,
-    /// Served.
-    pub served: u64,
-    /// Turned away.
-    pub refused: u64,
-    /// Failed or cut off.
-    pub failed: u64,
     /// Rules that were broken, each as often as it was, in words.
     pub broken: Vec<String>,
     /// Engines that fell over.
     pub fell: u64,
     /// Seconds of the wall's clock for each of the day's.
     pub wall_share: f64,
-    /// Things that happened, for each second of the wall's clock.
-    pub steps_per_s: f64,
 }
 
-/// Plays one day in virtual time; its record, and whether all rules were kept.
-pub fn record(day: &Day, which: Which, seed: u64) -> Result<(Vec<Record>, bool), String> {
-    let (record, engines, ..) = World::new(day, which, seed).play();
+/// Plays one day and audits it; also tells how many engines fell over, and how long the playing took.
+fn audited(day: &Day, which: Which, seed: u64) -> Result<(Vec<Record>, Report, u64, Duration), String> {
+    let begun = Instant::now();
+    let (record, engines, fell) = World::new(day, which, seed).play();
+    let wall = begun.elapsed();
     let times = (day.drain_grace.as_micros() as u64, day.slack.as_micros() as u64);
     let record = with_figures(&day.settings, times, engines, record);
     let report = audit(&record).map_err(|e| e.to_string())?;
+    Ok((record, report, fell, wall))
+}
+
+/// Plays one day in virtual time; its record, and whether all rules were kept.
+pub fn record(day: &Day, which: Which, seed: u64) -> Result<(Vec<Record>, bool), String> {
+    let (record, report, ..) = audited(day, which, seed)?;
     Ok((record, report.rules.kept()))
 }
 
 /// Plays one day in virtual time.
 pub fn play(day: &Day, which: Which, seed: u64) -> Result<Played, String> {
-    let begun = Instant::now();
-    let (record, engines, fell, steps) = World::new(day, which, seed).play();
-    let wall = begun.elapsed().as_secs_f64().max(1e-9);
+    let (record, report, fell, wall) = audited(day, which, seed)?;
     let span = record.last().map_or(1.0, |r| r.at as f64 / 1e6).max(1e-9);
-    let times = (day.drain_grace.as_micros() as u64, day.slack.as_micros() as u64);
-    let record = with_figures(&day.settings, times, engines, record);
-    let report = audit(&record).map_err(|e| e.to_string())?;
     let all = requests(day, &record);
     let served = all.iter().filter(|o| o.served).filter_map(|o| o.first.map(|f| f - o.at));
     let mut firsts: Vec<u64> = served.collect();
     firsts.sort_unstable();
-    let at = |q: f64| {
-        let place = ((firsts.len() as f64 * q) as usize).min(firsts.len().max(1) - 1);
-        firsts.get(place).map_or(f64::NAN, |f| *f as f64 / 1e3)
-    };
+    let place = ((firsts.len() as f64 * 0.99) as usize).min(firsts.len().max(1) - 1);
     Ok(Played {
         in_time: in_time(all.iter()),
-        p50_ms: at(0.5),
-        p99_ms: at(0.99),
-        asked: report.requests,
-        served: report.served,
-        refused: report.refused,
-        failed: report.failed,
+        p99_ms: firsts.get(place).map_or(f64::NAN, |f| *f as f64 / 1e3),
         broken: report
             .rules
             .each()
@@ -80,8 +63,7 @@
             .flat_map(|(rule, found)| found.iter().map(move |what| format!("{rule}: {what}")))
             .collect(),
         fell,
-        wall_share: wall / span,
-        steps_per_s: steps as f64 / wall,
+        wall_share: wall.as_secs_f64().max(1e-9) / span,
     })
 }
 
--- a/crates/pintally-lab/src/world.rs
+++ b/crates/pintally-lab/src/world.rs
@@ -10,10 +10,10 @@
 use pintally_cells::{CellsFile, Turn};
 use pintally_config::NodeSettings;
 use pintally_day::{specs, Day, Draft, Source};
-use pintally_emulator::{Fleet, FreedBy, Notice, Place, Refusal, Wires, Work, WorkId};
+use pintally_emulator::{Fleet, Notice, Place, Refusal, Work, WorkId};
 use pintally_engine::Step;
 use pintally_host::{Arrival, Command, Final, Input, Listed, Order, Ticket};
-use pintally_standin::{blocks, emulated, tokens, EngineSpec};
+use pintally_standin::{blocks, emulated, freed_by, tokens, EngineSpec, WIRES};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -26,18 +26,12 @@
 const HOP: Micros = 100;
 /// Unix time at which days begin, in milliseconds.
 const UNIX_MS: u64 = 1_700_000_000_000;
-/// The last node sees a version of the file of cells so long after the first.
-const APART: Micros = 5_000_000;
 /// An engine that fell over comes back, cold, after this time.
 const UP_AGAIN: Micros = 5_000_000;
 
 /// What one node of a day is told.
 fn settings(day: &Day, number: usize) -> NodeSettings {
-    let mut settings = day.settings.clone();
-    settings.name = format!("n{number}");
-    settings.core.zone = day.zones[number % day.zones.len()].clone();
-    settings.core.node = number as u32;
-    settings.core.nodes = day.nodes as u32;
+    let mut settings = day.node(number);
     settings.cells_file = day.cells.as_ref().map(|_| "in virtual time".to_string());
     settings
 }
@@ -103,14 +97,12 @@
     out: Vec<Command>,
     said: Vec<(usize, Notice)>,
     fell: u64,
-    steps: u64,
 }
 
 impl<'a> World<'a> {
     /// A day with a policy at each node, before its first moment.
     pub fn new(day: &'a Day, which: Which, seed: u64) -> World<'a> {
-        let wires = Wires { rack: 2.0, zone: 1.0, token_bytes: 1.0 };
-        let mut fleet = Fleet::new(wires, seed);
+        let mut fleet = Fleet::new(WIRES, seed);
         let specs = specs(day);
         let zone = |name: &str| day.zones.iter().position(|z| z == name).unwrap_or(0);
         for spec in &specs {
@@ -157,7 +149,6 @@
             out: Vec::new(),
             said: Vec::new(),
             fell: 0,
-            steps: 0,
             specs,
             day,
         };
@@ -181,8 +172,8 @@
         }
     }
 
-    /// Plays the day to its end; returns the record, engines that fell over, and things that happened.
-    pub fn play(mut self) -> (Vec<Record>, Vec<EngineFigures>, u64, u64) {
+    /// Plays the day to its end; returns the record, the engines' figures, and how many fell over.
+    pub fn play(mut self) -> (Vec<Record>, Vec<EngineFigures>, u64) {
         let length = self.day.length.as_micros() as Micros;
         let last = length + self.day.settle.as_micros() as Micros;
         let mut next = self.source.gap(1.0).as_micros() as Micros;
@@ -200,16 +191,13 @@
                 break;
             }
             self.now = self.now.max(at);
-            self.steps += 1;
             if arrival == Some(at) {
                 number += 1;
                 let draft = Rc::new(self.source.draw(self.hot));
                 next += (self.source.gap(self.rate).as_micros() as Micros).max(1);
                 self.ask(number, 0, draft);
             } else if self.fleet.next_wake().is_some_and(|w| w <= at) {
-                let mut said = std::mem::take(&mut self.said);
-                self.fleet.tick(self.now, &mut said);
-                self.said = said;
+                self.fleet.tick(self.now, &mut self.said);
             } else if let Some((_, node)) = self.wakes.first().copied().filter(|w| w.0 <= at) {
                 let mut out = std::mem::take(&mut self.out);
                 self.nodes[node].tick(self.now, &mut out);
@@ -231,7 +219,7 @@
             zone: s.zone.clone(),
             rack: s.rack,
         });
-        (self.record, figures.collect(), self.fell, self.steps)
+        (self.record, figures.collect(), self.fell)
     }
 
     fn at(&mut self, at: Micros, event: Event) {
@@ -305,7 +293,6 @@
             number,
             tries,
             chain: Rc::new(blocks(&draft.prompt)),
-            by: self.now + patience,
             first: false,
             done: false,
             draft,
@@ -318,7 +305,7 @@
             patience_us: patience,
             streamed: one.draft.streamed,
         });
-        self.at(one.by, Event::GiveUp(node, ticket));
+        self.at(self.now + patience, Event::GiveUp(node, ticket));
         self.tries.insert((node, ticket), one);
         self.at(self.now + HOP, Event::Tell(node, Box::new(Input::Arrived(arrival))));
     }
@@ -446,9 +433,8 @@
         let unix_ms = UNIX_MS + self.now / 1000;
         // A day's script may end a move before its time; nodes then go on as the file had it.
         let Some(Ok(next)) = self.cells.as_ref().map(|c| c.step(tenant, turn, unix_ms)) else { return };
-        let (notice, last) = (self.day.notice.as_micros() as Micros, self.nodes.len().max(2) as u64 - 1);
         for node in 0..self.nodes.len() {
-            let late = notice + APART * node as u64 / last;
+            let late = self.day.hears_after(node).as_micros() as Micros;
             let input = Input::Cells(Box::new(next.clone()));
             self.at(self.now + late, Event::Tell(node, Box::new(input)));
         }
@@ -491,19 +477,15 @@
         let (engine_id, node_name) = (self.specs[engine].id.clone(), format!("n{node}"));
         self.note(What::Took { engine: engine_id, node: node_name, request, attempt, step, reached: true });
         self.works.insert(id, key);
-        let mut said = std::mem::take(&mut self.said);
         let source = state.map(|s| s.0 as usize).filter(|_| work.fetches.is_some());
-        self.fleet.submit(self.now, engine, work, source, &mut said);
-        self.said = said;
+        self.fleet.submit(self.now, engine, work, source, &mut self.said);
     }
 
     /// A node calls an attempt off, or its time is up: it ends there at once.
     fn call_off(&mut self, key: Key, outcome: Outcome) {
         let Some(flight) = self.flights.get(&key) else { return };
         if let Some(work) = flight.work {
-            let mut said = std::mem::take(&mut self.said);
-            self.fleet.cancel(self.now, flight.engine, work, &mut said);
-            self.said = said;
+            self.fleet.cancel(self.now, flight.engine, work, &mut self.said);
         }
         self.end(key, outcome, 0, None, 0);
     }
@@ -541,13 +523,8 @@
             Notice::Freed(state, by) => {
                 let Some((engine, name)) = self.names.remove(&state) else { return };
                 self.states.remove(&(engine, name.clone()));
-                let by = match by {
-                    FreedBy::Fetched => pintally_audit::FreedBy::Fetched,
-                    FreedBy::Released => pintally_audit::FreedBy::Released,
-                    FreedBy::Expired => pintally_audit::FreedBy::Expired,
-                    FreedBy::Died => pintally_audit::FreedBy::Died,
-                };
-                self.note(What::Freed { engine: self.specs[engine].id.clone(), state: name, by });
+                let (engine, by) = (self.specs[engine].id.clone(), freed_by(by));
+                self.note(What::Freed { engine, state: name, by });
             }
             Notice::Fell => {
                 self.fell += 1;
@@ -558,9 +535,7 @@
             Notice::Read(id, kept) => {
                 // A read that was called off may still be done: its state waits until it is let go.
                 let Some(&key) = self.works.get(&id) else {
-                    let mut said = std::mem::take(&mut self.said);
-                    self.fleet.release(self.now, engine, id, &mut said);
-                    self.said = said;
+                    self.fleet.release(self.now, engine, id, &mut self.said);
                     return;
                 };
                 let Some(flight) = self.flights.get(&key) else { return };
@@ -628,9 +603,7 @@
             let state = name.0.to_string();
             self.note(What::ReleaseSeen { engine: engine.0.to_string(), state: state.clone() });
             if let Some(work) = self.states.get(&(number, state)).copied() {
-                let mut said = std::mem::take(&mut self.said);
-                self.fleet.release(self.now, number, work, &mut said);
-                self.said = said;
+                self.fleet.release(self.now, number, work, &mut self.said);
             }
         }
         self.at(self.now + HOP, Event::Tell(node, Box::new(Input::Released(name, engine, up))));
@@ -639,9 +612,7 @@
     fn act(&mut self, act: Act) {
         match act {
             Act::Up(engine, false) => {
-                let mut said = std::mem::take(&mut self.said);
-                self.fleet.crash(self.now, engine, &mut said);
-                self.said = said;
+                self.fleet.crash(self.now, engine, &mut self.said);
                 self.listing[engine] = Listing::Gone;
                 self.publish();
             }
--- a/crates/pintally-lab/tests/days.rs
+++ b/crates/pintally-lab/tests/days.rs
@@ -35,7 +35,7 @@
 fn rules_are_kept_on_bad_days_by_the_module() {
     let day = day(FAULTS);
     for seed in 1..6 {
-        let (record, engines, _, _) = World::new(&day, Which::Module, seed).play();
+        let (record, engines, _) = World::new(&day, Which::Module, seed).play();
         let times = (day.drain_grace.as_micros() as u64, day.slack.as_micros() as u64);
         let record = with_figures(&day.settings, times, engines, record);
         let report = pintally_audit::audit(&record).unwrap();
@@ -85,7 +85,7 @@
     let day = day("(fault slow (at 4) (for 6) (of \"decode\") (part 0.5) (size 300))");
     let mut world = World::new(&day, Which::Module, 3);
     world.replace(|settings, seed| Box::new(Heedless(Host::new(settings, seed))));
-    let (record, engines, _, _) = world.play();
+    let (record, engines, _) = world.play();
     let record = with_figures(&day.settings, (1_000_000, 5_000), engines, record);
     let report = pintally_audit::audit(&record).unwrap();
     assert!(!report.rules.twice.is_empty(), "{report:?}");
--- a/crates/pintally-measure/src/moves.rs
+++ b/crates/pintally-measure/src/moves.rs
@@ -10,15 +10,12 @@
 
 use pintally_audit::Record;
 use pintally_cells::CellName;
-use pintally_day::{run, Day, Fault, Kind};
+use pintally_day::{run, Day, Fault, Kind, APART};
 
 use crate::report::Spread;
 use crate::worth::{requests, One};
 use crate::{error, MeasureError};
 
-/// Nodes see a version so much apart, and this long after it was written.
-const APART: Duration = Duration::from_secs(5);
-
 /// First tokens of some tenants in one part of the day, over groups of seeds.
 #[derive(Clone, Debug)]
 pub struct Part {
--- a/crates/pintally-standin/src/clock.rs
+++ b/crates/pintally-standin/src/clock.rs
@@ -88,13 +88,8 @@
                 Notice::Freed(state, by) => {
                     let Some((number, told)) = inner.names.remove(&state) else { continue };
                     inner.states.remove(&(number, told.attempt.clone()));
-                    let by = match by {
-                        emulator::FreedBy::Fetched => FreedBy::Fetched,
-                        emulator::FreedBy::Released => FreedBy::Released,
-                        emulator::FreedBy::Expired => FreedBy::Expired,
-                        emulator::FreedBy::Died => FreedBy::Died,
-                    };
-                    self.recorder.note(What::Freed { engine: told.engine, state: told.attempt, by });
+                    let (engine, state, by) = (told.engine, told.attempt, freed_by(by));
+                    self.recorder.note(What::Freed { engine, state, by });
                     continue;
                 }
                 Notice::Read(id, _) => {
@@ -160,9 +155,7 @@
             i.next += 1;
             let id = work.id;
             i.mail.insert(id, (told, sender));
-            let mut said = std::mem::take(&mut i.said);
-            i.fleet.submit(now, number, work, state.map(|s| s.0), &mut said);
-            i.said = said;
+            i.fleet.submit(now, number, work, state.map(|s| s.0), &mut i.said);
             Some((id, mail))
         })
     }
@@ -185,12 +178,7 @@
         &self,
         what: impl FnOnce(&mut emulator::Fleet, u64, &mut Vec<(usize, Notice)>) -> T,
     ) -> T {
-        self.with(|i, now| {
-            let mut said = std::mem::take(&mut i.said);
-            let found = what(&mut i.fleet, now, &mut said);
-            i.said = said;
-            found
-        })
+        self.with(|i, now| what(&mut i.fleet, now, &mut i.said))
     }
 
     pub(crate) fn end(&self) {
@@ -199,6 +187,16 @@
     }
 }
 
+/// How a state was let go, as the record has it.
+pub fn freed_by(by: emulator::FreedBy) -> FreedBy {
+    match by {
+        emulator::FreedBy::Fetched => FreedBy::Fetched,
+        emulator::FreedBy::Released => FreedBy::Released,
+        emulator::FreedBy::Expired => FreedBy::Expired,
+        emulator::FreedBy::Died => FreedBy::Died,
+    }
+}
+
 /// Wakes when something is due, until nobody has the fleet any more.
 fn carry(clock: &Weak<Clock>) {
     loop {
@@ -209,9 +207,8 @@
         }
         let now = clock.now();
         if inner.fleet.next_wake().is_some_and(|at| at <= now) {
-            let mut said = std::mem::take(&mut inner.said);
-            inner.fleet.tick(now, &mut said);
-            inner.said = said;
+            let i = &mut *inner;
+            i.fleet.tick(now, &mut i.said);
             clock.tell(&mut inner);
         }
         // Not for ever: nobody wakes a thread whose fleet has been dropped.
--- a/crates/pintally-standin/src/fleet.rs
+++ b/crates/pintally-standin/src/fleet.rs
@@ -21,7 +21,7 @@
 const LATE_FOR: Duration = Duration::from_secs(3);
 
 /// What joins racks and zones: states weigh one a token, so these are tokens a microsecond.
-const WIRES: Wires = Wires { rack: 2.0, zone: 1.0, token_bytes: 1.0 };
+pub const WIRES: Wires = Wires { rack: 2.0, zone: 1.0, token_bytes: 1.0 };
 
 /// A record in the making.
 #[derive(Clone)]
--- a/crates/pintally-standin/src/lib.rs
+++ b/crates/pintally-standin/src/lib.rs
@@ -12,8 +12,9 @@
 mod spec;
 mod text;
 
+pub use clock::freed_by;
 pub use engine::{emulated, Engine};
-pub use fleet::{Fleet, Recorder};
+pub use fleet::{Fleet, Recorder, WIRES};
 pub use port::Port;
 pub use spec::{EngineSpec, Faults, Reports, Role};
 pub use text::{blocks, tokens};
