--- a/src/rules.rs
+++ b/src/rules.rs
@@ -63,6 +63,8 @@
 const NEAR: f64 = 0.25;
 /// A reader without writers in its rack has this much writing at hand, in writers.
 const LEAST_AT_HAND: f64 = 0.02;
+/// A popular beginning has a home for each so many writers' part of all requests.
+const HOME_WRITERS: f64 = 1.0;
 /// How fast the number of requests before their first token grows while on target, and shrinks.
 const GROW: f64 = 2.0;
 /// This part of the requests has its first token within the time that counts as the usual lead.
@@ -89,6 +91,8 @@
     waiting: Vec<RequestId>,
     /// Prompts turned away lately, by session and length, and when they first came.
     turned: HashMap<(u64, u64), Micros>,
+    /// How often each shared beginning came lately.
+    popular: HashMap<u64, f64>,
     /// What each tenant may still send within its share, and as of when.
     buckets: Vec<(f64, Micros)>,
     gauges: Gauges,
@@ -105,6 +109,7 @@
             by_id: HashMap::new(),
             pools: [Pool::default(); 3],
             racks: HashMap::new(),
+            popular: HashMap::new(),
             table: HashMap::new(),
             live: HashMap::new(),
             waiting: Vec::new(),
@@ -318,6 +323,11 @@
                 self.probe(now, all, acts);
             }
         }
+        self.gauges.arrivals *= RATE_FADE;
+        self.popular.retain(|_, seen| {
+            *seen *= RATE_FADE;
+            *seen > 0.1
+        });
         let old = now.saturating_sub(FADE_HALF);
         self.turned.retain(|_, first| *first > old);
         if self.table.len() > 20_000 {
@@ -380,7 +390,21 @@
         };
         let mut ring: Vec<_> = readers.map(|(i, e)| (place(i, e), &e.id, i)).collect();
         ring.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
-        ring.into_iter().map(|(_, _, i)| i).collect()
+        let mut ring: Vec<usize> = ring.into_iter().map(|(_, _, i)| i).collect();
+        // Guards against beginnings too popular for one rack's writers: the first few share them.
+        let homes = self.homes(request).min(ring.len());
+        if homes > 1 {
+            ring[..homes].rotate_left(request.session as usize % homes);
+        }
+        ring
+    }
+
+    /// How many homes a request's beginning has: one for each so many writers' worth of all requests.
+    fn homes(&self, request: &Request) -> usize {
+        let (all, seen) = (self.gauges.arrivals, request.prefix.and_then(|p| self.popular.get(&p)));
+        let part = seen.map_or(0.0, |seen| (seen - 1.0).max(0.0) / all.max(1.0));
+        let writers = self.engines.iter().filter(|e| e.serving() && e.role != Role::Reader).count() as f64;
+        ((part * writers / HOME_WRITERS).ceil() as usize).max(1)
     }
 
     /// Writers' weight in the rack for each of its readers; a mixed engine has itself.
@@ -399,7 +423,8 @@
         let held: Vec<f64> = ring.iter().map(|&i| self.expected(now, &live.request, i, home)).collect();
         let mut start = 0;
         for (place, tokens) in held.iter().enumerate() {
-            if *tokens >= MIN_MATCH && (*tokens > held[start] || held[start] < MIN_MATCH) {
+            // What is about as well kept at an earlier place of the ring is read there.
+            if *tokens >= MIN_MATCH && (held[start] < MIN_MATCH || *tokens > held[start] * (1.0 + NEAR)) {
                 start = place;
             }
         }
@@ -566,6 +591,10 @@
         // its first try, so that a retry that can only be late does not go before fresh requests.
         let prompt = (request.session, request.prompt_tokens);
         let first = self.turned.get(&prompt).map_or(now, |first| *first);
+        self.gauges.arrivals += 1.0;
+        if let Some(prefix) = request.prefix {
+            *self.popular.entry(prefix).or_default() += 1.0;
+        }
         let id = request.id.clone();
         let aim_at = first.saturating_add(aim).min(now.saturating_add(request.patience));
         let live = Live::new(now, request, effect, first, aim_at, over_share);
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,6 +115,8 @@
     /// When the last request was started, and when a first token was last taken in.
     pub(crate) begun_at: Micros,
     pub(crate) paced_at: Micros,
+    /// Requests that came lately.
+    pub(crate) arrivals: f64,
     /// How many requests may be on their way to a first token.
     pub(crate) flight: f64,
     /// Probes that own traffic has paid for.
