Without reports mixed engines write states as writers do and read only what they hold

Cause: where engines never report, the guard that keeps long reads from busy mixed engines never acted, and pure writers always went before mixed ones, whose load nobody saw. Checked and dropped: the first tokens were in time (29 late of 2,642), the loss was the pace of streams. Lines: over_cap (busy), choose_writer (rank), and racks, which now count mixed engines as writing.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -63,6 +63,10 @@
 const NEAR: f64 = 0.25;
 /// A reader without writers in its rack has this much writing at hand, in writers.
 const LEAST_AT_HAND: f64 = 0.02;
+/// And one reader can feed no more than so many.
+const MOST_AT_HAND: f64 = 2.0;
+/// A mixed engine's own writing at hand, in writers: what it reads itself slows its answers.
+const MIXED_AT_HAND: f64 = 0.25;
 /// A popular beginning has a home for each so many writers' part of all requests.
 const HOME_WRITERS: f64 = 1.0;
 /// How fast the number of requests before their first token grows while on target, and shrinks.
@@ -181,8 +185,9 @@
             self.engines[index].listing = Listing::Gone;
         }
         self.racks.clear();
-        for engine in self.engines.iter().filter(|e| e.serving() && e.role != Role::Mixed) {
-            self.racks.entry(engine.rack).or_default()[step_of(engine.role)] += 1;
+        for engine in self.engines.iter().filter(|e| e.serving()) {
+            let step = step_of(engine.role).min(WRITE);
+            self.racks.entry(engine.rack).or_default()[step] += 1;
         }
     }
 
@@ -411,10 +416,10 @@
     fn at_hand(&self, index: usize) -> f64 {
         let engine = &self.engines[index];
         if engine.role == Role::Mixed {
-            return 1.0;
+            return MIXED_AT_HAND;
         }
         let [readers, writers] = self.racks.get(&engine.rack).copied().unwrap_or_default();
-        (f64::from(writers) / f64::from(readers.max(1))).max(LEAST_AT_HAND)
+        (f64::from(writers) / f64::from(readers.max(1))).clamp(LEAST_AT_HAND, MOST_AT_HAND)
     }
 
     fn choose_reader(&self, now: Micros, live: &Live) -> Option<usize> {
@@ -459,7 +464,8 @@
         let cap = (CAP_FACTOR * (lines + own) / lag).max(request.prompt_tokens as f64);
         let write_cap = (CAP_FACTOR * streams).ceil().max(1.0);
         // Reading slows every answer of a mixed engine: a busy one takes only what it mostly holds.
-        let busy = engine.told(now, REPORT_FOR).is_some_and(|told| told >= BUSY);
+        // Where engines never report, every one is taken to be busy.
+        let busy = self.silent() || engine.told(now, REPORT_FOR).is_some_and(|told| told >= BUSY);
         let long = busy && own > request.prompt_tokens as f64 * LONG;
         let writes_over = engine.role == Role::Mixed
             && (long || f64::from(engine.streams) >= write_cap || self.full(now, index));
@@ -506,6 +512,11 @@
         now < engine.full_until || (engine.role != Role::Reader && (stalled || told))
     }
 
+    /// No engine tells its load.
+    fn silent(&self) -> bool {
+        self.settings.reports == Reports::Off
+    }
+
     /// How far a node sees the fleet's traffic in its own: 1 for few nodes, next to 0 for many.
     fn few(&self) -> f64 {
         (FEW_NODES / f64::from(self.settings.nodes.max(1))).min(1.0)
@@ -560,7 +571,7 @@
         let rank = |i: usize| {
             let e = &self.engines[i];
             let full = self.full(now, i) || e.spurns(now, live);
-            (self.shut(now, i), full, links_slow && e.rack != rack, e.role == Role::Mixed)
+            (self.shut(now, i), full, links_slow && e.rack != rack, e.role == Role::Mixed && !self.silent())
         };
         let best = able.iter().map(|&i| rank(i)).min()?;
         let peers: Vec<(usize, f64)> =
