Prompts without a shared beginning leave readers with writers at hand to the shared ones

A reader counts for 1.3 writers at most, and a prompt without a shared beginning is weighed the other way round.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -63,8 +63,11 @@
 const NEAR: f64 = 0.25;
 /// A reader without writers in its rack has this much writing at hand, in writers.
 const LEAST_AT_HAND: f64 = 0.02;
+/// A prompt without a shared beginning is read rather where little writing is at hand: the less
+/// so, the larger this is.
+const EVEN: f64 = 0.5;
 /// And one reader can feed no more than so many.
-const MOST_AT_HAND: f64 = 2.0;
+const MOST_AT_HAND: f64 = 1.3;
 /// A mixed engine's own writing at hand, in writers: what it reads itself slows its answers.
 const MIXED_AT_HAND: f64 = 0.25;
 /// A popular beginning has a home for each so many writers' part of all requests.
@@ -390,7 +393,8 @@
         let readers = self.engines.iter().enumerate().filter(|(_, e)| e.serving() && e.role != Role::Writer);
         let place = |i: usize, e: &Engine| {
             let drawn = (xxh3_64_with_seed(e.id.0.as_bytes(), key) as f64 + 1.0) / u64::MAX as f64;
-            let weight = if request.prefix.is_some() { self.at_hand(i) } else { 1.0 };
+            let weight =
+                if request.prefix.is_some() { self.at_hand(i) } else { 1.0 / (EVEN + self.at_hand(i)) };
             -drawn.ln() / weight
         };
         let mut ring: Vec<_> = readers.map(|(i, e)| (place(i, e), &e.id, i)).collect();
@@ -426,10 +430,11 @@
         let mut ring = self.ring(&live.request);
         let home = ring.first().copied();
         let held: Vec<f64> = ring.iter().map(|&i| self.expected(now, &live.request, i, home)).collect();
+        // Of several homes of a beginning each session has its own, though another be the fresher one.
+        let band = if self.homes(&live.request) > 1 { 1.0 + NEAR } else { 1.0 };
         let mut start = 0;
         for (place, tokens) in held.iter().enumerate() {
-            // What is about as well kept at an earlier place of the ring is read there.
-            if *tokens >= MIN_MATCH && (held[start] < MIN_MATCH || *tokens > held[start] * (1.0 + NEAR)) {
+            if *tokens >= MIN_MATCH && (held[start] < MIN_MATCH || *tokens > held[start] * band) {
                 start = place;
             }
         }
