Without reports the list tells how far near writers are drawn on by all nodes

Cause: near writers win ties, and where no engine reports and 200 nodes share the fleet every choice is a tie, so what is read in a rack is written there. Lines: choose_writer (near). The list tells the readers' weights as homes, and the node's own requests the part that is shared: from both follows how many times an even part a rack's writers get.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 //! that path breaks. `docs/design.md` says when each acts.
 
 use std::collections::hash_map::Entry;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -91,8 +91,8 @@
     engines: Vec<Engine>,
     by_id: HashMap<EngineId, usize>,
     pools: [Pool; 3],
-    /// Listed readers and writers of each rack.
-    racks: HashMap<u64, [u32; 2]>,
+    /// What the list says of each rack.
+    racks: BTreeMap<u64, Rack>,
     table: HashMap<(bool, u64), Vec<Kept>>,
     live: HashMap<RequestId, Live>,
     waiting: Vec<RequestId>,
@@ -115,7 +115,7 @@
             engines: Vec::new(),
             by_id: HashMap::new(),
             pools: [Pool::default(); 3],
-            racks: HashMap::new(),
+            racks: BTreeMap::new(),
             popular: HashMap::new(),
             table: HashMap::new(),
             live: HashMap::new(),
@@ -189,8 +189,13 @@
         }
         self.racks.clear();
         for engine in self.engines.iter().filter(|e| e.serving()) {
-            let step = step_of(engine.role).min(WRITE);
-            self.racks.entry(engine.rack).or_default()[step] += 1;
+            let rack = self.racks.entry(engine.rack).or_default();
+            rack.readers += f64::from(engine.role == Role::Reader);
+            rack.writers += f64::from(engine.role != Role::Reader);
+        }
+        for rack in self.racks.values_mut() {
+            let hand = at_hand(rack);
+            rack.homes = [rack.readers * hand, rack.readers / (EVEN + hand)];
         }
     }
 
@@ -332,6 +337,7 @@
             }
         }
         self.gauges.arrivals *= RATE_FADE;
+        self.gauges.shared *= RATE_FADE;
         self.popular.retain(|_, seen| {
             *seen *= RATE_FADE;
             *seen > 0.1
@@ -416,14 +422,13 @@
         ((part * writers / HOME_WRITERS).ceil() as usize).max(1)
     }
 
-    /// Writers' weight in the rack for each of its readers; a mixed engine has itself.
+    /// The writing at hand for an engine that reads, in writers.
     fn at_hand(&self, index: usize) -> f64 {
         let engine = &self.engines[index];
-        if engine.role == Role::Mixed {
-            return MIXED_AT_HAND;
+        match engine.role {
+            Role::Mixed => MIXED_AT_HAND,
+            _ => self.racks.get(&engine.rack).map_or(LEAST_AT_HAND, at_hand),
         }
-        let [readers, writers] = self.racks.get(&engine.rack).copied().unwrap_or_default();
-        (f64::from(writers) / f64::from(readers.max(1))).clamp(LEAST_AT_HAND, MOST_AT_HAND)
     }
 
     fn choose_reader(&self, now: Micros, live: &Live) -> Option<usize> {
@@ -532,6 +537,20 @@
         self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) as f64
     }
 
+    /// Without reports the list stands in for them: how many times an even part of the fleet's
+    /// streams a rack's writers get if all that is read there stays there. Guards against near
+    /// writers that all nodes prefer, which one of many nodes cannot see.
+    fn drawn(&self, rack: u64) -> f64 {
+        let shared = self.gauges.shared / self.gauges.arrivals.max(1.0);
+        let part = |kind: usize| {
+            let all: f64 = self.racks.values().map(|r| r.homes[kind]).sum();
+            self.racks.get(&rack).map_or(0.0, |r| r.homes[kind]) / all.max(1e-9)
+        };
+        let writers: f64 = self.racks.values().map(|r| r.writers).sum();
+        let own = self.racks.get(&rack).map_or(0.0, |r| r.writers);
+        (shared * part(0) + (1.0 - shared) * part(1)) * writers / own.max(1e-9)
+    }
+
     /// A writer's load in this node's streams: its own, and as much again as reports tell. An old
     /// report says less and less, and where none is known the mean of the others stands for it.
     fn load(&self, now: Micros, index: usize, mean: Option<f64>, scale: f64) -> f64 {
@@ -586,6 +605,13 @@
         let zone = &self.engines[reader].zone;
         let far = |i: usize| (self.engines[i].rack != rack, self.engines[i].zone != *zone);
         let mut near: Vec<usize> = peers.iter().filter(|p| p.1 <= least + band).map(|p| p.0).collect();
+        if self.silent() && near.iter().any(|&i| self.engines[i].rack == rack) {
+            let chance = self.random.draw() as f64 / u64::MAX as f64;
+            let spare = |i: &usize| self.drawn(self.engines[*i].rack) < 1.0;
+            if chance * self.drawn(rack) > CAP_FACTOR && near.iter().any(spare) {
+                near.retain(spare);
+            }
+        }
         let nearest = near.iter().map(|&i| far(i)).min()?;
         near.retain(|&i| far(i) == nearest);
         let pick = self.random.draw() as usize % near.len();
@@ -610,6 +636,7 @@
         self.gauges.arrivals += 1.0;
         if let Some(prefix) = request.prefix {
             *self.popular.entry(prefix).or_default() += 1.0;
+            self.gauges.shared += 1.0;
         }
         let id = request.id.clone();
         let aim_at = first.saturating_add(aim).min(now.saturating_add(request.patience));
@@ -1063,3 +1090,8 @@
         }
     }
 }
+
+/// Writers of a rack for each of its readers: what one of them can feed from near.
+fn at_hand(rack: &Rack) -> f64 {
+    (rack.writers / rack.readers.max(1.0)).clamp(LEAST_AT_HAND, MOST_AT_HAND)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,15 @@
     pub(crate) engines: f64,
 }
 
+/// What the list says of a rack: engines that only read, engines that write, and the weight of its
+/// readers as homes of shared beginnings and of other prompts.
+#[derive(Default)]
+pub(crate) struct Rack {
+    pub(crate) readers: f64,
+    pub(crate) writers: f64,
+    pub(crate) homes: [f64; 2],
+}
+
 #[derive(Clone, Copy)]
 pub(crate) struct Out {
     pub(crate) attempt: Attempt,
@@ -117,6 +126,8 @@
     pub(crate) paced_at: Micros,
     /// Requests that came lately.
     pub(crate) arrivals: f64,
+    /// Those of them that begin with a shared text.
+    pub(crate) shared: f64,
     /// How many requests may be on their way to a first token.
     pub(crate) flight: f64,
     /// Probes that own traffic has paid for.
