A first token's lead is held against its own class's aim, and four a reader may be on their way

Cause: the pace of starts followed the tightest aim of all classes. Lines: first_token (aim), FLIGHT_LEAST.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -79,7 +79,7 @@
 const SHRINK: f64 = 0.94;
 /// And no more and no fewer of them than these for each reader that is well, over all nodes.
 const FLIGHT_EACH: f64 = 15.0;
-const FLIGHT_LEAST: f64 = 2.5;
+const FLIGHT_LEAST: f64 = 4.0;
 /// First tokens further apart than this count as several, up to so many.
 const SAMPLE_EVERY: f64 = 100_000.0;
 const SAMPLES_MOST: f64 = 5.0;
@@ -640,7 +640,7 @@
         }
         let id = request.id.clone();
         let aim_at = first.saturating_add(aim).min(now.saturating_add(request.patience));
-        let live = Live::new(now, request, effect, first, aim_at, over_share);
+        let live = Live { aim, ..Live::new(now, request, effect, first, aim_at, over_share) };
         if let Entry::Vacant(place) = self.live.entry(id.clone()) {
             place.insert(live);
             self.waiting.push(id);
@@ -764,8 +764,8 @@
     }
 
     fn first_token(&mut self, now: Micros, id: &RequestId, attempt: Attempt) {
-        let aim = self.tightest() * TARGET;
         let Some(live) = self.live.get_mut(id) else { return };
+        let aim = live.aim as f64 * TARGET;
         let Some(out) = live.out.as_mut().filter(|o| o.attempt == attempt && !o.started) else { return };
         out.started = true;
         let out = *out;
--- a/src/state.rs
+++ b/src/state.rs
@@ -94,6 +94,8 @@
     /// When its first attempt was sent.
     pub(crate) begun: Micros,
     pub(crate) aim_at: Micros,
+    /// Its class's aim for a prompt of its length.
+    pub(crate) aim: Micros,
     pub(crate) deadline: Micros,
     pub(crate) over_share: bool,
     pub(crate) attempts: u32,
@@ -153,6 +155,7 @@
             arrived: now,
             begun: now,
             aim_at,
+            aim: 0,
             first,
             deadline: now.saturating_add(request.patience),
             over_share,
