--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,6 +80,8 @@
 /// And no more and no fewer of them than these for each reader that is well, over all nodes.
 const FLIGHT_EACH: f64 = 15.0;
 const FLIGHT_LEAST: f64 = 4.0;
+/// While no engine that writes has room, no more than this for each of them.
+const FLIGHT_FULL: f64 = 2.5;
 /// First tokens further apart than this count as several, up to so many.
 const SAMPLE_EVERY: f64 = 100_000.0;
 const SAMPLES_MOST: f64 = 5.0;
@@ -1036,13 +1038,14 @@
             able += u32::from(engine.role != Role::Reader && well);
             open += usize::from(engine.role != Role::Reader && well && !full);
         }
-        let part = FLIGHT_LEAST / f64::from(self.settings.nodes.max(1));
+        let nodes = f64::from(self.settings.nodes.max(1));
+        let part = FLIGHT_LEAST / nodes;
         let most = match (open, ready) {
-            (0, _) => part * f64::from(able),
+            (0, _) => FLIGHT_FULL / nodes * f64::from(able),
             (_, 0) => 0.0,
             _ => self.gauges.flight.max(part * f64::from(readers)),
         };
-        let most = most.max(part);
+        let most = most.max(FLIGHT_FULL / nodes);
         let gap = self.gauges.lead.max(self.tightest() * TARGET) / most.fract();
         let one_more = now.saturating_sub(self.gauges.begun_at) as f64 >= gap;
         (most as usize + usize::from(one_more)).saturating_sub(flight + (late as f64 * self.few()) as usize)
