After a lost answer the prompt is read again where it is kept, if writers read in place

Cause: with writers_read nobody says that a state is gone. After an answer that was lost or reset the state may be fetched; the next writer then read the whole prompt, about 4,000 tokens at 7,000 to 9,000 a second between the steps of its answers. The adapter passes family_info.read_in_place, the node's settings (rules (writers-read no)).

Tests for this, for weighed homes, several homes, and near writers without reports.

--- a/crates/pintally-benchlink/src/wire.rs
+++ b/crates/pintally-benchlink/src/wire.rs
@@ -236,6 +236,8 @@
     duty_by_kind: Vec<String>,
     let_go_by: f64,
     #[serde(default)]
+    read_in_place: bool,
+    #[serde(default)]
     memory_tokens: Vec<f64>,
     #[serde(default)]
     token_aim: Vec<f64>,
@@ -386,6 +388,7 @@
             _ => Reports::Off,
         },
         weights: conf.weight_kind != "off",
+        writers_read: conf.family_info.read_in_place,
         may_cancel: conf.permissions.may_cancel,
         may_probe: conf.permissions.probes,
         probe_price: conf.prices.probe,
--- a/crates/pintally-cells/tests/cells.rs
+++ b/crates/pintally-cells/tests/cells.rs
@@ -31,6 +31,7 @@
         discovery: Discovery::Pushed,
         reports: Reports::Inline,
         weights: true,
+        writers_read: false,
         may_cancel: true,
         may_probe: true,
         probe_price: 0.0,
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -244,6 +244,7 @@
         discovery: Discovery::Pushed,
         reports,
         weights: rules.yes_or("weights", true)?,
+        writers_read: rules.yes_or("writers-read", false)?,
         may_cancel: rules.yes_or("cancel", true)?,
         may_probe: rules.yes_or("probes", true)?,
         probe_price: rules.number_or("probe-price", 0.0, 0.0, 100.0)?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -130,6 +130,8 @@
     pub reports: Reports,
     /// Whether registered weights compare engines.
     pub weights: bool,
+    /// Whether a writer reads a prompt itself when there is no state to fetch.
+    pub writers_read: bool,
     /// Whether attempts may be cancelled.
     pub may_cancel: bool,
     /// Whether engines may be probed.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -878,6 +878,13 @@
                     self.strike(now, index, acts);
                 }
                 self.engines[index].down |= matches!(outcome, Outcome::Unreachable | Outcome::Broken);
+                // Guards against writers that read a whole prompt between the steps of their answers:
+                // after a lost answer the state may be fetched and gone, and nobody turns the next one
+                // away. The reader still keeps the text, so reading it there again costs next to nothing.
+                let gone = self.settings.writers_read && outcome != Outcome::Unreachable;
+                if gone && live.state.take().is_some() {
+                    acts.push(Action::Release(id.clone()));
+                }
                 live.tried.push(index);
             }
             Outcome::Cancelled => live.tried.push(index),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,6 +41,7 @@
         discovery: Discovery::Pushed,
         reports: Reports::Inline,
         weights: true,
+        writers_read: false,
         may_cancel: true,
         may_probe: false,
         probe_price: 0.003,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1024,3 +1024,100 @@
     let held = names.filter(|n| node.at(n).is_none() && !node.finals.contains_key(&id(n))).count();
     assert!(held <= 4, "{held} of a burst wait for probes, each looked at again at every event");
 }
+
+// ---- deployments of another build ----
+
+#[test]
+fn a_lost_answer_is_read_again_where_writers_read_in_place() {
+    // The state may be fetched and gone; a writer would read the whole prompt between its answers.
+    let members = vec![member("r1", "near", 1), member("w1", "near", 1), member("w2", "near", 1)];
+    for (writers_read, outcome, next) in [
+        (true, Outcome::TimedOut, "r1"),
+        (true, Outcome::Broken, "r1"),
+        (true, Outcome::Unreachable, "w"),
+        (false, Outcome::TimedOut, "w"),
+    ] {
+        let mut node = Node::new(Settings { writers_read, ..settings() }, members.clone());
+        node.arrive(request("a", 0, 1));
+        node.end("a", Outcome::Read);
+        let acts = node.end("a", outcome);
+        assert!(node.at("a").unwrap().starts_with(next), "{outcome:?}");
+        assert_eq!(acts.contains(&Action::Release(id("a"))), next == "r1");
+    }
+}
+
+#[test]
+fn homes_of_shared_beginnings_lie_where_writers_are_and_other_prompts_elsewhere() {
+    // Guards against states that all cross the one link of a rack without writers.
+    let mut members: Vec<Member> = (1..=4).map(|i| member(&format!("r{i}"), "near", i / 3)).collect();
+    members.extend((1..=4).map(|i| member(&format!("w{i}"), "near", 0)));
+    let (mut near, mut plain) = (0, 0);
+    for key in 0..200 {
+        let mut node = Node::new(settings(), members.clone());
+        node.arrive(Request { prefix: Some(key), prefix_tokens: 1_500, ..request("a", 0, key) });
+        near += usize::from(["r1", "r2"].contains(&node.at("a").unwrap()));
+        node.arrive(request("b", 0, 1_000 + key));
+        plain += usize::from(["r1", "r2"].contains(&node.at("b").unwrap()));
+    }
+    assert!(near > 190, "{near} of 200 homes lie where all writers are");
+    assert!((10..=80).contains(&plain), "{plain} of 200 plain prompts");
+}
+
+#[test]
+fn a_popular_beginning_gets_more_homes_and_a_rare_one_keeps_its_own() {
+    let mut members = vec![];
+    for i in 1..=8 {
+        members.push(member(&format!("r{i}"), "near", i));
+        members.push(member(&format!("w{i}"), "near", i));
+    }
+    let mut node = Node::new(Settings { nodes: 200, ..settings() }, members);
+    let mut homes = [std::collections::BTreeSet::new(), Default::default()];
+    for i in 0..120 {
+        // Every third request has the popular beginning, two in a hundred the rare one.
+        let prefix = if i % 3 == 0 {
+            5
+        } else if i % 50 == 1 {
+            6
+        } else {
+            100 + i
+        };
+        let name = format!("q{i}");
+        node.arrive(Request { prefix: Some(prefix), prefix_tokens: 1_900, ..request(&name, 0, i) });
+        if prefix < 7 {
+            homes[prefix as usize - 5].insert(node.at(&name).unwrap().to_string());
+        }
+        serve(&mut node, &name);
+        node.now += 50 * MS;
+    }
+    assert!((2..=4).contains(&homes[0].len()), "{homes:?}");
+    assert_eq!(homes[1].len(), 1, "{homes:?}");
+}
+
+#[test]
+fn without_reports_near_writers_take_what_the_list_gives_them_and_others_the_rest() {
+    // Five readers with one writer, one reader with five: all ties, so near would always win.
+    let mut members = vec![member("w1", "near", 1), member("r6", "near", 2)];
+    members.extend((1..=5).map(|i| member(&format!("r{i}"), "near", 1)));
+    members.extend((2..=6).map(|i| member(&format!("w{i}"), "near", 2)));
+    for (reports, mostly) in [(Reports::Off, false), (Reports::Inline, true)] {
+        let mut node = Node::new(Settings { reports, nodes: 200, ..settings() }, members.clone());
+        let (mut near, mut read) = (0, 0);
+        for i in 0..400 {
+            let name = format!("q{i}");
+            node.arrive(request(&name, 0, i));
+            if node.at(&name) == Some("r6") {
+                serve(&mut node, &name);
+                continue;
+            }
+            read += 1;
+            node.now += 50 * MS;
+            node.end(&name, Outcome::Read);
+            near += usize::from(node.at(&name) == Some("w1"));
+            node.first_token(&name);
+            node.end(&name, Outcome::Served);
+            node.now += SECOND;
+        }
+        assert!(read > 250 && near > 20, "{near} of {read}");
+        assert_eq!(near > read / 2, mostly, "{reports:?}: {near} of {read} at the near writer");
+    }
+}
