A first lost read is made once more at the same reader, which keeps the text by now

Cause: where answers get lost, a read that brought no word was made anew at another reader, the whole prompt of 3,000 to 5,000 tokens where the first one had just read it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -874,7 +874,13 @@
                     self.timed(now, index, out.step, 0.0, took);
                     self.moved(now, live.state, index, took);
                 }
-                if outcome != Outcome::Error && !late {
+                // Guards against reading anew elsewhere what only its answer has lost: once more it is
+                // read where it is kept by now. One that cannot be reached, or fails again, is left.
+                let again =
+                    out.step == READ && outcome != Outcome::Unreachable && self.engines[index].fails == 0;
+                if again {
+                    self.engines[index].fails = 1;
+                } else if outcome != Outcome::Error && !late {
                     self.strike(now, index, acts);
                 }
                 self.engines[index].down |= matches!(outcome, Outcome::Unreachable | Outcome::Broken);
@@ -885,7 +891,9 @@
                 if gone && live.state.take().is_some() {
                     acts.push(Action::Release(id.clone()));
                 }
-                live.tried.push(index);
+                if !again {
+                    live.tried.push(index);
+                }
             }
             Outcome::Cancelled => live.tried.push(index),
             Outcome::NeverSent => {}
