Engines that go on answering with errors are left alone

Cause: an error never counted against its engine. A first error may be the request's own: the second in a row counts.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -876,11 +876,12 @@
                 }
                 // Guards against reading anew elsewhere what only its answer has lost: once more it is
                 // read where it is kept by now. One that cannot be reached, or fails again, is left.
-                let again =
-                    out.step == READ && outcome != Outcome::Unreachable && self.engines[index].fails == 0;
-                if again {
+                let first = self.engines[index].fails == 0;
+                let again = out.step == READ && outcome != Outcome::Unreachable && first;
+                // A single error may be the request's own; an engine that goes on with them is left alone.
+                if again || (outcome == Outcome::Error && first) {
                     self.engines[index].fails = 1;
-                } else if outcome != Outcome::Error && !late {
+                } else if !late {
                     self.strike(now, index, acts);
                 }
                 self.engines[index].down |= matches!(outcome, Outcome::Unreachable | Outcome::Broken);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1125,3 +1125,22 @@
         assert_eq!(near > read / 2, mostly, "{reports:?}: {near} of {read} at the near writer");
     }
 }
+
+#[test]
+fn an_engine_that_answers_everything_with_errors_is_left_alone() {
+    // A recorded day had three engines that failed 88% of what they got at once and so drew a sixth of all sends.
+    let members = vec![member("r1", "near", 1), member("w1", "near", 1), member("w2", "near", 2)];
+    let mut node = Node::new(settings(), members);
+    for (name, at) in [("a", "w1"), ("b", "w1"), ("c", "w2")] {
+        node.arrive(request(name, 0, 1));
+        node.end(name, Outcome::Read);
+        assert_eq!(node.at(name), Some(at), "{name}");
+        if at == "w1" {
+            node.end(name, Outcome::Error);
+            assert_eq!(node.at(name), Some("w2"));
+        }
+        node.first_token(name);
+        node.end(name, Outcome::Served);
+        node.now += 100 * MS;
+    }
+}
