Each rack's link is known by itself; homes behind a slow one with few writers are passed by

Cause: one mean stood for all links. Lines: far_cost, moved, choose_reader. The list's count of racks moves to the state's bookkeeping.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -63,11 +63,10 @@
 const NEAR: f64 = 0.25;
 /// A reader without writers in its rack has this much writing at hand, in writers.
 const LEAST_AT_HAND: f64 = 0.02;
-/// A prompt without a shared beginning is read rather where little writing is at hand: the less
-/// so, the larger this is.
-const EVEN: f64 = 0.5;
 /// And one reader can feed no more than so many.
 const MOST_AT_HAND: f64 = 1.3;
+/// How evenly prompts without a shared beginning are read, though rather where little is at hand.
+const EVEN: f64 = 0.5;
 /// A mixed engine's own writing at hand, in writers: what it reads itself slows its answers.
 const MIXED_AT_HAND: f64 = 0.25;
 /// A popular beginning has a home for each so many writers' part of all requests.
@@ -189,16 +188,7 @@
         for index in (0..self.engines.len()).filter(missing) {
             self.engines[index].listing = Listing::Gone;
         }
-        self.racks.clear();
-        for engine in self.engines.iter().filter(|e| e.serving()) {
-            let rack = self.racks.entry(engine.rack).or_default();
-            rack.readers += f64::from(engine.role == Role::Reader);
-            rack.writers += f64::from(engine.role != Role::Reader);
-        }
-        for rack in self.racks.values_mut() {
-            let hand = at_hand(rack);
-            rack.homes = [rack.readers * hand, rack.readers / (EVEN + hand)];
-        }
+        count_racks(&mut self.racks, &self.engines);
     }
 
     /// Whether one more send keeps a cold engine's budget. The budget is all nodes' together and no
@@ -340,10 +330,8 @@
         }
         self.gauges.arrivals *= RATE_FADE;
         self.gauges.shared *= RATE_FADE;
-        self.popular.retain(|_, seen| {
-            *seen *= RATE_FADE;
-            *seen > 0.1
-        });
+        self.popular.values_mut().for_each(|seen| *seen *= RATE_FADE);
+        self.popular.retain(|_, seen| *seen > 0.1);
         let old = now.saturating_sub(FADE_HALF);
         self.turned.retain(|_, first| *first > old);
         if self.table.len() > 20_000 {
@@ -399,13 +387,15 @@
     fn ring(&self, request: &Request) -> Vec<usize> {
         let key = request.prefix.unwrap_or(request.session);
         let readers = self.engines.iter().enumerate().filter(|(_, e)| e.serving() && e.role != Role::Writer);
-        let place = |i: usize, e: &Engine| {
+        let place = |e: &Engine| {
             let drawn = (xxh3_64_with_seed(e.id.0.as_bytes(), key) as f64 + 1.0) / u64::MAX as f64;
-            let weight =
-                if request.prefix.is_some() { self.at_hand(i) } else { 1.0 / (EVEN + self.at_hand(i)) };
-            -drawn.ln() / weight
+            let hand = match e.role {
+                Role::Mixed => MIXED_AT_HAND,
+                _ => self.racks.get(&e.rack).map_or(LEAST_AT_HAND, at_hand),
+            };
+            -drawn.ln() / if request.prefix.is_some() { hand } else { 1.0 / (EVEN + hand) }
         };
-        let mut ring: Vec<_> = readers.map(|(i, e)| (place(i, e), &e.id, i)).collect();
+        let mut ring: Vec<_> = readers.map(|(i, e)| (place(e), &e.id, i)).collect();
         ring.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
         let mut ring: Vec<usize> = ring.into_iter().map(|(_, _, i)| i).collect();
         // Guards against beginnings too popular for one rack's writers: the first few share them.
@@ -424,15 +414,6 @@
         ((part * writers / HOME_WRITERS).ceil() as usize).max(1)
     }
 
-    /// The writing at hand for an engine that reads, in writers.
-    fn at_hand(&self, index: usize) -> f64 {
-        let engine = &self.engines[index];
-        match engine.role {
-            Role::Mixed => MIXED_AT_HAND,
-            _ => self.racks.get(&engine.rack).map_or(LEAST_AT_HAND, at_hand),
-        }
-    }
-
     fn choose_reader(&self, now: Micros, live: &Live) -> Option<usize> {
         let mut ring = self.ring(&live.request);
         let home = ring.first().copied();
@@ -449,7 +430,14 @@
         ring.retain(|&i| self.lawful(now, live, i));
         let well =
             |i: usize| !self.shut(now, i) && !live.tried.contains(&i) && !self.engines[i].spurns(now, live);
-        let open: Vec<usize> = ring.iter().copied().filter(|&i| well(i)).collect();
+        let mut open: Vec<usize> = ring.iter().copied().filter(|&i| well(i)).collect();
+        // Guards against homes behind a slow link with too few writers before it: what is read there stays.
+        let rack = |i: &usize| self.engines[*i].rack;
+        let slow = |rack: u64| self.knows(now, rack).is_some() && self.far_cost(now, rack) > 0.5;
+        let free = |i: &usize| !slow(rack(i)) || self.drawn(rack(i)) < CAP_FACTOR;
+        if live.request.prefix.is_some() && open.iter().any(free) {
+            open.retain(free);
+        }
         // Guards against spills that only read the same text again: the other line has to be shorter.
         let whole = live.request.prompt_tokens as f64;
         let own = |i: usize| whole - self.expected(now, &live.request, i, home);
@@ -543,14 +531,13 @@
     /// streams a rack's writers get if all that is read there stays there. Guards against near
     /// writers that all nodes prefer, which one of many nodes cannot see.
     fn drawn(&self, rack: u64) -> f64 {
+        let Some(own) = self.racks.get(&rack) else { return 0.0 };
+        let sum = |of: fn(&Rack) -> f64| self.racks.values().map(of).sum::<f64>().max(1e-9);
+        let homes = |r: &Rack| r.readers * at_hand(r);
+        let plain = |r: &Rack| r.readers / (EVEN + at_hand(r));
         let shared = self.gauges.shared / self.gauges.arrivals.max(1.0);
-        let part = |kind: usize| {
-            let all: f64 = self.racks.values().map(|r| r.homes[kind]).sum();
-            self.racks.get(&rack).map_or(0.0, |r| r.homes[kind]) / all.max(1e-9)
-        };
-        let writers: f64 = self.racks.values().map(|r| r.writers).sum();
-        let own = self.racks.get(&rack).map_or(0.0, |r| r.writers);
-        (shared * part(0) + (1.0 - shared) * part(1)) * writers / own.max(1e-9)
+        let part = shared * homes(own) / sum(homes) + (1.0 - shared) * plain(own) / sum(plain);
+        part * sum(|r| r.writers) / own.writers.max(1e-9)
     }
 
     /// A writer's load in this node's streams: its own, and as much again as reports tell. An old
@@ -568,10 +555,19 @@
 
     /// How much longer first tokens take when the state leaves its rack, in parts of the target.
     /// Guards against slow links, whatever slows them; it fades, so that far writers are tried again.
-    fn far_cost(&self, now: Micros) -> f64 {
-        let [near, far] = self.gauges.moves;
-        let age = now.saturating_sub(far.1) as f64 / SHUT_MOST as f64;
-        ((far.0 - near.0) / (self.tightest() * TARGET)).clamp(0.0, 2.0) * 0.5f64.powf(age)
+    fn far_cost(&self, now: Micros, rack: u64) -> f64 {
+        let near = self.gauges.near.0;
+        let part = |(far, at): (f64, Micros)| {
+            let age = now.saturating_sub(at) as f64 / SHUT_MOST as f64;
+            ((far - near) / (self.tightest() * TARGET)).clamp(0.0, 2.0) * 0.5f64.powf(age)
+        };
+        // A rack's own link where this node knows it, else the mean of all.
+        self.knows(now, rack).map_or(part(self.gauges.far), |r| part(r.far))
+    }
+
+    /// A rack whose link this node has seen two states or more cross lately.
+    fn knows(&self, now: Micros, rack: u64) -> Option<&Rack> {
+        self.racks.get(&rack).filter(|r| r.heard >= 2 && now < r.far.1 + SHUT_MOST)
     }
 
     fn choose_writer(&mut self, now: Micros, live: &Live) -> Option<usize> {
@@ -593,26 +589,26 @@
         let mean = (known > 0.0).then(|| told / known);
         // Pure writers first; a failing one last.
         let rack = self.engines[reader].rack;
-        let links_slow = self.far_cost(now) > 0.5;
+        let far_cost = self.far_cost(now, rack);
         let rank = |i: usize| {
             let e = &self.engines[i];
             let full = self.full(now, i) || e.spurns(now, live);
-            (self.shut(now, i), full, links_slow && e.rack != rack, e.role == Role::Mixed && !self.silent())
+            let mixed = e.role == Role::Mixed && !self.silent();
+            (self.shut(now, i), full, far_cost > 0.5 && e.rack != rack, mixed)
         };
         let best = able.iter().map(|&i| rank(i)).min()?;
         let peers: Vec<(usize, f64)> =
             able.iter().filter(|&&i| rank(i) == best).map(|&i| (i, self.load(now, i, mean, scale))).collect();
         let least = peers.iter().map(|p| p.1).fold(f64::INFINITY, f64::min);
-        let band = 1.0 + least * (NEAR + self.far_cost(now));
+        let band = 1.0 + least * (NEAR + far_cost);
         let zone = &self.engines[reader].zone;
         let far = |i: usize| (self.engines[i].rack != rack, self.engines[i].zone != *zone);
         let mut near: Vec<usize> = peers.iter().filter(|p| p.1 <= least + band).map(|p| p.0).collect();
-        if self.silent() && near.iter().any(|&i| self.engines[i].rack == rack) {
-            let chance = self.random.draw() as f64 / u64::MAX as f64;
-            let spare = |i: &usize| self.drawn(self.engines[*i].rack) < 1.0;
-            if chance * self.drawn(rack) > CAP_FACTOR && near.iter().any(spare) {
-                near.retain(spare);
-            }
+        let here = near.iter().any(|&i| self.engines[i].rack == rack);
+        let chance = if here && self.silent() { self.random.draw() as f64 / u64::MAX as f64 } else { 0.0 };
+        let spare = |i: &usize| self.drawn(self.engines[*i].rack) < 1.0;
+        if chance * self.drawn(rack) > CAP_FACTOR && near.iter().any(spare) {
+            near.retain(spare);
         }
         let nearest = near.iter().map(|&i| far(i)).min()?;
         near.retain(|&i| far(i) == nearest);
@@ -806,10 +802,18 @@
 
     /// Takes in how long a state took to where its answer began, or did not begin.
     fn moved(&mut self, now: Micros, reader: Option<usize>, writer: usize, took: f64) {
-        let Some(reader) = reader else { return };
-        let far = usize::from(self.engines[reader].rack != self.engines[writer].rack);
-        let usual = &mut self.gauges.moves[far];
-        *usual = (usual.0 + 2.0 * BLEND * (took - usual.0), now);
+        let Some(rack) = reader.map(|reader| self.engines[reader].rack) else { return };
+        let blend = |usual: &mut (f64, Micros)| *usual = (usual.0 + 2.0 * BLEND * (took - usual.0), now);
+        if rack == self.engines[writer].rack {
+            return blend(&mut self.gauges.near);
+        }
+        let own = self.racks.entry(rack).or_default();
+        if now >= own.far.1 + SHUT_MOST {
+            (own.far, own.heard) = (self.gauges.far, 0);
+        }
+        own.heard += 1;
+        blend(&mut own.far);
+        blend(&mut self.gauges.far);
     }
 
     fn ended(&mut self, now: Micros, ended: Ended, acts: &mut Vec<Action>) {
@@ -878,7 +882,7 @@
                 // read where it is kept by now. One that cannot be reached, or fails again, is left.
                 let first = self.engines[index].fails == 0;
                 let again = out.step == READ && outcome != Outcome::Unreachable && first;
-                // A single error may be the request's own; an engine that goes on with them is left alone.
+                // A single error may be the request's own: the second in a row counts.
                 if again || (outcome == Outcome::Error && first) {
                     self.engines[index].fails = 1;
                 } else if !late {
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,13 +64,27 @@
     pub(crate) engines: f64,
 }
 
-/// What the list says of a rack: engines that only read, engines that write, and the weight of its
-/// readers as homes of shared beginnings and of other prompts.
+/// What the list says of a rack: its engines that only read and those that write.
 #[derive(Default)]
 pub(crate) struct Rack {
     pub(crate) readers: f64,
     pub(crate) writers: f64,
-    pub(crate) homes: [f64; 2],
+    /// Usual wait for a first token when a state leaves the rack over its link.
+    pub(crate) far: (f64, Micros),
+    /// How many such states in a row that is made of.
+    pub(crate) heard: u32,
+}
+
+/// Counts the listed engines of each rack anew.
+pub(crate) fn count_racks(racks: &mut BTreeMap<u64, Rack>, engines: &[Engine]) {
+    for rack in racks.values_mut() {
+        (rack.readers, rack.writers) = (0.0, 0.0);
+    }
+    for engine in engines.iter().filter(|e| e.serving()) {
+        let rack = racks.entry(engine.rack).or_default();
+        rack.readers += f64::from(engine.role == Role::Reader);
+        rack.writers += f64::from(engine.role != Role::Reader);
+    }
 }
 
 #[derive(Clone, Copy)]
@@ -135,7 +149,8 @@
     /// Probes that own traffic has paid for.
     pub(crate) probes: f64,
     /// Usual wait for a first token when the state stays in its rack and when it leaves it.
-    pub(crate) moves: [(f64, Micros); 2],
+    pub(crate) near: (f64, Micros),
+    pub(crate) far: (f64, Micros),
     /// Usual time from the first send to the first token.
     pub(crate) lead: f64,
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1144,3 +1144,39 @@
         node.now += 100 * MS;
     }
 }
+
+#[test]
+fn a_home_behind_a_slow_link_with_few_writers_is_passed_by() {
+    // Guards against a popular beginning whose states cannot leave its rack: reading it there goes on working.
+    let mut members = vec![member("w1", "near", 1), member("r9", "near", 2)];
+    members.extend((1..=3).map(|i| member(&format!("r{i}"), "near", 1)));
+    members.extend((2..=6).map(|i| member(&format!("w{i}"), "near", 2)));
+    let near = ["r1", "r2", "r3"];
+    let shared =
+        |name: &str, key| Request { prefix: Some(key), prefix_tokens: 1_500, ..request(name, 0, key) };
+    for (took, passed) in [(50 * MS, false), (1_500 * MS, true)] {
+        let mut node = Node::new(Settings { reports: Reports::Off, ..settings() }, members.clone());
+        // A home of the rack with few writers, and what its states take over the link.
+        let home = |key: &u64| {
+            let mut node = Node::new(Settings { reports: Reports::Off, ..settings() }, members.clone());
+            node.arrive(shared("a", *key));
+            near.contains(&node.at("a").unwrap())
+        };
+        let key = (0..).find(home).unwrap();
+        let (mut first, mut last) = (String::new(), String::new());
+        for i in 0..60 {
+            let name = format!("q{i}");
+            node.arrive(shared(&name, key));
+            last = node.at(&name).unwrap().to_string();
+            first = if i == 0 { last.clone() } else { first };
+            node.now += 10 * MS;
+            node.end(&name, Outcome::Read);
+            let far = near.contains(&last.as_str()) && node.at(&name) != Some("w1");
+            node.now += if far { took } else { 50 * MS };
+            node.first_token(&name);
+            node.end(&name, Outcome::Served);
+        }
+        assert!(near.contains(&first.as_str()));
+        assert_eq!(!near.contains(&last.as_str()), passed, "{took} us: first {first}, last {last}");
+    }
+}
