--- a/crates/pintally-cli/src/day.rs
+++ b/crates/pintally-cli/src/day.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use comfy_table::Table;
-use pintally_day::{from_bench, run as play, Day, DayResult, Scale};
+use pintally_day::{from_bench, run as play, Day, DayResult, Scale, Shape};
 
 use crate::audit::print_rules;
 use crate::{read, Failure};
@@ -110,6 +110,12 @@
     let row = [r.requests, r.served, r.refused, r.failed, r.left, r.died, result.no_node];
     table.add_row(row.map(|n| n.to_string()));
     println!("{table}");
+    if let Some(shapes) = &result.shapes {
+        for (name, s) in [("old", shapes.old), ("new", shapes.new)] {
+            let Shape { nodes, asked, served, in_time, sends } = s;
+            println!("{name} shape: {nodes} nodes, {asked} asked, {served} served, {in_time} in time, {sends} sends");
+        }
+    }
     print_rules(r);
     println!("verdict: {}", if result.kept() { "kept" } else { "broken" });
 }
--- a/crates/pintally-config/src/check.rs
+++ b/crates/pintally-config/src/check.rs
@@ -77,7 +77,11 @@
 pub(crate) fn kinds(root: &Form, core: &Settings) -> Result<(), ConfigError> {
     let reads = core.kinds.iter().any(|k| k.role != Role::Writer);
     let writes = core.kinds.iter().any(|k| k.role != Role::Reader);
+    let writer = core.kinds.iter().any(|k| k.role == Role::Writer);
     match (reads, writes) {
+        (true, true) if core.writers_read && !writer => {
+            Err(root.error("`writers-read` is yes, but no `kind` is a writer"))
+        }
         (true, true) => Ok(()),
         (false, _) => Err(root.error("no `kind` reads: at least one must be a reader or mixed")),
         (_, false) => Err(root.error("no `kind` writes: at least one must be a writer or mixed")),
--- a/crates/pintally-config/src/lib.rs
+++ b/crates/pintally-config/src/lib.rs
@@ -12,4 +12,4 @@
 pub use check::check;
 pub use error::ConfigError;
 pub use members::{EngineEntry, EngineList};
-pub use settings::{ClassSettings, Limits, NodeSettings};
+pub use settings::{shape, ClassSettings, Limits, NodeSettings};
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -217,24 +217,12 @@
 
 /// What the core is told, without classes, tenants and kinds.
 fn router(root: &Form, node: &Form) -> Result<Settings, ConfigError> {
-    let empty = Document::parse("", "(rules)")?;
-    let given = root.maybe("rules")?;
-    let rules = match given {
-        Some(form) => form,
-        None => empty.only("rules")?,
-    };
     let nodes = node.count_or("of", 1, 1, 100_000)? as u32;
     let number = node.count_or("number", 0, 0, 100_000)? as u32;
     if number >= nodes {
         return Err(node.error(format!("`number` is {number}, but there are {nodes} nodes, counted from 0")));
     }
-    let reports = match rules.text_or("reports", "inline")?.as_str() {
-        "inline" => Reports::Inline,
-        "on-probe" => Reports::OnProbe,
-        "off" => Reports::Off,
-        other => return Err(rules.error(format!("`reports` is `{other}`, not inline, on-probe or off"))),
-    };
-    let settings = Settings {
+    let mut settings = Settings {
         zone: node.text_or("zone", "")?,
         node: number,
         nodes,
@@ -242,27 +230,63 @@
         tenants: Vec::new(),
         kinds: Vec::new(),
         discovery: Discovery::Pushed,
-        reports,
-        weights: rules.yes_or("weights", true)?,
-        writers_read: rules.yes_or("writers-read", false)?,
-        may_cancel: rules.yes_or("cancel", true)?,
-        may_probe: rules.yes_or("probes", true)?,
-        probe_price: rules.number_or("probe-price", 0.0, 0.0, 100.0)?,
-        retry_advice: rules.yes_or("retry-after", true)?,
-        max_retry_after: rules.millis_or("retry-after-most-ms", 2000.0, 0.0, 600_000.0)?,
-        max_attempts: rules.count_or("attempts", 6, 1, 100)? as u32,
-        cold_from: rules.number_or("cold-from", 0.3, 0.001, 1.0)?,
-        warm_after: rules.millis_or("warm-after-ms", 14_000.0, 0.0, 3_600_000.0)?,
-        tip_multiple: rules.number_or("tip-multiple", 2.5, 0.1, 1000.0)?,
-        tip_window: rules.millis_or("tip-window-ms", 2000.0, 1.0, 600_000.0)?,
-        release_within: rules.millis_or("release-within-ms", 500.0, 1.0, 600_000.0)?,
+        reports: Reports::Inline,
+        weights: true,
+        writers_read: false,
+        may_cancel: true,
+        may_probe: true,
+        probe_price: 0.0,
+        retry_advice: true,
+        max_retry_after: 2_000_000,
+        max_attempts: 6,
+        cold_from: 0.3,
+        warm_after: 14_000_000,
+        tip_multiple: 2.5,
+        tip_window: 2_000_000,
+        release_within: 500_000,
         ask_within: 0,
     };
-    check::rules(&rules, &settings)?;
+    let empty = Document::parse("", "(rules)")?;
+    let rules = match root.maybe("rules")? {
+        Some(form) => form,
+        None => empty.only("rules")?,
+    };
+    shape(&rules, &mut settings)?;
     rules.finish()?;
     Ok(settings)
 }
 
+/// Reads what a form tells of the shape of a deployment over what the settings say; what it leaves out
+/// stays. The caller finishes the form, which may hold more.
+pub fn shape(form: &Form, s: &mut Settings) -> Result<(), ConfigError> {
+    let ms = |span: Micros| span as f64 / 1e3;
+    let reports = match s.reports {
+        Reports::Inline => "inline",
+        Reports::OnProbe => "on-probe",
+        Reports::Off => "off",
+    };
+    s.reports = match form.text_or("reports", reports)?.as_str() {
+        "inline" => Reports::Inline,
+        "on-probe" => Reports::OnProbe,
+        "off" => Reports::Off,
+        other => return Err(form.error(format!("`reports` is `{other}`, not inline, on-probe or off"))),
+    };
+    s.weights = form.yes_or("weights", s.weights)?;
+    s.writers_read = form.yes_or("writers-read", s.writers_read)?;
+    s.may_cancel = form.yes_or("cancel", s.may_cancel)?;
+    s.may_probe = form.yes_or("probes", s.may_probe)?;
+    s.probe_price = form.number_or("probe-price", s.probe_price, 0.0, 100.0)?;
+    s.retry_advice = form.yes_or("retry-after", s.retry_advice)?;
+    s.max_retry_after = form.millis_or("retry-after-most-ms", ms(s.max_retry_after), 0.0, 600_000.0)?;
+    s.max_attempts = form.count_or("attempts", s.max_attempts.into(), 1, 100)? as u32;
+    s.cold_from = form.number_or("cold-from", s.cold_from, 0.001, 1.0)?;
+    s.warm_after = form.millis_or("warm-after-ms", ms(s.warm_after), 0.0, 3_600_000.0)?;
+    s.tip_multiple = form.number_or("tip-multiple", s.tip_multiple, 0.1, 1000.0)?;
+    s.tip_window = form.millis_or("tip-window-ms", ms(s.tip_window), 1.0, 600_000.0)?;
+    s.release_within = form.millis_or("release-within-ms", ms(s.release_within), 1.0, 600_000.0)?;
+    check::rules(form, s)
+}
+
 fn class(form: &Form) -> Result<(Class, ClassSettings), ConfigError> {
     let name = form.text()?;
     let effect = form.need("effect")?;
--- a/crates/pintally-config/tests/bad_files.rs
+++ b/crates/pintally-config/tests/bad_files.rs
@@ -1,6 +1,7 @@
 //! Files that must be refused at load, each with the line and the reason, and the rule where one is
 //! at stake.
 
+use pintally::interface::Reports;
 use pintally_config::{EngineList, NodeSettings};
 
 const GOOD: &str = r#"(pintally
@@ -21,6 +22,18 @@
     assert_eq!(settings.classes[0].max_tokens, 256);
 }
 
+/// What a deployment of another build needs is off by default, and asks for what it speaks of.
+#[test]
+fn writers_that_read_are_told_and_must_be_there() {
+    let read = |text: &str| NodeSettings::parse("file", text);
+    assert!(!read(GOOD).unwrap().core.writers_read);
+    let told = GOOD.replace("(attempts 6)", "(attempts 6) (writers-read yes) (reports off) (probes no)");
+    let core = read(&told).unwrap().core;
+    assert!(core.writers_read && core.reports == Reports::Off && !core.may_probe);
+    let error = read(&told.replace("(role writer)", "(role mixed)")).unwrap_err();
+    assert!(error.what.contains("no `kind` is a writer"), "{error}");
+}
+
 /// Each case changes one piece of the good file and says in which line, why, and by which rule.
 #[test]
 fn each_bad_file_is_refused_with_line_and_reason() {
@@ -54,6 +67,7 @@
             Some("cold"),
         ),
         ("(attempts 6)", "(retry-after yes) (retry-after-most-ms 0)", 4, "is 0", None),
+        ("(attempts 6)", "(writers-read perhaps)", 4, "yes or no", None),
         ("(attempts 6)", "(reports sometimes)", 4, "not inline, on-probe or off", None),
         ("(effect safe)", "(effect maybe)", 5, "not safe, keyed or unsafe", None),
         ("(effect safe)", "", 5, "lacks `(effect", None),
--- a/crates/pintally-day/src/from_bench.rs
+++ b/crates/pintally-day/src/from_bench.rs
@@ -143,8 +143,9 @@
         let attempts = allow["max_attempts"].as_u64().unwrap_or(6);
         let _ = writeln!(
             self.out,
-            "  (rules (attempts {attempts}) (reports {reports}) (cancel {}) (probes {}) (probe-price {})\n    \
+            "  (rules (attempts {attempts}) (reports {reports}) (writers-read {}) (cancel {}) (probes {}) (probe-price {})\n    \
              (cold-from {}) (warm-after-ms {}) (tip-multiple {}) (tip-window-ms {}) (release-within-ms {})",
+            yes(&day["fam"]["writers_read"]),
             yes(&allow["cancel"]),
             yes(&allow["probes"]),
             day["prices"]["probe"].as_f64().unwrap_or(0.0),
--- a/crates/pintally-day/src/lib.rs
+++ b/crates/pintally-day/src/lib.rs
@@ -5,7 +5,7 @@
 mod engines;
 mod faults;
 mod from_bench;
-
+mod moved;
 mod play;
 mod publish;
 mod rig;
@@ -18,6 +18,7 @@
 
 pub use engines::{specs, Engines};
 pub use from_bench::{from_bench, Converted, Scale};
+pub use moved::{Shape, Shapes};
 pub use rig::Rig;
 pub use run::{run, with_figures, DayResult, Launch, RunError, Running};
 pub use spec::{ClassTraffic, Day, EngineGroup, Fault, Kind, Traffic, APART};
--- a/crates/pintally-day/src/run.rs
+++ b/crates/pintally-day/src/run.rs
@@ -9,6 +9,7 @@
 use pintally_node::Node;
 use serde::Serialize;
 
+use crate::moved::Shapes;
 use crate::play::Play;
 use crate::spec::Day;
 
@@ -64,6 +65,8 @@
     pub troubles: Vec<&'static str>,
     /// The audit.
     pub report: Report,
+    /// What nodes of two shapes got, where some have moved.
+    pub shapes: Option<Shapes>,
     /// Tries that found no node to connect to.
     pub no_node: u64,
     /// The record.
@@ -93,6 +96,7 @@
             "failed": self.report.failed,
             "left": self.report.left,
             "died_with_node": self.report.died,
+            "shapes": self.shapes,
             "rules": rules,
             "verdict": if self.kept() { "kept" } else { "broken" },
         })
@@ -114,7 +118,8 @@
     troubles.sort_unstable();
     troubles.dedup();
     let took_s = took.as_secs_f64();
-    Ok(DayResult { day: day.name.clone(), seed, took_s, troubles, report, no_node, record })
+    let shapes = day.moved.as_ref().map(|_| Shapes::of(day, &record));
+    Ok(DayResult { day: day.name.clone(), seed, took_s, troubles, report, shapes, no_node, record })
 }
 
 /// The record with the figures that the rules go by as its first line; times in microseconds: the
--- a/crates/pintally-day/src/spec.rs
+++ b/crates/pintally-day/src/spec.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use pintally::interface::Role;
+use pintally::interface::{Role, Settings};
 use pintally_cells::CellsFile;
 use pintally_config::form::{Document, Form};
-use pintally_config::{ConfigError, NodeSettings};
+use pintally_config::{shape, ConfigError, NodeSettings};
 
 use crate::faults;
 
@@ -27,6 +27,8 @@
     pub racks: u64,
     /// Nodes, spread over the zones in turn.
     pub nodes: usize,
+    /// The last of the nodes run in another shape already: how many, and what the core is told there.
+    pub moved: Option<(usize, Settings)>,
     /// Word of the fleet reaches nodes so much later.
     pub notice: Duration,
     /// The front layer goes on sending to a dead node for so long.
@@ -179,6 +181,9 @@
     /// The settings of one node, without the addresses and files that its surroundings give it.
     pub fn node(&self, number: usize) -> NodeSettings {
         let mut settings = self.settings.clone();
+        if let Some((_, core)) = self.moved.as_ref().filter(|_| self.is_moved(number)) {
+            settings.core = core.clone();
+        }
         settings.name = format!("n{number}");
         settings.core.zone = self.zones[number % self.zones.len()].clone();
         settings.core.node = number as u32;
@@ -186,6 +191,11 @@
         settings
     }
 
+    /// Whether a node runs in the shape to which the day moves.
+    pub fn is_moved(&self, number: usize) -> bool {
+        self.moved.as_ref().is_some_and(|(many, _)| number + many >= self.nodes)
+    }
+
     /// How long after a version of the file of cells was written a node sees it.
     pub fn hears_after(&self, node: usize) -> Duration {
         self.notice + APART * node as u32 / self.nodes.saturating_sub(1).max(1) as u32
@@ -214,6 +224,16 @@
         let own = Document::parse("", "(node (engines \"\"))")?;
         let cells_form = root.maybe("cells")?;
         let settings = NodeSettings::read(&root, &own.only("node")?)?;
+        let moved = match nodes.maybe("moved")? {
+            None => None,
+            Some(form) => {
+                let mut core = settings.core.clone();
+                let many = form.count(0, count as u64)? as usize;
+                shape(&form, &mut core)?;
+                form.finish()?;
+                Some((many, core))
+            }
+        };
         let span = |ms: u64| Duration::from_micros(ms);
         let cells = cells_form.map(|form| CellsFile::read(&form, &settings.core)).transpose()?;
         let mut engines = Vec::new();
@@ -236,6 +256,7 @@
             zones,
             racks: root.count_or("racks", 2, 1, 10_000)?,
             nodes: count,
+            moved,
             notice: span(nodes.millis_or("notice-ms", 500.0, 0.0, 60_000.0)?),
             front: span(nodes.millis_or("front-ms", 1000.0, 0.0, 60_000.0)?),
             drain_grace: span(root.millis_or("drain-grace-ms", 1000.0, 0.0, 60_000.0)?),
--- a/crates/pintally-lab/tests/days.rs
+++ b/crates/pintally-lab/tests/days.rs
@@ -102,3 +102,29 @@
     assert!(of(Which::Module).broken == 0);
     assert!(random.against_module.most < 0.0, "{random:?}");
 }
+
+/// Nodes of the old and of the new shape before the same engines, more work than those can do, in virtual time:
+/// the rules hold for every number of moved nodes, and neither shape takes the other's part.
+#[test]
+fn nodes_on_the_move_share_overloaded_engines_evenly() {
+    let base = DAY
+        .replace("FAULTS", "")
+        .replace("(nodes 3 ", "(nodes 6 ")
+        .replace("(per-second 45)", "(per-second 90)");
+    let base = base.replace("(engines \"prefill\" (count 4)", "(engines \"prefill\" (count 3)");
+    for (moved, seed) in [(1, 1), (3, 2), (5, 3)] {
+        let text = base.replace(
+            "(notice-ms 200)",
+            &format!("(notice-ms 200) (moved {moved} (reports off) (probes no) (writers-read yes))"),
+        );
+        let day = Day::parse("moving", &text).unwrap();
+        let (record, kept) = pintally_lab::record(&day, Which::Module, seed).unwrap();
+        assert!(kept, "{moved} moved, seed {seed}");
+        let shapes = pintally_day::Shapes::of(&day, &record);
+        assert_eq!(shapes.new.nodes, moved);
+        assert!(shapes.evenness() > 0.8, "{moved} moved, seed {seed}: {shapes:?}");
+        let sends = |s: pintally_day::Shape| s.sends as f64 / s.asked as f64;
+        let even = sends(shapes.old) / sends(shapes.new);
+        assert!((0.7..=1.4).contains(&even), "{moved} moved, seed {seed}: {shapes:?}");
+    }
+}
