Registered weights are taken against their role's mean; near within five streams if none reports

Cause: a writer's load is in streams, and was divided by its registered weight: 4 to 24 as told, so the band of one stream was one of up to 22, and mixed engines (4) were compared with writers (22 to 24) by figures that compare engines of one role only. Lines: load, choose_writer (band), members.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,9 +61,10 @@
 const LOOKS: usize = 4;
 /// Writers that have up to this part more than the least load count as least loaded: near ones win.
 const NEAR: f64 = 0.25;
-/// A reader without writers in its rack has this much writing at hand, in writers.
+/// And up to so many own streams more where no engine tells its load: own ones tell little of it.
+const NEAR_SILENT: f64 = 5.0;
+/// A reader without writers in its rack has so much writing at hand, and none has more, in writers.
 const LEAST_AT_HAND: f64 = 0.02;
-/// And one reader can feed no more than so many.
 const MOST_AT_HAND: f64 = 1.3;
 /// How evenly prompts without a shared beginning are read, though rather where little is at hand.
 const EVEN: f64 = 0.5;
@@ -173,7 +174,7 @@
             seen.insert(index);
             let engine = &mut self.engines[index];
             engine.listing = member.listing;
-            engine.weight = if member.weight > 0.0 { member.weight } else { 1.0 };
+            engine.registered = if member.weight > 0.0 { member.weight } else { 1.0 };
             // Guards against a cold engine being pushed over, and against a table that tells of
             // texts which a restart has wiped.
             if let Some(started) = member.started.filter(|_| engine.started != member.started) {
@@ -188,7 +189,7 @@
         for index in (0..self.engines.len()).filter(missing) {
             self.engines[index].listing = Listing::Gone;
         }
-        count_racks(&mut self.racks, &self.engines);
+        count(&mut self.racks, &mut self.engines);
     }
 
     /// Whether one more send keeps a cold engine's budget. The budget is all nodes' together and no
@@ -600,7 +601,7 @@
         let peers: Vec<(usize, f64)> =
             able.iter().filter(|&&i| rank(i) == best).map(|&i| (i, self.load(now, i, mean, scale))).collect();
         let least = peers.iter().map(|p| p.1).fold(f64::INFINITY, f64::min);
-        let band = 1.0 + least * (NEAR + far_cost);
+        let band = if self.silent() { NEAR_SILENT } else { 1.0 } + least * (NEAR + far_cost);
         let zone = &self.engines[reader].zone;
         let far = |i: usize| (self.engines[i].rack != rack, self.engines[i].zone != *zone);
         let mut near: Vec<usize> = peers.iter().filter(|p| p.1 <= least + band).map(|p| p.0).collect();
@@ -878,8 +879,7 @@
                     self.timed(now, index, out.step, 0.0, took);
                     self.moved(now, live.state, index, took);
                 }
-                // Guards against reading anew elsewhere what only its answer has lost: once more it is
-                // read where it is kept by now. One that cannot be reached, or fails again, is left.
+                // Guards against reading anew elsewhere what only its answer has lost: it is kept there by now.
                 let first = self.engines[index].fails == 0;
                 let again = out.step == READ && outcome != Outcome::Unreachable && first;
                 // A single error may be the request's own: the second in a row counts.
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,8 @@
     pub(crate) zone: String,
     pub(crate) rack: u64,
     pub(crate) role: Role,
+    /// As the list tells it, and against the mean of its role.
+    pub(crate) registered: f64,
     pub(crate) weight: f64,
     pub(crate) listing: Listing,
     /// Cold until then: told by discovery, or seen to come back after failing.
@@ -75,8 +77,8 @@
     pub(crate) heard: u32,
 }
 
-/// Counts the listed engines of each rack anew.
-pub(crate) fn count_racks(racks: &mut BTreeMap<u64, Rack>, engines: &[Engine]) {
+/// Counts the listed engines of each rack anew, and takes their weights against their role's mean.
+pub(crate) fn count(racks: &mut BTreeMap<u64, Rack>, engines: &mut [Engine]) {
     for rack in racks.values_mut() {
         (rack.readers, rack.writers) = (0.0, 0.0);
     }
@@ -85,6 +87,15 @@
         rack.readers += f64::from(engine.role == Role::Reader);
         rack.writers += f64::from(engine.role != Role::Reader);
     }
+    let mut sums = [(0.0, 0.0); 3];
+    for engine in engines.iter().filter(|e| e.serving()) {
+        let sum = &mut sums[step_of(engine.role)];
+        *sum = (sum.0 + engine.registered, sum.1 + 1.0);
+    }
+    for engine in engines {
+        let (sum, count) = sums[step_of(engine.role)];
+        engine.weight = if sum > 0.0 { engine.registered * count / sum } else { 1.0 };
+    }
 }
 
 #[derive(Clone, Copy)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1180,3 +1180,23 @@
         assert_eq!(!near.contains(&last.as_str()), passed, "{took} us: first {first}, last {last}");
     }
 }
+
+#[test]
+fn writers_are_compared_in_streams_whatever_unit_their_weights_have() {
+    // Guards against weights of 22 that make 22 streams count as one: near writers won whatever they had.
+    for unit in [1.0, 22.0] {
+        let at = |name: &str, rack| Member { weight: unit, ..member(name, "near", rack) };
+        let members = vec![at("r1", 1), at("w1", 1), at("w2", 2), at("w3", 2)];
+        let mut node = Node::new(settings(), members);
+        let mut near = 0;
+        for i in 0..9 {
+            let name = format!("q{i}");
+            node.arrive(request(&name, 0, i));
+            node.now += 20 * MS;
+            node.end(&name, Outcome::Read);
+            near += usize::from(node.at(&name) == Some("w1"));
+            node.first_token(&name);
+        }
+        assert!((3..=6).contains(&near), "unit {unit}: {near} of 9 streams at the near writer");
+    }
+}
