--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,8 +35,8 @@
 const RATE_FADE: f64 = 0.97;
 /// Rates are taken as low until engines have been seen for about this many seconds each.
 const RATE_AFTER: f64 = 5.0;
-/// What nodes in turn may make of the budget if all want one engine: reads are spread, fetches herd.
-const COLD_RUSH: f64 = 8.0;
+/// What nodes in turn may make of the budget if all want one engine: most reads are spread, all else herds.
+const COLD_RUSH: f64 = 5.0;
 const COLD_HERD: f64 = 0.75;
 /// Share of a cold engine's budget in use: a warm engine answers less on the mean than it could.
 const COLD_SHARE: f64 = 1.2;
@@ -70,8 +70,8 @@
 const EVEN: f64 = 0.5;
 /// A mixed engine's own writing at hand, in writers: what it reads itself slows its answers.
 const MIXED_AT_HAND: f64 = 0.25;
-/// A popular beginning has a home for each so many writers' part of all requests.
-const HOME_WRITERS: f64 = 1.0;
+/// From this many writers' worth on, requests that begin alike herd to a cold reader.
+const HERDS: f64 = 0.25;
 /// How fast the number of requests before their first token grows while on target, and shrinks.
 const GROW: f64 = 2.0;
 /// This part of the requests has its first token within the time that counts as the usual lead.
@@ -213,7 +213,8 @@
         let pool = &self.pools[step_of(engine.role)];
         let usual = pool.answers / pool.engines.max(1.0) / (pool.watched + RATE_AFTER) * window / 1e6;
         let own = (COLD_SHARE * s.cold_from * s.tip_multiple * usual).max(1.0 / f64::from(s.nodes.max(1)));
-        let rush = if live.state.is_some() { COLD_HERD } else { COLD_RUSH };
+        let herds = live.state.is_some() || self.worth(&live.request) > HERDS;
+        let rush = if herds { COLD_HERD } else { COLD_RUSH };
         let part = if own < 1.0 { (own * rush).min(1.0) } else { own.fract() };
         let place = xxh3_64_with_seed(engine.id.0.as_bytes(), 0) as f64 / u64::MAX as f64;
         let number = f64::from(s.node) / f64::from(s.nodes.max(1));
@@ -400,19 +401,18 @@
         ring.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
         let mut ring: Vec<usize> = ring.into_iter().map(|(_, _, i)| i).collect();
         // Guards against beginnings too popular for one rack's writers: the first few share them.
-        let homes = self.homes(request).min(ring.len());
+        let homes = (self.worth(request).ceil() as usize).min(ring.len());
         if homes > 1 {
             ring[..homes].rotate_left(request.session as usize % homes);
         }
         ring
     }
 
-    /// How many homes a request's beginning has: one for each so many writers' worth of all requests.
-    fn homes(&self, request: &Request) -> usize {
+    /// How many writers' worth of all requests begin as this one does: each has a home of its own.
+    fn worth(&self, request: &Request) -> f64 {
         let (all, seen) = (self.gauges.arrivals, request.prefix.and_then(|p| self.popular.get(&p)));
         let part = seen.map_or(0.0, |seen| (seen - 1.0).max(0.0) / all.max(1.0));
-        let writers = self.engines.iter().filter(|e| e.serving() && e.role != Role::Reader).count() as f64;
-        ((part * writers / HOME_WRITERS).ceil() as usize).max(1)
+        part * self.engines.iter().filter(|e| e.serving() && e.role != Role::Reader).count() as f64
     }
 
     fn choose_reader(&self, now: Micros, live: &Live) -> Option<usize> {
@@ -420,7 +420,7 @@
         let home = ring.first().copied();
         let held: Vec<f64> = ring.iter().map(|&i| self.expected(now, &live.request, i, home)).collect();
         // Of several homes of a beginning each session has its own, though another be the fresher one.
-        let band = if self.homes(&live.request) > 1 { 1.0 + NEAR } else { 1.0 };
+        let band = if self.worth(&live.request) > 1.0 { 1.0 + NEAR } else { 1.0 };
         let mut start = 0;
         for (place, tokens) in held.iter().enumerate() {
             if *tokens >= MIN_MATCH && (held[start] < MIN_MATCH || *tokens > held[start] * band) {
@@ -464,8 +464,7 @@
         let (lag, line) = (self.lag(now, index), self.line(now, index));
         let cap = (CAP_FACTOR * (lines + own) / lag).max(request.prompt_tokens as f64);
         let write_cap = (CAP_FACTOR * streams).ceil().max(1.0);
-        // Reading slows every answer of a mixed engine: a busy one takes only what it mostly holds.
-        // Where engines never report, every one is taken to be busy.
+        // Reading slows every answer of a mixed engine: a busy or silent one takes only what it mostly holds.
         let busy = self.silent() || engine.told(now, REPORT_FOR).is_some_and(|told| told >= BUSY);
         let long = busy && own > request.prompt_tokens as f64 * LONG;
         let writes_over = engine.role == Role::Mixed
@@ -625,7 +624,7 @@
             c.aim.saturating_add(c.aim_per_1000_tokens.saturating_mul(request.prompt_tokens) / 1000)
         });
         let aim = if request.resumed { request.patience } else { aim };
-        // A class that nobody named is handled as one that must not run twice.
+        // A class that nobody named must not run twice.
         let effect = class.map_or(Effect::Unsafe, |c| c.effect);
         let over_share = self.over_share(now, request.tenant);
         // Guards against retry storms: a prompt that was turned away lately has its aim counted from
@@ -879,9 +878,10 @@
                     self.timed(now, index, out.step, 0.0, took);
                     self.moved(now, live.state, index, took);
                 }
-                // Guards against reading anew elsewhere what only its answer has lost: it is kept there by now.
+                // Guards against reading anew elsewhere what is kept by now where its answer got lost.
                 let first = self.engines[index].fails == 0;
                 let again = out.step == READ && outcome != Outcome::Unreachable && first;
+                let again = again && now >= self.engines[index].cold_until;
                 // A single error may be the request's own: the second in a row counts.
                 if again || (outcome == Outcome::Error && first) {
                     self.engines[index].fails = 1;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -771,7 +771,7 @@
 
 /// The sends that all nodes together make to a cold engine `target`, by time, where each node has a
 /// request every `gap`; with `known` each has served for a minute before the engine starts.
-fn cold_sends(nodes: u32, gap: Micros, target: &str, known: bool) -> Vec<Micros> {
+fn cold_sends(nodes: u32, gap: Micros, target: &str, known: bool, prefix: Option<u64>) -> Vec<Micros> {
     let mut sends = vec![];
     for number in 0..nodes {
         let writers = if target == "m2" { ["m1", "m2"] } else { ["w1", "w2"] };
@@ -791,7 +791,12 @@
                 break;
             }
             let name = format!("a{turn}");
-            node.arrive(request(&name, 0, u64::from(number) << 32 | turn));
+            let prefix_tokens = prefix.map_or(0, |_| 1_500);
+            node.arrive(Request {
+                prefix,
+                prefix_tokens,
+                ..request(&name, 0, u64::from(number) << 32 | turn)
+            });
             sends.extend((told && node.at(&name) == Some(target)).then_some(node.now));
             if node.at(&name).is_some_and(|at| at.starts_with('r')) {
                 node.end(&name, Outcome::Read);
@@ -820,7 +825,7 @@
         let capacity = f64::from(nodes) * 1e6 / gap as f64 / 2.0 / 0.6;
         let window = shape.tip_window;
         let budget = shape.tip_multiple * shape.cold_from * capacity * window as f64 / 1e6;
-        let sends = cold_sends(nodes, gap, target, known);
+        let sends = cold_sends(nodes, gap, target, known, None);
         let within = |from: Micros| sends.iter().filter(|at| (from..from + window).contains(at)).count();
         let most = sends.iter().map(|&at| within(at)).max().unwrap_or(0);
         assert!(most as f64 <= budget + 1.0, "{most} sends to {target}, {nodes} nodes, budget {budget:.1}");
@@ -1200,3 +1205,26 @@
         assert!((3..=6).contains(&near), "unit {unit}: {near} of 9 streams at the near writer");
     }
 }
+
+#[test]
+fn a_popular_beginning_does_not_push_its_cold_home_over() {
+    // A recorded rule broken: 26 of 46 nodes each sent one prompt of a hot beginning to its home within 1.5 s of
+    // its start. Reads are spread only where prompts begin differently.
+    let members: Vec<Member> = ["r1", "r2", "w1", "w2"].map(|name| member(name, "near", 1)).into();
+    let home = |key: &u64| {
+        let mut node = Node::new(settings(), members.clone());
+        node.arrive(Request { prefix: Some(*key), prefix_tokens: 1_500, ..request("a", 0, 1) });
+        node.at("a") == Some("r2")
+    };
+    let key = (0..).find(home).unwrap();
+    for (nodes, gap) in [(40, SECOND), (200, 4 * SECOND)] {
+        let shape = settings();
+        let capacity = f64::from(nodes) * 1e6 / gap as f64 / 2.0 / 0.6;
+        let budget = shape.tip_multiple * shape.cold_from * capacity * shape.tip_window as f64 / 1e6;
+        let sends = cold_sends(nodes, gap, "r2", true, Some(key));
+        let within =
+            |from: Micros| sends.iter().filter(|at| (from..from + shape.tip_window).contains(at)).count();
+        let most = sends.iter().map(|&at| within(at)).max().unwrap_or(0);
+        assert!(most > 0 && most as f64 <= budget, "{most} sends, {nodes} nodes, budget {budget:.1}");
+    }
+}
