--- a/crates/pintally-config/tests/bad_files.rs
+++ b/crates/pintally-config/tests/bad_files.rs
@@ -30,6 +30,8 @@
     let told = GOOD.replace("(attempts 6)", "(attempts 6) (writers-read yes) (reports off) (probes no)");
     let core = read(&told).unwrap().core;
     assert!(core.writers_read && core.reports == Reports::Off && !core.may_probe);
+    let example = std::fs::read_to_string("../../examples/node-silent.sexp").unwrap();
+    assert_eq!(read(&example).unwrap().core.reports, Reports::Off);
     let error = read(&told.replace("(role writer)", "(role mixed)")).unwrap_err();
     assert!(error.what.contains("no `kind` is a writer"), "{error}");
 }
