--- a/crates/pintally-day/src/lib.rs
+++ b/crates/pintally-day/src/lib.rs
@@ -13,6 +13,7 @@
 mod script;
 mod spec;
 mod traffic;
+mod worth;
 
 pub use client::{Client, Ended, Try};
 
@@ -23,3 +24,4 @@
 pub use run::{run, with_figures, DayResult, Launch, RunError, Running};
 pub use spec::{ClassTraffic, Day, EngineGroup, Fault, Kind, Traffic, APART};
 pub use traffic::{Draft, Source};
+pub use worth::{in_time, requests, One};
--- a/crates/pintally-day/src/moved.rs
+++ b/crates/pintally-day/src/moved.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashMap;
 
-use pintally_audit::{Answer, Record, What};
+use pintally_audit::{Record, What};
 use serde::Serialize;
 
 use crate::spec::Day;
+use crate::worth::requests;
 
 /// What the nodes of one shape were asked and gave.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -44,34 +45,19 @@
         let moved: HashMap<String, bool> =
             (0..day.nodes).map(|n| (day.node(n).name, day.is_moved(n))).collect();
         let new = |node: &str| moved.get(node).copied().unwrap_or(false);
-        let aims: HashMap<&str, u64> =
-            day.settings.core.classes.iter().map(|c| (c.name.as_str(), c.aim)).collect();
         let mut shapes = Shapes::default();
-        shapes.new.nodes = moved.values().filter(|m| **m).count();
-        shapes.old.nodes = day.nodes - shapes.new.nodes;
-        // By request: its node's shape, until when it is in time, and when its answer began.
-        let mut open: HashMap<&str, (bool, u64, Option<u64>)> = HashMap::new();
+        for new in moved.values() {
+            shapes.at(*new).nodes += 1;
+        }
+        for one in requests(day, record) {
+            let shape = shapes.at(new(&one.node));
+            shape.asked += 1;
+            shape.served += u64::from(one.served);
+            shape.in_time += u64::from(one.in_time());
+        }
         for record in record {
-            match &record.what {
-                What::Asked { request, node, class, .. } => {
-                    let aim = aims.get(class.as_str()).copied().unwrap_or(0);
-                    open.insert(request, (new(node), record.at + aim, None));
-                    shapes.at(new(node)).asked += 1;
-                }
-                What::First { request } => {
-                    if let Some(one) = open.get_mut(request.as_str()) {
-                        one.2.get_or_insert(record.at);
-                    }
-                }
-                What::Answered { request, answer: Answer::Served } => {
-                    if let Some((new, due, first)) = open.remove(request.as_str()) {
-                        let shape = shapes.at(new);
-                        shape.served += 1;
-                        shape.in_time += u64::from(first.unwrap_or(record.at) <= due);
-                    }
-                }
-                What::Took { node, reached: true, .. } => shapes.at(new(node)).sends += 1,
-                _ => {}
+            if let What::Took { node, reached: true, .. } = &record.what {
+                shapes.at(new(node)).sends += 1;
             }
         }
         shapes
--- a/crates/pintally-measure/src/worth.rs
+++ b/crates/pintally-day/src/worth.rs
@@ -3,12 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use pintally_audit::{Answer, Record, What};
-use pintally_day::Day;
+
+use crate::spec::Day;
 
 /// One request as its client saw it; times in microseconds.
 #[derive(Clone, Debug)]
 #[allow(missing_docs)]
 pub struct One {
+    pub node: String,
     pub tenant: Option<String>,
     pub at: u64,
     pub aim: u64,
@@ -36,12 +38,13 @@
     let mut all: BTreeMap<&str, One> = BTreeMap::new();
     for r in record {
         match &r.what {
-            What::Asked { request, class, tenant, .. } => {
+            What::Asked { request, node, class, tenant, .. } => {
                 let Some(class) = day.settings.core.classes.iter().find(|c| c.name == *class) else {
                     continue;
                 };
                 let (at, aim, worth, again) = (r.at, class.aim, class.worth, request.contains('~'));
-                let one = One { tenant: tenant.clone(), at, aim, worth, first: None, served: false, again };
+                let (node, tenant) = (node.clone(), tenant.clone());
+                let one = One { node, tenant, at, aim, worth, first: None, served: false, again };
                 all.insert(request, one);
             }
             What::First { request } => {
--- a/crates/pintally-lab/src/compare.rs
+++ b/crates/pintally-lab/src/compare.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use pintally_audit::{audit, Record, Report};
-use pintally_day::{with_figures, Day};
-use pintally_measure::{in_time, requests, Interval, Spread};
+use pintally_day::{in_time, requests, with_figures, Day};
+use pintally_measure::{Interval, Spread};
 
 use crate::policy::Which;
 use crate::world::World;
--- a/crates/pintally-measure/src/flood.rs
+++ b/crates/pintally-measure/src/flood.rs
@@ -9,11 +9,10 @@
 use std::ops::Range;
 use std::thread;
 
-use pintally_day::{run, Day, Fault, Kind};
+use pintally_day::{in_time, requests, run, Day, Fault, Kind};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
 use crate::report::Spread;
-use crate::worth::{in_time, requests};
 use crate::{error, MeasureError};
 
 /// A mean of paired differences with its 95% interval, by Student's t.
--- a/crates/pintally-measure/src/lib.rs
+++ b/crates/pintally-measure/src/lib.rs
@@ -15,7 +15,6 @@
 mod report;
 mod stage;
 mod streams;
-mod worth;
 
 pub use added::{added_latency, deciding, saturation, Added, Deciding, Saturation};
 pub use emulator::{emulated, Emulated};
@@ -25,7 +24,6 @@
 pub use price::{over_sockets, price, Player, Price};
 pub use report::{Spread, Stats};
 pub use streams::{open_streams, Streams};
-pub use worth::{in_time, requests, One};
 
 use std::fmt;
 
--- a/crates/pintally-measure/src/moves.rs
+++ b/crates/pintally-measure/src/moves.rs
@@ -10,10 +10,9 @@
 
 use pintally_audit::Record;
 use pintally_cells::CellName;
-use pintally_day::{run, Day, Fault, Kind, APART};
+use pintally_day::{requests, run, Day, Fault, Kind, One, APART};
 
 use crate::report::Spread;
-use crate::worth::{requests, One};
 use crate::{error, MeasureError};
 
 /// First tokens of some tenants in one part of the day, over groups of seeds.
--- a/crates/pintally-measure/src/price.rs
+++ b/crates/pintally-measure/src/price.rs
@@ -6,11 +6,10 @@
 
 use pintally::interface::Role;
 use pintally_cells::{CellName, CellSpec, CellsFile, Home, Needs, TenantHome};
-use pintally_day::{run, Day};
+use pintally_day::{in_time, requests, run, Day};
 
 use crate::flood::Interval;
 use crate::report::Spread;
-use crate::worth::{in_time, requests};
 use crate::{error, MeasureError};
 
 /// One way to divide a fleet.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,6 +61,8 @@
 const LOOKS: usize = 4;
 /// Writers that have up to this part more than the least load count as least loaded: near ones win.
 const NEAR: f64 = 0.25;
+/// Links that cost more than this part of the target count as slow.
+const LINK_SLOW: f64 = 0.5;
 /// And up to so many own streams more where no engine tells its load: own ones tell little of it.
 const NEAR_SILENT: f64 = 5.0;
 /// A reader without writers in its rack has so much writing at hand, and none has more, in writers.
@@ -410,9 +412,13 @@
 
     /// How many writers' worth of all requests begin as this one does: each has a home of its own.
     fn worth(&self, request: &Request) -> f64 {
-        let (all, seen) = (self.gauges.arrivals, request.prefix.and_then(|p| self.popular.get(&p)));
-        let part = seen.map_or(0.0, |seen| (seen - 1.0).max(0.0) / all.max(1.0));
-        part * self.engines.iter().filter(|e| e.serving() && e.role != Role::Reader).count() as f64
+        let seen = request.prefix.and_then(|p| self.popular.get(&p)).map_or(0.0, |n| (n - 1.0).max(0.0));
+        seen / self.gauges.arrivals.max(1.0) * self.writers()
+    }
+
+    /// Listed engines that write.
+    fn writers(&self) -> f64 {
+        self.racks.values().map(|r| r.writers).sum()
     }
 
     fn choose_reader(&self, now: Micros, live: &Live) -> Option<usize> {
@@ -433,9 +439,8 @@
             |i: usize| !self.shut(now, i) && !live.tried.contains(&i) && !self.engines[i].spurns(now, live);
         let mut open: Vec<usize> = ring.iter().copied().filter(|&i| well(i)).collect();
         // Guards against homes behind a slow link with too few writers before it: what is read there stays.
-        let rack = |i: &usize| self.engines[*i].rack;
-        let slow = |rack: u64| self.knows(now, rack).is_some() && self.far_cost(now, rack) > 0.5;
-        let free = |i: &usize| !slow(rack(i)) || self.drawn(rack(i)) < CAP_FACTOR;
+        let slow = |rack: u64| self.knows(now, rack).is_some() && self.far_cost(now, rack) > LINK_SLOW;
+        let free = |i: &usize| !slow(self.engines[*i].rack) || self.drawn(self.engines[*i].rack) < CAP_FACTOR;
         if live.request.prefix.is_some() && open.iter().any(free) {
             open.retain(free);
         }
@@ -594,7 +599,7 @@
             let e = &self.engines[i];
             let full = self.full(now, i) || e.spurns(now, live);
             let mixed = e.role == Role::Mixed && !self.silent();
-            (self.shut(now, i), full, far_cost > 0.5 && e.rack != rack, mixed)
+            (self.shut(now, i), full, far_cost > LINK_SLOW && e.rack != rack, mixed)
         };
         let best = able.iter().map(|&i| rank(i)).min()?;
         let peers: Vec<(usize, f64)> =
@@ -637,8 +642,7 @@
             self.gauges.shared += 1.0;
         }
         let id = request.id.clone();
-        let aim_at = first.saturating_add(aim).min(now.saturating_add(request.patience));
-        let live = Live { aim, ..Live::new(now, request, effect, first, aim_at, over_share) };
+        let live = Live::new(now, request, effect, first, aim, over_share);
         if let Entry::Vacant(place) = self.live.entry(id.clone()) {
             place.insert(live);
             self.waiting.push(id);
@@ -680,7 +684,7 @@
             _ if fetches => WRITE,
             _ => BOTH,
         };
-        let home = self.ring(&live.request).first().copied();
+        let home = if fetches { None } else { self.ring(&live.request).first().copied() };
         let expected = self.expected(now, &live.request, index, home);
         let left = live.deadline.saturating_sub(now);
         let unread = if fetches { 0.0 } else { (live.request.prompt_tokens as f64 - expected).max(0.0) };
@@ -728,13 +732,11 @@
     /// Guards against a choice of writer by reports that are old or missing: while a prompt is read
     /// a few likely writers are probed, near ones first, as far as the price allows.
     fn look_ahead(&mut self, now: Micros, reader: usize, acts: &mut Vec<Action>) {
-        let s = &self.settings;
-        if !s.may_probe || s.reports == Reports::Off {
+        if !self.settings.may_probe || self.silent() {
             return;
         }
         let each = self.probes_each();
-        let writers = self.engines.iter().filter(|e| e.serving() && e.role != Role::Reader).count() as f64;
-        self.gauges.probes = (self.gauges.probes + each).min(writers.max(each));
+        self.gauges.probes = (self.gauges.probes + each).min(self.writers().max(each));
         let (rack, zone) = (self.engines[reader].rack, self.engines[reader].zone.clone());
         let seed = self.random.draw();
         let mut likely: Vec<_> = (0..self.engines.len())
@@ -879,9 +881,8 @@
                     self.moved(now, live.state, index, took);
                 }
                 // Guards against reading anew elsewhere what is kept by now where its answer got lost.
-                let first = self.engines[index].fails == 0;
-                let again = out.step == READ && outcome != Outcome::Unreachable && first;
-                let again = again && now >= self.engines[index].cold_until;
+                let (first, warm) = (self.engines[index].fails == 0, now >= self.engines[index].cold_until);
+                let again = out.step == READ && outcome != Outcome::Unreachable && first && warm;
                 // A single error may be the request's own: the second in a row counts.
                 if again || (outcome == Outcome::Error && first) {
                     self.engines[index].fails = 1;
@@ -952,7 +953,7 @@
     fn looks(&mut self, now: Micros, id: &RequestId, index: usize, acts: &mut Vec<Action>) -> bool {
         let stale = |e: &Engine| e.report.is_none_or(|(at, _)| now > at + WATCH_EVERY);
         let Some(live) = self.live.get(id) else { return false };
-        let blind = self.few() < 0.5 && self.settings.may_probe && self.settings.reports != Reports::Off;
+        let blind = self.few() < 0.5 && self.settings.may_probe && !self.silent();
         let fresh = live.attempts == 0 && !live.request.resumed;
         // In a burst a node is not blind, and nothing is gained by looking again and again for each.
         let waited = self.waiting.len() >= LOOKS || live.looked.is_some_and(|at| now >= at + LOOK);
@@ -1059,11 +1060,10 @@
             open += usize::from(engine.role != Role::Reader && well && !full);
         }
         let nodes = f64::from(self.settings.nodes.max(1));
-        let part = FLIGHT_LEAST / nodes;
         let most = match (open, ready) {
             (0, _) => FLIGHT_FULL / nodes * f64::from(able),
             (_, 0) => 0.0,
-            _ => self.gauges.flight.max(part * f64::from(readers)),
+            _ => self.gauges.flight.max(FLIGHT_LEAST / nodes * f64::from(readers)),
         };
         let most = most.max(FLIGHT_FULL / nodes);
         let gap = self.gauges.lead.max(self.tightest() * TARGET) / most.fract();
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,13 +82,11 @@
     for rack in racks.values_mut() {
         (rack.readers, rack.writers) = (0.0, 0.0);
     }
+    let mut sums = [(0.0, 0.0); 3];
     for engine in engines.iter().filter(|e| e.serving()) {
         let rack = racks.entry(engine.rack).or_default();
         rack.readers += f64::from(engine.role == Role::Reader);
         rack.writers += f64::from(engine.role != Role::Reader);
-    }
-    let mut sums = [(0.0, 0.0); 3];
-    for engine in engines.iter().filter(|e| e.serving()) {
         let sum = &mut sums[step_of(engine.role)];
         *sum = (sum.0 + engine.registered, sum.1 + 1.0);
     }
@@ -173,17 +171,18 @@
         request: Request,
         effect: Effect,
         first: Micros,
-        aim_at: Micros,
+        aim: Micros,
         over_share: bool,
     ) -> Live {
+        let deadline = now.saturating_add(request.patience);
         Live {
             effect,
             arrived: now,
             begun: now,
-            aim_at,
-            aim: 0,
+            aim_at: first.saturating_add(aim).min(deadline),
+            aim,
             first,
-            deadline: now.saturating_add(request.patience),
+            deadline,
             over_share,
             request,
             attempts: 0,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -663,10 +663,15 @@
 
 /// A session whose unseen prompt goes to this engine of the fleet.
 fn session_of(home: &str, members: &[Member]) -> u64 {
-    let goes = |session: &u64| {
+    key_of(&[home], members, |session| request("x", 0, session))
+}
+
+/// The first key whose request goes to one of these readers.
+fn key_of(homes: &[&str], members: &[Member], ask: impl Fn(u64) -> Request) -> u64 {
+    let goes = |key: &u64| {
         let mut node = Node::new(settings(), members.to_vec());
-        node.arrive(request("x", 0, *session));
-        node.at("x") == Some(home)
+        node.arrive(ask(*key));
+        node.at("x").is_some_and(|at| homes.contains(&at))
     };
     (0..1_000).find(goes).expect("each reader is some key's home")
 }
@@ -1162,12 +1167,7 @@
     for (took, passed) in [(50 * MS, false), (1_500 * MS, true)] {
         let mut node = Node::new(Settings { reports: Reports::Off, ..settings() }, members.clone());
         // A home of the rack with few writers, and what its states take over the link.
-        let home = |key: &u64| {
-            let mut node = Node::new(Settings { reports: Reports::Off, ..settings() }, members.clone());
-            node.arrive(shared("a", *key));
-            near.contains(&node.at("a").unwrap())
-        };
-        let key = (0..).find(home).unwrap();
+        let key = key_of(&near, &members, |key| shared("x", key));
         let (mut first, mut last) = (String::new(), String::new());
         for i in 0..60 {
             let name = format!("q{i}");
@@ -1211,12 +1211,11 @@
     // A recorded rule broken: 26 of 46 nodes each sent one prompt of a hot beginning to its home within 1.5 s of
     // its start. Reads are spread only where prompts begin differently.
     let members: Vec<Member> = ["r1", "r2", "w1", "w2"].map(|name| member(name, "near", 1)).into();
-    let home = |key: &u64| {
-        let mut node = Node::new(settings(), members.clone());
-        node.arrive(Request { prefix: Some(*key), prefix_tokens: 1_500, ..request("a", 0, 1) });
-        node.at("a") == Some("r2")
-    };
-    let key = (0..).find(home).unwrap();
+    let key = key_of(&["r2"], &members, |key| Request {
+        prefix: Some(key),
+        prefix_tokens: 1_500,
+        ..request("x", 0, 1)
+    });
     for (nodes, gap) in [(40, SECOND), (200, 4 * SECOND)] {
         let shape = settings();
         let capacity = f64::from(nodes) * 1e6 / gap as f64 / 2.0 / 0.6;
