--- a/crates/pintally-benchlink/src/main.rs
+++ b/crates/pintally-benchlink/src/main.rs
@@ -10,7 +10,8 @@
 
 use pintally::interface::{Action, Event};
 use pintally::Router;
-use wire::{Incoming, Names, Outgoing};
+use pintally_wire::{Names, Told};
+use wire::{Incoming, Outgoing};
 
 /// What went wrong, and in which line of the input.
 struct Fault {
@@ -68,7 +69,7 @@
     loop {
         let (clock, round) = match input.next()? {
             None => return Ok(()),
-            Some(Incoming::Batch { clock, round }) => (wire::micros(clock), round),
+            Some(Incoming::Batch { clock, round }) => (pintally_wire::micros(clock), round),
             Some(_) => return Err(input.fault("a batch must begin with its `batch` line")),
         };
         loop {
@@ -77,8 +78,8 @@
                 Incoming::OverToYou => break,
                 Incoming::Batch { .. } => return Err(input.fault("a batch began inside a batch")),
                 Incoming::Begin { node, salt, conf } => {
-                    match wire::settings(conf) {
-                        Ok((settings, names)) => {
+                    match pintally_wire::settings(conf) {
+                        Ok(Told { settings, names, .. }) => {
                             let router = Router::new(settings, salt);
                             instances.insert(node, Instance { router, names });
                         }
@@ -98,7 +99,7 @@
                 },
             };
             let Some(instance) = instances.get_mut(&node) else { continue };
-            let Some(event) = instance.names.event(event) else { continue };
+            let Some(event) = wire::event(&instance.names, event) else { continue };
             relay(instance, clock, event, &mut actions);
             for action in actions.drain(..) {
                 put(&mut output, &input, &wire::outgoing(node, action))?;
--- a/crates/pintally-benchlink/src/wire.rs
+++ b/crates/pintally-benchlink/src/wire.rs
@@ -1,8 +1,7 @@
 //! The words of the wire, and their translation to and from the interface.
 
-use std::collections::HashMap;
-
 use pintally::interface::*;
+use pintally_wire::{count, micros, seconds, Entry, Names};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -203,272 +202,54 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Conf {
-    #[serde(default)]
-    accounts: Vec<Account>,
-    balancers: u32,
-    discovery: String,
-    family_info: FamilyInfo,
-    feedback: Feedback,
-    machine_types: Vec<String>,
-    me: u32,
-    permissions: Permissions,
-    #[serde(default)]
-    prices: Prices,
-    profiles: Vec<Profile>,
-    rules: Rules,
-    weight_kind: String,
-    zone: String,
-}
-
-#[derive(Deserialize)]
-struct Account {
-    name: String,
-    #[serde(default)]
-    quota_rps: f64,
-}
-
-#[derive(Deserialize)]
-struct FamilyInfo {
-    #[serde(default)]
-    aim_us_per_1000_prompt_tokens: Vec<f64>,
-    duty_by_kind: Vec<String>,
-    let_go_by: f64,
-    #[serde(default)]
-    read_in_place: bool,
-    #[serde(default)]
-    memory_tokens: Vec<f64>,
-    #[serde(default)]
-    token_aim: Vec<f64>,
-}
-
-#[derive(Deserialize)]
-struct Feedback {
-    #[serde(default)]
-    fields: Vec<String>,
-    source: String,
-}
-
-#[derive(Deserialize)]
-struct Permissions {
-    attempts_cap: u32,
-    may_cancel: bool,
-    #[serde(default)]
-    max_retry_after: f64,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    retry_after: bool,
-}
-
-#[derive(Default, Deserialize)]
-struct Prices {
-    /// Where no price is told a probe is taken to be free; own traffic bounds probes all the same.
-    #[serde(default)]
-    probe: f64,
-}
-
-#[derive(Deserialize)]
-struct Profile {
-    name: String,
-    effect: String,
-    #[serde(default)]
-    group: Option<String>,
-    #[serde(default)]
-    dedup_window: f64,
-    objective: f64,
-    #[serde(default)]
-    gain: f64,
-    #[serde(default)]
-    late_value: f64,
-}
-
-#[derive(Deserialize)]
-struct Rules {
-    #[serde(default)]
-    ask_within: f64,
-    cold_from: f64,
-    overload_for: f64,
-    tip_multiple: f64,
-    warm_after: f64,
-}
-
-/// What turns the names of an instance's events into indices.
-pub struct Names {
-    classes: HashMap<String, usize>,
-    tenants: HashMap<String, usize>,
-    fields: Vec<String>,
-}
-
-/// Seconds on the wire as microseconds.
-pub fn micros(seconds: f64) -> Micros {
-    (seconds.max(0.0) * 1e6).round() as Micros
-}
-
-fn seconds(span: Micros) -> f64 {
-    span as f64 / 1e6
-}
-
-fn count(value: Option<f64>) -> u64 {
-    value.unwrap_or(0.0).max(0.0) as u64
-}
-
-fn index<'a>(names: impl Iterator<Item = &'a String>) -> HashMap<String, usize> {
-    names.enumerate().map(|(i, n)| (n.clone(), i)).collect()
-}
-
-/// The settings of an instance; an error says what is missing or wrong.
-pub fn settings(conf: Value) -> Result<(Settings, Names), String> {
-    let conf: Conf = serde_json::from_value(conf).map_err(|e| format!("settings: {e}"))?;
-    if conf.me >= conf.balancers {
-        return Err(format!("settings: `me` is {}, outside the {} of `balancers`", conf.me, conf.balancers));
-    }
-    let info = &conf.family_info;
-    let mut kinds = Vec::new();
-    for (i, name) in conf.machine_types.iter().enumerate() {
-        let role = match info.duty_by_kind.get(i).map(String::as_str) {
-            Some("read") => Role::Reader,
-            Some("write") => Role::Writer,
-            Some("both") => Role::Mixed,
-            Some(other) => return Err(format!("settings: unknown value `{other}` in `duty_by_kind`")),
-            None => return Err("settings: `duty_by_kind` is shorter than `machine_types`".into()),
-        };
-        let memory_tokens = count(info.memory_tokens.get(i).copied());
-        kinds.push(Kind { name: name.clone(), role, memory_tokens });
-    }
-    let mut classes = Vec::new();
-    for (i, p) in conf.profiles.iter().enumerate() {
-        let effect = match (p.effect.as_str(), p.group.as_deref()) {
-            ("repeatable", _) => Effect::Safe,
-            ("once", _) => Effect::Unsafe,
-            ("by_key", group) => {
-                let group = match group {
-                    Some("all") => Group::All,
-                    Some("zone") => Group::Zone,
-                    Some("cell") => Group::Rack,
-                    _ => return Err("settings: unknown or missing `group` in `profiles`".into()),
-                };
-                Effect::Keyed(group, micros(p.dedup_window))
-            }
-            (other, _) => return Err(format!("settings: unknown value `{other}` for `effect`")),
-        };
-        classes.push(Class {
-            name: p.name.clone(),
-            effect,
-            aim: micros(p.objective),
-            aim_per_1000_tokens: count(info.aim_us_per_1000_prompt_tokens.get(i).copied()),
-            token_aim: micros(info.token_aim.get(i).copied().unwrap_or(0.0)),
-            worth: p.gain,
-            late_share: p.late_value,
-        });
-    }
-    let names = Names {
-        classes: index(conf.profiles.iter().map(|p| &p.name)),
-        tenants: index(conf.accounts.iter().map(|a| &a.name)),
-        fields: conf.feedback.fields,
-    };
-    let tenants =
-        conf.accounts.into_iter().map(|a| Tenant { name: a.name, quota_per_s: a.quota_rps }).collect();
-    let settings = Settings {
-        zone: conf.zone,
-        node: conf.me,
-        nodes: conf.balancers,
-        classes,
-        tenants,
-        kinds,
-        discovery: match conf.discovery.as_str() {
-            "pushed" => Discovery::Pushed,
-            "on_request" => Discovery::OnRequest,
-            other => return Err(format!("settings: unknown value `{other}` for `discovery`")),
-        },
-        reports: match conf.feedback.source.as_str() {
-            "inline" => Reports::Inline,
-            "on_probe" => Reports::OnProbe,
-            _ => Reports::Off,
-        },
-        weights: conf.weight_kind != "off",
-        writers_read: conf.family_info.read_in_place,
-        may_cancel: conf.permissions.may_cancel,
-        may_probe: conf.permissions.probes,
-        probe_price: conf.prices.probe,
-        retry_advice: conf.permissions.retry_after,
-        max_retry_after: micros(conf.permissions.max_retry_after),
-        max_attempts: conf.permissions.attempts_cap,
-        cold_from: conf.rules.cold_from,
-        warm_after: micros(conf.rules.warm_after),
-        tip_multiple: conf.rules.tip_multiple,
-        tip_window: micros(conf.rules.overload_for),
-        release_within: micros(conf.family_info.let_go_by),
-        ask_within: micros(conf.rules.ask_within),
-    };
-    Ok((settings, names))
-}
-
-impl Names {
-    /// The event of a message, if it is one that the router knows.
-    pub fn event(&self, message: Incoming) -> Option<Event> {
-        Some(match message {
-            Incoming::Update { form, hosts, .. } => {
-                let form = match form {
-                    Form::Update => ListForm::Change,
-                    Form::Replace | Form::Restored => ListForm::Full,
-                    Form::Unavailable => ListForm::Failed,
-                };
-                Event::Members(form, hosts.unwrap_or_default().into_iter().map(member).collect())
-            }
-            Incoming::Demand(d) => Event::Arrived(self.request(*d)),
-            Incoming::HeadReceived { txn, r#try, .. } => Event::FirstToken(request_id(&txn), r#try),
-            Incoming::Ended(e) => Event::Ended(Ended {
-                id: request_id(&e.txn),
-                attempt: e.r#try,
-                outcome: outcome(e.state_code, e.detail)?,
-                last: e.no_more.unwrap_or(false),
-                kept: count(e.detail),
-                load: e.feedback.map(|row| self.load(&row)),
-            }),
-            Incoming::Withdrawn { txn, .. } => Event::Withdrawn(request_id(&txn)),
-            Incoming::Elapsed { r#ref, .. } => Event::Elapsed(match r#ref.as_str() {
-                "sweep" => Timer::Sweep,
-                "watch" => Timer::Watch,
-                _ => return None,
-            }),
-            Incoming::StatusBack { state_code, engine, feedback, .. } => {
-                let load = feedback.map(|row| self.load(&row));
-                Event::Probed(EngineId(engine.into()), state_code == 0, load)
-            }
+/// The event of a message, if it is one that the router knows.
+pub fn event(names: &Names, message: Incoming) -> Option<Event> {
+    Some(match message {
+        Incoming::Update { form, hosts, .. } => {
+            let form = match form {
+                Form::Update => ListForm::Change,
+                Form::Replace | Form::Restored => ListForm::Full,
+                Form::Unavailable => ListForm::Failed,
+            };
+            Event::Members(form, hosts.unwrap_or_default().into_iter().map(member).collect())
+        }
+        Incoming::Demand(d) => Event::Arrived(request(names, *d)),
+        Incoming::HeadReceived { txn, r#try, .. } => Event::FirstToken(request_id(&txn), r#try),
+        Incoming::Ended(e) => Event::Ended(Ended {
+            id: request_id(&e.txn),
+            attempt: e.r#try,
+            outcome: outcome(e.state_code, e.detail)?,
+            last: e.no_more.unwrap_or(false),
+            kept: count(e.detail),
+            load: e.feedback.map(|row| names.load(&row)),
+        }),
+        Incoming::Withdrawn { txn, .. } => Event::Withdrawn(request_id(&txn)),
+        Incoming::Elapsed { r#ref, .. } => Event::Elapsed(match r#ref.as_str() {
+            "sweep" => Timer::Sweep,
+            "watch" => Timer::Watch,
             _ => return None,
-        })
-    }
-
-    fn request(&self, d: Demand) -> Request {
-        let tenant = d.user_group.as_ref().and_then(Value::as_str);
-        Request {
-            id: request_id(&d.txn),
-            class: self.classes.get(&d.band).copied(),
-            tenant: tenant.and_then(|name| self.tenants.get(name).copied()),
-            session: d.dialogue.unwrap_or(0),
-            prefix: d.prefix.filter(|p| *p != 0),
-            prompt_tokens: count(d.prompt_tokens),
-            prefix_tokens: count(d.prefix_len),
-            max_tokens: count(d.max_tokens),
-            patience: micros(d.ttl),
-            resumed: d.reconnect.unwrap_or(false),
+        }),
+        Incoming::StatusBack { state_code, engine, feedback, .. } => {
+            let load = feedback.map(|row| names.load(&row));
+            Event::Probed(EngineId(engine.into()), state_code == 0, load)
         }
-    }
+        _ => return None,
+    })
+}
 
-    fn load(&self, row: &[Option<f64>]) -> Load {
-        let mut load = Load::default();
-        for (name, value) in self.fields.iter().zip(row) {
-            match name.as_str() {
-                "busy" => load.slots = *value,
-                "q" => load.queue = *value,
-                "x0" => load.memory = *value,
-                "x1" => load.backlog = *value,
-                _ => {}
-            }
-        }
-        load
+fn request(names: &Names, d: Demand) -> Request {
+    let tenant = d.user_group.as_ref().and_then(Value::as_str);
+    Request {
+        id: request_id(&d.txn),
+        class: names.class(&d.band),
+        tenant: tenant.and_then(|name| names.tenant(name)),
+        session: d.dialogue.unwrap_or(0),
+        prefix: d.prefix.filter(|p| *p != 0),
+        prompt_tokens: count(d.prompt_tokens),
+        prefix_tokens: count(d.prefix_len),
+        max_tokens: count(d.max_tokens),
+        patience: micros(d.ttl),
+        resumed: d.reconnect.unwrap_or(false),
     }
 }
 
@@ -477,19 +258,16 @@
 }
 
 fn member(host: Host) -> Member {
-    Member {
-        engine: EngineId(host.engine.into()),
+    let entry = Entry {
+        engine: host.engine,
         zone: host.campus,
         kind: host.hw,
         rack: host.unit_group,
-        listing: match host.stage_state.as_str() {
-            "SERVING" => Listing::Serving,
-            "DRAINING" => Listing::Draining,
-            _ => Listing::Gone,
-        },
-        weight: host.power_hint.unwrap_or(1.0),
-        started: host.born.filter(|b| *b > 0.0).map(micros),
-    }
+        state: host.stage_state,
+        weight: host.power_hint,
+        started: host.born.map(micros),
+    };
+    entry.member()
 }
 
 fn outcome(code: u32, detail: Option<f64>) -> Option<Outcome> {
--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -10,6 +10,7 @@
 mod log;
 mod measure;
 mod plan;
+mod platform;
 mod serve;
 mod standin;
 
@@ -41,6 +42,8 @@
 enum Command {
     /// Run one node until it is told to stop.
     Serve(serve::Args),
+    /// Run one node on the operators' platform until it is told to stop.
+    Platform(platform::Args),
     /// Load settings, a list of engines or a day, and say what is wrong and why.
     Check(check::Args),
     /// Cells: who belongs where, moves step by step, where each cell stands.
@@ -83,6 +86,7 @@
     }
     let done = match cli.command {
         Command::Serve(args) => serve::run(&args),
+        Command::Platform(args) => platform::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Cells(args) => cells::run(&args),
         Command::Day(args) => day::run(&args),
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -13,7 +13,7 @@
 use pintally_engine::Step;
 use serde_json::Value;
 
-use crate::input::{Arrival, Command, Final, Input, Listed, Order, Ticket};
+use crate::input::{Arrival, Command, Final, Input, Listed, Order, Scope, Ticket};
 use crate::ledger::{Entry, HeldState, Out};
 use crate::releases::{Releases, Verdict};
 use crate::timers::{Due, Timers};
@@ -52,6 +52,7 @@
     pub(crate) entries: BTreeMap<Ticket, Entry>,
     pub(crate) by_id: HashMap<RequestId, Ticket>,
     releases: Releases,
+    scope: Scope,
     pub(crate) timers: Timers,
     /// Events that the host itself owes the core.
     owed: VecDeque<(CellName, Event)>,
@@ -82,6 +83,7 @@
             entries: BTreeMap::new(),
             by_id: HashMap::new(),
             releases: Releases::default(),
+            scope: Scope::default(),
             timers: Timers::default(),
             owed: VecDeque::new(),
             touched: Vec::new(),
@@ -92,6 +94,17 @@
         }
     }
 
+    /// The same host where one release lets go of so much.
+    pub fn with_scope(mut self, scope: Scope) -> Host {
+        self.scope = scope;
+        self
+    }
+
+    /// Whether a request of this name has its answer or its last attempt outstanding.
+    pub fn knows(&self, name: &RequestId) -> bool {
+        self.by_id.contains_key(name)
+    }
+
     /// What it has counted.
     pub fn counters(&self) -> Counters {
         self.counters
@@ -107,6 +120,21 @@
         std::mem::take(&mut self.fleet_changed)
     }
 
+    /// What the list says of an engine, if it knows it.
+    pub fn listing(&self, engine: &EngineId) -> Option<Listing> {
+        self.places.get(engine).map(|p| p.listing)
+    }
+
+    /// Where the engines that it knows listen.
+    pub fn addresses(&self) -> std::collections::HashSet<SocketAddr> {
+        self.places.values().map(|p| p.address).collect()
+    }
+
+    /// What its cores believe of the engines that they know.
+    pub fn beliefs(&self, now: Micros) -> Vec<pintally::Belief> {
+        self.routers.values().flat_map(|r| r.beliefs(now)).collect()
+    }
+
     /// Engines that take work, by the list.
     pub fn serving(&self) -> usize {
         self.places.values().filter(|p| p.listing == Listing::Serving).count()
@@ -247,7 +275,13 @@
         let (margin, session) = (limits.answer_margin, arrival.session.unwrap_or(arrival.ticket | 1 << 52));
         let Some(cell) = self.cell_for(now, &arrival, session, out) else { return };
         let class = arrival.class.and_then(|c| self.settings.classes.get(c));
-        let id = RequestId(format!("{}-{}", self.stamp, arrival.ticket).into());
+        let own = || RequestId(format!("{}-{}", self.stamp, arrival.ticket).into());
+        let id = arrival.name.clone().unwrap_or_else(own);
+        // Guards against two requests of one name: the first would never be ended.
+        if self.by_id.contains_key(&id) {
+            self.counters.stray += 1;
+            return self.turn_away(arrival.ticket, None, out);
+        }
         let most = class.map_or(256, |c| c.max_tokens);
         let max_tokens = arrival.max_tokens.unwrap_or(most);
         // The core answers by the deadline; the guard stands behind it, before the client gives up.
@@ -323,6 +357,13 @@
             return;
         };
         self.counters.attempts += 1;
+        if self.scope == Scope::Request {
+            // Guards against a late release that frees what this attempt is about to fetch or to read:
+            // what it was for goes with the request's end, or by the next release.
+            for engine in self.releases.take(&id) {
+                entry.held.push(HeldState { engine, attempt, state: None });
+            }
+        }
         entry.out = Some(Out { attempt, engine: engine.clone(), step, started: false });
         let timeout = if timeout == 0 { left } else { timeout.min(left) };
         out.push(Command::Attempt(Order {
@@ -352,8 +393,10 @@
             self.counters.stray += 1;
             return;
         };
-        // A state that was fetched is not held any more.
-        entry.held.retain(|h| !(step == Step::Fetch && h.state.is_some()));
+        // A state that was fetched is not held any more; where releases are the request's, a first
+        // token frees the rest as well.
+        let freed = self.scope == Scope::Request && step != Step::Read;
+        entry.held.retain(|h| !(freed || step == Step::Fetch && h.state.is_some()));
         // What streams has no deadline from here on.
         if entry.streamed {
             self.timers.unset(entry.guard);
@@ -512,6 +555,10 @@
     /// Lets go of what reads without an end may have left.
     fn release_unsure(&mut self, id: &RequestId, out: &mut Vec<Command>) {
         let Some(entry) = self.by_id.get(id).and_then(|t| self.entries.get_mut(t)) else { return };
+        // Nothing counts as held while an attempt is out, and the release would be the whole request's.
+        if self.scope == Scope::Request && entry.out.is_some() {
+            return;
+        }
         let held = std::mem::take(&mut entry.held);
         let (sure, unsure): (Vec<_>, Vec<_>) = held.into_iter().partition(|h| h.state.is_some());
         entry.held = sure;
@@ -524,7 +571,10 @@
     /// never lets go of a younger state of the same request.
     fn release_at(&mut self, id: &RequestId, held: HeldState, out: &mut Vec<Command>) {
         let Some(place) = self.places.get(&held.engine) else { return };
-        let name = RequestId(format!("{}.{}", id.0, held.attempt).into());
+        let name = match self.scope {
+            Scope::Attempt => RequestId(format!("{}.{}", id.0, held.attempt).into()),
+            Scope::Request => id.clone(),
+        };
         self.counters.releases += 1;
         self.releases.begin(&name, &held.engine);
         out.push(Command::Release(name, held.engine, place.address));
@@ -544,8 +594,19 @@
         if !self.releases.waits(&id, &engine) {
             return;
         }
-        if let Some(place) = self.places.get(&engine) {
-            out.push(Command::Release(id, engine, place.address));
+        // Guards against a state that stays pinned because its engine cannot be reached: where any
+        // engine takes a release, each further try goes to another one that serves.
+        let tries = self.releases.tried(&id, &engine) as usize;
+        let mut address = self.places.get(&engine).map(|p| p.address);
+        if self.scope == Scope::Request {
+            let others = self.places.iter().filter(|(e, p)| **e != engine && p.listing == Listing::Serving);
+            let others: Vec<SocketAddr> = others.map(|(_, p)| p.address).collect();
+            if !others.is_empty() {
+                address = Some(others[(tries + id.0.len() + self.counters.releases as usize) % others.len()]);
+            }
+        }
+        if let Some(address) = address {
+            out.push(Command::Release(id, engine, address));
         }
     }
 
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -8,6 +8,16 @@
 use pintally_engine::Step;
 use serde_json::Value;
 
+/// What one release lets go of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Scope {
+    /// The state of one attempt: it is named by the request and the attempt, joined by a dot.
+    #[default]
+    Attempt,
+    /// Everything that is held for the request, at whatever engine; any engine takes it.
+    Request,
+}
+
 /// A request's number in this node, given by the door and never used again.
 pub type Ticket = u64;
 
@@ -16,6 +26,8 @@
 pub struct Arrival {
     /// Its number.
     pub ticket: Ticket,
+    /// The name by which engines know it, if its client gave one; otherwise the host names it.
+    pub name: Option<RequestId>,
     /// Index of its class, if it names one.
     pub class: Option<usize>,
     /// Index of its tenant, if it names one.
@@ -143,7 +155,7 @@
     /// Nothing more comes for this request: its answer is given and its last attempt has ended. It
     /// comes once for each request that arrived.
     Over(Ticket),
-    /// Let go of a read state: the request's name and the attempt that read it, joined by a dot.
+    /// Let go of a read state, named as the host's [`Scope`] says.
     Release(RequestId, EngineId, SocketAddr),
     /// Probe an engine with so many slots.
     Probe(EngineId, SocketAddr, u64),
--- a/crates/pintally-host/src/lib.rs
+++ b/crates/pintally-host/src/lib.rs
@@ -20,5 +20,5 @@
 
 pub use counters::Counters;
 pub use host::Host;
-pub use input::{Arrival, Command, Final, Input, Listed, Order, Ticket};
+pub use input::{Arrival, Command, Final, Input, Listed, Order, Scope, Ticket};
 pub use list::{Applied, ListFollower};
--- a/crates/pintally-http/src/body.rs
+++ b/crates/pintally-http/src/body.rs
@@ -27,9 +27,15 @@
     /// The framing that headers tell; `otherwise` is that of a message which says nothing.
     pub(crate) fn of(headers: &Headers, otherwise: Framing) -> Result<Framing, HttpError> {
         let length = headers.length()?;
-        if headers.get("transfer-encoding").is_some() {
-            if !headers.has("transfer-encoding", "chunked") || headers.has("transfer-encoding", "gzip") {
-                return Err(HttpError::Encoding);
+        let mut codings = headers.0.iter().filter(|(n, _)| n == "transfer-encoding").map(|(_, v)| v.trim());
+        if let Some(coding) = codings.next() {
+            // Guards against two readers of one message that see its end in different places.
+            if !coding.eq_ignore_ascii_case("chunked") || codings.next().is_some() {
+                return Err(if length.is_some() {
+                    HttpError::Malformed("a length beside a transfer encoding")
+                } else {
+                    HttpError::Encoding
+                });
             }
             if length.is_some() {
                 return Err(HttpError::Malformed("a length beside chunks"));
--- a/crates/pintally-http/src/response.rs
+++ b/crates/pintally-http/src/response.rs
@@ -20,16 +20,37 @@
 /// Turns bytes into the parts of one response.
 pub struct ResponseReader {
     head_most: usize,
+    chunk_most: u64,
     buffer: Vec<u8>,
     framing: Option<Framing>,
     keep_alive: bool,
+    chunked: bool,
     ended: bool,
 }
 
 impl ResponseReader {
     /// A reader with a bound for the head.
     pub fn new(head_most: usize) -> ResponseReader {
-        ResponseReader { head_most, buffer: Vec::new(), framing: None, keep_alive: true, ended: false }
+        ResponseReader {
+            head_most,
+            chunk_most: u64::MAX,
+            buffer: Vec::new(),
+            framing: None,
+            keep_alive: true,
+            chunked: false,
+            ended: false,
+        }
+    }
+
+    /// The same reader, to which a chunk announced as longer than this is an error.
+    pub fn with_chunk_most(mut self, most: u64) -> ResponseReader {
+        self.chunk_most = most;
+        self
+    }
+
+    /// Whether the body comes in chunks, so that its end is known for certain.
+    pub fn is_chunked(&self) -> bool {
+        self.chunked
     }
 
     /// Takes in bytes.
@@ -68,6 +89,9 @@
         let end = self.buffer.len().min(PART_MOST);
         let used = framing.take(&self.buffer[..end], &mut body, PART_MOST)?;
         self.buffer.drain(..used);
+        if matches!(framing, Framing::Chunk(left) if *left > self.chunk_most) {
+            return Err(HttpError::BodyTooLarge);
+        }
         if !body.is_empty() {
             return Ok(Some(Part::Body(body)));
         }
@@ -100,6 +124,7 @@
             }
             let empty = matches!(status, 204 | 304);
             let framing = Framing::of(&headers, if empty { Framing::Done } else { Framing::ToEnd })?;
+            self.chunked = matches!(framing, Framing::ChunkSize);
             if matches!(framing, Framing::ToEnd) {
                 self.keep_alive = false;
             }
--- a/crates/pintally-lab/src/world.rs
+++ b/crates/pintally-lab/src/world.rs
@@ -275,6 +275,7 @@
         let patience = draft.patience.as_micros() as Micros;
         let arrival = Arrival {
             ticket,
+            name: None,
             class: core.classes.iter().position(|c| c.name == draft.class),
             tenant: core.tenants.iter().position(|t| Some(&t.name) == draft.tenant.as_ref()),
             session: Some(draft.session),
--- a/crates/pintally-node/src/connection.rs
+++ b/crates/pintally-node/src/connection.rs
@@ -228,6 +228,7 @@
     let estimate = (ask.prompt.len() as u64).div_ceil(4);
     Ok(Arrival {
         ticket: shared.next_ticket.fetch_add(1, Ordering::Relaxed),
+        name: None,
         class,
         tenant,
         session: ask.session,
--- /dev/null
+++ b/crates/pintally-platform-node/src/attempts.rs
@@ -0,0 +1,232 @@
+//! Commands of the host, carried out: attempts, calls off, answers, releases.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+use pintally::interface::{EngineId, Micros, Outcome, RequestId};
+use pintally_engine::Step;
+use pintally_host::{Command, Input, Order, Ticket};
+use pintally_platform::{attempt_head, release, AnswerReader};
+use serde_json::Value;
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::conn::{Conn, Engine, Key, Work};
+use crate::node::Node;
+use crate::poll::Flags;
+
+impl Node {
+    pub(crate) fn command(&mut self, command: Command) {
+        match command {
+            Command::Attempt(order) => self.attempt(order),
+            Command::Cancel(ticket, _) => self.call_off(ticket),
+            Command::Answer(ticket, answer) => self.final_answer(ticket, answer),
+            Command::Over(ticket) => {
+                if let Some(job) = self.jobs.remove(&ticket) {
+                    self.bytes -= job.body.len();
+                }
+            }
+            Command::Release(id, engine, address) => self.release(id, engine, address),
+            // The platform's engines are not probed, and its list comes by itself.
+            Command::Probe(engine, _, _) => self.inputs.push_back(Input::Probed(engine, false, None)),
+            Command::Reread => self.watch_again(),
+            Command::Log(text) => {
+                if self.quota.allows(self.clock.now()) {
+                    tracing::info!("{text}");
+                }
+            }
+            Command::Stopped => self.stopped = true,
+        }
+    }
+
+    fn attempt(&mut self, order: Order) {
+        let now = self.clock.now();
+        // Guards against a second copy: an attempt that is still out ends before the next one begins.
+        self.call_off(order.ticket);
+        let Some(job) = self.jobs.get(&order.ticket) else {
+            return self.over(order.ticket, order.attempt, Outcome::NeverSent);
+        };
+        let timeout_at = now.saturating_add(order.timeout);
+        let head = attempt_head(&job.head, order.timeout / 1000, job.body.len());
+        let body = job.body.clone();
+        let work = Work::Attempt {
+            ticket: order.ticket,
+            attempt: order.attempt,
+            step: order.step,
+            timeout_at,
+            begun: false,
+        };
+        match self.carry(order.address, &order.engine, head, Some(body), work) {
+            Ok(key) => {
+                if let Some(job) = self.jobs.get_mut(&order.ticket) {
+                    job.out = Some((order.attempt, key));
+                }
+                let tally = self.tallies.entry(order.engine).or_default();
+                tally.sent += 1;
+                tally.out += 1;
+                self.engine_writes(key);
+            }
+            Err(outcome) => self.over(order.ticket, order.attempt, outcome),
+        }
+    }
+
+    fn over(&mut self, ticket: Ticket, attempt: u32, outcome: Outcome) {
+        self.inputs.push_back(Input::Ended { ticket, attempt, outcome, kept: 0, load: None, state: None });
+    }
+
+    /// Lets go of what is held for a request.
+    fn release(&mut self, id: RequestId, engine: EngineId, address: SocketAddr) {
+        let until = self.clock.now() + self.settings.limits.errand;
+        let work = Work::Release { id: id.clone(), engine: engine.clone(), until };
+        match self.carry(address, &engine, release(&id.0), None, work) {
+            Ok(key) => self.engine_writes(key),
+            Err(_) => self.inputs.push_back(Input::Released(id, engine, false)),
+        }
+    }
+
+    /// Gives work to a connection: the sound one that was used last, or a new one.
+    fn carry(
+        &mut self,
+        address: SocketAddr,
+        engine: &EngineId,
+        head: Vec<u8>,
+        body: Option<std::rc::Rc<[u8]>>,
+        work: Work,
+    ) -> Result<Key, Outcome> {
+        let now = self.clock.now();
+        let mut found = None;
+        while let Some(key) = self.pool.take(address) {
+            let Some(Conn::Engine(conn)) = self.conns.get(key) else { continue };
+            // Guards against a request on a connection that the engine has closed or spoilt, which
+            // would end as a reset that may have run.
+            let fresh = now < conn.last + self.settings.limits.keep_alive;
+            let quiet = matches!(conn.stream.peek(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+            if fresh && quiet {
+                found = Some(key);
+                break;
+            }
+            self.close_engine(key);
+        }
+        let key = match found {
+            Some(key) => key,
+            None => self.connect(address, engine)?,
+        };
+        let connect = self.settings.limits.connect;
+        if let Some(Conn::Engine(conn)) = self.conns.get_mut(key) {
+            conn.engine = engine.clone();
+            conn.head = head;
+            conn.body = body;
+            conn.gone = 0;
+            conn.reader = AnswerReader::default();
+            conn.paused = false;
+            conn.last = now;
+            conn.connect_by = now + connect;
+            conn.work = Some(work);
+        }
+        self.watch_over(key);
+        Ok(key)
+    }
+
+    fn connect(&mut self, address: SocketAddr, engine: &EngineId) -> Result<Key, Outcome> {
+        if !self.room_for_engine() {
+            return Err(Outcome::NeverSent);
+        }
+        let made = || -> std::io::Result<Socket> {
+            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+            socket.set_nonblocking(true)?;
+            socket.set_tcp_nodelay(true)?;
+            Ok(socket)
+        };
+        let socket = made().map_err(|_| Outcome::NeverSent)?;
+        let up = match socket.connect(&address.into()) {
+            Ok(()) => true,
+            Err(e) if e.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => false,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => false,
+            Err(_) => return Err(Outcome::Unreachable),
+        };
+        let now = self.clock.now();
+        let flags = if up { Flags::IN | Flags::RDHUP } else { Flags::OUT };
+        let conn = Engine {
+            stream: socket.into(),
+            address,
+            engine: engine.clone(),
+            up,
+            connect_by: now,
+            head: Vec::new(),
+            body: None,
+            gone: 0,
+            reader: AnswerReader::default(),
+            work: None,
+            last: now,
+            paused: false,
+            flags,
+            due: Micros::MAX,
+        };
+        let key = self.conns.insert(Conn::Engine(Box::new(conn)));
+        let added = match self.conns.get(key) {
+            Some(Conn::Engine(conn)) => self.poll.add(&conn.stream, Node::token(key), flags).is_ok(),
+            _ => false,
+        };
+        if !added {
+            self.conns.remove(key);
+            return Err(Outcome::NeverSent);
+        }
+        self.tallies.entry(engine.clone()).or_default().connections += 1;
+        Ok(key)
+    }
+
+    /// Calls the request's attempt off, if one is out: its connection ends.
+    pub(crate) fn call_off(&mut self, ticket: Ticket) {
+        let Some((_, key)) = self.jobs.get(&ticket).and_then(|job| job.out) else { return };
+        self.end_attempt(key, Outcome::Cancelled, 0, None, false);
+    }
+
+    /// The attempt on a connection has ended; the host hears of it, and the connection is kept if it
+    /// is sound.
+    pub(crate) fn end_attempt(
+        &mut self,
+        key: Key,
+        outcome: Outcome,
+        kept: u64,
+        load: Option<pintally::interface::Load>,
+        reusable: bool,
+    ) {
+        let Some(Conn::Engine(conn)) = self.conns.get_mut(key) else { return };
+        let reusable = reusable && conn.written();
+        let Some(work) = conn.work.take() else { return self.close_engine(key) };
+        let engine = conn.engine.clone();
+        match work {
+            Work::Attempt { ticket, attempt, step, .. } => {
+                if let Some(job) = self.jobs.get_mut(&ticket).filter(|j| j.out == Some((attempt, key))) {
+                    job.out = None;
+                }
+                self.count_end(&engine, outcome);
+                // A reader that answers as a writer would, or the other way round, has not done its work.
+                let outcome = match (step, outcome) {
+                    (Step::Fetch | Step::Both, Outcome::Read) => Outcome::Error,
+                    _ => outcome,
+                };
+                let state = (outcome == Outcome::Read).then(|| std::sync::Arc::new(Value::Null));
+                self.inputs.push_back(Input::Ended { ticket, attempt, outcome, kept, load, state });
+            }
+            Work::Release { id, engine, .. } => {
+                self.inputs.push_back(Input::Released(id, engine, outcome == Outcome::Served));
+            }
+        }
+        match reusable && self.stopping.is_none() {
+            true => self.keep(key),
+            false => self.close_engine(key),
+        }
+    }
+
+    fn count_end(&mut self, engine: &EngineId, outcome: Outcome) {
+        let tally = self.tallies.entry(engine.clone()).or_default();
+        tally.out = tally.out.saturating_sub(1);
+        match outcome {
+            Outcome::Served => tally.served += 1,
+            Outcome::Read => tally.read += 1,
+            Outcome::Full | Outcome::NoState => tally.turned_away += 1,
+            Outcome::Cancelled | Outcome::NeverSent => {}
+            _ => tally.failed += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -0,0 +1,319 @@
+//! Clients' connections: requests in, answers out, one after the other.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::Shutdown;
+use std::rc::Rc;
+
+use pintally::interface::Micros;
+use pintally_host::{Final, Input, Ticket};
+use pintally_http::{chunk, response, response_head, LAST_CHUNK};
+use pintally_platform::{Ask, Asker, Call, Rejected};
+
+use crate::conn::{Client, Conn, Key, Stage};
+use crate::node::{Job, Node};
+use crate::poll::Flags;
+
+/// Requests of one connection that are looked at in one turn.
+const REQUESTS_MOST: usize = 8;
+/// Written and not taken by a slow client: above the first nothing more is read for it, below the
+/// second it goes on.
+const SLOW: usize = 64 << 10;
+const SLOW_NO_MORE: usize = 16 << 10;
+/// A connection whose end has been written is read and dropped for so long.
+pub(crate) const LINGER: Micros = 400_000;
+
+impl Node {
+    pub(crate) fn client(&mut self, key: Key) -> Option<&mut Client> {
+        match self.conns.get_mut(key) {
+            Some(Conn::Client(c)) => Some(c),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn client_event(&mut self, key: Key, flags: Flags) {
+        let Some(client) = self.client(key) else { return };
+        let busy = matches!(client.stage, Stage::Busy(_));
+        if flags.intersects(Flags::ERR | Flags::HUP) || busy && flags.contains(Flags::RDHUP) {
+            return self.client_gone(key);
+        }
+        if flags.contains(Flags::OUT) {
+            self.dirty.push(key);
+        }
+        if flags.intersects(Flags::IN | Flags::RDHUP) && !busy {
+            self.client_reads(key);
+        }
+    }
+
+    fn client_reads(&mut self, key: Key) {
+        let now = self.clock.now();
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        let n = match client.stream.read(&mut self.buffer) {
+            Ok(0) => return self.client_gone(key),
+            Ok(n) => n,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
+            Err(_) => return self.client_gone(key),
+        };
+        // What comes behind the end is dropped: the client shall read its answer before a reset.
+        if client.stage == Stage::Closing {
+            return;
+        }
+        if !client.reader.is_partial() && client.served > 0 {
+            client.since = now;
+        }
+        client.reader.push(&self.buffer[..n]);
+        self.requests(key);
+    }
+
+    /// Counts what a client's request holds while it comes in; whether it is within bounds.
+    fn count(&mut self, key: Key) -> bool {
+        let most = self.config.bodies_most();
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return true };
+        let held = client.reader.held_bytes();
+        self.bytes = self.bytes + held - client.counted;
+        client.counted = held;
+        self.bytes <= most
+    }
+
+    /// Looks at the requests that are there, until one is held.
+    pub(crate) fn requests(&mut self, key: Key) {
+        for _ in 0..REQUESTS_MOST {
+            let Some(client) = self.client(key).filter(|c| c.stage == Stage::Open) else { break };
+            match client.reader.next_request() {
+                Ok(Some(request)) => {
+                    client.last |= !request.keep_alive;
+                    self.request(key, request);
+                }
+                Ok(None) => {
+                    if client.reader.wants_continue() {
+                        client.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        self.dirty.push(key);
+                    }
+                    if !self.count(key) {
+                        self.reject(key, Rejected { status: 503, why: "no room for the body" });
+                    }
+                    return self.client_waits(key);
+                }
+                Err(e) => {
+                    let why = match e.status() {
+                        413 => "the body is too long",
+                        431 => "the head is too long",
+                        501 => "this transfer encoding is not served",
+                        _ => "not a request that can be read",
+                    };
+                    self.reject(key, Rejected { status: e.status(), why });
+                    return self.client_waits(key);
+                }
+            }
+        }
+        if self.client(key).is_some_and(|c| c.stage == Stage::Open) {
+            self.ready.push(key);
+        }
+        self.count(key);
+        self.client_waits(key);
+    }
+
+    /// What the connection is waited on for, by its stage.
+    fn client_waits(&mut self, key: Key) {
+        let Some(client) = self.client(key) else { return };
+        let mut flags = Flags::RDHUP;
+        if !matches!(client.stage, Stage::Busy(_)) {
+            flags |= Flags::IN;
+        }
+        if client.gone < client.out.len() {
+            flags |= Flags::OUT;
+        }
+        self.interest(key, flags);
+    }
+
+    fn request(&mut self, key: Key, request: pintally_http::Request) {
+        let ticket = self.next_ticket;
+        let asker = Asker { names: &self.config.told.names, settings: &self.settings };
+        match asker.call(ticket, request) {
+            Ok(Call::Ready) => {
+                let status = if self.stopping.is_none() && self.host.serving() > 0 { 200 } else { 503 };
+                self.answer_whole(key, response(status, &[], b""));
+            }
+            Ok(Call::Beliefs) => {
+                let page = self.beliefs().to_string();
+                let kind = [("content-type", "application/json")];
+                self.answer_whole(key, response(200, &kind, page.as_bytes()));
+            }
+            Ok(Call::Work(ask)) => self.work(key, ticket, *ask),
+            Err(rejected) => self.reject(key, rejected),
+        }
+    }
+
+    fn work(&mut self, key: Key, ticket: Ticket, ask: Ask) {
+        if ask.arrival.name.as_ref().is_some_and(|name| self.host.knows(name)) {
+            return self.reject(key, Rejected { status: 409, why: "this id is in use" });
+        }
+        if self.bytes + ask.body.len() > self.config.bodies_most() {
+            return self.answer_whole(key, response(503, &[], b"no room\n"));
+        }
+        self.next_ticket += 1;
+        self.bytes += ask.body.len();
+        let job = Job { client: Some(key), head: ask.head, body: Rc::from(ask.body), out: None };
+        self.jobs.insert(ticket, job);
+        let Some(client) = self.client(key) else { return };
+        client.stage = Stage::Busy(ticket);
+        client.streaming = false;
+        client.served += 1;
+        self.feed(Input::Arrived(ask.arrival));
+    }
+
+    /// An answer that no engine has a part in.
+    fn answer_whole(&mut self, key: Key, bytes: Vec<u8>) {
+        let Some(client) = self.client(key) else { return };
+        client.out.extend_from_slice(&bytes);
+        self.answered(key);
+    }
+
+    /// An error for what cannot be used; the connection ends behind it.
+    pub(crate) fn reject(&mut self, key: Key, rejected: Rejected) {
+        let Some(client) = self.client(key) else { return };
+        let body = format!("{}\n", rejected.why);
+        client.out.extend_from_slice(&response(rejected.status, &[("connection", "close")], body.as_bytes()));
+        client.last = true;
+        self.answered(key);
+        if self.quota.allows(self.clock.now()) {
+            tracing::debug!(status = rejected.status, why = rejected.why, "a request got an error");
+        }
+    }
+
+    /// The answer to a connection's request is written in full.
+    fn answered(&mut self, key: Key) {
+        let (now, stopping) = (self.clock.now(), self.stopping.is_some());
+        let Some(client) = self.client(key) else { return };
+        client.streaming = false;
+        client.used = now;
+        client.since = now;
+        client.stage = match client.last || stopping {
+            true => Stage::Closing,
+            false => Stage::Open,
+        };
+        self.dirty.push(key);
+        self.ready.push(key);
+    }
+
+    /// The final answer of a request.
+    pub(crate) fn final_answer(&mut self, ticket: Ticket, answer: Final) {
+        let Some(key) = self.jobs.get_mut(&ticket).and_then(|job| job.client.take()) else { return };
+        let stopping = self.stopping.is_some();
+        let Some(client) = self.client(key).filter(|c| c.stage == Stage::Busy(ticket)) else { return };
+        let close: &[(&str, &str)] = if client.last || stopping { &[("connection", "close")] } else { &[] };
+        match answer {
+            Final::Served => client.out.extend_from_slice(LAST_CHUNK),
+            Final::Refused(after) => {
+                let after = after.map(|span| format!("{:.3}", span as f64 / 1e6));
+                let mut headers = close.to_vec();
+                headers.extend(after.as_deref().map(|a| ("retry-after", a)));
+                client.out.extend_from_slice(&response(503, &headers, b"turned away\n"));
+            }
+            Final::Failed => client.out.extend_from_slice(&response(502, close, b"failed\n")),
+            // What had begun is cut off: the end of the connection without the last chunk says so.
+            Final::Cut => client.last = true,
+        }
+        let cut = answer == Final::Cut;
+        self.answered(key);
+        if cut {
+            self.flush(key);
+            self.close_client(key);
+        }
+    }
+
+    /// Passes on events of the engine's stream.
+    pub(crate) fn pass_on(&mut self, ticket: Ticket, events: &[u8]) -> bool {
+        let Some(key) = self.jobs.get(&ticket).and_then(|job| job.client) else { return false };
+        let stopping = self.stopping.is_some();
+        let Some(client) = self.client(key) else { return false };
+        if !std::mem::replace(&mut client.streaming, true) {
+            let mut headers = vec![("content-type", "text/event-stream")];
+            headers.extend((client.last || stopping).then_some(("connection", "close")));
+            client.out.extend_from_slice(&response_head(200, &headers));
+        }
+        client.out.extend_from_slice(&chunk(events));
+        self.dirty.push(key);
+        true
+    }
+
+    /// Whether a request's client is slow to take what is written.
+    pub(crate) fn is_slow(&self, ticket: Ticket) -> bool {
+        let key = self.jobs.get(&ticket).and_then(|job| job.client);
+        match key.and_then(|key| self.conns.get(key)) {
+            Some(Conn::Client(c)) => c.out.len() - c.gone > SLOW,
+            _ => false,
+        }
+    }
+
+    pub(crate) fn flush_dirty(&mut self) {
+        for key in std::mem::take(&mut self.dirty) {
+            self.flush(key);
+        }
+    }
+
+    /// Writes what there is to write.
+    fn flush(&mut self, key: Key) {
+        let now = self.clock.now();
+        let Some(client) = self.client(key) else { return };
+        while client.gone < client.out.len() {
+            match client.stream.write(&client.out[client.gone..]) {
+                Ok(0) => break,
+                Ok(n) => {
+                    client.gone += n;
+                    client.stuck = None;
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => return self.client_gone(key),
+            }
+        }
+        let left = client.out.len() - client.gone;
+        if left == 0 {
+            client.out.clear();
+            client.gone = 0;
+            client.out.shrink_to(SLOW_NO_MORE);
+            client.stuck = None;
+            if client.stage == Stage::Closing && !std::mem::replace(&mut client.shut, true) {
+                client.used = now;
+                let _ = client.stream.shutdown(Shutdown::Write);
+            }
+        } else {
+            client.stuck = client.stuck.or(Some(now));
+            if client.gone > SLOW {
+                client.out.drain(..client.gone);
+                client.gone = 0;
+            }
+        }
+        let ticket = match client.stage {
+            Stage::Busy(ticket) if left < SLOW_NO_MORE => Some(ticket),
+            _ => None,
+        };
+        if let Some(ticket) = ticket {
+            self.resume(ticket);
+        }
+        self.client_waits(key);
+    }
+
+    /// The client has left, or cannot be written to.
+    pub(crate) fn client_gone(&mut self, key: Key) {
+        let busy = match self.client(key).map(|c| c.stage) {
+            Some(Stage::Busy(ticket)) => Some(ticket),
+            _ => None,
+        };
+        self.close_client(key);
+        let Some(ticket) = busy else { return };
+        if let Some(job) = self.jobs.get_mut(&ticket) {
+            job.client = None;
+        }
+        self.feed(Input::Left(ticket));
+        self.call_off(ticket);
+        self.work_off();
+    }
+
+    pub(crate) fn close_client(&mut self, key: Key) {
+        if let Some(Conn::Client(client)) = self.conns.remove(key) {
+            self.clients -= 1;
+            self.bytes -= client.counted;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-platform-node/src/conn.rs
@@ -0,0 +1,98 @@
+//! What the loop keeps of each connection.
+
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+use pintally::interface::{Attempt, EngineId, Micros, RequestId};
+use pintally_engine::Step;
+use pintally_host::Ticket;
+use pintally_http::RequestReader;
+use pintally_platform::AnswerReader;
+
+use crate::poll::Flags;
+
+slotmap::new_key_type! {
+    /// A connection's number; one of a closed connection is not used again.
+    pub(crate) struct Key;
+}
+
+/// A connection.
+pub(crate) enum Conn {
+    Client(Box<Client>),
+    Engine(Box<Engine>),
+}
+
+/// Where a client's connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// A request is awaited, or coming in.
+    Open,
+    /// A request is held.
+    Busy(Ticket),
+    /// What is written goes out; then the connection ends.
+    Closing,
+}
+
+/// A client's connection.
+pub(crate) struct Client {
+    pub(crate) stream: TcpStream,
+    pub(crate) reader: RequestReader,
+    pub(crate) out: Vec<u8>,
+    /// How much of `out` has gone.
+    pub(crate) gone: usize,
+    pub(crate) stage: Stage,
+    /// The head of a streamed answer has gone out.
+    pub(crate) streaming: bool,
+    /// The connection ends behind the answer.
+    pub(crate) last: bool,
+    /// Nothing more is written; what comes is dropped until the client closes.
+    pub(crate) shut: bool,
+    /// Good requests that it has brought.
+    pub(crate) served: u64,
+    /// When it connected, when the request that comes in began, when it was last of use, and since
+    /// when it has not taken what was written.
+    pub(crate) since: Micros,
+    pub(crate) used: Micros,
+    pub(crate) stuck: Option<Micros>,
+    /// Bytes of what has come in and is not handed on, as last counted.
+    pub(crate) counted: usize,
+    pub(crate) flags: Flags,
+}
+
+/// What an engine's connection is used for.
+pub(crate) enum Work {
+    Attempt { ticket: Ticket, attempt: Attempt, step: Step, timeout_at: Micros, begun: bool },
+    Release { id: RequestId, engine: EngineId, until: Micros },
+}
+
+/// A connection to an engine.
+pub(crate) struct Engine {
+    pub(crate) stream: TcpStream,
+    pub(crate) address: SocketAddr,
+    /// The engine for which it was last used.
+    pub(crate) engine: EngineId,
+    /// It is up.
+    pub(crate) up: bool,
+    /// By when it has to be.
+    pub(crate) connect_by: Micros,
+    /// What is written: a head and a body, and how much of both has gone.
+    pub(crate) head: Vec<u8>,
+    pub(crate) body: Option<Rc<[u8]>>,
+    pub(crate) gone: usize,
+    pub(crate) reader: AnswerReader,
+    pub(crate) work: Option<Work>,
+    /// When something last came or it was last of use.
+    pub(crate) last: Micros,
+    /// Its client is slow: nothing is read for now.
+    pub(crate) paused: bool,
+    pub(crate) flags: Flags,
+    /// When the loop looks at it, if nothing happens before.
+    pub(crate) due: Micros,
+}
+
+impl Engine {
+    /// Whether the request's last byte has been written.
+    pub(crate) fn written(&self) -> bool {
+        self.up && self.gone == self.head.len() + self.body.as_ref().map_or(0, |b| b.len())
+    }
+}
--- /dev/null
+++ b/crates/pintally-platform-node/src/engines.rs
@@ -0,0 +1,245 @@
+//! Connections to engines: requests out, answers in, and the times by which things have to happen.
+
+use std::io::{ErrorKind, IoSlice, Read, Write};
+
+use pintally::interface::{Micros, Outcome};
+use pintally_host::{Input, Ticket};
+use pintally_platform::{of_transport, Phase, Progress};
+
+use crate::conn::{Conn, Engine, Key, Work};
+use crate::node::Node;
+use crate::poll::Flags;
+
+/// Reads of one connection in one turn.
+const READS_MOST: usize = 4;
+
+impl Node {
+    fn engine(&mut self, key: Key) -> Option<&mut Engine> {
+        match self.conns.get_mut(key) {
+            Some(Conn::Engine(e)) => Some(e),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn engine_event(&mut self, key: Key, flags: Flags) {
+        let Some(conn) = self.engine(key) else { return };
+        if !conn.up {
+            let failed = !matches!(conn.stream.take_error(), Ok(None));
+            if failed || flags.intersects(Flags::ERR | Flags::HUP) {
+                self.broken(key);
+                return self.work_off();
+            }
+            conn.up = true;
+            self.watch_over(key);
+            self.engine_writes(key);
+            return self.work_off();
+        }
+        if flags.contains(Flags::OUT) {
+            self.engine_writes(key);
+        }
+        if flags.intersects(Flags::IN | Flags::RDHUP | Flags::HUP | Flags::ERR) {
+            self.engine_reads(key);
+        }
+        self.work_off();
+    }
+
+    /// Writes what is left of the request.
+    pub(crate) fn engine_writes(&mut self, key: Key) {
+        loop {
+            let Some(conn) = self.engine(key).filter(|c| c.up && c.work.is_some()) else { return };
+            if conn.written() {
+                break;
+            }
+            let head = &conn.head[conn.gone.min(conn.head.len())..];
+            let body = conn.body.as_deref().unwrap_or(&[]);
+            let body = &body[conn.gone.saturating_sub(conn.head.len())..];
+            match conn.stream.write_vectored(&[IoSlice::new(head), IoSlice::new(body)]) {
+                Ok(0) => return self.broken(key),
+                Ok(n) => conn.gone += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => return self.broken(key),
+            }
+        }
+        self.engine_waits(key);
+    }
+
+    fn engine_waits(&mut self, key: Key) {
+        let Some(conn) = self.engine(key) else { return };
+        let mut flags = if conn.paused { Flags::empty() } else { Flags::IN | Flags::RDHUP };
+        if conn.work.is_some() && !conn.written() {
+            flags |= Flags::OUT;
+        }
+        self.interest(key, flags);
+    }
+
+    fn engine_reads(&mut self, key: Key) {
+        let mut told = Vec::new();
+        for _ in 0..READS_MOST {
+            let now = self.clock.now();
+            let names = &self.config.told.names;
+            let Some(Conn::Engine(conn)) = self.conns.get_mut(key) else { return };
+            if conn.work.is_none() {
+                // What comes of a connection that is not in use is no answer to anything.
+                return self.close_engine(key);
+            }
+            let full = match conn.stream.read(&mut self.buffer) {
+                Ok(0) => {
+                    conn.reader.closed(names, &mut told);
+                    false
+                }
+                Ok(n) => {
+                    conn.last = now;
+                    conn.reader.push(&self.buffer[..n], names, &mut told);
+                    n == self.buffer.len()
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => true,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => return self.broken(key),
+            };
+            for progress in told.drain(..) {
+                self.progress(key, progress);
+            }
+            if !full {
+                return;
+            }
+        }
+    }
+
+    fn progress(&mut self, key: Key, progress: Progress) {
+        let Some(conn) = self.engine(key) else { return };
+        match progress {
+            Progress::Over { outcome, kept, load, reusable } => {
+                // Guards against a request that never arrived whole being taken for one that ran.
+                let outcome = match outcome {
+                    Outcome::Broken if !conn.written() => of_transport(Phase::Unwritten, false),
+                    other => other,
+                };
+                // A release is heard by whatever status that says so; an attempt has its table.
+                let outcome = match &conn.work {
+                    Some(Work::Release { .. }) if conn.reader.is_success() => Outcome::Served,
+                    _ => outcome,
+                };
+                self.end_attempt(key, outcome, kept, load, reusable);
+            }
+            Progress::Events(events) => {
+                let Some(Work::Attempt { ticket, attempt, begun, .. }) = &mut conn.work else { return };
+                let (ticket, attempt) = (*ticket, *attempt);
+                if !std::mem::replace(begun, true) {
+                    let engine = conn.engine.clone();
+                    self.tallies.entry(engine).or_default().begun += 1;
+                    self.watch_over(key);
+                    // The body is not needed any more: what has begun is not sent again.
+                    if let Some(job) = self.jobs.get_mut(&ticket) {
+                        self.bytes -= job.body.len();
+                        job.body = std::rc::Rc::from([]);
+                    }
+                    self.feed(Input::FirstToken(ticket, attempt));
+                }
+                if !self.pass_on(ticket, &events) {
+                    return self.end_attempt(key, Outcome::Cancelled, 0, None, false);
+                }
+                if self.is_slow(ticket) {
+                    if let Some(conn) = self.engine(key) {
+                        conn.paused = true;
+                    }
+                    self.engine_waits(key);
+                }
+            }
+        }
+    }
+
+    /// The client has taken what was written: its stream goes on.
+    pub(crate) fn resume(&mut self, ticket: Ticket) {
+        let Some((_, key)) = self.jobs.get(&ticket).and_then(|job| job.out) else { return };
+        let now = self.clock.now();
+        let Some(conn) = self.engine(key).filter(|c| c.paused) else { return };
+        conn.paused = false;
+        conn.last = now;
+        self.engine_waits(key);
+    }
+
+    /// The connection has failed.
+    fn broken(&mut self, key: Key) {
+        let Some(conn) = self.engine(key) else { return };
+        let phase = if conn.written() { Phase::Written } else { Phase::Unwritten };
+        self.end_attempt(key, of_transport(phase, false), 0, None, false);
+    }
+
+    /// Keeps a sound connection for the next request.
+    pub(crate) fn keep(&mut self, key: Key) {
+        let now = self.clock.now();
+        let Some(conn) = self.engine(key) else { return };
+        conn.last = now;
+        conn.paused = false;
+        conn.head = Vec::new();
+        conn.body = None;
+        conn.gone = 0;
+        let address = conn.address;
+        self.pool.put(address, key);
+        self.watch_over(key);
+        self.engine_waits(key);
+    }
+
+    pub(crate) fn close_engine(&mut self, key: Key) {
+        if let Some(Conn::Engine(conn)) = self.conns.remove(key) {
+            self.pool.remove(conn.address, key);
+            self.due.remove(&(conn.due, key));
+        }
+    }
+
+    /// Sees to it that the loop looks at a connection when its time may have run out.
+    pub(crate) fn watch_over(&mut self, key: Key) {
+        let (idle, stall) = (self.settings.limits.keep_alive, self.settings.limits.stall);
+        let Some(Conn::Engine(conn)) = self.conns.get_mut(key) else { return };
+        let due = runs_out(conn, idle, stall);
+        if due != conn.due {
+            self.due.remove(&(conn.due, key));
+            conn.due = due;
+            self.due.insert((due, key));
+        }
+    }
+
+    /// Ends what has run out of time.
+    pub(crate) fn expire(&mut self, now: Micros) {
+        let (idle, stall) = (self.settings.limits.keep_alive, self.settings.limits.stall);
+        while let Some(&(at, key)) = self.due.first().filter(|d| d.0 <= now) {
+            let Some(Conn::Engine(conn)) = self.conns.get(key) else {
+                self.due.remove(&(at, key));
+                continue;
+            };
+            if runs_out(conn, idle, stall) > now {
+                self.watch_over(key);
+                continue;
+            }
+            let phase = if conn.written() { Phase::Written } else { Phase::Unwritten };
+            match &conn.work {
+                None => self.close_engine(key),
+                Some(Work::Release { .. }) => self.end_attempt(key, Outcome::TimedOut, 0, None, false),
+                Some(Work::Attempt { begun: true, ticket, .. }) => {
+                    let (ticket, paused) = (*ticket, conn.paused);
+                    // A stream that waits for its client is ended as the client's, not as the engine's.
+                    match self.jobs.get(&ticket).and_then(|j| j.client).filter(|_| paused) {
+                        Some(client) => self.client_gone(client),
+                        None => self.end_attempt(key, Outcome::Broken, 0, None, false),
+                    }
+                }
+                Some(Work::Attempt { .. }) => {
+                    self.end_attempt(key, of_transport(phase, true), 0, None, false);
+                }
+            }
+            self.work_off();
+        }
+    }
+}
+
+/// When a connection's time runs out, as it stands.
+fn runs_out(conn: &Engine, idle: Micros, stall: Micros) -> Micros {
+    match &conn.work {
+        None => conn.last + idle,
+        Some(Work::Release { until, .. }) => *until,
+        Some(Work::Attempt { begun: true, .. }) => conn.last + stall,
+        Some(Work::Attempt { timeout_at, .. }) if conn.up => *timeout_at,
+        Some(Work::Attempt { timeout_at, .. }) => conn.connect_by.min(*timeout_at),
+    }
+}
--- /dev/null
+++ b/crates/pintally-platform-node/src/list.rs
@@ -0,0 +1,248 @@
+//! The list of engines: as it was last known, then by a watch of discovery.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use pintally::interface::{ListForm, Listing, Micros, Outcome};
+use pintally_host::{Input, Listed};
+use pintally_http::{Part, ResponseReader};
+use pintally_platform::{watch, Configuration, Follower, Lines, List, Taken, HEAD_MOST};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::conn::{Conn, Key, Work};
+use crate::node::{Node, WATCH};
+use crate::poll::Flags;
+
+/// A watch that tells nothing, not even that nothing has changed, for so long is opened anew.
+const SILENT: Micros = 3_100_000;
+/// A watch that is not up by then has failed.
+const CONNECT: Micros = 500_000;
+/// The first and the longest pause before a failed watch is opened again.
+const PAUSE_FIRST: Micros = 100_000;
+const PAUSE_MOST: Micros = 1_000_000;
+
+/// The watch of discovery.
+pub(crate) struct Watch {
+    address: SocketAddr,
+    follower: Follower,
+    open: Option<Open>,
+    /// When it is opened again, and the pause before that.
+    again: Micros,
+    pause: Micros,
+}
+
+struct Open {
+    stream: TcpStream,
+    up: bool,
+    out: Vec<u8>,
+    reader: ResponseReader,
+    lines: Lines,
+    status: u16,
+    heard: Micros,
+}
+
+impl Watch {
+    pub(crate) fn new(address: SocketAddr, now: Micros) -> Watch {
+        Watch { address, follower: Follower::default(), open: None, again: now, pause: PAUSE_FIRST }
+    }
+}
+
+impl Node {
+    /// Takes in the list as it was last known.
+    pub(crate) fn known(&mut self) {
+        if let Some(known) = self.config.known.clone() {
+            self.take_list(List { complete: true, ..known });
+        }
+    }
+
+    fn take_list(&mut self, list: List) {
+        let (now, revision) = (self.clock.now(), list.revision);
+        match self.watch.follower.take(list) {
+            Taken::Same => {}
+            Taken::Older => {
+                self.say(now, &format!("revision {revision} of the list is older than what holds"))
+            }
+            Taken::Unsound(why) => {
+                self.say(now, &format!("revision {revision} of the list does not hold: {why}"))
+            }
+            Taken::Holds(form, members) => self.list(form, members),
+        }
+    }
+
+    fn say(&mut self, now: Micros, what: &str) {
+        if self.quota.allows(now) {
+            tracing::warn!("{what}");
+        }
+    }
+
+    fn list(&mut self, form: ListForm, members: Vec<Listed>) {
+        self.feed(Input::List(form, members));
+        // Guards against a send that outlives the word of a drain while it waits for its connection.
+        let waiting: Vec<Key> = self
+            .conns
+            .iter()
+            .filter(|(_, conn)| match conn {
+                Conn::Engine(e) => {
+                    !e.up
+                        && matches!(e.work, Some(Work::Attempt { .. }))
+                        && self.host.listing(&e.engine) != Some(Listing::Serving)
+                }
+                Conn::Client(_) => false,
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in waiting {
+            self.end_attempt(key, Outcome::Unreachable, 0, None, false);
+        }
+        self.work_off();
+        // What nobody leads to any more is not kept.
+        let addresses = self.host.addresses();
+        let idle: Vec<Key> =
+            self.pool.all().filter(|(a, _)| !addresses.contains(a)).map(|(_, k)| k).collect();
+        for key in idle {
+            self.close_engine(key);
+        }
+        let host = &self.host;
+        self.tallies.retain(|engine, tally| tally.out > 0 || host.listing(engine).is_some());
+    }
+
+    /// The core wants to hear of the list: a watch that is down is opened at once.
+    pub(crate) fn watch_again(&mut self) {
+        if self.watch.open.is_none() {
+            self.watch.again = self.clock.now();
+        }
+    }
+
+    /// Opens the watch when it is time, and ends one that has gone silent.
+    pub(crate) fn look_after_watch(&mut self, now: Micros) {
+        if let Some(open) = &self.watch.open {
+            let patience = if open.up { SILENT } else { CONNECT };
+            if now < open.heard + patience {
+                return;
+            }
+            let what = if open.up { "discovery has gone silent" } else { "discovery cannot be reached" };
+            self.say(now, what);
+            self.watch_failed(now);
+            self.watch.again = now;
+        }
+        if now < self.watch.again {
+            return;
+        }
+        match self.open_watch(now) {
+            Ok(open) => self.watch.open = Some(open),
+            Err(_) => self.watch_failed(now),
+        }
+    }
+
+    fn open_watch(&mut self, now: Micros) -> std::io::Result<Open> {
+        let address = self.watch.address;
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        match socket.connect(&address.into()) {
+            Ok(()) => {}
+            Err(e) if e.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {}
+            Err(e) => return Err(e),
+        }
+        let stream: TcpStream = socket.into();
+        self.poll.add(&stream, WATCH, Flags::OUT)?;
+        Ok(Open {
+            stream,
+            up: false,
+            out: watch(self.watch.follower.revision()),
+            reader: ResponseReader::new(HEAD_MOST),
+            lines: Lines::default(),
+            status: 0,
+            heard: now,
+        })
+    }
+
+    /// The watch is down: the list holds, and it is opened again after a pause.
+    fn watch_failed(&mut self, now: Micros) {
+        self.watch.open = None;
+        self.watch.again = now + self.watch.pause;
+        self.watch.pause = (self.watch.pause * 2).min(PAUSE_MOST);
+    }
+
+    pub(crate) fn watch_event(&mut self, flags: Flags) {
+        let now = self.clock.now();
+        let Some(open) = &mut self.watch.open else { return };
+        if !open.up {
+            if !matches!(open.stream.take_error(), Ok(None)) || flags.intersects(Flags::ERR | Flags::HUP) {
+                return self.watch_failed(now);
+            }
+            // A request of a line fits into any socket.
+            if !matches!(open.stream.write(&open.out), Ok(n) if n == open.out.len()) {
+                return self.watch_failed(now);
+            }
+            open.up = true;
+            open.heard = now;
+            if self.poll.modify(&open.stream, WATCH, Flags::IN | Flags::RDHUP).is_err() {
+                self.watch_failed(now);
+            }
+            return;
+        }
+        let n = match open.stream.read(&mut self.buffer) {
+            Ok(0) => return self.watch_failed(now),
+            Ok(n) => n,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
+            Err(_) => return self.watch_failed(now),
+        };
+        open.heard = now;
+        open.reader.push(&self.buffer[..n]);
+        if let Err(why) = self.watch_reads() {
+            self.say(now, &format!("discovery cannot be understood: {why}"));
+            self.watch_failed(now);
+        }
+    }
+
+    fn watch_reads(&mut self) -> Result<(), String> {
+        loop {
+            let Some(open) = &mut self.watch.open else { return Ok(()) };
+            match open.reader.next_part().map_err(|e| e.to_string())? {
+                None => return Ok(()),
+                Some(Part::Head(status, _)) => open.status = status,
+                Some(Part::End(_)) => return Err(format!("the watch ended with status {}", open.status)),
+                Some(Part::Body(_)) if open.status != 200 => {}
+                Some(Part::Body(bytes)) => {
+                    open.lines.push(&bytes)?;
+                    self.watch_lines()?;
+                }
+            }
+        }
+    }
+
+    fn watch_lines(&mut self) -> Result<(), String> {
+        while let Some(line) = self.watch.open.as_mut().and_then(|open| open.lines.next_line()) {
+            let list = List::parse(&line)?;
+            self.watch.pause = PAUSE_FIRST;
+            self.take_list(list);
+        }
+        Ok(())
+    }
+
+    /// Reads the configuration again: discovery may have moved. An unsound one changes nothing.
+    pub(crate) fn reload(&mut self) {
+        let now = self.clock.now();
+        let text = std::fs::read_to_string(&self.config_file).map_err(|e| e.to_string());
+        let config = match text.and_then(|text| Configuration::parse(&text)) {
+            Ok(config) => config,
+            Err(why) => return self.say(now, &format!("the new configuration does not hold: {why}")),
+        };
+        tracing::info!(discovery = %config.discovery, "the configuration was read again");
+        let moved = config.discovery != self.watch.address;
+        self.watch.address = config.discovery;
+        if moved {
+            self.watch.open = None;
+            self.watch.again = now;
+            self.watch.pause = PAUSE_FIRST;
+        }
+        // A list that is newer than what holds is taken; an older one changes nothing.
+        if let Some(known) = config.known.filter(|k| Some(k.revision) > self.watch.follower.revision()) {
+            self.take_list(List { complete: true, ..known });
+        }
+        if moved {
+            self.look_after_watch(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-platform-node/src/node.rs
@@ -0,0 +1,164 @@
+//! The node: what it owns, and how it starts.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::fmt;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use pintally::interface::{Attempt, EngineId, Micros};
+use pintally_config::NodeSettings;
+use pintally_host::{Command, Host, Input, Scope, Ticket};
+use pintally_platform::Configuration;
+use slotmap::SlotMap;
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::clock::Clock;
+use crate::conn::{Conn, Key};
+use crate::list::Watch;
+use crate::log::Quota;
+use crate::poll::{Flags, Poll};
+use crate::pool::Pool;
+use crate::signals::Signals;
+
+/// Tokens of what is no connection; keys of connections are above them.
+pub(crate) const LISTENER: u64 = 0;
+pub(crate) const SIGNALS: u64 = 1;
+pub(crate) const WATCH: u64 = 2;
+
+/// Descriptors that are neither clients nor engines: standard ones, epoll, listener, signals, watch,
+/// and a few for files.
+pub(crate) const OWN_DESCRIPTORS: usize = 20;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Why a node does not start.
+#[derive(Debug)]
+pub struct StartError(pub String);
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// What the loop keeps of a request until nothing more can come for it.
+pub(crate) struct Job {
+    pub(crate) client: Option<Key>,
+    pub(crate) head: String,
+    pub(crate) body: Rc<[u8]>,
+    pub(crate) out: Option<(Attempt, Key)>,
+}
+
+/// What has passed on the sockets of one engine; counts only grow.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) sent: u64,
+    pub(crate) begun: u64,
+    pub(crate) served: u64,
+    pub(crate) read: u64,
+    pub(crate) turned_away: u64,
+    pub(crate) failed: u64,
+    pub(crate) connections: u64,
+    /// Attempts that are out now.
+    pub(crate) out: u64,
+}
+
+/// A node.
+pub(crate) struct Node {
+    pub(crate) poll: Poll,
+    pub(crate) clock: Clock,
+    pub(crate) config: Configuration,
+    pub(crate) config_file: PathBuf,
+    pub(crate) settings: Arc<NodeSettings>,
+    pub(crate) host: Host,
+    pub(crate) listener: Option<TcpListener>,
+    pub(crate) signals: Signals,
+    pub(crate) watch: Watch,
+    pub(crate) conns: SlotMap<Key, Conn>,
+    pub(crate) clients: usize,
+    pub(crate) pool: Pool,
+    pub(crate) due: BTreeSet<(Micros, Key)>,
+    pub(crate) jobs: HashMap<Ticket, Job>,
+    pub(crate) next_ticket: Ticket,
+    /// Bytes of bodies that are held, and of requests that come in.
+    pub(crate) bytes: usize,
+    pub(crate) inputs: VecDeque<Input>,
+    pub(crate) commands: Vec<Command>,
+    /// Clients with something to write, and those that may have a request ready.
+    pub(crate) dirty: Vec<Key>,
+    pub(crate) ready: Vec<Key>,
+    pub(crate) buffer: Vec<u8>,
+    pub(crate) tallies: HashMap<EngineId, Tally>,
+    pub(crate) quota: Quota,
+    pub(crate) swept: Micros,
+    /// When it was told to stop, and whether the host has ended all it held.
+    pub(crate) stopping: Option<Micros>,
+    pub(crate) stopped: bool,
+}
+
+/// Starts a node by its configuration file and runs it until it is told to stop and all is done.
+pub fn start(config_file: PathBuf, listen: Option<SocketAddr>) -> Result<(), StartError> {
+    let failed = |what: &str, e: &dyn fmt::Display| StartError(format!("{what}: {e}"));
+    let name = config_file.display().to_string();
+    let text = std::fs::read_to_string(&config_file).map_err(|e| failed(&name, &e))?;
+    let config = Configuration::parse(&text).map_err(|e| failed(&name, &e))?;
+    let address = listen.unwrap_or(config.listen);
+    let listener = listen_at(address).map_err(|e| failed(&format!("cannot listen on {address}"), &e))?;
+    let poll = Poll::new().map_err(|e| failed("epoll", &e))?;
+    let signals = Signals::new().map_err(|e| failed("signals", &e))?;
+    let waits = Flags::IN;
+    poll.add(&listener, LISTENER, waits)
+        .and_then(|()| poll.add(signals.stop_fd(), SIGNALS, waits))
+        .and_then(|()| poll.add(signals.reload_fd(), SIGNALS, waits))
+        .map_err(|e| failed("epoll", &e))?;
+    let settings = Arc::new(config.node());
+    let clock = Clock::new();
+    let now = clock.now();
+    let host = Host::new(settings.clone(), config.seed).with_scope(Scope::Request);
+    tracing::info!(name = %config.name, %address, sockets = config.limits.sockets,
+        memory_mb = config.limits.memory_mb, cores = config.limits.cores, "started");
+    let mut node = Node {
+        poll,
+        clock,
+        watch: Watch::new(config.discovery, now),
+        config,
+        config_file,
+        settings,
+        host,
+        listener: Some(listener),
+        signals,
+        conns: SlotMap::with_key(),
+        clients: 0,
+        pool: Pool::default(),
+        due: BTreeSet::new(),
+        jobs: HashMap::new(),
+        next_ticket: 0,
+        bytes: 0,
+        inputs: VecDeque::new(),
+        commands: Vec::new(),
+        dirty: Vec::new(),
+        ready: Vec::new(),
+        buffer: vec![0; 64 << 10],
+        tallies: HashMap::new(),
+        quota: Quota::default(),
+        swept: now,
+        stopping: None,
+        stopped: false,
+    };
+    node.known();
+    node.run().map_err(|e| failed("the loop", &e))
+}
+
+fn listen_at(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    // A node that starts again takes over the address of the one that was killed.
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/crates/pintally-platform-node/src/turn.rs
@@ -0,0 +1,125 @@
+//! The loop: one turn after another, each with what has happened, what has come due, and what the
+//! host makes of it.
+
+use std::io;
+use std::time::Duration;
+
+use pintally_host::{Command, Input};
+use slotmap::{Key as _, KeyData};
+
+use crate::conn::{Conn, Key};
+use crate::node::{Node, LISTENER, SIGNALS, WATCH};
+use crate::poll::{Flags, Happened};
+
+/// Nothing is waited for longer than this.
+const TURN_MOST: u64 = 100_000;
+
+impl Node {
+    /// Runs until all is done after a signal to stop.
+    pub(crate) fn run(&mut self) -> io::Result<()> {
+        let mut happened: Vec<Happened> = Vec::new();
+        loop {
+            let now = self.clock.now();
+            let wakes = [self.host.next_wake(), self.due.first().map(|d| d.0)];
+            let next = wakes.into_iter().flatten().min().unwrap_or(u64::MAX);
+            let most = match self.ready.is_empty() {
+                true => next.saturating_sub(now).min(TURN_MOST),
+                false => 0,
+            };
+            happened.clear();
+            self.poll.wait(Duration::from_micros(most), &mut happened)?;
+            for one in &happened {
+                self.happened(*one);
+            }
+            self.tick();
+            for key in std::mem::take(&mut self.ready) {
+                self.requests(key);
+            }
+            self.flush_dirty();
+            if self.finished() {
+                tracing::info!("all that was taken is answered: the end");
+                return Ok(());
+            }
+        }
+    }
+
+    fn happened(&mut self, one: Happened) {
+        match one.token {
+            LISTENER => self.accept(),
+            SIGNALS => self.signalled(),
+            WATCH => self.watch_event(one.flags),
+            token => {
+                let key: Key = KeyData::from_ffi(token).into();
+                match self.conns.get(key) {
+                    Some(Conn::Client(_)) => self.client_event(key, one.flags),
+                    Some(Conn::Engine(_)) => self.engine_event(key, one.flags),
+                    None => {}
+                }
+            }
+        }
+    }
+
+    fn signalled(&mut self) {
+        let (stop, reload) = self.signals.take();
+        if reload {
+            self.reload();
+        }
+        if stop && self.stopping.is_none() {
+            self.stopping = Some(self.clock.now());
+            tracing::info!(held = self.host.held(), "told to stop: nothing new is taken");
+            self.feed(Input::Stop);
+        }
+    }
+
+    /// Hands the host an input and carries out what it commands, until nothing is left of either.
+    pub(crate) fn feed(&mut self, input: Input) {
+        self.inputs.push_back(input);
+        self.work_off();
+    }
+
+    /// Hands on what has been put off.
+    pub(crate) fn work_off(&mut self) {
+        while let Some(input) = self.inputs.pop_front() {
+            let mut commands = std::mem::take(&mut self.commands);
+            self.host.handle(self.clock.now(), input, &mut commands);
+            self.carry_out(&mut commands);
+            self.commands = commands;
+        }
+    }
+
+    fn carry_out(&mut self, commands: &mut Vec<Command>) {
+        for command in commands.drain(..) {
+            self.command(command);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if self.host.next_wake().is_some_and(|at| at <= now) {
+            let mut commands = std::mem::take(&mut self.commands);
+            self.host.tick(now, &mut commands);
+            self.carry_out(&mut commands);
+            self.commands = commands;
+            self.work_off();
+        }
+        self.expire(now);
+        self.sweep(now);
+    }
+
+    /// The token under which a connection is waited on.
+    pub(crate) fn token(key: Key) -> u64 {
+        key.data().as_ffi()
+    }
+
+    /// What a connection is waited on for, told to the system if it has changed.
+    pub(crate) fn interest(&mut self, key: Key, wanted: Flags) {
+        let (stream, flags) = match self.conns.get_mut(key) {
+            Some(Conn::Client(c)) => (&c.stream, &mut c.flags),
+            Some(Conn::Engine(e)) => (&e.stream, &mut e.flags),
+            None => return,
+        };
+        if *flags != wanted && self.poll.modify(stream, Node::token(key), wanted).is_ok() {
+            *flags = wanted;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-platform/src/discovery.rs
@@ -0,0 +1,157 @@
+//! The list of engines as discovery tells it, and what a line of a watch changes.
+
+use std::net::SocketAddr;
+
+use pintally::interface::ListForm;
+use pintally_host::Listed;
+use pintally_wire::Entry;
+use serde::Deserialize;
+use serde_json::Value;
+
+/// The most bytes of one line of a watch.
+const LINE_MOST: usize = 1 << 20;
+
+#[derive(Clone, Debug, Deserialize)]
+struct Raw {
+    revision: u64,
+    complete: bool,
+    members: Vec<RawMember>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct RawMember {
+    id: String,
+    host_port: SocketAddr,
+    locality: String,
+    flavor: String,
+    #[serde(default)]
+    cell: u64,
+    phase: String,
+    #[serde(default)]
+    size: Option<f64>,
+    #[serde(default)]
+    up_since_ms: Option<f64>,
+}
+
+/// A version of the list, or what changed with it.
+#[derive(Clone, Debug)]
+pub struct List {
+    /// Its version.
+    pub revision: u64,
+    /// Whether it is the whole list.
+    pub complete: bool,
+    /// Its entries.
+    pub members: Vec<Listed>,
+}
+
+impl List {
+    /// Reads a list; an error names what is wrong.
+    pub fn of(value: &Value) -> Result<List, String> {
+        Raw::deserialize(value).map_err(|e| e.to_string()).and_then(List::from_raw)
+    }
+
+    /// Reads a line of a watch.
+    pub fn parse(line: &[u8]) -> Result<List, String> {
+        serde_json::from_slice(line).map_err(|e| e.to_string()).and_then(List::from_raw)
+    }
+
+    fn from_raw(raw: Raw) -> Result<List, String> {
+        let mut seen = std::collections::BTreeSet::new();
+        let mut members = Vec::with_capacity(raw.members.len());
+        for m in raw.members {
+            if m.id.is_empty() || !seen.insert(m.id.clone()) {
+                return Err(format!("engine `{}` is listed twice or has no name", m.id));
+            }
+            let weight = m.size.filter(|w| w.is_finite() && *w > 0.0);
+            let entry = Entry {
+                engine: m.id,
+                zone: m.locality,
+                kind: m.flavor,
+                rack: m.cell,
+                state: m.phase,
+                weight,
+                // The node's clock counts from the same beginning as the platform's.
+                started: m.up_since_ms.filter(|ms| ms.is_finite()).map(|ms| (ms.max(0.0) * 1e3) as u64),
+            };
+            members.push(Listed { member: entry.member(), address: m.host_port, cell: None });
+        }
+        Ok(List { revision: raw.revision, complete: raw.complete, members })
+    }
+}
+
+/// What became of a list.
+#[derive(Debug)]
+pub enum Taken {
+    /// It tells nothing new.
+    Same,
+    /// It is older than what holds.
+    Older,
+    /// It contradicts itself.
+    Unsound(&'static str),
+    /// These entries are to be taken.
+    Holds(ListForm, Vec<Listed>),
+}
+
+/// The version that holds.
+#[derive(Clone, Debug, Default)]
+pub struct Follower {
+    revision: Option<u64>,
+}
+
+impl Follower {
+    /// The version that holds, from which a watch goes on.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Takes in a list.
+    pub fn take(&mut self, list: List) -> Taken {
+        // Guards against a list that goes back in time: a drain must not be undone.
+        if self.revision.is_some_and(|r| list.revision < r) {
+            return Taken::Older;
+        }
+        if list.complete && list.members.is_empty() {
+            return Taken::Unsound("a whole list without an engine");
+        }
+        let first = self.revision.is_none();
+        if !list.complete && first {
+            return Taken::Unsound("changes to a list that was never told");
+        }
+        if !list.complete && (list.members.is_empty() || self.revision == Some(list.revision)) {
+            self.revision = Some(list.revision);
+            return Taken::Same;
+        }
+        self.revision = Some(list.revision);
+        let form = if list.complete { ListForm::Full } else { ListForm::Change };
+        Taken::Holds(form, list.members)
+    }
+}
+
+/// Cuts a watch's body into lines.
+#[derive(Default)]
+pub struct Lines {
+    buffer: Vec<u8>,
+}
+
+impl Lines {
+    /// Takes in bytes; a line over the bound is an error.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), String> {
+        self.buffer.extend_from_slice(bytes);
+        if self.buffer.len() > LINE_MOST && !self.buffer.contains(&b'\n') {
+            return Err(format!("a line is longer than {LINE_MOST} bytes"));
+        }
+        Ok(())
+    }
+
+    /// The next line that is not empty.
+    pub fn next_line(&mut self) -> Option<Vec<u8>> {
+        loop {
+            let end = self.buffer.iter().position(|b| *b == b'\n')?;
+            let line: Vec<u8> = self.buffer.drain(..=end).collect();
+            let line = line.trim_ascii();
+            if !line.is_empty() {
+                return Some(line.to_vec());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-platform/src/lib.rs
@@ -0,0 +1,23 @@
+//! The operators' platform protocol as state machines: bytes in, events for the host out.
+//!
+//! Nothing here reads a socket, a file or a clock, and nothing decides where a request goes. The
+//! loop of `pintally-platform-node` carries the bytes.
+
+mod answer;
+mod ask;
+mod config;
+mod discovery;
+mod outcome;
+mod outgoing;
+
+pub use answer::{AnswerReader, Progress};
+pub use ask::{Ask, Asker, Call, Rejected};
+pub use config::{Configuration, Limits};
+pub use discovery::{Follower, Lines, List, Taken};
+pub use outcome::{of_answer, of_transport, Phase};
+pub use outgoing::{attempt_head, release, watch};
+
+/// The most bytes of a message's body.
+pub const BODY_MOST: usize = 256 << 10;
+/// The most bytes of a message's head.
+pub const HEAD_MOST: usize = 16 << 10;
--- /dev/null
+++ b/src/belief.rs
@@ -0,0 +1,48 @@
+//! What a router believes of each engine, for people on call and for checks against the sockets.
+
+use crate::interface::*;
+use crate::Router;
+
+/// What a router believes of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Belief {
+    /// The engine.
+    pub engine: EngineId,
+    /// What the list says of it.
+    pub listing: Listing,
+    /// Attempts that are out there and have not begun to answer.
+    pub out: usize,
+    /// Attempts that write there.
+    pub streams: u32,
+    /// The last report of its load: memory held, work that waits.
+    pub load: Option<(f64, f64)>,
+    /// How old that is.
+    pub report_age: Option<Micros>,
+    /// It was last found unreachable or broken.
+    pub down: bool,
+    /// For how long it is still left alone.
+    pub shut: Micros,
+    /// For how long it still counts as full.
+    pub full: Micros,
+    /// For how long it still counts as cold.
+    pub cold: Micros,
+}
+
+impl Router {
+    /// What it believes now of each engine that it knows.
+    pub fn beliefs(&self, now: Micros) -> Vec<Belief> {
+        let belief = |e: &crate::state::Engine| Belief {
+            engine: e.id.clone(),
+            listing: e.listing,
+            out: e.pending.len(),
+            streams: e.streams,
+            load: e.report.map(|(_, l)| (l.memory.unwrap_or(0.0), l.backlog.unwrap_or(0.0))),
+            report_age: e.report.map(|(at, _)| now.saturating_sub(at)),
+            down: e.down,
+            shut: e.shut_until.saturating_sub(now),
+            full: e.full_until.saturating_sub(now),
+            cold: e.cold_until.saturating_sub(now),
+        };
+        self.engines.iter().map(belief).collect()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,10 @@
 //! with the time at which it came, and carries out the
 //! [`Action`](interface::Action)s that it gets back.
 
+mod belief;
 pub mod interface;
 pub mod rules;
 mod state;
 
+pub use belief::Belief;
 pub use rules::Router;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -92,7 +92,7 @@
 pub struct Router {
     settings: Settings,
     random: Random,
-    engines: Vec<Engine>,
+    pub(crate) engines: Vec<Engine>,
     by_id: HashMap<EngineId, usize>,
     pools: [Pool; 3],
     /// What the list says of each rack.
