--- a/crates/pintally-platform-node/src/attempts.rs
+++ b/crates/pintally-platform-node/src/attempts.rs
@@ -60,8 +60,11 @@
                 if let Some(job) = self.jobs.get_mut(&order.ticket) {
                     job.out = Some((order.attempt, key));
                 }
+                let tally_name = order.engine.0.clone();
                 let tally = self.tallies.entry(order.engine).or_default();
                 tally.sent += 1;
+                tracing::debug!(ticket = order.ticket, attempt = order.attempt, engine = %tally_name,
+                    step = ?order.step, timeout_ms = order.timeout / 1000, "an attempt goes out");
                 tally.out += 1;
                 self.engine_writes(key);
             }
@@ -193,13 +196,15 @@
         let Some(Conn::Engine(conn)) = self.conns.get_mut(key) else { return };
         let reusable = reusable && conn.written();
         let Some(work) = conn.work.take() else { return self.close_engine(key) };
-        let engine = conn.engine.clone();
+        let (engine, why) = (conn.engine.clone(), conn.reader.why());
         match work {
             Work::Attempt { ticket, attempt, step, .. } => {
                 if let Some(job) = self.jobs.get_mut(&ticket).filter(|j| j.out == Some((attempt, key))) {
                     job.out = None;
                 }
                 self.count_end(&engine, outcome);
+                tracing::debug!(ticket, attempt, engine = %engine.0, ?step, ?outcome, kept, ?load, reusable, why,
+                    "an attempt has ended");
                 // A reader that answers as a writer would, or the other way round, has not done its work.
                 let outcome = match (step, outcome) {
                     (Step::Fetch | Step::Both, Outcome::Read) => Outcome::Error,
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -158,6 +158,14 @@
         client.stage = Stage::Busy(ticket);
         client.streaming = false;
         client.served += 1;
+        tracing::debug!(
+            ticket,
+            id = ask.arrival.name.as_ref().map(|n| n.0.as_ref()),
+            class = ask.arrival.class,
+            prompt = ask.arrival.prompt_tokens,
+            patience_ms = ask.arrival.patience.map(|p| p / 1000),
+            "a request"
+        );
         self.feed(Input::Arrived(ask.arrival));
     }
 
@@ -200,6 +208,7 @@
         let Some(key) = self.jobs.get_mut(&ticket).and_then(|job| job.client.take()) else { return };
         let stopping = self.stopping.is_some();
         let Some(client) = self.client(key).filter(|c| c.stage == Stage::Busy(ticket)) else { return };
+        tracing::debug!(ticket, ?answer, "a final answer");
         let close: &[(&str, &str)] = if client.last || stopping { &[("connection", "close")] } else { &[] };
         match answer {
             Final::Served => client.out.extend_from_slice(LAST_CHUNK),
--- a/crates/pintally-platform-node/src/engines.rs
+++ b/crates/pintally-platform-node/src/engines.rs
@@ -129,6 +129,7 @@
                     let engine = conn.engine.clone();
                     self.tallies.entry(engine).or_default().begun += 1;
                     self.watch_over(key);
+                    tracing::debug!(ticket, attempt, bytes = events.len(), "an answer begins");
                     // The body is not needed any more: what has begun is not sent again.
                     if let Some(job) = self.jobs.get_mut(&ticket) {
                         self.bytes -= job.body.len();
--- a/crates/pintally-platform/src/answer.rs
+++ b/crates/pintally-platform/src/answer.rs
@@ -4,7 +4,7 @@
 //! chunk whose size does not fit, never reaches a client as though an engine had said it.
 
 use pintally::interface::{Load, Outcome};
-use pintally_http::{Headers, Part, ResponseReader};
+use pintally_http::{Headers, HttpError, Part, ResponseReader};
 use pintally_wire::Names;
 use serde_json::Value;
 
@@ -45,6 +45,7 @@
     /// An event's data has been handed on.
     begun: bool,
     over: bool,
+    why: &'static str,
 }
 
 impl Default for AnswerReader {
@@ -58,11 +59,17 @@
             body: Vec::new(),
             begun: false,
             over: false,
+            why: "",
         }
     }
 }
 
 impl AnswerReader {
+    /// Why an answer could not be used, for logs; empty if it could.
+    pub fn why(&self) -> &'static str {
+        self.why
+    }
+
     /// Whether the status says that what was asked is done.
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
@@ -78,7 +85,15 @@
             match self.response.next_part() {
                 Ok(Some(part)) => self.part(part, names, out),
                 Ok(None) => return,
-                Err(_) => self.end(Outcome::Broken, false, out),
+                Err(e) => {
+                    let why = match e {
+                        HttpError::Malformed(why) => why,
+                        HttpError::HeadTooLarge => "the head does not end",
+                        HttpError::BodyTooLarge => "a chunk is too long",
+                        HttpError::Encoding => "an encoding that is not served",
+                    };
+                    self.spoilt(why, out);
+                }
             }
         }
     }
@@ -91,10 +106,16 @@
         // The end of a stream is its last chunk; the end of a connection proves nothing.
         match self.response.closed() {
             Ok(part) if self.status != 200 => self.part(part, names, out),
-            _ => self.end(Outcome::Broken, false, out),
+            _ => self.spoilt("the connection ended", out),
         }
     }
 
+    /// What came cannot be used; the connection is of no further use.
+    fn spoilt(&mut self, why: &'static str, out: &mut Vec<Progress>) {
+        self.why = why;
+        self.end(Outcome::Broken, false, out);
+    }
+
     fn part(&mut self, part: Part, names: &Names, out: &mut Vec<Progress>) {
         match part {
             Part::Head(status, headers) => self.head(status, &headers, names),
@@ -104,7 +125,7 @@
             }
             Part::Body(bytes) => {
                 if self.body.len() + bytes.len() > EVENT_MOST {
-                    return self.end(Outcome::Broken, false, out);
+                    return self.spoilt("the body is too long", out);
                 }
                 self.body.extend_from_slice(&bytes);
             }
@@ -122,21 +143,21 @@
     fn events(&mut self, names: &Names, out: &mut Vec<Progress>) {
         let Some(end) = last_boundary(&self.body) else {
             if self.body.len() > EVENT_MOST {
-                self.end(Outcome::Broken, false, out);
+                self.spoilt("an event is too long", out);
             }
             return;
         };
         let rest = self.body.split_off(end);
         let whole = std::mem::replace(&mut self.body, rest);
         match self.lines(&whole, names) {
-            Err(()) => self.end(Outcome::Broken, false, out),
+            Err(()) => self.spoilt("a line that is none of an event", out),
             Ok(data) => {
                 if data || self.begun {
                     self.begun = true;
                     out.push(Progress::Events(whole));
                 }
                 if self.body.len() > EVENT_MOST {
-                    self.end(Outcome::Broken, false, out);
+                    self.spoilt("an event is too long", out);
                 }
             }
         }
@@ -196,11 +217,11 @@
                     out.push(Progress::Events(rest));
                 }
                 Ok(_) => {}
-                Err(()) => return self.end(Outcome::Broken, false, out),
+                Err(()) => return self.spoilt("a line that is none of an event", out),
             }
             // Guards against a stream that is cut off by the end of the connection, and an empty one.
             if !self.begun || !self.response.is_chunked() {
-                return self.end(Outcome::Broken, false, out);
+                return self.spoilt("a stream without an event or a last chunk", out);
             }
         }
         if outcome == Outcome::Read {
