--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -183,7 +183,8 @@
         client.out.extend_from_slice(&response(rejected.status, &[("connection", "close")], body.as_bytes()));
         client.last = true;
         self.answered(key);
-        if self.quota.allows(self.clock.now()) {
+        // Guards against bad clients that use up the lines that people on call need.
+        if tracing::enabled!(tracing::Level::DEBUG) && self.quota.allows(self.clock.now()) {
             tracing::debug!(status = rejected.status, why = rejected.why, "a request got an error");
         }
     }
