--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -86,6 +86,21 @@
     assert_eq!(spoilt, Some(2));
 }
 
+/// Guards against a request on a connection that its engine has closed: it would end as a reset that
+/// may have run, and what must not run twice would fail.
+#[test]
+fn a_connection_that_was_closed_while_idle_is_not_used_again() {
+    let stand = Stand::new(&["r0", "w0"], 256);
+    stand.seen.let_do("w0", &[Does::SaysAndEnds(stream(&[TOKEN, DONE]))]);
+    let mut client = Client::new(&stand);
+    for n in 0..10 {
+        client.ask("once", &format!("a{n}"));
+        assert_eq!(client.answer(), (200, [TOKEN, DONE].concat(), true), "request {n}");
+        // The client, whoever asks for beliefs, and the reader's.
+        stand.until_believed("the writer's connection has gone", |b| b["connections"] == 3);
+    }
+}
+
 /// A connection that is refused has carried nothing: even what must not run twice goes elsewhere.
 #[test]
 fn what_was_never_written_never_ran() {
