--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -255,6 +255,7 @@
     assert!(late.closed());
     other.ask("safe", "c");
     assert_eq!(other.answer().0, 503);
+    assert!(other.closed());
     drop(client);
     assert!(stand.ended().success());
 }
