--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -237,6 +237,40 @@
     drop(silent);
 }
 
+/// Hundreds at once on one connection are answered in order, and another client is served between them.
+#[test]
+fn hundreds_of_requests_at_once_do_not_keep_others_waiting() {
+    let stand = Stand::new(&["r0", "w0"], 256);
+    let mut flood = Client::new(&stand);
+    let all: Vec<u8> = (0..300).flat_map(|n| asked("safe", &format!("f{n}"))).collect();
+    flood.send(&all);
+    let mut usual = Client::new(&stand);
+    usual.ask("once", "u");
+    assert!(usual.answer().2);
+    for n in 0..300 {
+        assert!(flood.answer().2, "request {n}");
+    }
+    stand.until_believed("nothing is held", |b| b["held"] == 0 && b["bytes"] == 0);
+}
+
+#[test]
+fn a_missing_or_unsound_configuration_ends_the_program_with_the_field() {
+    let run = |file: &std::path::Path| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_pintally"));
+        let output = command.arg("platform").arg("--config").arg(file).output().expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("config.json");
+    assert_eq!(run(&file).0, Some(2));
+    for (text, names) in [("{", "not JSON"), ("{\"seed\":\"1f\"}", "`limits` is missing")] {
+        std::fs::write(&file, text).expect("it is written");
+        let (code, said) = run(&file);
+        assert_eq!(code, Some(2));
+        assert!(said.contains(names), "{said}");
+    }
+}
+
 #[test]
 fn a_signal_to_stop_ends_the_node_when_all_is_answered() {
     let mut stand = Stand::new(&["r0", "w0"], 256);
