The platform node read again: twins become one, dead parts go, a check moves to the host

What had been written twice is one: sockets towards engines and towards discovery (poll::socket, poll::connect), taking a connection into the loop (enter), the check for a free descriptor, asking the host and carrying out what it commands (ask_host), a connection that ends without an answer (give_up), how far a request has come (Engine::phase), what is believed beside what passed (believed). Header lines for engines are written by pintally-http's header_line instead of a copy of it. Passing events on tells at once whether the client is slow, instead of looking it up again for each event. Asker held settings that nothing read: it is a function now. That a writer cannot have read is checked in the host, beside the check that a reader cannot have served, with a test.

--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -452,6 +452,9 @@
             if outcome == Outcome::Served {
                 outcome = Outcome::Error;
             }
+        } else if outcome == Outcome::Read {
+            // Who was to answer and says that it has read has not done its work either.
+            outcome = Outcome::Error;
         }
         if outcome == Outcome::Served {
             entry.held.retain(|h| h.state.is_none());
--- a/crates/pintally-host/tests/scope.rs
+++ b/crates/pintally-host/tests/scope.rs
@@ -149,3 +149,16 @@
     assert_eq!(node.releases(), []);
     assert_eq!((node.host.held(), node.host.open().1), (0, 0));
 }
+
+/// Guards against a writer's word that it has read being taken for a state that waits there.
+#[test]
+fn a_writer_that_says_it_has_read_has_failed() {
+    let mut node = Node::new(&["r0", "w0", "w1"]);
+    node.arrive(1, "x");
+    node.end(&node.attempt(), Outcome::Read);
+    let first = node.attempt();
+    node.end(&first, Outcome::Read);
+    let second = node.attempt();
+    assert_eq!(&second.engine.0[..1], "w");
+    assert_ne!(second.engine, first.engine, "the state is still the reader's, and another writer fetches it");
+}
--- a/crates/pintally-platform-node/src/attempts.rs
+++ b/crates/pintally-platform-node/src/attempts.rs
@@ -4,15 +4,13 @@
 use std::net::SocketAddr;
 
 use pintally::interface::{EngineId, Micros, Outcome, RequestId};
-use pintally_engine::Step;
 use pintally_host::{Command, Input, Order, Ticket};
 use pintally_platform::{attempt_head, release, AnswerReader};
 use serde_json::Value;
-use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::conn::{Conn, Engine, Key, Work};
 use crate::node::Node;
-use crate::poll::Flags;
+use crate::poll::{self, Flags};
 
 impl Node {
     pub(crate) fn command(&mut self, command: Command) {
@@ -60,11 +58,10 @@
                 if let Some(job) = self.jobs.get_mut(&order.ticket) {
                     job.out = Some((order.attempt, key));
                 }
-                let tally_name = order.engine.0.clone();
+                tracing::debug!(ticket = order.ticket, attempt = order.attempt, engine = %order.engine.0,
+                    step = ?order.step, timeout_ms = order.timeout / 1000, "an attempt goes out");
                 let tally = self.tallies.entry(order.engine).or_default();
                 tally.sent += 1;
-                tracing::debug!(ticket = order.ticket, attempt = order.attempt, engine = %tally_name,
-                    step = ?order.step, timeout_ms = order.timeout / 1000, "an attempt goes out");
                 tally.out += 1;
                 self.engine_writes(key);
             }
@@ -135,19 +132,8 @@
         if !self.room_for_engine() {
             return Err(Outcome::NeverSent);
         }
-        let made = || -> std::io::Result<Socket> {
-            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-            socket.set_nonblocking(true)?;
-            socket.set_tcp_nodelay(true)?;
-            Ok(socket)
-        };
-        let socket = made().map_err(|_| Outcome::NeverSent)?;
-        let up = match socket.connect(&address.into()) {
-            Ok(()) => true,
-            Err(e) if e.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => false,
-            Err(e) if e.kind() == ErrorKind::WouldBlock => false,
-            Err(_) => return Err(Outcome::Unreachable),
-        };
+        let socket = poll::socket(address).map_err(|_| Outcome::NeverSent)?;
+        let up = poll::connect(&socket, address).map_err(|_| Outcome::Unreachable)?;
         let now = self.clock.now();
         let flags = if up { Flags::IN | Flags::RDHUP } else { Flags::OUT };
         let conn = Engine {
@@ -167,15 +153,7 @@
             flags,
             due: Micros::MAX,
         };
-        let key = self.conns.insert(Conn::Engine(Box::new(conn)));
-        let added = match self.conns.get(key) {
-            Some(Conn::Engine(conn)) => self.poll.add(&conn.stream, Node::token(key), flags).is_ok(),
-            _ => false,
-        };
-        if !added {
-            self.conns.remove(key);
-            return Err(Outcome::NeverSent);
-        }
+        let key = self.enter(Conn::Engine(Box::new(conn))).ok_or(Outcome::NeverSent)?;
         self.tallies.entry(engine.clone()).or_default().connections += 1;
         Ok(key)
     }
@@ -183,7 +161,12 @@
     /// Calls the request's attempt off, if one is out: its connection ends.
     pub(crate) fn call_off(&mut self, ticket: Ticket) {
         let Some((_, key)) = self.jobs.get(&ticket).and_then(|job| job.out) else { return };
-        self.end_attempt(key, Outcome::Cancelled, 0, None, false);
+        self.give_up(key, Outcome::Cancelled);
+    }
+
+    /// What a connection is used for ends without an answer, and so does the connection.
+    pub(crate) fn give_up(&mut self, key: Key, outcome: Outcome) {
+        self.end_attempt(key, outcome, 0, None, false);
     }
 
     /// The attempt on a connection has ended; the host hears of it, and the connection is kept if it
@@ -209,11 +192,6 @@
                 self.count_end(&engine, outcome);
                 tracing::debug!(ticket, attempt, engine = %engine.0, ?step, ?outcome, kept, ?load, reusable, why, idle_ms,
                     "an attempt has ended");
-                // A reader that answers as a writer would, or the other way round, has not done its work.
-                let outcome = match (step, outcome) {
-                    (Step::Fetch | Step::Both, Outcome::Read) => Outcome::Error,
-                    _ => outcome,
-                };
                 let state = (outcome == Outcome::Read).then(|| std::sync::Arc::new(Value::Null));
                 self.inputs.push_back(Input::Ended { ticket, attempt, outcome, kept, load, state });
             }
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -7,7 +7,7 @@
 use pintally::interface::Micros;
 use pintally_host::{Final, Input, Ticket};
 use pintally_http::{chunk, response, response_head, LAST_CHUNK};
-use pintally_platform::{Ask, Asker, Call, Rejected};
+use pintally_platform::{call, Ask, Call, Rejected};
 
 use crate::conn::{Client, Conn, Key, Stage};
 use crate::node::{Job, Node};
@@ -127,8 +127,7 @@
 
     fn request(&mut self, key: Key, request: pintally_http::Request) {
         let ticket = self.next_ticket;
-        let asker = Asker { names: &self.config.told.names, settings: &self.settings };
-        match asker.call(ticket, request) {
+        match call(&self.config.told.names, ticket, request) {
             Ok(Call::Ready) => {
                 let status = if self.stopping.is_none() && self.host.serving() > 0 { 200 } else { 503 };
                 self.answer_whole(key, response(status, &[], b""));
@@ -231,28 +230,20 @@
         }
     }
 
-    /// Passes on events of the engine's stream.
-    pub(crate) fn pass_on(&mut self, ticket: Ticket, events: &[u8]) -> bool {
-        let Some(key) = self.jobs.get(&ticket).and_then(|job| job.client) else { return false };
+    /// Passes on events of the engine's stream, if there is a client; whether it is slow to take them.
+    pub(crate) fn pass_on(&mut self, ticket: Ticket, events: &[u8]) -> Option<bool> {
+        let key = self.jobs.get(&ticket)?.client?;
         let stopping = self.stopping.is_some();
-        let Some(client) = self.client(key) else { return false };
+        let client = self.client(key)?;
         if !std::mem::replace(&mut client.streaming, true) {
             let mut headers = vec![("content-type", "text/event-stream")];
             headers.extend((client.last || stopping).then_some(("connection", "close")));
             client.out.extend_from_slice(&response_head(200, &headers));
         }
         client.out.extend_from_slice(&chunk(events));
+        let slow = client.out.len() - client.gone > SLOW;
         self.dirty.push(key);
-        true
-    }
-
-    /// Whether a request's client is slow to take what is written.
-    pub(crate) fn is_slow(&self, ticket: Ticket) -> bool {
-        let key = self.jobs.get(&ticket).and_then(|job| job.client);
-        match key.and_then(|key| self.conns.get(key)) {
-            Some(Conn::Client(c)) => c.out.len() - c.gone > SLOW,
-            _ => false,
-        }
+        Some(slow)
     }
 
     pub(crate) fn flush_dirty(&mut self) {
--- a/crates/pintally-platform-node/src/conn.rs
+++ b/crates/pintally-platform-node/src/conn.rs
@@ -7,7 +7,7 @@
 use pintally_engine::Step;
 use pintally_host::Ticket;
 use pintally_http::RequestReader;
-use pintally_platform::AnswerReader;
+use pintally_platform::{AnswerReader, Phase};
 
 use crate::poll::Flags;
 
@@ -97,4 +97,12 @@
     pub(crate) fn written(&self) -> bool {
         self.up && self.gone == self.head.len() + self.body.as_ref().map_or(0, |b| b.len())
     }
+
+    /// How far the request has come, for the table of outcomes.
+    pub(crate) fn phase(&self) -> Phase {
+        match self.written() {
+            true => Phase::Written,
+            false => Phase::Unwritten,
+        }
+    }
 }
--- a/crates/pintally-platform-node/src/door.rs
+++ b/crates/pintally-platform-node/src/door.rs
@@ -36,11 +36,8 @@
 
     fn welcome(&mut self, stream: TcpStream) {
         let now = self.clock.now();
-        let full = |node: &Node| {
-            node.clients >= node.settings.limits.connections
-                || node.conns.len() + OWN_DESCRIPTORS >= node.config.limits.sockets
-        };
-        if full(self) && !self.evict() {
+        let full = self.clients >= self.settings.limits.connections || !self.has_descriptor();
+        if full && !self.evict() {
             return;
         }
         if stream.set_nonblocking(true).is_err() || stream.set_nodelay(true).is_err() {
@@ -63,14 +60,8 @@
             counted: 0,
             flags,
         };
-        let key = self.conns.insert(Conn::Client(Box::new(client)));
-        self.clients += 1;
-        let added = match self.conns.get(key) {
-            Some(Conn::Client(c)) => self.poll.add(&c.stream, Node::token(key), flags).is_ok(),
-            _ => false,
-        };
-        if !added {
-            self.close_client(key);
+        if self.enter(Conn::Client(Box::new(client))).is_some() {
+            self.clients += 1;
         }
     }
 
@@ -97,9 +88,14 @@
         true
     }
 
+    /// Whether the limit leaves a descriptor for one more connection.
+    fn has_descriptor(&self) -> bool {
+        self.conns.len() + OWN_DESCRIPTORS < self.config.limits.sockets
+    }
+
     /// Makes room for one more connection to an engine; whether there is.
     pub(crate) fn room_for_engine(&mut self) -> bool {
-        if self.conns.len() + OWN_DESCRIPTORS < self.config.limits.sockets {
+        if self.has_descriptor() {
             return true;
         }
         if let Some(spare) = self.pool.spare() {
--- a/crates/pintally-platform-node/src/engines.rs
+++ b/crates/pintally-platform-node/src/engines.rs
@@ -4,7 +4,7 @@
 
 use pintally::interface::{Micros, Outcome};
 use pintally_host::{Input, Ticket};
-use pintally_platform::{of_transport, Phase, Progress};
+use pintally_platform::{of_transport, Progress};
 
 use crate::conn::{Conn, Engine, Key, Work};
 use crate::node::Node;
@@ -117,7 +117,7 @@
             Progress::Over { outcome, kept, load, reusable } => {
                 // Guards against a request that never arrived whole being taken for one that ran.
                 let outcome = match outcome {
-                    Outcome::Broken if !conn.written() => of_transport(Phase::Unwritten, false),
+                    Outcome::Broken => of_transport(conn.phase(), false),
                     other => other,
                 };
                 // A release is heard by whatever status that says so; an attempt has its table.
@@ -142,10 +142,10 @@
                     }
                     self.feed(Input::FirstToken(ticket, attempt));
                 }
-                if !self.pass_on(ticket, &events) {
-                    return self.end_attempt(key, Outcome::Cancelled, 0, None, false);
-                }
-                if self.is_slow(ticket) {
+                let Some(slow) = self.pass_on(ticket, &events) else {
+                    return self.give_up(key, Outcome::Cancelled);
+                };
+                if slow {
                     if let Some(conn) = self.engine(key) {
                         conn.paused = true;
                     }
@@ -169,11 +169,11 @@
     fn broken(&mut self, key: Key) {
         let now = self.clock.now();
         let Some(conn) = self.engine(key) else { return };
-        let phase = if conn.written() { Phase::Written } else { Phase::Unwritten };
+        let phase = conn.phase();
         if let Some(idle) = stale(conn, now) {
             self.keep.ended(now, idle);
         }
-        self.end_attempt(key, of_transport(phase, false), 0, None, false);
+        self.give_up(key, of_transport(phase, false));
     }
 
     /// Keeps a sound connection for the next request.
@@ -222,20 +222,20 @@
                 self.watch_over(key);
                 continue;
             }
-            let phase = if conn.written() { Phase::Written } else { Phase::Unwritten };
+            let phase = conn.phase();
             match &conn.work {
                 None => self.close_engine(key),
-                Some(Work::Release { .. }) => self.end_attempt(key, Outcome::TimedOut, 0, None, false),
+                Some(Work::Release { .. }) => self.give_up(key, Outcome::TimedOut),
                 Some(Work::Attempt { begun: true, ticket, .. }) => {
                     let (ticket, paused) = (*ticket, conn.paused);
                     // A stream that waits for its client is ended as the client's, not as the engine's.
                     match self.jobs.get(&ticket).and_then(|j| j.client).filter(|_| paused) {
                         Some(client) => self.client_gone(client),
-                        None => self.end_attempt(key, Outcome::Broken, 0, None, false),
+                        None => self.give_up(key, Outcome::Broken),
                     }
                 }
                 Some(Work::Attempt { .. }) => {
-                    self.end_attempt(key, of_transport(phase, true), 0, None, false);
+                    self.give_up(key, of_transport(phase, true));
                 }
             }
             self.work_off();
--- a/crates/pintally-platform-node/src/list.rs
+++ b/crates/pintally-platform-node/src/list.rs
@@ -7,11 +7,10 @@
 use pintally_host::{Input, Listed};
 use pintally_http::{Part, ResponseReader};
 use pintally_platform::{watch, Configuration, Follower, Lines, List, Taken, HEAD_MOST};
-use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::conn::{Conn, Key, Work};
 use crate::node::{Node, WATCH};
-use crate::poll::Flags;
+use crate::poll::{self, Flags};
 
 /// A watch that tells nothing, not even that nothing has changed, for so long is opened anew.
 const SILENT: Micros = 3_100_000;
@@ -92,7 +91,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in waiting {
-            self.end_attempt(key, Outcome::Unreachable, 0, None, false);
+            self.give_up(key, Outcome::Unreachable);
         }
         self.work_off();
         // What nobody leads to any more is not kept.
@@ -136,14 +135,8 @@
 
     fn open_watch(&mut self, now: Micros) -> std::io::Result<Open> {
         let address = self.watch.address;
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_nonblocking(true)?;
-        socket.set_tcp_nodelay(true)?;
-        match socket.connect(&address.into()) {
-            Ok(()) => {}
-            Err(e) if e.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {}
-            Err(e) => return Err(e),
-        }
+        let socket = poll::socket(address)?;
+        poll::connect(&socket, address)?;
         let stream: TcpStream = socket.into();
         self.poll.add(&stream, WATCH, Flags::OUT)?;
         Ok(Open {
--- a/crates/pintally-platform-node/src/poll.rs
+++ b/crates/pintally-platform-node/src/poll.rs
@@ -1,6 +1,7 @@
 //! What the loop waits on: level-triggered epoll.
 
 use std::io;
+use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::time::Duration;
 
@@ -8,10 +9,29 @@
 use rustix::event::epoll;
 pub(crate) use rustix::event::epoll::EventFlags as Flags;
 use rustix::event::Timespec;
+use socket2::{Domain, Protocol, Socket, Type};
 
 /// The most events of one turn.
 const EVENTS_MOST: usize = 256;
 
+/// A socket for a connection to an address; the connection itself is begun by [`connect`].
+pub(crate) fn socket(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    Ok(socket)
+}
+
+/// Begins a connection; whether it is up at once.
+pub(crate) fn connect(socket: &Socket, address: SocketAddr) -> io::Result<bool> {
+    match socket.connect(&address.into()) {
+        Ok(()) => Ok(true),
+        Err(e) if e.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => Ok(false),
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(false),
+        Err(e) => Err(e),
+    }
+}
+
 /// One thing that has happened.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Happened {
--- a/crates/pintally-platform-node/src/sweep.rs
+++ b/crates/pintally-platform-node/src/sweep.rs
@@ -1,11 +1,11 @@
 //! What is looked at ten times a second: clients that say nothing, the watch, the end.
 
-use pintally::interface::Micros;
+use pintally::interface::{EngineId, Micros};
 
 use crate::clients::LINGER;
 use crate::conn::{Conn, Key, Stage};
 use crate::door::STILL_COME;
-use crate::node::Node;
+use crate::node::{Node, Tally};
 
 /// How often.
 const EVERY: Micros = 100_000;
@@ -68,14 +68,22 @@
         for pace in self.host.paces() {
             tracing::debug!(?pace, held = self.host.held(), "pace");
         }
-        for b in self.host.beliefs(now) {
-            let t = self.tallies.get(&b.engine).copied().unwrap_or_default();
+        for (b, t) in self.believed(now) {
             tracing::debug!(engine = %b.engine.0, listing = ?b.listing, out = b.out, streams = b.streams,
                 load = ?b.load, down = b.down, shut_ms = b.shut / 1000, full_ms = b.full / 1000,
                 cold_ms = b.cold / 1000, sockets = ?t, "belief");
         }
     }
 
+    /// What the core believes of each engine, and what passed on its sockets.
+    fn believed(&self, now: Micros) -> impl Iterator<Item = (pintally::Belief, Tally)> + '_ {
+        let tally = |e: &EngineId| self.tallies.get(e).copied().unwrap_or_default();
+        self.host.beliefs(now).into_iter().map(move |b| {
+            let t = tally(&b.engine);
+            (b, t)
+        })
+    }
+
     /// Whether all is done after a signal to stop.
     pub(crate) fn finished(&self) -> bool {
         self.stopped && self.listener.is_none() && self.clients == 0
@@ -83,13 +91,9 @@
 
     /// What the core believes of each engine beside what passed on its sockets.
     pub(crate) fn beliefs(&self) -> serde_json::Value {
-        let now = self.clock.now();
         let engines: Vec<serde_json::Value> = self
-            .host
-            .beliefs(now)
-            .into_iter()
-            .map(|b| {
-                let t = self.tallies.get(&b.engine).copied().unwrap_or_default();
+            .believed(self.clock.now())
+            .map(|(b, t)| {
                 serde_json::json!({
                     "engine": b.engine.0.as_ref(),
                     "believed": {
--- a/crates/pintally-platform-node/src/turn.rs
+++ b/crates/pintally-platform-node/src/turn.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::time::Duration;
 
-use pintally_host::{Command, Input};
+use pintally_host::{Command, Host, Input};
 use slotmap::{Key as _, KeyData};
 
 use crate::conn::{Conn, Key};
@@ -80,32 +80,45 @@
     /// Hands on what has been put off.
     pub(crate) fn work_off(&mut self) {
         while let Some(input) = self.inputs.pop_front() {
-            let mut commands = std::mem::take(&mut self.commands);
-            self.host.handle(self.clock.now(), input, &mut commands);
-            self.carry_out(&mut commands);
-            self.commands = commands;
+            let now = self.clock.now();
+            self.ask_host(|host, commands| host.handle(now, input, commands));
         }
     }
 
-    fn carry_out(&mut self, commands: &mut Vec<Command>) {
+    /// Carries out what the host commands when it is asked.
+    fn ask_host(&mut self, ask: impl FnOnce(&mut Host, &mut Vec<Command>)) {
+        let mut commands = std::mem::take(&mut self.commands);
+        ask(&mut self.host, &mut commands);
         for command in commands.drain(..) {
             self.command(command);
         }
+        self.commands = commands;
     }
 
     fn tick(&mut self) {
         let now = self.clock.now();
         if self.host.next_wake().is_some_and(|at| at <= now) {
-            let mut commands = std::mem::take(&mut self.commands);
-            self.host.tick(now, &mut commands);
-            self.carry_out(&mut commands);
-            self.commands = commands;
+            self.ask_host(|host, commands| host.tick(now, commands));
             self.work_off();
         }
         self.expire(now);
         self.sweep(now);
     }
 
+    /// Takes a connection into the loop; one that cannot be waited on is closed.
+    pub(crate) fn enter(&mut self, conn: Conn) -> Option<Key> {
+        let key = self.conns.insert(conn);
+        let (stream, flags) = match self.conns.get(key)? {
+            Conn::Client(c) => (&c.stream, c.flags),
+            Conn::Engine(e) => (&e.stream, e.flags),
+        };
+        if self.poll.add(stream, Node::token(key), flags).is_err() {
+            self.conns.remove(key);
+            return None;
+        }
+        Some(key)
+    }
+
     /// The token under which a connection is waited on.
     pub(crate) fn token(key: Key) -> u64 {
         key.data().as_ffi()
--- a/crates/pintally-platform/src/ask.rs
+++ b/crates/pintally-platform/src/ask.rs
@@ -1,11 +1,8 @@
 //! Clients' requests: what each asks for, or why it gets an error.
 
-use std::fmt::Write;
-
 use pintally::interface::{Micros, RequestId};
-use pintally_config::NodeSettings;
 use pintally_host::{Arrival, Ticket};
-use pintally_http::Request;
+use pintally_http::{header_line, Request};
 use pintally_wire::Names;
 use serde::de::IgnoredAny;
 use xxhash_rust::xxh3::xxh3_64;
@@ -56,95 +53,83 @@
     Rejected { status: 400, why }
 }
 
-/// Reads requests against the settings.
-pub struct Asker<'a> {
-    /// Names of classes and tenants.
-    pub names: &'a Names,
-    /// For what a request does not say.
-    pub settings: &'a NodeSettings,
+/// What a whole request asks for.
+pub fn call(names: &Names, ticket: Ticket, request: Request) -> Result<Call, Rejected> {
+    let path = request.target.split('?').next().unwrap_or("");
+    match (request.method.as_str(), path) {
+        ("POST", WORK) => work(names, ticket, request).map(|ask| Call::Work(Box::new(ask))),
+        ("GET" | "HEAD", READY) => Ok(Call::Ready),
+        ("GET", BELIEFS) => Ok(Call::Beliefs),
+        (_, WORK | READY | BELIEFS) => Err(Rejected { status: 405, why: "no such method here" }),
+        _ => Err(Rejected { status: 404, why: "no such path" }),
+    }
 }
 
-impl Asker<'_> {
-    /// What a whole request asks for.
-    pub fn call(&self, ticket: Ticket, request: Request) -> Result<Call, Rejected> {
-        let path = request.target.split('?').next().unwrap_or("");
-        match (request.method.as_str(), path) {
-            ("POST", WORK) => self.work(ticket, request).map(|ask| Call::Work(Box::new(ask))),
-            ("GET" | "HEAD", READY) => Ok(Call::Ready),
-            ("GET", BELIEFS) => Ok(Call::Beliefs),
-            (_, WORK | READY | BELIEFS) => Err(Rejected { status: 405, why: "no such method here" }),
-            _ => Err(Rejected { status: 404, why: "no such path" }),
+fn work(names: &Names, ticket: Ticket, request: Request) -> Result<Ask, Rejected> {
+    let header = |name: &str| request.headers.get(name).map(str::trim);
+    for name in ["x-txn", "x-lane", "x-remaining-ms", "x-entity", "x-labels"] {
+        if request.headers.0.iter().filter(|(n, _)| n == name).count() > 1 {
+            return Err(bad("a header that may come once came twice"));
         }
     }
-
-    fn work(&self, ticket: Ticket, request: Request) -> Result<Ask, Rejected> {
-        let header = |name: &str| request.headers.get(name).map(str::trim);
-        for name in ["x-txn", "x-lane", "x-remaining-ms", "x-entity", "x-labels"] {
-            if request.headers.0.iter().filter(|(n, _)| n == name).count() > 1 {
-                return Err(bad("a header that may come once came twice"));
-            }
-        }
-        let id = header("x-txn").filter(|id| !id.is_empty()).ok_or(bad("X-Txn is missing"))?;
-        let sound = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~');
-        if id.len() > ID_MOST || !id.bytes().all(sound) {
-            return Err(bad("X-Txn is no id"));
-        }
-        let lane = header("x-lane").ok_or(bad("X-Lane is missing"))?;
-        let class = self.names.class(lane).ok_or(bad("X-Lane names no class"))?;
-        let tenant = match header("x-org") {
-            None | Some("") => None,
-            Some(name) => Some(self.names.tenant(name).ok_or(bad("X-Org names no tenant"))?),
-        };
-        let patience = match header("x-remaining-ms") {
-            None => None,
-            Some(text) => Some(millis(text).ok_or(bad("X-Remaining-Ms is no number"))?),
-        };
-        let labels = Labels::read(header("x-labels").unwrap_or(""))?;
-        // Guards against a body that was cut off and would run as though it were whole.
-        if serde_json::from_slice::<IgnoredAny>(&request.body).is_err() {
-            return Err(bad("the body is no JSON"));
-        }
-        let prompt_tokens = labels.prompt.unwrap_or(request.body.len() as u64 / 4);
-        let arrival = Arrival {
-            ticket,
-            name: Some(RequestId(id.into())),
-            class: Some(class),
-            tenant,
-            session: header("x-entity").filter(|e| !e.is_empty()).map(number),
-            prefix: labels.prefix.map(|p| number(&p)).filter(|p| *p != 0),
-            prompt_tokens,
-            prefix_tokens: labels.prefix_tokens.unwrap_or(0),
-            max_tokens: labels.max_out,
-            patience,
-            streamed: true,
-            resumed: header("x-resent") == Some("again"),
-            bytes: request.body.len(),
-            unix_ms: 0,
-        };
-        let mut head = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
-        for (name, value) in &request.headers.0 {
-            // What tells of the connection and of the framing is the node's own.
-            let own = matches!(
-                name.as_str(),
-                "connection"
-                    | "keep-alive"
-                    | "content-length"
-                    | "transfer-encoding"
-                    | "te"
-                    | "trailer"
-                    | "upgrade"
-                    | "expect"
-                    | "proxy-connection"
-                    | "x-remaining-ms"
-            );
-            if !own {
-                let clean = |c: char| if c.is_control() { ' ' } else { c };
-                let value: String = value.chars().map(clean).collect();
-                let _ = write!(head, "{name}: {value}\r\n");
-            }
+    let id = header("x-txn").filter(|id| !id.is_empty()).ok_or(bad("X-Txn is missing"))?;
+    let sound = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~');
+    if id.len() > ID_MOST || !id.bytes().all(sound) {
+        return Err(bad("X-Txn is no id"));
+    }
+    let lane = header("x-lane").ok_or(bad("X-Lane is missing"))?;
+    let class = names.class(lane).ok_or(bad("X-Lane names no class"))?;
+    let tenant = match header("x-org") {
+        None | Some("") => None,
+        Some(name) => Some(names.tenant(name).ok_or(bad("X-Org names no tenant"))?),
+    };
+    let patience = match header("x-remaining-ms") {
+        None => None,
+        Some(text) => Some(millis(text).ok_or(bad("X-Remaining-Ms is no number"))?),
+    };
+    let labels = Labels::read(header("x-labels").unwrap_or(""))?;
+    // Guards against a body that was cut off and would run as though it were whole.
+    if serde_json::from_slice::<IgnoredAny>(&request.body).is_err() {
+        return Err(bad("the body is no JSON"));
+    }
+    let prompt_tokens = labels.prompt.unwrap_or(request.body.len() as u64 / 4);
+    let arrival = Arrival {
+        ticket,
+        name: Some(RequestId(id.into())),
+        class: Some(class),
+        tenant,
+        session: header("x-entity").filter(|e| !e.is_empty()).map(number),
+        prefix: labels.prefix.map(|p| number(&p)).filter(|p| *p != 0),
+        prompt_tokens,
+        prefix_tokens: labels.prefix_tokens.unwrap_or(0),
+        max_tokens: labels.max_out,
+        patience,
+        streamed: true,
+        resumed: header("x-resent") == Some("again"),
+        bytes: request.body.len(),
+        unix_ms: 0,
+    };
+    let mut head = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
+    for (name, value) in &request.headers.0 {
+        // What tells of the connection and of the framing is the node's own.
+        let own = matches!(
+            name.as_str(),
+            "connection"
+                | "keep-alive"
+                | "content-length"
+                | "transfer-encoding"
+                | "te"
+                | "trailer"
+                | "upgrade"
+                | "expect"
+                | "proxy-connection"
+                | "x-remaining-ms"
+        );
+        if !own {
+            header_line(&mut head, name, value);
         }
-        Ok(Ask { arrival, head, body: request.body })
     }
+    Ok(Ask { arrival, head, body: request.body })
 }
 
 /// Whole milliseconds; what is longer than any clock is cut down.
--- a/crates/pintally-platform/src/lib.rs
+++ b/crates/pintally-platform/src/lib.rs
@@ -11,7 +11,7 @@
 mod outgoing;
 
 pub use answer::{AnswerReader, Progress};
-pub use ask::{Ask, Asker, Call, Rejected};
+pub use ask::{call, Ask, Call, Rejected};
 pub use config::{Configuration, Limits};
 pub use discovery::{Follower, Lines, List, Taken};
 pub use outcome::{of_answer, of_transport, Phase};
--- a/crates/pintally-platform/tests/codec.rs
+++ b/crates/pintally-platform/tests/codec.rs
@@ -151,8 +151,7 @@
     let (config, mut reader) = (config(), RequestReader::new(HEAD_MOST, BODY_MOST));
     reader.push(format!("{head}content-length: {}\r\n\r\n{body}", body.len()).as_bytes());
     let request = reader.next_request().expect("it can be read").expect("it is whole");
-    let settings = config.node();
-    Asker { names: &config.told.names, settings: &settings }.call(7, request)
+    pintally_platform::call(&config.told.names, 7, request)
 }
 
 const LINE: &str = "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: service.internal\r\n";
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,9 +197,7 @@
             done: false,
         }
     }
-}
 
-impl Live {
     /// The places of the engines that it knows.
     fn places(&self) -> impl Iterator<Item = usize> + '_ {
         let ran = self.ran.map(|(engine, _)| engine);
@@ -251,16 +249,13 @@
     let used: BTreeSet<usize> = router.live.values().flat_map(Live::places).collect();
     let free = |i: &usize| router.engines[*i].listing == Listing::Gone && !used.contains(i);
     let index = (0..router.engines.len()).find(free).unwrap_or(router.engines.len());
+    router.by_id.insert(engine.id.clone(), index);
     match router.engines.get_mut(index) {
         Some(old) => {
             router.by_id.remove(&old.id);
-            router.by_id.insert(engine.id.clone(), index);
             *old = engine;
         }
-        None => {
-            router.by_id.insert(engine.id.clone(), index);
-            router.engines.push(engine);
-        }
+        None => router.engines.push(engine),
     }
     index
 }
