Told lines drain as fast as a read can; one of many nodes leaves reads where they are

By id through the nodes' logs: all loss is in reads. Of 35 readers 8 to 12 hold lines of 60,000 to 275,000 tokens (reads end after 2 to 6 s) while a third of the readers are idle; writers answer in 0.05 s throughout.

Change: a told line is taken to shrink by the fastest read that the node has seen, and no faster; a node that is one of many does not give a read up for another reader before its client does.

Debug lines name a request's session and beginning.

--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -162,6 +162,8 @@
             id = ask.arrival.name.as_ref().map(|n| n.0.as_ref()),
             class = ask.arrival.class,
             prompt = ask.arrival.prompt_tokens,
+            session = ask.arrival.session,
+            prefix = ask.arrival.prefix,
             patience_ms = ask.arrival.patience.map(|p| p / 1000),
             "a request"
         );
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,18 +1,15 @@
 //! The decisions of pintally. Types, events, actions and settings: `src/interface.rs`.
 //!
 //! Ordinary path: a prompt goes to the reader expected to hold most of it, an unseen one to its
-//! hashed home, spilling along the key's ring over a bounded-load cap; after the read the
-//! least-loaded writer takes the state, near ones first. Everything else is a departure for when
-//! that path breaks. `docs/design.md` says when each acts.
+//! hashed home, spilling along the key's ring over a bounded-load cap; after the read the least-loaded
+//! writer takes the state, near ones first. All else departs from it where it breaks: `docs/design.md`.
 
+use crate::interface::*;
+use crate::state::*;
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::interface::*;
-use crate::state::*;
-
 /// The cap's factor: a reader may hold this multiple of its even share of the reads under way.
 const CAP_FACTOR: f64 = 1.25;
 /// Expected kept tokens under this count as no match (the paper's smallest block).
@@ -46,6 +43,8 @@
 const BUSY: f64 = 0.2;
 const LONG: f64 = 0.25;
 const FULL_FOR: Micros = 300_000;
+/// The fastest read seen fades by this with each sample.
+const PACE_FADE: f64 = 0.999;
 /// A load report counts for this long.
 const REPORT_FOR: Micros = 3_000_000;
 /// First tokens are to come within this part of the tightest aim; what the rest of the line would
@@ -145,8 +144,6 @@
         self.pump(now, acts);
     }
 
-    // ---- membership and cold budgets ----
-
     fn members(&mut self, now: Micros, form: ListForm, members: Vec<Member>, acts: &mut Vec<Action>) {
         if !self.gauges.watching {
             self.gauges.watching = true;
@@ -220,8 +217,6 @@
         recent < own as usize + usize::from(turn)
     }
 
-    // ---- engine health ----
-
     /// Guards against engines that are dead, cut off or silent, whatever the cause: each failure in
     /// a row doubles the time for which the engine gets trial work only.
     fn strike(&mut self, now: Micros, index: usize, acts: &mut Vec<Action>) {
@@ -265,6 +260,7 @@
         let pool = &mut self.pools[step];
         pool.tokens = if pool.samples == 0 { tokens } else { pool.tokens + BLEND * (tokens - pool.tokens) };
         let unit = took / (1.0 + tokens / pool.tokens.max(1.0));
+        pool.pace = (pool.pace * PACE_FADE).max(tokens / took.max(1.0));
         if pool.samples == 0 {
             pool.time = unit;
         }
@@ -340,8 +336,6 @@
         }
     }
 
-    // ---- prefix table ----
-
     fn keys(request: &Request) -> [Option<((bool, u64), u64)>; 2] {
         let session = ((false, request.session), request.prompt_tokens);
         let prefix = request.prefix.map(|p| ((true, p), request.prefix_tokens));
@@ -378,8 +372,6 @@
         }
     }
 
-    // ---- reader choice ----
-
     /// The readers and mixed engines in the order of the key's ring, the home first. Every node
     /// gets the same order from the same list, in whatever order the list came. What is mostly kept
     /// at its home moves far more than it reads: a shared beginning's place on the ring is weighed by
@@ -475,14 +467,15 @@
         (line > 0.0 && line + own > cap) || writes_over
     }
 
-    /// Tokens that wait to be read at an engine: this node's, or what it has told lately of all
-    /// nodes'. Guards against keys and engines that are hot by what others send.
+    /// Tokens that wait to be read at an engine: this node's, or what it has told of all nodes', less
+    /// what it can have read since. Guards against keys and engines that are hot by what others send.
     fn line(&self, now: Micros, index: usize) -> f64 {
         let engine = &self.engines[index];
-        let Some((at, load)) = engine.report else { return engine.unread };
+        let Some((at, load)) = engine.report.filter(|r| now < r.0 + FADE_HALF) else { return engine.unread };
         let queue = load.queue.map(|q| q * self.pools[READ].tokens);
-        let told = load.backlog.map(|b| b * 1000.0).or(queue).unwrap_or(0.0) * (1.0 - self.few());
-        engine.unread.max(told * 0.5f64.powf(now.saturating_sub(at) as f64 / WATCH_EVERY as f64))
+        let told = load.backlog.map(|b| b * 1000.0).or(queue).unwrap_or(0.0);
+        let read = now.saturating_sub(at) as f64 * self.pools[step_of(engine.role)].pace;
+        engine.unread.max((told - read) * (1.0 - self.few()))
     }
 
     /// The mean line of the readers that are well, and the mean of own streams at engines that write.
@@ -501,8 +494,6 @@
         [lines / readers.max(1.0), streams / writers.max(1.0)]
     }
 
-    // ---- writer choice ----
-
     /// Guards against writers without room: told by refusals and reports, or by own sends that wait
     /// far longer than is usual for a first token.
     fn full(&self, now: Micros, index: usize) -> bool {
@@ -525,6 +516,11 @@
         (FEW_NODES / f64::from(self.settings.nodes.max(1))).min(1.0)
     }
 
+    /// One of so many nodes that it seldom knows how the engine it sends to is doing.
+    fn blind(&self) -> bool {
+        self.few() < 0.5
+    }
+
     /// The tightest aim of any class.
     fn tightest(&self) -> f64 {
         self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) as f64
@@ -619,8 +615,6 @@
         Some(near[pick])
     }
 
-    // ---- one request: sends, further attempts, refusals, releases ----
-
     fn arrived(&mut self, now: Micros, request: Request) {
         let class = request.class.and_then(|c| self.settings.classes.get(c));
         let aim = class.map_or(request.patience / 2, |c| {
@@ -687,9 +681,11 @@
         let left = live.deadline.saturating_sub(now);
         let unread = if fetches { 0.0 } else { (live.request.prompt_tokens as f64 - expected).max(0.0) };
         // Time-outs guard against engines that fall silent. What might have run and must not run
-        // twice keeps the whole time: giving it up early would gain nothing.
+        // twice keeps the whole time: giving it up early would gain nothing. A blind node knows of no
+        // better reader, and what it moves is read twice and crowds out what others keep.
         let repeatable = step == READ || live.effect == Effect::Safe;
         let timeout = match self.patience(step, unread) {
+            _ if step == READ && self.blind() => left,
             Some(span) if repeatable && live.attempts + 2 < self.settings.max_attempts => span.min(left),
             None if repeatable => (live.aim_at.saturating_sub(now) / 2).clamp(left / 4, left),
             _ => left,
@@ -872,7 +868,7 @@
                 let late = outcome == Outcome::TimedOut && now >= live.deadline;
                 if outcome == Outcome::TimedOut {
                     // Of many nodes each may see next to no first tokens: what never had one counts as late.
-                    if self.few() < 0.5 {
+                    if self.blind() {
                         self.paced(now, false);
                     }
                     self.timed(now, index, out.step, 0.0, took);
@@ -953,7 +949,7 @@
     fn looks(&mut self, now: Micros, id: &RequestId, index: usize, acts: &mut Vec<Action>) -> bool {
         let stale = |e: &Engine| e.report.is_none_or(|(at, _)| now > at + WATCH_EVERY);
         let Some(live) = self.live.get(id) else { return false };
-        let blind = self.few() < 0.5 && self.settings.may_probe && !self.silent();
+        let blind = self.blind() && self.settings.may_probe && !self.silent();
         let fresh = live.attempts == 0 && !live.request.resumed;
         // In a burst a node is not blind, and nothing is gained by looking again and again for each.
         let waited = self.waiting.len() >= LOOKS || live.looked.is_some_and(|at| now >= at + LOOK);
@@ -1015,8 +1011,6 @@
         }
     }
 
-    // ---- admission, tenant fairness ----
-
     fn advice(&mut self) -> Option<Micros> {
         let most = self.settings.max_retry_after;
         let jitter = self.random.draw();
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,6 +61,8 @@
     pub(crate) deviation: f64,
     pub(crate) tokens: f64,
     pub(crate) samples: u32,
+    /// Tokens a microsecond of the fastest read seen: no line drains faster.
+    pub(crate) pace: f64,
     /// What its warm engines have answered this node lately, over how many seconds, and their number.
     pub(crate) answers: f64,
     pub(crate) watched: f64,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -939,6 +939,47 @@
     }
 }
 
+/// Guards against a line of seconds that is forgotten after half a second: one of many nodes hears of a
+/// reader every ten seconds or so, and until then sends to its homes as if they were idle.
+#[test]
+fn a_told_line_drains_no_faster_than_the_fastest_read_that_was_seen() {
+    let members = vec![member("r1", "near", 1), member("r2", "near", 1), member("w1", "near", 1)];
+    let session = session_of("r1", &members);
+    for (waited, expected) in [(5 * SECOND, "r2"), (8 * SECOND, "r1")] {
+        let mut node = Node::new(Settings { nodes: 100, ..settings() }, members.clone());
+        // 2,000 tokens in 150 ms: 13,333 a second.
+        node.arrive(request("usual", 0, 900));
+        node.now += 100 * MS;
+        serve(&mut node, "usual");
+        let load = Load { backlog: Some(100.0), ..Load::default() };
+        node.tell(Event::Probed(engine("r1"), true, Some(load)));
+        node.now += waited;
+        node.arrive(request("a", 0, session));
+        assert_eq!(node.at("a"), Some(expected), "{waited} us after 100,000 tokens were told");
+    }
+}
+
+/// Guards against reads that many nodes move at the same time, each knowing of no better reader: what is
+/// moved is read twice, crowds out kept texts, and the jam outlives its cause.
+#[test]
+fn one_of_many_nodes_waits_where_its_read_is() {
+    for (nodes, waits) in [(2, false), (100, true)] {
+        let mut node = Node::new(Settings { nodes, ..settings() }, pair());
+        for n in 0..8 {
+            let name = format!("usual{n}");
+            node.arrive(request(&name, 0, 900 + n));
+            node.now += 60 * MS;
+            node.sweep();
+            serve(&mut node, &name);
+            node.now += SECOND;
+        }
+        let acts = node.arrive(request("a", 0, 1));
+        let span =
+            acts.iter().find_map(|a| if let Action::Send(_, _, span) = a { Some(*span) } else { None });
+        assert_eq!(span == Some(5 * SECOND), waits, "{nodes} nodes: {span:?}");
+    }
+}
+
 #[test]
 fn a_probe_that_brings_no_word_holds_a_read_for_a_moment_only() {
     let mut node = Node::new(one_of_many(), pair());
