--- a/crates/pintally-cells/tests/cells.rs
+++ b/crates/pintally-cells/tests/cells.rs
@@ -44,6 +44,7 @@
         tip_window: 1,
         release_within: 500_000,
         ask_within: 0,
+        usual: [0.0; 3],
     }
 }
 
--- a/crates/pintally-cli/src/cells.rs
+++ b/crates/pintally-cli/src/cells.rs
@@ -1,22 +1,18 @@
 //! `pintally cells`: who belongs where, moves step by step, where each cell stands.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::{Subcommand, ValueEnum};
 use comfy_table::Table;
 use pintally_cells::{CellName, CellsFile, Turn};
 use pintally_config::NodeSettings;
-use pintally_http::{request, Part, ResponseReader};
 
+use crate::told::ask;
 use crate::{read, Failure};
 
-/// Time for a node to tell its counters.
-const WAIT: Duration = Duration::from_secs(2);
-
 #[derive(clap::Args)]
 pub(crate) struct Args {
     #[command(subcommand)]
@@ -185,7 +181,7 @@
     table.set_header(["node", "cell", "level", "share of engines", "borrowed", ""]);
     let mut silent = 0;
     for node in nodes {
-        let Some(counters) = counters(*node) else {
+        let Some(counters) = ask(*node, "/pintally/counters") else {
             silent += 1;
             table.add_row([node.to_string(), "no answer".to_string()]);
             continue;
@@ -215,23 +211,3 @@
     println!("{table}");
     Ok(if silent == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
-
-/// What a node has counted.
-fn counters(node: SocketAddr) -> Option<serde_json::Value> {
-    let mut stream = TcpStream::connect_timeout(&node, WAIT).ok()?;
-    stream.set_read_timeout(Some(WAIT)).ok()?;
-    stream.write_all(&request("GET", "/pintally/counters", &[("connection", "close")], b"")).ok()?;
-    let (mut reader, mut body, mut buffer) = (ResponseReader::new(16 << 10), Vec::new(), [0u8; 8192]);
-    loop {
-        match reader.next_part().ok()? {
-            Some(Part::Head(200, _)) => {}
-            Some(Part::Head(..)) => return None,
-            Some(Part::Body(bytes)) => body.extend(bytes),
-            Some(Part::End(_)) => return serde_json::from_slice(&body).ok(),
-            None => {
-                let n = stream.read(&mut buffer).ok().filter(|n| *n > 0)?;
-                reader.push(&buffer[..n]);
-            }
-        }
-    }
-}
--- a/crates/pintally-cli/src/check.rs
+++ b/crates/pintally-cli/src/check.rs
@@ -14,14 +14,42 @@
     file: String,
 }
 
+/// The bounds that hold for the fleet, with the settings' numbers put in.
+fn bounds(settings: &NodeSettings) -> String {
+    let mut lines = String::new();
+    if let Some(peers) = &settings.peers {
+        let mut figures = pintally_peers::Settings::new("x", "x", "", peers.listen, Vec::new());
+        (figures.period, figures.suspicion) = (peers.period, peers.suspicion);
+        let within = figures.death_known_within(settings.core.nodes as usize);
+        lines += &format!(
+            "\n  a dead peer is known to be dead within {:.1} s while no message is lost ({} nodes)",
+            within as f64 / 1e6,
+            settings.core.nodes
+        );
+    }
+    if let Some(recovery) = &settings.recovery {
+        let silent = recovery.read_within
+            + if settings.peers.is_some() { recovery.answer_within * u64::from(recovery.rounds) } else { 0 };
+        lines += &format!(
+            "\n  after a start some are let in within {:.2} s, everybody within {:.1} s, whatever is silent\
+             \n  a power loss costs what was learnt in the last {:.2} s and the time of one commit",
+            silent as f64 / 1e6,
+            (silent + recovery.careful_most) as f64 / 1e6,
+            recovery.every as f64 / 1e6
+        );
+    }
+    lines
+}
+
 pub(crate) fn run(args: &Args) -> Result<ExitCode, Failure> {
     let (file, text) = (&args.file, read(&args.file)?);
     let document = Document::parse(file, &text).map_err(Failure::usage)?;
     let forms = document.forms().map_err(Failure::usage)?;
     let name = forms.first().map_or("", |f| f.name());
     let what = match name {
-        "pintally" => NodeSettings::parse(file, &text)
-            .map(|s| format!("settings of node `{}` with {} classes", s.name, s.core.classes.len())),
+        "pintally" => NodeSettings::parse(file, &text).map(|s| {
+            format!("settings of node `{}` with {} classes{}", s.name, s.core.classes.len(), bounds(&s))
+        }),
         "engines" => EngineList::parse(file, &text)
             .map(|l| format!("list of {} engines, version {}", l.engines.len(), l.version)),
         "day" => Day::parse(file, &text).map(|d| {
--- a/crates/pintally-cli/src/day.rs
+++ b/crates/pintally-cli/src/day.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use comfy_table::Table;
-use pintally_day::{from_bench, run as play, Day, DayResult, Scale, Shape};
+use pintally_day::{from_bench, run_with as play, Day, DayResult, Scale, Shape};
 
 use crate::audit::print_rules;
 use crate::{read, Failure};
@@ -68,8 +68,10 @@
     let day = Day::parse(&args.file, &read(&args.file)?).map_err(Failure::usage)?;
     let first = args.seed.unwrap_or(day.seed);
     let mut kept = true;
+    // Nodes that are processes run this very program.
+    let exe = std::env::current_exe().map_err(Failure::failed)?;
     for seed in first..first + args.seeds {
-        let result = play(&day, seed, None).map_err(Failure::failed)?;
+        let result = play(&day, seed, &exe).map_err(Failure::failed)?;
         kept &= result.kept();
         if let Some(path) = &args.record {
             write_record(path, &result).map_err(|e| Failure::failed(format!("{path}: {e}")))?;
@@ -116,6 +118,9 @@
             println!("{name} shape: {nodes} nodes, {asked} asked, {served} served, {in_time} in time, {sends} sends");
         }
     }
+    if result.fell > 0 {
+        println!("cold engines that fell over: {}", result.fell);
+    }
     print_rules(r);
     println!("verdict: {}", if result.kept() { "kept" } else { "broken" });
 }
--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod serve;
 mod standin;
+mod told;
 
 use std::process::ExitCode;
 
@@ -48,6 +49,10 @@
     Check(check::Args),
     /// Cells: who belongs where, moves step by step, where each cell stands.
     Cells(cells::Args),
+    /// Whom nodes of a fleet know of each other.
+    Peers(told::Args),
+    /// Where nodes stand on their way back to service after a start.
+    Recovery(told::Args),
     /// Scripted days on loopback.
     Day(day::Args),
     /// Run stand-in engines on loopback and write their list.
@@ -89,6 +94,8 @@
         Command::Platform(args) => platform::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Cells(args) => cells::run(&args),
+        Command::Peers(args) => told::run(&args, told::What::Peers),
+        Command::Recovery(args) => told::run(&args, told::What::Recovery),
         Command::Day(args) => day::run(&args),
         Command::Standin(args) => standin::run(&args),
         Command::Lab(args) => lab::run(&args),
--- /dev/null
+++ b/crates/pintally-cli/tests/fleet/by_hand.rs
@@ -0,0 +1,285 @@
+//! Processes started by hand: whom they know, what one of them knew alone, names that are taken twice,
+//! and how soon a node that lacks everything serves.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use pintally::interface::{EngineId, Listing, Role};
+use pintally_audit::Answer;
+use pintally_config::{EngineEntry, EngineList, NodeSettings};
+use pintally_day::{get, Client, Day, Ended, Process, Rig, Running, Try};
+use pintally_standin::{Fleet, Port, Recorder};
+use serde_json::Value;
+use tempfile::TempDir;
+
+const EXE: &str = env!("CARGO_BIN_EXE_pintally");
+
+/// Some nodes that know each other by their addresses.
+struct Nodes {
+    day: Day,
+    settings: Vec<NodeSettings>,
+    running: Vec<Option<Box<Process>>>,
+    folder: TempDir,
+    starts: u64,
+    _ports: Vec<Port>,
+}
+
+impl Nodes {
+    fn new(nodes: usize) -> Nodes {
+        let text = crate::text(1, nodes, 1, "");
+        let day = Day::parse("by-hand", &text).unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let ports: Vec<Port> = (0..2 * nodes).map(|_| Port::hold().unwrap()).collect();
+        let at = |n: usize| ports[n].address().unwrap();
+        let seeds: Vec<SocketAddr> = (0..nodes).map(|n| at(nodes + n)).collect();
+        let settings = (0..nodes).map(|n| {
+            let mut s = day.node(n);
+            s.listen = at(n);
+            s.engines_file = file(folder.path(), n).to_string_lossy().into_owned();
+            let peers = s.peers.as_mut().unwrap();
+            (peers.listen, peers.seeds) = (at(nodes + n), seeds.clone());
+            let recovery = s.recovery.as_mut().unwrap();
+            recovery.store = Some(folder.path().join(format!("state-{n}")).to_string_lossy().into_owned());
+            s
+        });
+        let settings = settings.collect();
+        let running = (0..nodes).map(|_| None).collect();
+        Nodes { day, settings, running, folder, starts: 0, _ports: ports }
+    }
+
+    fn list(&self, node: usize, list: &EngineList) {
+        fs::write(file(self.folder.path(), node), list.render()).unwrap();
+    }
+
+    fn start(&mut self, node: usize) {
+        let settings = Arc::new(self.settings[node].clone());
+        // Each life has a mark of its own.
+        self.starts += 1;
+        let seed = (self.starts * 16 + node as u64) << 11;
+        let process = Process::start(Path::new(EXE), &settings, &self.day.shared, seed).unwrap();
+        self.running[node] = Some(Box::new(process));
+    }
+
+    fn kill(&mut self, node: usize) {
+        if let Some(process) = self.running[node].take() {
+            process.kill();
+        }
+    }
+
+    fn told(&self, node: usize, path: &str) -> Value {
+        get(self.settings[node].listen, path)
+            .and_then(|b| serde_json::from_slice(&b).ok())
+            .unwrap_or(Value::Null)
+    }
+
+    /// How one node sees another.
+    fn sees(&self, node: usize, other: &str) -> String {
+        let told = self.told(node, "/pintally/peers");
+        let peers = told["peers"].as_array().cloned().unwrap_or_default();
+        let found = peers.iter().find(|p| p["name"] == other);
+        found.and_then(|p| p["standing"].as_str()).unwrap_or("unknown").to_string()
+    }
+
+    fn serving(&self, node: usize) -> u64 {
+        self.told(node, "/pintally/counters")["serving_engines"].as_u64().unwrap_or(0)
+    }
+}
+
+fn file(folder: &Path, node: usize) -> PathBuf {
+    folder.join(format!("engines-{node}.sexp"))
+}
+
+/// Waits until something holds.
+fn until(what: &str, seconds: u64, holds: impl Fn() -> bool) {
+    let by = Instant::now() + Duration::from_secs(seconds);
+    while !holds() {
+        assert!(Instant::now() < by, "not within {seconds} s: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn engines(version: u64, listings: &[Listing]) -> EngineList {
+    let entry = |n: usize, listing: Listing| EngineEntry {
+        id: EngineId(format!("e{n}").as_str().into()),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "a".into(),
+        kind: if n.is_multiple_of(2) { "prefill" } else { "decode" }.into(),
+        rack: 0,
+        cell: None,
+        listing,
+        weight: 1.0,
+        started_unix_ms: None,
+    };
+    EngineList { version, engines: listings.iter().enumerate().map(|(n, l)| entry(n, *l)).collect() }
+}
+
+#[test]
+fn they_know_of_deaths_and_returns_and_the_command_line_tells() {
+    let mut fleet = Nodes::new(3);
+    for node in 0..3 {
+        fleet.list(node, &engines(1, &[Listing::Serving; 4]));
+        fleet.start(node);
+    }
+    until("all know all", 10, || {
+        (0..3).all(|n| (0..3).all(|o| n == o || fleet.sees(n, &format!("n{o}")) == "Alive"))
+    });
+    fleet.kill(2);
+    until("the death is known", 10, || (0..2).all(|n| fleet.sees(n, "n2") == "Dead"));
+    fleet.start(2);
+    until("it is back", 10, || (0..2).all(|n| fleet.sees(n, "n2") == "Alive"));
+    let told = fleet.told(0, "/pintally/peers");
+    let boot = told["peers"].as_array().unwrap().iter().find(|p| p["name"] == "n2").unwrap()["boot"].clone();
+    assert_eq!(boot, 2, "its disk has counted its lives: {told}");
+    for command in ["peers", "recovery"] {
+        let at = fleet.settings[0].listen.to_string();
+        let out = Command::new(EXE).args([command, "status", &at]).output().unwrap();
+        let text = String::from_utf8_lossy(&out.stdout);
+        assert!(out.status.success(), "{command}: {text}");
+        assert!(text.contains(if command == "peers" { "n2" } else { "stage" }), "{text}");
+        let gone = Command::new(EXE).args([command, "status", "127.0.0.1:9", "--json"]).output().unwrap();
+        assert_eq!(gone.status.code(), Some(1), "a silent node is told by the exit code");
+    }
+}
+
+/// Guards against a drain that is undone because the one node that knew it died, or because another's
+/// list file is older.
+#[test]
+fn a_drain_that_one_node_knew_reaches_the_others_and_survives_them() {
+    use Listing::{Draining, Serving};
+    let mut fleet = Nodes::new(3);
+    let old = engines(4, &[Serving; 4]);
+    fleet.list(0, &engines(5, &[Draining, Serving, Serving, Serving]));
+    fleet.list(1, &old);
+    fleet.list(2, &old);
+    (0..3).for_each(|n| fleet.start(n));
+    until("all know of the drain", 15, || (0..3).all(|n| fleet.serving(n) == 3));
+    std::thread::sleep(Duration::from_millis(300));
+    (0..3).for_each(|n| fleet.kill(n));
+    // The others return alone, and their files are still the old ones.
+    fleet.start(1);
+    assert_eq!(fleet.serving(1), 3, "its disk has kept what it was told");
+    fs::remove_dir_all(fleet.folder.path().join("state-2")).unwrap();
+    fleet.start(2);
+    until("who lost its disk hears of it", 15, || fleet.serving(2) == 3);
+    // The same version with another text: no drain of either is undone.
+    fleet.list(1, &engines(5, &[Serving, Draining, Serving, Serving]));
+    until("both drains hold everywhere", 15, || (1..3).all(|n| fleet.serving(n) == 2));
+}
+
+/// Guards against a process that was paused and, awake again, mourns everybody.
+#[test]
+fn a_process_that_stood_still_is_taken_back_and_harms_nobody() {
+    let mut fleet = Nodes::new(3);
+    for node in 0..3 {
+        fleet.list(node, &engines(1, &[Listing::Serving; 4]));
+        fleet.start(node);
+    }
+    until("all know all", 10, || {
+        (0..3).all(|n| (0..3).all(|o| n == o || fleet.sees(n, &format!("n{o}")) == "Alive"))
+    });
+    fleet.running[1].as_ref().unwrap().pause(true);
+    until("it is taken for dead", 15, || [0, 2].iter().all(|n| fleet.sees(*n, "n1") == "Dead"));
+    fleet.running[1].as_ref().unwrap().pause(false);
+    until("it is taken back", 15, || {
+        (0..3).all(|n| (0..3).all(|o| n == o || fleet.sees(n, &format!("n{o}")) == "Alive"))
+    });
+    let counters = fleet.told(1, "/pintally/peers")["counters"].clone();
+    assert!(counters["paused"].as_u64() >= Some(1), "{counters}");
+}
+
+/// Guards against two processes under one name that take turns in everybody's eyes.
+#[test]
+fn a_name_that_is_taken_twice_harms_nobody_else() {
+    let mut fleet = Nodes::new(3);
+    for node in 0..3 {
+        fleet.list(node, &engines(1, &[Listing::Serving; 4]));
+        fleet.start(node);
+    }
+    until("all know all", 10, || {
+        (0..3).all(|n| (0..3).all(|o| n == o || fleet.sees(n, &format!("n{o}")) == "Alive"))
+    });
+    let mut twin = fleet.settings[2].clone();
+    let (front, link) = (Port::hold().unwrap(), Port::hold().unwrap());
+    twin.listen = front.address().unwrap();
+    twin.peers.as_mut().unwrap().listen = link.address().unwrap();
+    twin.engines_file = fleet.folder.path().join("engines-twin.sexp").to_string_lossy().into_owned();
+    twin.recovery.as_mut().unwrap().store = None;
+    fs::write(&twin.engines_file, engines(1, &[Listing::Serving; 4]).render()).unwrap();
+    let own = Arc::new(twin.clone());
+    let second = Process::start(Path::new(EXE), &own, &fleet.day.shared, 77 << 11).unwrap();
+    let back = |at: SocketAddr| -> Value {
+        let told: Option<Value> = get(at, "/pintally/peers").and_then(|b| serde_json::from_slice(&b).ok());
+        told.map_or(Value::Null, |t| t["stepped_back"].clone())
+    };
+    until("one of the two steps back", 30, || {
+        [back(twin.listen), back(fleet.settings[2].listen)].iter().filter(|b| **b == true).count() == 1
+    });
+    until("the fleet is whole", 15, || fleet.sees(0, "n1") == "Alive" && fleet.sees(0, "n2") == "Alive");
+    Box::new(second).kill();
+}
+
+/// With every peer, the disk and the kept list missing a node still serves, within the stated time.
+#[test]
+fn a_node_that_lacks_everything_serves_in_time() {
+    let recorder = Recorder::default();
+    let stand = Fleet::new(recorder.clone());
+    let mut list = EngineList { version: 1, engines: Vec::new() };
+    for (id, role) in [("r", Role::Reader), ("w", Role::Writer)] {
+        let engine = stand.add(Rig::spec(id, role), false).unwrap();
+        list.engines.push(EngineEntry {
+            id: EngineId(id.into()),
+            address: engine.address,
+            zone: "a".into(),
+            kind: engine.spec.kind.clone(),
+            rack: 0,
+            cell: None,
+            listing: Listing::Serving,
+            weight: 1.0,
+            started_unix_ms: None,
+        });
+    }
+    let mut fleet = Nodes::new(3);
+    let blocked = fleet.folder.path().join("no-folder");
+    fs::write(&blocked, "a file").unwrap();
+    fleet.settings[0].recovery.as_mut().unwrap().store =
+        Some(blocked.join("state").to_string_lossy().into_owned());
+    // Everyone's first list is empty; engines come to it a little later.
+    fleet.list(0, &EngineList { version: 0, engines: Vec::new() });
+    let began = Instant::now();
+    fleet.start(0);
+    fleet.list(0, &list);
+    let client = Client { recorder };
+    let ask = |n: u32| Try {
+        id: format!("c{n}"),
+        node: "n0".into(),
+        address: fleet.settings[0].listen,
+        class: "hint".into(),
+        tenant: None,
+        session: u64::from(n),
+        prefix: None,
+        prefix_tokens: 0,
+        prompt: "text ".repeat(100),
+        max_tokens: 4,
+        patience: Duration::from_secs(2),
+        streamed: true,
+        leaves: None,
+    };
+    let mut tries = 0;
+    while !matches!(client.attempt(&ask(tries)), Ended::Answered(Answer::Served, _)) {
+        tries += 1;
+        assert!(began.elapsed() < Duration::from_secs(3), "nothing served after {tries} tries");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    println!(
+        "first request served {:?} after the process was started, at try {}",
+        began.elapsed(),
+        tries + 1
+    );
+    let told = fleet.told(0, "/pintally/recovery");
+    assert!(told["lacks"].as_array().is_some_and(|l| !l.is_empty()), "it says what it lacks: {told}");
+    stand.shut_down();
+}
--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The binary on loopback against a small stand-in of the platform.
 
+mod guard;
 mod stand;
 
 use std::time::Instant;
--- a/crates/pintally-cli/tests/platform/stand.rs
+++ b/crates/pintally-cli/tests/platform/stand.rs
@@ -295,6 +295,11 @@
         }
     }
 
+    /// The node's process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends the node a signal.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
--- a/crates/pintally-config/src/form.rs
+++ b/crates/pintally-config/src/form.rs
@@ -172,6 +172,16 @@
         ConfigError { rule: Some(rule), ..self.error(what) }
     }
 
+    /// Inner forms of these names as they stand, for a file of another kind that holds them too. They
+    /// do not count as taken.
+    pub fn texts(&self, names: &[&str]) -> Vec<String> {
+        self.inner
+            .iter()
+            .filter(|(name, _)| names.contains(name))
+            .map(|(_, form)| form.value().to_string())
+            .collect()
+    }
+
     /// The next plain value behind the name.
     fn next_value(&self) -> Option<&'a Value> {
         let value = self.values.get(self.taken.get())?;
--- a/crates/pintally-config/src/lib.rs
+++ b/crates/pintally-config/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod check;
 mod error;
+mod fleet;
 pub mod form;
 mod members;
 mod settings;
 
 pub use check::check;
 pub use error::ConfigError;
+pub use fleet::{PeerSettings, RecoverySettings, LIES};
 pub use members::{EngineEntry, EngineList};
 pub use settings::{shape, ClassSettings, Limits, NodeSettings};
--- a/crates/pintally-config/src/members.rs
+++ b/crates/pintally-config/src/members.rs
@@ -9,7 +9,7 @@
 use crate::ConfigError;
 
 /// A list of engines with its version.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineList {
     /// Grows with each change.
     pub version: u64,
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -5,7 +5,7 @@
 use pintally::interface::{Class, Discovery, Effect, Group, Kind, Micros, Reports, Role, Settings, Tenant};
 
 use crate::form::{Document, Form};
-use crate::{check, ConfigError};
+use crate::{check, fleet, ConfigError, PeerSettings, RecoverySettings};
 
 /// Everything that one node is told.
 #[derive(Clone, Debug)]
@@ -28,6 +28,10 @@
     pub cells_file: Option<String>,
     /// Where the last good file of cells is kept over a restart, if anywhere.
     pub kept_cells: Option<String>,
+    /// The other nodes of its fleet; none where it knows of no others.
+    pub peers: Option<PeerSettings>,
+    /// How it comes back after a start; none takes whatever comes from the first second.
+    pub recovery: Option<RecoverySettings>,
     /// Bounds on what clients and engines may use.
     pub limits: Limits,
     /// What the decision core is told.
@@ -162,6 +166,7 @@
             core.kinds.push(Kind { name, role, memory_tokens });
         }
         check::kinds(root, &core)?;
+        let (peers, recovery) = fleet::read(root)?;
         let settings = NodeSettings {
             name,
             listen,
@@ -172,6 +177,8 @@
             kept_list,
             cells_file,
             kept_cells,
+            peers,
+            recovery,
             limits: limits(root)?,
             core,
             classes,
@@ -179,6 +186,7 @@
         };
         node.finish()?;
         check::check(root, &settings)?;
+        fleet::check(root, &settings)?;
         Ok(settings)
     }
 }
@@ -245,6 +253,7 @@
         tip_window: 2_000_000,
         release_within: 500_000,
         ask_within: 0,
+        usual: [0.0; 3],
     };
     let empty = Document::parse("", "(rules)")?;
     let rules = match root.maybe("rules")? {
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -21,6 +21,7 @@
 use crate::engines;
 use crate::faults::{stage, Stage};
 use crate::publish::Publisher;
+use crate::relay::Relays;
 use crate::run::{Launch, RunError, Running};
 use crate::script::{Act, MoveStep, Script, Target};
 use crate::spec::Day;
@@ -90,6 +91,8 @@
     replaced: u64,
     starts: u64,
     figures: Vec<EngineFigures>,
+    /// Between nodes that are processes.
+    relays: Option<Relays>,
     /// Holds the lists; removed with the day.
     _folder: TempDir,
 }
@@ -132,6 +135,7 @@
             replaced: 0,
             starts: 0,
             figures: Vec::new(),
+            relays: None,
             _folder: folder,
         };
         play.build_engines().map_err(|e| fail("an engine cannot listen", &e))?;
@@ -167,7 +171,38 @@
         self.figures.push(EngineFigures { engine, zone, rack });
     }
 
+    /// Where nodes reach each other, if they are to: their own addresses, and a door for each pair.
+    fn build_links(&mut self) -> Result<Vec<(SocketAddr, Port)>, RunError> {
+        if self.day.settings.peers.is_none() {
+            return Ok(Vec::new());
+        }
+        let fail = |e: std::io::Error| RunError(format!("no links between nodes: {e}"));
+        let held: Result<Vec<_>, _> =
+            (0..self.day.nodes).map(|_| Port::hold().and_then(|p| Ok((p.address()?, p)))).collect();
+        let held = held.map_err(fail)?;
+        let listen: Vec<SocketAddr> = held.iter().map(|h| h.0).collect();
+        self.relays = Some(Relays::open(&listen, self.seed).map_err(fail)?);
+        Ok(held)
+    }
+
+    /// What one node is told of the others and of its disk.
+    fn among_others(&self, number: usize, at: Option<SocketAddr>, settings: &mut NodeSettings) {
+        if let (Some(peers), Some(at), Some(relays)) = (&mut settings.peers, at, &self.relays) {
+            peers.listen = at;
+            let doors =
+                (0..self.day.nodes).filter_map(|n| Some((format!("n{n}"), relays.address(number, n)?)));
+            peers.reach = doors.collect();
+            peers.seeds = peers.reach.iter().take(2).map(|r| r.1).collect();
+        }
+        if let Some(recovery) = &mut settings.recovery {
+            let folder = self.publisher.file(number).with_extension("state");
+            recovery.store = Some(folder.to_string_lossy().into_owned());
+            recovery.lie = self.day.disks.get(&number).map(|lie| (lie.clone(), self.seed & 0xffff_ffff));
+        }
+    }
+
     fn build_nodes(&mut self) -> Result<(), RunError> {
+        let links = self.build_links()?;
         for number in 0..self.day.nodes {
             let zone = number % self.day.zones.len();
             let mut settings = self.day.node(number);
@@ -186,9 +221,12 @@
                 settings.cells_file = Some(file.to_string_lossy().into_owned());
                 settings.kept_cells = Some(kept.with_extension("kept").to_string_lossy().into_owned());
             }
+            self.among_others(number, links.get(number).map(|l| l.0), &mut settings);
             self.nodes.push(Place { zone, settings: Arc::new(settings), _port: port, running: None });
             self.start_node(number)?;
         }
+        // Held until all have bound their own.
+        drop(links);
         Ok(())
     }
 
@@ -344,6 +382,21 @@
                 let written = self.publisher.write(node, version);
                 written.map_err(|e| RunError(format!("the list cannot be written: {e}")))?;
             }
+            Act::PowerOff(target) => {
+                if let Some(engine) = self.engine(&target) {
+                    engine.crash();
+                }
+            }
+            Act::Pause(node, on) => {
+                if let Some(running) = &self.nodes[node].running {
+                    running.pause(on);
+                }
+            }
+            Act::Link(from, to, link) => {
+                if let Some(relays) = &self.relays {
+                    relays.set(from, to, link);
+                }
+            }
             Act::KillNode(node) => {
                 let Some(running) = self.nodes[node].running.take() else { return Ok(()) };
                 self.fleet.recorder.note(What::NodeDown { node: format!("n{node}") });
--- /dev/null
+++ b/crates/pintally-day/src/process.rs
@@ -0,0 +1,166 @@
+//! Nodes as processes of their own: started by the command line's `serve`, killed, paused, stopped.
+
+use std::fs::{self, File};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use pintally_config::NodeSettings;
+use rustix::process::{kill_process, Pid, Signal};
+
+use crate::run::Running;
+
+/// A process that does not answer in this time after its start has not started.
+const UP_WITHIN: Duration = Duration::from_secs(15);
+/// And one that has not ended in this time after it was told to, beside its own time, is killed.
+const GRACE: Duration = Duration::from_secs(3);
+
+/// A node that is a process.
+pub struct Process {
+    child: Child,
+    address: SocketAddr,
+    stop_within: Duration,
+}
+
+impl Process {
+    /// Starts a node: its settings are written beside its list, `shared` being what all nodes' files
+    /// hold alike, and its log goes into a file there.
+    pub fn start(
+        exe: &Path,
+        settings: &Arc<NodeSettings>,
+        shared: &str,
+        seed: u64,
+    ) -> Result<Process, String> {
+        let text = file_of(settings, shared);
+        let file = PathBuf::from(&settings.engines_file).with_extension("node");
+        let fail = |what: &str, e: &dyn std::fmt::Display| format!("{what} {}: {e}", settings.name);
+        fs::write(&file, text).map_err(|e| fail("cannot write the settings of", &e))?;
+        let log = File::options().create(true).append(true).open(file.with_extension("log"));
+        let log = log.map_err(|e| fail("no log for", &e))?;
+        let child = Command::new(exe)
+            .args(["--log-level", "info", "serve", "--config"])
+            .arg(&file)
+            .args(["--seed", &(seed >> 11).to_string()])
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|e| fail("cannot start", &e))?;
+        let stop_within = Duration::from_micros(settings.limits.stop) + GRACE;
+        let mut process = Process { child, address: settings.listen, stop_within };
+        process.wait_until_up().map_err(|e| fail("no sign of", &e))?;
+        Ok(process)
+    }
+
+    fn wait_until_up(&mut self) -> Result<(), String> {
+        let by = Instant::now() + UP_WITHIN;
+        while get(self.address, "/v2/health/live").is_none() {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Err(format!("it ended with {status}"));
+            }
+            if Instant::now() > by {
+                return Err("it does not answer".into());
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Running for Process {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn kill(mut self: Box<Self>) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    fn stop(mut self: Box<Self>) {
+        self.signal(Signal::CONT);
+        self.signal(Signal::TERM);
+        let by = Instant::now() + self.stop_within;
+        while matches!(self.child.try_wait(), Ok(None)) {
+            if Instant::now() > by {
+                return self.kill();
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn pause(&self, on: bool) {
+        self.signal(if on { Signal::STOP } else { Signal::CONT });
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if matches!(self.child.try_wait(), Ok(None)) {
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+        }
+    }
+}
+
+/// The file of a node's settings.
+fn file_of(s: &NodeSettings, shared: &str) -> String {
+    use pintally_config::form::quoted;
+    let core = &s.core;
+    let mut text = format!(
+        "(pintally\n  (node (name {}) (listen \"{}\") (model {}) (zone {}) (number {}) (of {})\n        \
+         (engines {} (every-ms {}))",
+        quoted(&s.name),
+        s.listen,
+        quoted(&s.model),
+        quoted(&core.zone),
+        core.node,
+        core.nodes,
+        quoted(&s.engines_file),
+        s.engines_every as f64 / 1e3
+    );
+    if let Some(source) = s.source {
+        text += &format!(" (source \"{source}\")");
+    }
+    if let Some(kept) = &s.kept_list {
+        text += &format!(" (kept-list {})", quoted(kept));
+    }
+    text += ")\n  ";
+    text += shared;
+    for form in [s.peers.as_ref().map(ToString::to_string), s.recovery.as_ref().map(ToString::to_string)] {
+        text += &form.map(|f| format!("\n  {f}")).unwrap_or_default();
+    }
+    text + ")\n"
+}
+
+/// What a node tells at an endpoint of its own; none if it does not answer with 200 in time.
+pub fn get(node: SocketAddr, path: &str) -> Option<Vec<u8>> {
+    let wait = Duration::from_secs(1);
+    let mut stream = TcpStream::connect_timeout(&node, wait).ok()?;
+    stream.set_read_timeout(Some(wait)).ok()?;
+    stream.write_all(&pintally_http::request("GET", path, &[("connection", "close")], b"")).ok()?;
+    let mut reader = pintally_http::ResponseReader::new(16 << 10);
+    let (mut body, mut buffer) = (Vec::new(), [0u8; 8192]);
+    loop {
+        match reader.next_part().ok()? {
+            Some(pintally_http::Part::Head(200, _)) => {}
+            Some(pintally_http::Part::Head(..)) => return None,
+            Some(pintally_http::Part::Body(bytes)) => body.extend(bytes),
+            Some(pintally_http::Part::End(_)) => return Some(body),
+            None => {
+                let n = stream.read(&mut buffer).ok().filter(|n| *n > 0)?;
+                reader.push(&buffer[..n]);
+            }
+        }
+    }
+}
--- a/crates/pintally-day/src/script.rs
+++ b/crates/pintally-day/src/script.rs
@@ -43,10 +43,27 @@
     WriteCells(usize, u64),
     /// The list as it is now is written for a node.
     Write(usize, u64),
+    /// An engine dies without the list telling of it.
+    PowerOff(Target),
+    /// A node's process stands still, or goes on.
+    Pause(usize, bool),
+    /// The link from one node to another does so from now on.
+    Link(usize, usize, Link),
     /// A node that was killed is seen to be gone by the front, or seen to be back.
     Front(usize, bool),
 }
 
+/// How a link between two nodes is.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Link {
+    /// Nothing passes.
+    pub(crate) cut: bool,
+    /// What comes waits, and is delivered when this ends.
+    pub(crate) stalled: bool,
+    /// This share of the datagrams is lost, and as many are doubled.
+    pub(crate) loss: f64,
+}
+
 /// A step of a tenant's move.
 #[derive(Clone, Debug)]
 pub(crate) enum MoveStep {
--- a/crates/pintally-day/src/spec.rs
+++ b/crates/pintally-day/src/spec.rs
@@ -6,7 +6,7 @@
 use pintally::interface::{Role, Settings};
 use pintally_cells::CellsFile;
 use pintally_config::form::{Document, Form};
-use pintally_config::{shape, ConfigError, NodeSettings};
+use pintally_config::{shape, ConfigError, NodeSettings, LIES};
 
 use crate::faults;
 
@@ -29,6 +29,12 @@
     pub nodes: usize,
     /// The last of the nodes run in another shape already: how many, and what the core is told there.
     pub moved: Option<(usize, Settings)>,
+    /// Each node is a process of its own, with a relay on every link between two of them.
+    pub processes: bool,
+    /// Disks that lie, by node.
+    pub disks: BTreeMap<usize, String>,
+    /// What node's files share, as it stands in the day's.
+    pub shared: String,
     /// Word of the fleet reaches nodes so much later.
     pub notice: Duration,
     /// The front layer goes on sending to a dead node for so long.
@@ -147,6 +153,13 @@
     TenantFlood,
     MoveTenant,
     BadRelease,
+    Power,
+    NodePause,
+    PeerCut,
+    PeerOneWay,
+    PeerSide,
+    PeerStall,
+    PeerLoss,
 }
 
 /// One trouble of a day.
@@ -248,7 +261,28 @@
         for form in root.all("fault")? {
             list.push(faults::parse(&form, &zones, &settings, cells.as_ref())?);
         }
+        let mut disks = BTreeMap::new();
+        for form in root.all("disk")? {
+            let (node, lie) = (form.count(0, count as u64 - 1)? as usize, form.text()?);
+            form.finish()?;
+            if !LIES.contains(&lie.as_str()) {
+                return Err(
+                    form.error(format!("`{lie}` is no kind of lying disk; there are {}", LIES.join(", ")))
+                );
+            }
+            disks.insert(node, lie);
+        }
+        let processes = nodes.yes_or("processes", false)?;
+        if !processes && (settings.peers.is_some() || !disks.is_empty()) {
+            return Err(nodes.error("peers and disks need `(processes yes)`: each node is a process then"));
+        }
+        if processes && (cells.is_some() || moved.is_some()) {
+            return Err(nodes.error("nodes that are processes have no cells and no second shape yet"));
+        }
         let day = Day {
+            processes,
+            disks,
+            shared: root.texts(&["rules", "limits", "class", "tenant", "kind"]).join("\n  "),
             name: root.text_or("name", "day")?,
             seed: root.count_or("seed", 1, 0, 1 << 53)?,
             length: Duration::from_secs_f64(root.number_or("seconds", 30.0, 0.1, 86_400.0)?),
--- /dev/null
+++ b/crates/pintally-durable/src/loaded.rs
@@ -0,0 +1,83 @@
+//! What was found at the start, and what was not.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::record::Record;
+
+/// Something that a start lacks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lack {
+    /// A copy cannot be opened or read at all; why.
+    Copy(usize, String),
+    /// A copy was there and is of no use; it was set aside and a new one begun.
+    SetAside(usize, String),
+    /// A record is there and cannot be believed.
+    Record(usize, String, String),
+    /// Nothing can be written: what the node learns is lost with it.
+    Unwritable(String),
+    /// The disk did not tell in time; the node goes on without.
+    Late,
+}
+
+impl fmt::Display for Lack {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Lack::Copy(copy, why) => write!(f, "copy {copy} cannot be read: {why}"),
+            Lack::SetAside(copy, why) => write!(f, "copy {copy} was set aside: {why}"),
+            Lack::Record(copy, key, why) => write!(f, "record `{key}` of copy {copy}: {why}"),
+            Lack::Unwritable(why) => write!(f, "nothing can be kept: {why}"),
+            Lack::Late => f.write_str("the disk did not tell in time"),
+        }
+    }
+}
+
+/// What a start has found.
+#[derive(Clone, Debug, Default)]
+pub struct Loaded {
+    /// The newest sound record of each key.
+    pub records: BTreeMap<String, Record>,
+    /// What is lacking.
+    pub lacks: Vec<Lack>,
+}
+
+impl Loaded {
+    /// Takes a record in if it is newer than what is known under its key. One that cannot be from the
+    /// past (a boot or sequence beyond all others by more than a disk can have written) is not special:
+    /// its checksum held, and peers' memory is what judges boots.
+    pub(crate) fn take(&mut self, record: Record) {
+        match self.records.get(&record.key) {
+            Some(known) if known.rank() >= record.rank() => {}
+            _ => {
+                self.records.insert(record.key.clone(), record);
+            }
+        }
+    }
+
+    /// The payload under a key, if there is one that was not taken back.
+    pub fn get(&self, key: &str) -> Option<&Record> {
+        self.records.get(key).filter(|r| !r.payload.is_empty())
+    }
+
+    /// Records whose keys begin so.
+    pub fn under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Record> {
+        let of = move |r: &&Record| r.key.starts_with(prefix) && !r.payload.is_empty();
+        self.records
+            .range(prefix.to_string()..)
+            .map(|(_, r)| r)
+            .take_while(move |r| r.key.starts_with(prefix))
+            .filter(of)
+    }
+
+    /// The latest boot and sequence that any record tells of.
+    pub fn latest(&self) -> (u64, u64) {
+        let boot = self.records.values().map(|r| r.boot).max().unwrap_or(0);
+        let sequence = self.records.values().map(|r| r.sequence).max().unwrap_or(0);
+        (boot, sequence)
+    }
+
+    /// Whether anything at all was found.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- a/crates/pintally-host/src/cellular.rs
+++ b/crates/pintally-host/src/cellular.rs
@@ -57,6 +57,10 @@
             self.places.values_mut().for_each(|p| p.listing = Listing::Gone);
             self.members.clear();
         }
+        let mut list = list;
+        for one in &mut list {
+            one.member.started = self.started(one.member.started);
+        }
         for one in &list {
             let core = &self.settings.core;
             let member = &one.member;
--- a/crates/pintally-host/src/counters.rs
+++ b/crates/pintally-host/src/counters.rs
@@ -9,6 +9,8 @@
     pub turned_away: u64,
     /// Of these, turned away at the edge of their cell.
     pub at_the_edge: u64,
+    /// Of these, kept out while the fleet recovers.
+    pub kept_out: u64,
     /// Requests that waited and gave up their place to another's part.
     pub gave_way: u64,
     /// Final answers.
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -15,6 +15,7 @@
 
 use crate::input::{Arrival, Command, Final, Input, Listed, Order, Scope, Ticket};
 use crate::ledger::{Entry, HeldState, Out};
+use crate::recover::Recovering;
 use crate::releases::{Releases, Verdict};
 use crate::timers::{Due, Timers};
 use crate::Counters;
@@ -61,6 +62,10 @@
     actions: Vec<Action>,
     stopping: bool,
     stopped: bool,
+    /// The way back to service after a start, if there is one.
+    pub(crate) recovering: Option<Recovering>,
+    /// The list that holds has come from its source in this life.
+    pub(crate) list_fresh: bool,
     pub(crate) counters: Counters,
 }
 
@@ -90,6 +95,8 @@
             actions: Vec::new(),
             stopping: false,
             stopped: false,
+            recovering: None,
+            list_fresh: false,
             counters: Counters::default(),
         }
     }
@@ -164,6 +171,7 @@
                 Due::Cells => self.cells_due(now, out),
                 Due::Answer(ticket) => self.overdue(now, ticket, out),
                 Due::Release(id, engine) => self.release_again(id, engine, out),
+                Due::Recovery => self.recovery_due(now, out),
                 Due::Stop => self.give_up_all(now, out),
             }
             self.settle(out);
@@ -174,7 +182,16 @@
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
         self.now = now;
         match input {
-            Input::List(form, members) => self.list(now, form, members, out),
+            Input::List(form, members) => {
+                self.list(now, form, members, out);
+                self.recount(now, out);
+            }
+            Input::Fresh => {
+                if !std::mem::replace(&mut self.list_fresh, true) {
+                    self.recount(now, out);
+                }
+            }
+            Input::Recovery(heard) => self.recover(now, heard, out),
             Input::Cells(file) => self.take_cells(now, *file, out),
             Input::Arrived(arrival) => self.arrived(now, arrival, out),
             Input::FirstToken(ticket, attempt) => self.first_token(now, ticket, attempt, out),
@@ -277,7 +294,12 @@
             self.counters.stray += 1;
             return;
         }
-        let (margin, session) = (limits.answer_margin, arrival.session.unwrap_or(arrival.ticket | 1 << 52));
+        let margin = limits.answer_margin;
+        if let Some(after) = self.kept_out(now, &arrival) {
+            self.counters.kept_out += 1;
+            return self.turn_away(arrival.ticket, after, out);
+        }
+        let session = arrival.session.unwrap_or(arrival.ticket | 1 << 52);
         let Some(cell) = self.cell_for(now, &arrival, session, out) else { return };
         let class = arrival.class.and_then(|c| self.settings.classes.get(c));
         let own = || RequestId(format!("{}-{}", self.stamp, arrival.ticket).into());
@@ -407,11 +429,15 @@
             self.timers.unset(entry.guard);
         }
         let (id, cell, late) = (entry.id.clone(), entry.cell.clone(), now > entry.aim);
+        let engine = entry.out.as_ref().map(|o| o.engine.clone());
         let first = !std::mem::replace(&mut entry.heard, true);
         self.touched.push(ticket);
         if first {
             self.hear(now, &cell, late);
         }
+        if let Some(engine) = engine {
+            self.heard_engine(now, &engine, true, out);
+        }
         self.event(now, &cell, Event::FirstToken(id, attempt), out);
     }
 
@@ -460,6 +486,11 @@
             entry.held.retain(|h| h.state.is_none());
         }
         let over = entry.over;
+        match outcome {
+            Outcome::Read | Outcome::Served => self.heard_engine(now, &ended.engine, true, out),
+            Outcome::Unreachable => self.heard_engine(now, &ended.engine, false, out),
+            _ => {}
+        }
         if outcome == Outcome::Served && !over {
             self.answer(&id, Final::Served, out);
         } else if ended.started && !over {
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -70,6 +70,8 @@
 pub enum Input {
     /// Word of the fleet.
     List(ListForm, Vec<Listed>),
+    /// The list that holds is the source's own, read in this life, and not one that was kept.
+    Fresh,
     /// A version of the cells file.
     Cells(Box<CellsFile>),
     /// A request has come.
@@ -97,6 +99,8 @@
     Probed(EngineId, bool, Option<Load>),
     /// The release of a state, named as in [`Command::Release`], was heard by the engine, or not.
     Released(RequestId, EngineId, bool),
+    /// Something on the way back to service after a start.
+    Recovery(pintally_recovery::Input),
     /// Take nothing new, end what is held.
     Stop,
 }
@@ -161,6 +165,10 @@
     Probe(EngineId, SocketAddr, u64),
     /// Read the list of engines again.
     Reread,
+    /// Ask a peer how the fleet is, by the number that the peers' input gave it.
+    AskPeer(u64),
+    /// A stage of recovery has begun.
+    Stage(pintally_recovery::Stage),
     /// Say something to the people on call.
     Log(String),
     /// Everything has ended after [`Input::Stop`].
--- a/crates/pintally-host/src/lib.rs
+++ b/crates/pintally-host/src/lib.rs
@@ -15,6 +15,7 @@
 mod input;
 mod ledger;
 mod list;
+mod recover;
 mod releases;
 mod timers;
 
--- a/crates/pintally-host/src/list.rs
+++ b/crates/pintally-host/src/list.rs
@@ -78,6 +78,11 @@
         Some(EngineList { version: self.version?, engines }.render())
     }
 
+    /// The version that holds, if any does.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
     /// How many engines it names.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/pintally-host/src/timers.rs
+++ b/crates/pintally-host/src/timers.rs
@@ -19,6 +19,8 @@
     Answer(Ticket),
     /// A release is to be repeated.
     Release(RequestId, EngineId),
+    /// Recovery has something to do.
+    Recovery,
     /// Stopping has taken its whole time.
     Stop,
 }
--- a/crates/pintally-host/tests/host.rs
+++ b/crates/pintally-host/tests/host.rs
@@ -138,6 +138,7 @@
                     assert!(self.over.insert(ticket), "over twice");
                     assert!(!self.out.contains_key(&ticket), "over with an attempt out");
                 }
+                Command::AskPeer(_) | Command::Stage(_) => panic!("recovery without any"),
                 Command::Reread | Command::Log(_) => {}
             }
         }
--- a/crates/pintally-kserve/src/route.rs
+++ b/crates/pintally-kserve/src/route.rs
@@ -15,6 +15,10 @@
     Server,
     /// `GET /pintally/counters`: this project's own, for people on call.
     Counters,
+    /// `GET /pintally/peers`: whom the node knows.
+    Peers,
+    /// `GET /pintally/recovery`: where it stands on its way to full service.
+    Recovery,
     /// `GET /v2/models/{model}[/versions/{version}]`
     Model(String),
     /// `GET /v2/models/{model}[/versions/{version}]/ready`
@@ -44,6 +48,8 @@
     match parts[..] {
         ["v2"] => get(Route::Server),
         ["pintally", "counters"] => get(Route::Counters),
+        ["pintally", "peers"] => get(Route::Peers),
+        ["pintally", "recovery"] => get(Route::Recovery),
         ["v2", "health", "live"] => get(Route::Live),
         ["v2", "health", "ready"] => get(Route::Ready),
         ["v2", "models", model] => get(Route::Model(model.into())),
--- a/crates/pintally-node/src/connection.rs
+++ b/crates/pintally-node/src/connection.rs
@@ -136,6 +136,8 @@
         Route::Ready => ready(shared),
         Route::ModelReady(model) if known(&model) => ready(shared),
         Route::Counters => (200, counters(shared)),
+        Route::Peers => told(&shared.fleet.peers, "this node has no peers in its settings"),
+        Route::Recovery => told(&shared.fleet.recovery, "this node has no recovery in its settings"),
         Route::Server => (200, kserve::metadata(env!("CARGO_PKG_VERSION"))),
         Route::Model(model) if known(&model) => (200, kserve::model_metadata(&model)),
         Route::Work(model, form) if known(&model) => return work(shared, stream, waker, form, &request),
@@ -158,6 +160,15 @@
     }
 }
 
+/// What another thread has told last, as it is told to people.
+fn told<T: serde::Serialize>(what: &std::sync::Mutex<Option<T>>, none: &str) -> (u16, String) {
+    let told = what.lock().unwrap_or_else(|e| e.into_inner());
+    match told.as_ref().and_then(|t| serde_json::to_string(t).ok()) {
+        Some(text) => (200, text),
+        None => (404, kserve::error(none, false)),
+    }
+}
+
 fn counters(shared: &Shared) -> String {
     let c = shared.counters();
     let h = c.host;
@@ -183,7 +194,7 @@
         "unwritten": c.unwritten, "lists_refused": c.lists_refused,
         "deciding_us": c.deciding.as_micros() as u64, "serving_engines": shared.serving.load(Ordering::Relaxed),
         "taken": h.taken, "served": h.served, "refused": h.refused, "failed": h.failed, "cut": h.cut,
-        "left": h.left, "attempts": h.attempts, "never_sent": h.never_sent, "overdue": h.overdue,
+        "left": h.left, "kept_out": h.kept_out, "attempts": h.attempts, "never_sent": h.never_sent, "overdue": h.overdue,
         "releases": h.releases, "releases_by_host": h.releases_by_host,
         "releases_lost": h.releases_lost, "stray": h.stray,
     })
--- a/crates/pintally-node/src/decide.rs
+++ b/crates/pintally-node/src/decide.rs
@@ -19,6 +19,7 @@
     pub(crate) errands: Sender<Errand>,
     pub(crate) look: Sender<()>,
     pub(crate) stopped: Sender<()>,
+    pub(crate) ask: Sender<u64>,
 }
 
 struct Decider<'a> {
@@ -56,6 +57,13 @@
         let busy = began.elapsed().as_nanos() as u64;
         shared.counts.busy_ns.fetch_add(busy, Ordering::Relaxed);
         *shared.host_counters.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.counters();
+        let now = shared.clock.now();
+        if let Some(answer) = decider.host.recovery_answer(now) {
+            *shared.fleet.answer.lock().unwrap_or_else(|e| e.into_inner()) = Some(answer);
+            *shared.fleet.recovery.lock().unwrap_or_else(|e| e.into_inner()) =
+                decider.host.recovery_status(now);
+            *shared.fleet.usual.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.usual();
+        }
         if decider.host.take_fleet_change() {
             *shared.cells.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.cells_status();
             let moves = decider.host.moves_status(shared.clock.unix_ms());
@@ -131,6 +139,10 @@
                     Command::Reread => {
                         let _ = self.ends.look.try_send(());
                     }
+                    Command::AskPeer(peer) => {
+                        let _ = self.ends.ask.try_send(peer);
+                    }
+                    Command::Stage(stage) => info!(?stage, "recovery"),
                     Command::Log(text) => info!("{text}"),
                     Command::Stopped => {
                         let _ = self.ends.stopped.try_send(());
--- /dev/null
+++ b/crates/pintally-node/src/fleet.rs
@@ -0,0 +1,489 @@
+//! The node among its peers: one thread that probes, spreads and asks, and what the node keeps on disk.
+//!
+//! The deciding thread never waits for it: it is told by messages, and asks by a bounded channel.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, Sender};
+use pintally::interface::Micros;
+use pintally_config::{NodeSettings, PeerSettings, RecoverySettings};
+use pintally_durable::{Lie, Loaded, Store, StoreSettings};
+use pintally_host::Input;
+use pintally_peerlink::{fetch, Came, Udp, Whole};
+use pintally_peers::{Life, Notice, Output, PeerName, Peers, Settings, Topic};
+use pintally_recovery::{self as recovery, Answer, ClassWorth, Memory, Recovery};
+use tracing::{debug, info, warn};
+
+use crate::shared::{spawn_small, Shared};
+
+/// What nodes say of what they carried, and of the list that they hold.
+const CARRIED: Topic = Topic(1);
+const LIST: Topic = Topic(2);
+/// Questions and answers of recovery.
+const HOW: Topic = Topic(32);
+const SO: Topic = Topic(33);
+/// The number of the list among whole texts.
+const LIST_TEXT: u8 = 1;
+/// How often rates are counted, and records of them kept.
+const COUNT_EVERY: Micros = 1_000_000;
+/// A new rate's weight in the mean of what is carried.
+const BLEND: f64 = 0.2;
+/// What was carried fades by this a second, so that a fleet that shrank is not taken for what it was.
+const FADE: f64 = 0.999;
+/// A turn of the thread takes no longer, so that questions of the deciding thread go out.
+const TURN: Duration = Duration::from_millis(20);
+
+/// Keys of the node's records.
+const KEY_LIST: &str = "list";
+const KEY_CARRIED: &str = "carried";
+const KEY_BOOT: &str = "boot";
+const KEY_USUAL: &str = "usual";
+const KEY_PEERS: &str = "peers";
+
+/// What the fleet's thread and the others share.
+#[derive(Default)]
+pub(crate) struct FleetShared {
+    /// What the node says when a peer asks it; told by the deciding thread.
+    pub(crate) answer: Mutex<Option<Answer>>,
+    /// Where recovery stands, as people are told.
+    pub(crate) recovery: Mutex<Option<recovery::Status>>,
+    /// Whom the node knows, as people are told.
+    pub(crate) peers: Mutex<Option<pintally_peers::Status>>,
+    /// Answers a second of one warm engine of each role; told by the deciding thread.
+    pub(crate) usual: Mutex<[f64; 3]>,
+    /// The list that holds, with its version and what stands for its text.
+    list: Mutex<Option<(u64, u32, Arc<str>)>>,
+    /// A list that a peer holds, for the thread that follows the list.
+    offered: Mutex<Option<String>>,
+    store: Mutex<Option<Store>>,
+    /// Waiting for a text of a peer.
+    fetching: AtomicBool,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl FleetShared {
+    /// The list that holds from now on: spread, handed out and kept.
+    pub(crate) fn hold_list(&self, version: u64, text: &str) {
+        let sum = recovery_sum(text);
+        *lock(&self.list) = Some((version, sum, text.into()));
+        self.keep(KEY_LIST, text.as_bytes().to_vec());
+    }
+
+    /// A list that a peer has offered, if one waits.
+    pub(crate) fn take_offered(&self) -> Option<String> {
+        lock(&self.offered).take()
+    }
+
+    /// What the node keeps from now on goes there.
+    pub(crate) fn keep_in(&self, before: &mut Before) {
+        *lock(&self.store) = before.store.take();
+    }
+
+    /// Keeps a record, if the node keeps any.
+    fn keep(&self, key: &str, payload: Vec<u8>) {
+        if let Some(store) = lock(&self.store).as_ref() {
+            store.put(key, payload);
+        }
+    }
+}
+
+/// What stands for a text among peers.
+fn recovery_sum(text: &str) -> u32 {
+    text.bytes().fold(0x811c_9dc5u32, |sum, b| (sum ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
+/// What a start has found of the life before.
+pub(crate) struct Before {
+    store: Option<Store>,
+    pub(crate) list: Option<String>,
+    /// Answers a second of one warm engine of each role.
+    pub(crate) usual: [f64; 3],
+    memory: Memory,
+    life: Life,
+    /// Where peers were.
+    seen: Vec<SocketAddr>,
+}
+
+/// Opens the store and reads what it has, within the time that the settings give.
+pub(crate) fn read_before(settings: &NodeSettings, seed: u64) -> Before {
+    let (store, loaded) = match &settings.recovery {
+        Some(recovery) => open_store(recovery),
+        None => (None, Loaded::default()),
+    };
+    for lack in &loaded.lacks {
+        warn!(%lack, "something of the life before is lacking");
+    }
+    let text = |key: &str| loaded.get(key).and_then(|r| String::from_utf8(r.payload.clone()).ok());
+    let numbers = |key: &str| -> Vec<u64> {
+        let bytes = loaded.get(key).map_or(&[][..], |r| &r.payload);
+        bytes.chunks_exact(8).filter_map(|c| <[u8; 8]>::try_from(c).ok()).map(u64::from_le_bytes).collect()
+    };
+    let number = |key: &str| numbers(key).first().copied();
+    let mut lacks: Vec<String> = loaded.lacks.iter().map(ToString::to_string).collect();
+    if loaded.is_empty() && store.is_some() {
+        lacks.push("there is no record of a life before".into());
+    }
+    let boot = loaded.latest().0.max(number(KEY_BOOT).unwrap_or(0)) + 1;
+    if let Some(store) = &store {
+        store.put(KEY_BOOT, boot.to_le_bytes().to_vec());
+    }
+    // Without a memory the settings stand for it: what an engine carries, over all nodes.
+    let carries = settings.recovery.as_ref().map_or(0.0, |r| r.per_engine);
+    let mut usual = [carries / f64::from(settings.core.nodes.max(1)); 3];
+    let told = numbers(KEY_USUAL).into_iter().map(f64::from_bits);
+    usual.iter_mut().zip(told).filter(|(_, t)| t.is_finite() && *t > 0.0).for_each(|(u, t)| *u = t);
+    let seen = text(KEY_PEERS).unwrap_or_default();
+    Before {
+        list: text(KEY_LIST),
+        usual,
+        memory: Memory { carried: number(KEY_CARRIED).map_or(0.0, f64::from_bits), lacks },
+        life: Life { boot, mark: seed },
+        seen: seen.lines().filter_map(|a| a.parse().ok()).take(16).collect(),
+        store,
+    }
+}
+
+fn open_store(settings: &RecoverySettings) -> (Option<Store>, Loaded) {
+    let Some(folder) = &settings.store else { return (None, Loaded::default()) };
+    let (store, loaded) = Store::open(&StoreSettings {
+        folder: PathBuf::from(folder),
+        every: Duration::from_micros(settings.every),
+        within: Duration::from_micros(settings.read_within),
+        lie: settings.lie.as_ref().and_then(|(name, seed)| Some((lie(name)?, *seed))),
+    });
+    (Some(store), loaded)
+}
+
+/// A lying disk by its name in settings.
+fn lie(name: &str) -> Option<Lie> {
+    Some(match name {
+        "lost-syncs" => Lie::LostSyncs,
+        "torn-write" => Lie::TornWrite,
+        "flipped-bit" => Lie::FlippedBit,
+        "older-image" => Lie::OlderImage,
+        "full" => Lie::Full,
+        "read-only" => Lie::ReadOnly,
+        "slow" => Lie::Slow(Duration::from_secs(3)),
+        "read-errors" => Lie::ReadErrors,
+        _ => return None,
+    })
+}
+
+/// The recovery that the settings ask for, with what was read.
+pub(crate) fn recovery_of(settings: &NodeSettings, now: Micros) -> Option<Recovery> {
+    let own = settings.recovery.as_ref()?;
+    let core = &settings.core;
+    let classes = core
+        .classes
+        .iter()
+        .map(|c| ClassWorth { worth: c.worth, once: c.effect == pintally::interface::Effect::Unsafe });
+    let figures = recovery::Settings {
+        expected: core.nodes.max(1) as usize,
+        peers: settings.peers.is_some(),
+        ask: own.ask,
+        answer_within: own.answer_within,
+        rounds: own.rounds,
+        careful_most: own.careful_most,
+        cold_from: core.cold_from,
+        warm_after: core.warm_after,
+        per_engine: own.per_engine,
+        textless: own.textless,
+        retry_most: if core.retry_advice { core.max_retry_after } else { 0 },
+        classes: classes.collect(),
+    };
+    Some(Recovery::new(figures, now, own.read_within))
+}
+
+/// The fleet's side of a node.
+pub(crate) struct Fleet {
+    udp: Udp,
+    peers: Peers,
+    whole: Whole,
+    memory: Memory,
+}
+
+/// Opens the sockets towards peers.
+pub(crate) fn open(
+    shared: &Arc<Shared>,
+    settings: &PeerSettings,
+    before: &Before,
+    seed: u64,
+) -> io::Result<Fleet> {
+    let udp = Udp::bind(settings.listen)?;
+    let own = shared.clone();
+    let whole = Whole::serve(settings.listen, move |what| {
+        let list = lock(&own.fleet.list).clone();
+        (what == LIST_TEXT).then_some(list).flatten().map(|(_, _, text)| text.as_bytes().to_vec())
+    })?;
+    let node = &shared.settings;
+    let mut figures =
+        Settings::new(&settings.fleet, &node.name, &node.core.zone, settings.listen, settings.seeds.clone());
+    figures.seeds.extend(&before.seen);
+    figures.reach = settings.reach.iter().map(|(n, a)| (PeerName::from(n.as_str()), *a)).collect();
+    figures.period = settings.period;
+    figures.answer_within = settings.answer;
+    figures.indirect = settings.indirect;
+    figures.suspicion = settings.suspicion;
+    figures.repair = settings.repair;
+    figures.forget = settings.forget;
+    figures.check().map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e.to_string()))?;
+    let peers = Peers::new(figures, before.life, seed, shared.clock.now());
+    Ok(Fleet { udp, peers, whole, memory: before.memory.clone() })
+}
+
+/// What a node without peers does at its start: it goes by what its disk has.
+pub(crate) fn alone(shared: &Shared, before: &Before) {
+    shared.tell(Input::Recovery(recovery::Input::Read(before.memory.clone())));
+}
+
+struct Running<'a> {
+    shared: &'a Arc<Shared>,
+    fleet: Fleet,
+    look: Sender<()>,
+    numbers: BTreeMap<PeerName, u64>,
+    names: Vec<PeerName>,
+    carried: f64,
+    served: u64,
+    rate: f64,
+    next_count: Micros,
+}
+
+/// Runs until the node ends. `ask` brings numbers of peers to be asked.
+pub(crate) fn run(shared: &Arc<Shared>, fleet: Fleet, ask: &Receiver<u64>, look: Sender<()>) {
+    shared.tell(Input::Recovery(recovery::Input::Read(fleet.memory.clone())));
+    let carried = fleet.memory.carried;
+    let mut running = Running {
+        shared,
+        fleet,
+        look,
+        numbers: BTreeMap::new(),
+        names: Vec::new(),
+        carried: if carried.is_finite() { carried } else { 0.0 },
+        served: 0,
+        rate: 0.0,
+        next_count: shared.clock.now(),
+    };
+    let mut leaving = false;
+    while !shared.is_dead() && !leaving {
+        leaving = shared.is_closing();
+        running.turn(ask);
+    }
+    if leaving && !shared.is_dead() {
+        let mut out = Vec::new();
+        running.fleet.peers.leave(&mut out);
+        running.carry_out(out);
+    }
+}
+
+impl Running<'_> {
+    fn turn(&mut self, ask: &Receiver<u64>) {
+        let mut out = Vec::new();
+        let now = self.shared.clock.now();
+        if self.fleet.peers.next_wake() <= now {
+            self.fleet.peers.tick(now, &mut out);
+        }
+        for number in ask.try_iter() {
+            let Some(name) = self.names.get(number as usize).cloned() else { continue };
+            self.fleet.peers.tell(&name, HOW, Vec::new(), &mut out);
+        }
+        self.carry_out(out);
+        if now >= self.next_count {
+            self.next_count = now + COUNT_EVERY;
+            self.count(now);
+        }
+        let wake = self.shared.clock.instant(self.fleet.peers.next_wake());
+        let until = wake.min(Instant::now() + TURN);
+        match self.fleet.udp.receive(until) {
+            Ok(Came::Datagram(from, bytes)) => {
+                let mut out = Vec::new();
+                self.fleet.peers.receive(self.shared.clock.now(), from, &bytes, &mut out);
+                self.carry_out(out);
+            }
+            Ok(Came::Nothing) => {}
+            Err(e) => {
+                warn!(error = %e, "the link to peers cannot be read");
+                std::thread::sleep(TURN);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, out: Vec<Output>) {
+        let mut known = false;
+        for one in out {
+            match one {
+                Output::Datagram(to, bytes) => {
+                    self.fleet.udp.send(to, &bytes);
+                }
+                Output::Notice(notice) => known |= self.notice(notice),
+            }
+        }
+        if known {
+            self.tell_who_is_here();
+        }
+    }
+
+    /// Takes a notice in; whether it changes who is here.
+    fn notice(&mut self, notice: Notice) -> bool {
+        match notice {
+            Notice::Up(name, life) => {
+                info!(peer = %name, boot = life.boot, "a peer is here");
+                return true;
+            }
+            Notice::Down(name) => {
+                info!(peer = %name, "a peer is dead");
+                return true;
+            }
+            Notice::Left(name) => {
+                info!(peer = %name, "a peer has left");
+                return true;
+            }
+            Notice::Suspected(name) => debug!(peer = %name, "a peer is suspected"),
+            Notice::Fact(origin, LIST) => self.list_of(&origin),
+            Notice::Fact(..) => {}
+            Notice::Told(from, HOW, _) => {
+                let (answer, list) = (*lock(&self.shared.fleet.answer), self.list_held());
+                let answer = answer.map(|a| Answer { list, ..a });
+                if let Some(bytes) = answer.and_then(|a| serde_json::to_vec(&a).ok()) {
+                    let mut out = Vec::new();
+                    self.fleet.peers.tell(&from, SO, bytes, &mut out);
+                    self.carry_out(out);
+                }
+            }
+            Notice::Told(from, SO, bytes) => {
+                let number = self.number(&from);
+                if let Ok(answer) = serde_json::from_slice::<Answer>(&bytes) {
+                    // A peer in full service goes by the same list: it need not come from its source again.
+                    if answer.stage == recovery::Stage::Serving
+                        && answer.list.is_some()
+                        && answer.list == self.list_held()
+                    {
+                        self.shared.tell(Input::Fresh);
+                    }
+                    self.shared.tell(Input::Recovery(recovery::Input::Answered(number, answer)));
+                }
+            }
+            Notice::Told(..) => {}
+            Notice::DiskWentBack { own, now } => {
+                warn!(own, now, "peers remember a later life of this node: its disk went back, or was lost");
+                self.shared.fleet.keep(KEY_BOOT, now.to_le_bytes().to_vec());
+            }
+            Notice::SteppedBack => {
+                warn!("another process runs under this node's name: no peer is told anything")
+            }
+            Notice::StoodStill(span) => warn!(ms = span / 1000, "this process has stood still"),
+        }
+        false
+    }
+
+    /// The version of the list that holds, and what stands for its text.
+    fn list_held(&self) -> Option<(u64, u32)> {
+        lock(&self.shared.fleet.list).as_ref().map(|(version, sum, _)| (*version, *sum))
+    }
+
+    fn number(&mut self, name: &PeerName) -> u64 {
+        if let Some(number) = self.numbers.get(name) {
+            return *number;
+        }
+        self.names.push(name.clone());
+        let number = self.names.len() as u64 - 1;
+        self.numbers.insert(name.clone(), number);
+        number
+    }
+
+    fn tell_who_is_here(&mut self) {
+        let here: Vec<PeerName> =
+            self.fleet.peers.members().filter(|m| m.is_here()).map(|m| m.name().clone()).collect();
+        let at: Vec<String> = self
+            .fleet
+            .peers
+            .members()
+            .filter(|m| m.is_here())
+            .map(|m| self.fleet.peers.route(m).to_string())
+            .collect();
+        self.shared.fleet.keep(KEY_PEERS, at.join("\n").into_bytes());
+        let numbers: Vec<u64> = here.iter().map(|n| self.number(n)).collect();
+        self.shared.tell(Input::Recovery(recovery::Input::Peers(self.fleet.peers.here(), numbers)));
+    }
+
+    /// Counts what was carried, and tells and keeps it while the node serves in full.
+    fn count(&mut self, now: Micros) {
+        let served = self.shared.counters().host.served;
+        let fresh = served.saturating_sub(std::mem::replace(&mut self.served, served));
+        self.rate += BLEND * (fresh as f64 - self.rate);
+        let stage = lock(&self.shared.fleet.answer).map(|a| a.stage);
+        if stage.is_none_or(|s| s == recovery::Stage::Serving) {
+            let _ = self.fleet.peers.say(CARRIED, self.rate.to_bits().to_le_bytes().to_vec());
+            let here =
+                |f: &&pintally_peers::Fact| self.fleet.peers.member(&f.origin).is_some_and(|m| m.is_here());
+            let told = self.fleet.peers.facts(CARRIED).filter(here).filter_map(|f| {
+                let bytes = <[u8; 8]>::try_from(f.payload.as_slice()).ok()?;
+                Some(f64::from_bits(u64::from_le_bytes(bytes))).filter(|c| c.is_finite() && *c >= 0.0)
+            });
+            let whole: f64 = told.sum::<f64>() + self.rate;
+            self.carried = whole.max(self.carried * FADE);
+            self.shared.fleet.keep(KEY_CARRIED, self.carried.to_bits().to_le_bytes().to_vec());
+            let usual = *lock(&self.shared.fleet.usual);
+            self.shared.fleet.keep(KEY_USUAL, usual.iter().flat_map(|u| u.to_bits().to_le_bytes()).collect());
+        }
+        if let Some((version, sum)) = self.list_held() {
+            let mut payload = version.to_le_bytes().to_vec();
+            payload.extend(sum.to_le_bytes());
+            let _ = self.fleet.peers.say(LIST, payload);
+        }
+        // A list that could not be fetched when it was told of is asked for again.
+        let origins: Vec<PeerName> = self.fleet.peers.facts(LIST).map(|f| f.origin.clone()).collect();
+        origins.iter().for_each(|o| self.list_of(o));
+        *lock(&self.shared.fleet.peers) = Some(self.fleet.peers.status(now));
+    }
+
+    /// A peer has told which list it holds: one that is newer, or another of the same version, is fetched.
+    fn list_of(&mut self, origin: &PeerName) {
+        let fact = self.fleet.peers.facts(LIST).find(|f| f.origin == *origin);
+        let Some(payload) = fact.map(|f| f.payload.clone()).filter(|p| p.len() == 12) else { return };
+        let mut version = [0u8; 8];
+        version.copy_from_slice(&payload[..8]);
+        let version = u64::from_le_bytes(version);
+        let sum = u32::from_le_bytes([payload[8], payload[9], payload[10], payload[11]]);
+        let wanted = self.list_held().is_none_or(|(v, s)| version > v || version == v && sum != s);
+        let Some(from) =
+            self.fleet.peers.member(origin).filter(|m| m.is_here()).map(|m| self.fleet.peers.route(m))
+        else {
+            return;
+        };
+        if !wanted || self.shared.fleet.fetching.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let (shared, look) = (self.shared.clone(), self.look.clone());
+        let spawned = spawn_small("fetch", move || {
+            match fetch(from, LIST_TEXT).map(String::from_utf8) {
+                Ok(Ok(text)) => {
+                    *lock(&shared.fleet.offered) = Some(text);
+                    let _ = look.try_send(());
+                }
+                Ok(Err(_)) => debug!(%from, "a peer's list is no text"),
+                Err(e) => debug!(%from, error = %e, "a peer's list cannot be fetched"),
+            }
+            shared.fleet.fetching.store(false, Ordering::Release);
+        });
+        if spawned.is_err() {
+            self.shared.fleet.fetching.store(false, Ordering::Release);
+        }
+    }
+}
+
+impl Fleet {
+    /// Where peers reach it.
+    pub(crate) fn address(&self) -> io::Result<SocketAddr> {
+        let _ = &self.whole;
+        self.udp.address()
+    }
+}
--- a/crates/pintally-node/src/lib.rs
+++ b/crates/pintally-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod decide;
 mod door;
 mod errand;
+mod fleet;
 mod life;
 mod node;
 mod pool;
--- a/crates/pintally-node/src/node.rs
+++ b/crates/pintally-node/src/node.rs
@@ -16,12 +16,14 @@
 use crate::decide::Ends;
 use crate::shared::{spawn_small, Message, NodeCounters, Shared};
 use crate::wait::Waker;
-use crate::{decide, door, errand, watch};
+use crate::{decide, door, errand, fleet, watch};
 
 /// Messages that may wait for the deciding thread.
 const MESSAGES: usize = 1 << 16;
 /// Errands that may wait.
 const ERRANDS: usize = 1 << 14;
+/// Questions to peers that may wait; one that does not fit is asked again later.
+const ASKED: usize = 64;
 
 /// Why a node could not start.
 #[derive(Debug)]
@@ -59,7 +61,13 @@
         let (errands, errand_queue) = bounded(ERRANDS);
         let (look, look_queue) = bounded(1);
         let (stopped_sender, stopped) = bounded(1);
+        let mut before = fleet::read_before(&settings, seed);
+        let mut settings = settings;
+        if settings.recovery.is_some() {
+            Arc::make_mut(&mut settings).core.usual = before.usual;
+        }
         let shared = Arc::new(Shared::new(settings.clone(), decide));
+        shared.fleet.keep_in(&mut before);
         let door_waker = Arc::new(Waker::new().map_err(fail("cannot make a waker"))?);
         let mut node = Node {
             shared: shared.clone(),
@@ -69,8 +77,18 @@
             threads: Vec::new(),
             look: None,
         };
-        let host = Host::new(settings.clone(), seed);
-        let ends = Ends { errands, look: look.clone(), stopped: stopped_sender };
+        let mut host = Host::new(settings.clone(), seed);
+        if let Some(recovery) = fleet::recovery_of(&settings, shared.clock.now()) {
+            host = host.with_recovery(recovery);
+        }
+        let (ask, asked) = bounded(ASKED);
+        let ends = Ends { errands, look: look.clone(), stopped: stopped_sender, ask };
+        let link = match &settings.peers {
+            Some(peers) => {
+                Some(fleet::open(&shared, peers, &before, seed).map_err(fail("cannot reach for peers"))?)
+            }
+            None => None,
+        };
         let own = shared.clone();
         node.spawn("decide", move || decide::run(&own, host, &messages, ends))?;
         for _ in 0..settings.limits.errands {
@@ -81,6 +99,15 @@
         let mut follower = ListFollower::default();
         let cells = watch::restore_cells(&shared);
         watch::restore(&shared, &mut follower);
+        watch::restore_text(&shared, &mut follower, before.list.as_deref());
+        match link {
+            Some(link) => {
+                info!(peers = %link.address().map_err(fail("cannot reach for peers"))?, "link to peers");
+                let (own, look) = (shared.clone(), look.clone());
+                node.spawn("fleet", move || fleet::run(&own, link, &asked, look))?;
+            }
+            None => fleet::alone(&shared, &before),
+        }
         let own = shared.clone();
         node.spawn("list", move || watch::run(&own, follower, cells, &look_queue))?;
         node.look = Some(look);
--- a/crates/pintally-node/src/shared.rs
+++ b/crates/pintally-node/src/shared.rs
@@ -13,6 +13,7 @@
 use pintally_host::{Arrival, Counters, Final, Input, Order};
 
 use crate::clock::Clock;
+use crate::fleet::FleetShared;
 use crate::pool::Pool;
 use crate::wait::Waker;
 
@@ -98,6 +99,8 @@
     /// Engines that take work, by the list; the node is ready while there are any.
     pub(crate) serving: AtomicUsize,
     pub(crate) next_ticket: AtomicU64,
+    /// What it knows of its peers, and what it keeps.
+    pub(crate) fleet: FleetShared,
     /// Bytes of requests that are held, of all connections together.
     bodies: AtomicUsize,
     /// Nothing new is taken.
@@ -122,6 +125,7 @@
             moves: Mutex::default(),
             serving: AtomicUsize::new(0),
             next_ticket: AtomicU64::new(1),
+            fleet: FleetShared::default(),
             bodies: AtomicUsize::new(0),
             closing: AtomicBool::new(false),
             dead: AtomicBool::new(false),
--- a/crates/pintally-node/src/watch.rs
+++ b/crates/pintally-node/src/watch.rs
@@ -10,7 +10,9 @@
 use pintally::interface::ListForm;
 use pintally_cells::CellsFile;
 use pintally_config::form::FILE_MOST;
+use pintally_config::EngineList;
 use pintally_host::{Applied, Input, ListFollower};
+use pintally_recovery::{merge, Merged};
 use tracing::{info, warn};
 
 use crate::shared::Shared;
@@ -55,13 +57,16 @@
         }
         match list.changed(&settings.engines_file) {
             None => {}
-            Some(Ok(text)) => apply(shared, &mut follower, &settings.engines_file, &text),
+            Some(Ok(text)) => apply(shared, &mut follower, &settings.engines_file, &text, true),
             Some(Err(e)) => {
                 let file = &settings.engines_file;
                 warn!(file, error = %e, "the list of engines cannot be read: the old list holds");
                 shared.tell(Input::List(ListForm::Failed, Vec::new()));
             }
         }
+        if let Some(text) = shared.fleet.take_offered() {
+            apply(shared, &mut follower, "a peer's list", text.as_bytes(), false);
+        }
         match look.recv_timeout(every) {
             Ok(()) | Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
@@ -126,12 +131,43 @@
     };
 }
 
-fn apply(shared: &Shared, follower: &mut ListFollower, file: &str, text: &[u8]) {
-    if !take(shared, follower, file, text) {
+/// Takes in a list that was kept elsewhere than in its file.
+pub(crate) fn restore_text(shared: &Shared, follower: &mut ListFollower, text: Option<&str>) {
+    if let Some(text) = text {
+        take(shared, follower, "the kept state", text.as_bytes());
+    }
+    if let (Some(version), Some(text)) = (follower.version(), follower.kept()) {
+        shared.fleet.hold_list(version, &text);
+    }
+}
+
+/// Where nodes act together a list is held against the one that holds: a drain that any node knew is
+/// never undone by another text of the same version.
+fn united(follower: &ListFollower, file: &str, text: &[u8]) -> Option<Vec<u8>> {
+    let claim = EngineList::parse(file, &String::from_utf8_lossy(text)).ok()?;
+    let held = EngineList::parse(file, &follower.kept()?).ok()?;
+    match merge(Some(&held), &claim) {
+        Merged::United(list) => Some(list.render().into_bytes()),
+        Merged::Kept if held.version == claim.version => Some(held.render().into_bytes()),
+        Merged::Kept | Merged::Took(_) => None,
+    }
+}
+
+fn apply(shared: &Shared, follower: &mut ListFollower, file: &str, text: &[u8], source: bool) {
+    let together = shared.settings.peers.as_ref().and_then(|_| united(follower, file, text));
+    let changed = take(shared, follower, file, together.as_deref().unwrap_or(text));
+    let same = EngineList::parse(file, &String::from_utf8_lossy(text)).ok().map(|l| l.version);
+    if source && same.is_some() && same == follower.version() {
+        shared.tell(Input::Fresh);
+    }
+    if !changed {
         return;
     }
-    let Some(kept) = &shared.settings.kept_list else { return };
     let Some(text) = follower.kept() else { return };
+    if let Some(version) = follower.version() {
+        shared.fleet.hold_list(version, &text);
+    }
+    let Some(kept) = &shared.settings.kept_list else { return };
     if let Err(e) = write_whole(Path::new(kept), text.as_bytes()) {
         warn!(file = kept, error = %e, "the list cannot be kept: a restart will begin without it");
     }
--- /dev/null
+++ b/crates/pintally-peerlink/src/lib.rs
@@ -0,0 +1,9 @@
+//! Sockets between the nodes of a fleet, as small as can be: UDP for what fits into a datagram, TCP on
+//! the same port for whole texts. Everything is bounded: sizes, times, and how many texts are handed
+//! out at once.
+
+mod udp;
+mod whole;
+
+pub use udp::{Came, Udp};
+pub use whole::{fetch, Whole, TEXT_MOST};
--- /dev/null
+++ b/crates/pintally-peerlink/src/udp.rs
@@ -0,0 +1,76 @@
+//! Datagrams, and a way to be woken while waiting for one.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+
+/// Bytes of the largest datagram that is taken in.
+const MOST: usize = 4096;
+
+/// What came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Came {
+    /// A datagram, from there.
+    Datagram(SocketAddr, Vec<u8>),
+    /// Nothing until the time was up.
+    Nothing,
+}
+
+/// A socket for datagrams.
+#[derive(Debug)]
+pub struct Udp {
+    socket: UdpSocket,
+}
+
+impl Udp {
+    /// Listens on an address.
+    pub fn bind(address: SocketAddr) -> io::Result<Udp> {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        Ok(Udp { socket })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends a datagram, or drops it where it cannot go: whoever it is for will be told again.
+    pub fn send(&self, to: SocketAddr, bytes: &[u8]) -> bool {
+        self.socket.send_to(bytes, to).is_ok()
+    }
+
+    /// The next datagram; waits for it until a time.
+    pub fn receive(&self, until: Instant) -> io::Result<Came> {
+        let mut buffer = [0u8; MOST];
+        loop {
+            match self.socket.recv_from(&mut buffer) {
+                Ok((n, from)) => return Ok(Came::Datagram(from, buffer[..n].to_vec())),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                // A refusal of an earlier datagram comes back here: the peer's port is closed.
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionRefused) =>
+                {
+                    continue
+                }
+                Err(e) => return Err(e),
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() || !self.readable(left)? {
+                return Ok(Came::Nothing);
+            }
+        }
+    }
+
+    fn readable(&self, left: Duration) -> io::Result<bool> {
+        let span = Timespec { tv_sec: left.as_secs() as i64, tv_nsec: left.subsec_nanos().into() };
+        let mut fds = [PollFd::new(&self.socket, PollFlags::IN)];
+        match poll(&mut fds, Some(&span)) {
+            Ok(n) => Ok(n > 0),
+            Err(rustix::io::Errno::INTR) => Ok(true),
+            Err(e) => Err(e.into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pintally-peers/src/facts.rs
@@ -0,0 +1,103 @@
+//! Small versioned facts: who said it, in which life, in which order.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::identity::{sound, Life, PeerName};
+use crate::members::MEMBERS_MOST;
+
+/// Bytes of a fact at the most: several fit into a datagram.
+pub const PAYLOAD_MOST: usize = 400;
+/// Topics that one node may speak on.
+pub const FACTS_MOST: usize = 16;
+
+/// What a fact is about; each package of the fleet has its own numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Topic(pub u8);
+
+/// Something that a node says of itself, or of what it knows. Only its origin makes new versions of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fact {
+    /// Who says it.
+    pub origin: PeerName,
+    /// What it is about.
+    pub topic: Topic,
+    /// In which life it was said; a later life's word wins whatever its version.
+    pub life: Life,
+    /// Counts the versions within a life.
+    pub version: u64,
+    /// What is said; empty where it was taken back.
+    pub payload: Vec<u8>,
+}
+
+impl Fact {
+    fn rank(&self) -> (Life, u64) {
+        (self.life, self.version)
+    }
+
+    pub(crate) fn sound(&self) -> bool {
+        sound(&self.origin) && self.payload.len() <= PAYLOAD_MOST && self.version > 0
+    }
+}
+
+/// Why a fact was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// It is longer than a fact may be.
+    TooLong,
+    /// The node speaks on too many topics.
+    TooMany,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::TooLong => write!(f, "a fact holds at most {PAYLOAD_MOST} bytes"),
+            Refused::TooMany => write!(f, "a node speaks on at most {FACTS_MOST} topics"),
+        }
+    }
+}
+
+impl std::error::Error for Refused {}
+
+/// All facts that are known, the newest of each origin and topic.
+#[derive(Default)]
+pub(crate) struct Facts {
+    all: BTreeMap<(PeerName, Topic), Fact>,
+}
+
+impl Facts {
+    pub(crate) fn get(&self, key: &(PeerName, Topic)) -> Option<&Fact> {
+        self.all.get(key)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Fact> {
+        self.all.values()
+    }
+
+    /// Takes a fact in if it is newer; whether it was.
+    pub(crate) fn take(&mut self, fact: Fact) -> bool {
+        let key = (fact.origin.clone(), fact.topic);
+        match self.all.get(&key) {
+            Some(known) if known.rank() >= fact.rank() => false,
+            None if self.count(&fact.origin) >= FACTS_MOST || self.all.len() >= MEMBERS_MOST * 4 => false,
+            _ => {
+                self.all.insert(key, fact);
+                true
+            }
+        }
+    }
+
+    /// Topics on which a node has spoken.
+    pub(crate) fn count(&self, origin: &PeerName) -> usize {
+        let from = (origin.clone(), Topic(0));
+        self.all.range(from..).take_while(|(k, _)| k.0 == *origin).count()
+    }
+
+    /// Drops what a forgotten peer has said.
+    pub(crate) fn forget(&mut self, origin: &PeerName) {
+        self.all.retain(|(name, _), _| name != origin);
+    }
+}
--- /dev/null
+++ b/crates/pintally-peers/src/lib.rs
@@ -0,0 +1,29 @@
+//! Who is in the fleet, and small versioned facts that its nodes tell each other.
+//!
+//! Bytes in, bytes out, time handed in: no sockets, threads or clocks. Probing and suspicion follow
+//! SWIM (Das, Gupta, Motivala 2002) with Lifeguard's three refinements (Dadgar, Phillips, Currey 2017):
+//! a node weighs its own health before it accuses others, suspicion ends sooner the more nodes share
+//! it, and who is suspected hears of it first. What spread has missed is repaired by comparing digests
+//! (Demers and others 1987). `docs/peers.md` gives bounds and costs.
+
+mod facts;
+mod health;
+mod identity;
+mod members;
+mod packet;
+mod peers;
+mod probe;
+mod settings;
+mod spread;
+mod status;
+
+pub use facts::{Fact, Refused, Topic, FACTS_MOST, PAYLOAD_MOST};
+pub use identity::{Life, PeerName};
+pub use members::{Member, Standing};
+pub use packet::DATAGRAM_MOST;
+pub use peers::{Notice, Output, Peers};
+pub use settings::{Settings, Unsound};
+pub use status::{Counters, PeerStatus, Status};
+
+/// Microseconds on the node's own clock, which never goes back.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/pintally-peers/src/peers.rs
@@ -0,0 +1,805 @@
+//! The protocol: a node's probes, what it believes of others, what it passes on.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::facts::{Fact, Facts, Refused, Topic, FACTS_MOST, PAYLOAD_MOST};
+use crate::health::Health;
+use crate::identity::{Life, PeerName};
+use crate::members::{Member, Members, Standing, Word};
+use crate::packet::{
+    digest_of_fact, digest_of_word, fleet_number, piece, Body, Packet, Unread, DATAGRAM_MOST,
+};
+use crate::probe::{Errand, Probe, ERRANDS_MOST};
+use crate::settings::Settings;
+use crate::spread::{News, Spread};
+use crate::status::{Counters, PeerStatus, Status};
+use crate::Micros;
+
+/// A tick this many periods late tells of a process that stood still.
+const STOOD_STILL: u64 = 3;
+/// Entries of a digest in one packet.
+const DIGEST_MOST: usize = 70;
+/// Raising its boot so often within the time in which a death is known, a node shares its name.
+const RAISES_MOST: u32 = 3;
+/// Own periods between two calls of the seeds by a node that knows nobody, or few.
+const CALL_EVERY: u64 = 4;
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send these bytes there.
+    Datagram(SocketAddr, Vec<u8>),
+    /// Something has changed.
+    Notice(Notice),
+}
+
+/// What has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// A peer is there: new, or back, or in a new life.
+    Up(PeerName, Life),
+    /// A peer is suspected.
+    Suspected(PeerName),
+    /// A peer is dead, as far as anybody knows.
+    Down(PeerName),
+    /// A peer has said that it goes.
+    Left(PeerName),
+    /// Somebody said something new.
+    Fact(PeerName, Topic),
+    /// A peer said something to this node alone.
+    Told(PeerName, Topic, Vec<u8>),
+    /// Peers remember a later boot of this node than its disk did: the disk went back or was lost. The
+    /// number that holds from here on is to be kept.
+    DiskWentBack {
+        /// What the disk said.
+        own: u64,
+        /// What holds now.
+        now: u64,
+    },
+    /// Another process runs under this node's name; this one has stepped back and says nothing any more.
+    SteppedBack,
+    /// This process has stood still for so long.
+    StoodStill(Micros),
+}
+
+/// A node's part in its fleet.
+pub struct Peers {
+    settings: Settings,
+    fleet: u64,
+    me: Word,
+    rng: ChaCha8Rng,
+    health: Health,
+    members: Members,
+    facts: Facts,
+    spread: Spread,
+    /// Whom to probe next, the next one last; shuffled anew when all have had their turn.
+    round: Vec<PeerName>,
+    probe: Option<Probe>,
+    errands: BTreeMap<u32, Errand>,
+    number: u32,
+    next_probe: Micros,
+    next_repair: Micros,
+    last_tick: Micros,
+    periods: u64,
+    /// How often the boot was raised lately, and since when that counts.
+    raises: (u32, Micros),
+    stepped_back: bool,
+    /// What this process has said, to be said again under another number.
+    said: BTreeMap<Topic, Vec<u8>>,
+    version: u64,
+    counters: Counters,
+}
+
+impl Peers {
+    /// A node that knows its seeds and nobody else. `life` holds what its disk knows of its boots.
+    pub fn new(settings: Settings, life: Life, seed: u64, now: Micros) -> Peers {
+        let me = Word {
+            name: settings.name.clone(),
+            life,
+            incarnation: 0,
+            standing: Standing::Alive,
+            accuser: 0,
+            address: settings.address,
+            zone: settings.zone.as_str().into(),
+        };
+        let mut spread = Spread::default();
+        spread.add(News::Member(me.name.clone()));
+        Peers {
+            fleet: fleet_number(&settings.fleet),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            health: Health::default(),
+            members: Members::default(),
+            facts: Facts::default(),
+            spread,
+            round: Vec::new(),
+            probe: None,
+            errands: BTreeMap::new(),
+            number: 0,
+            next_probe: now,
+            next_repair: now + settings.repair,
+            last_tick: now,
+            periods: 0,
+            raises: (0, now),
+            stepped_back: false,
+            said: BTreeMap::new(),
+            version: 0,
+            counters: Counters::default(),
+            me,
+            settings,
+        }
+    }
+
+    // ---- what it knows ----
+
+    /// The others, by name.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter()
+    }
+
+    /// A peer by its name.
+    pub fn member(&self, name: &PeerName) -> Option<&Member> {
+        self.members.get(name)
+    }
+
+    /// Nodes to be reckoned with, this one included.
+    pub fn here(&self) -> usize {
+        self.members.here() + 1
+    }
+
+    /// This node's own life.
+    pub fn life(&self) -> Life {
+        self.me.life
+    }
+
+    /// Where its peers reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.me.address
+    }
+
+    /// Whether it has stepped back for another process of its name.
+    pub fn stepped_back(&self) -> bool {
+        self.stepped_back
+    }
+
+    /// What was said on a topic, by whom; what was taken back is left out.
+    pub fn facts(&self, topic: Topic) -> impl Iterator<Item = &Fact> {
+        self.facts.iter().filter(move |f| f.topic == topic && !f.payload.is_empty())
+    }
+
+    /// How much it doubts itself, 0 to 8.
+    pub fn doubt(&self) -> u32 {
+        self.health.doubt()
+    }
+
+    /// What it has counted.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// What it tells people.
+    pub fn status(&self, now: Micros) -> Status {
+        let peers = self.members.iter().map(|m| PeerStatus {
+            name: m.name().to_string(),
+            zone: m.zone().to_string(),
+            address: m.address().to_string(),
+            standing: m.standing(),
+            boot: m.life().boot,
+            for_ms: now.saturating_sub(m.since) / 1000,
+        });
+        Status {
+            name: self.me.name.to_string(),
+            boot: self.me.life.boot,
+            doubt: self.health.doubt(),
+            stepped_back: self.stepped_back,
+            peers: peers.collect(),
+            facts: self.facts.iter().count(),
+            news: self.spread.len(),
+            counters: self.counters,
+        }
+    }
+
+    /// Where a peer is reached from here.
+    pub fn route(&self, member: &Member) -> SocketAddr {
+        self.settings.reach.get(member.name()).copied().unwrap_or(member.address())
+    }
+
+    // ---- what it says ----
+
+    /// Says something to one peer alone, once; whether there is such a peer here. It may be lost.
+    pub fn tell(&mut self, whom: &PeerName, topic: Topic, payload: Vec<u8>, out: &mut Vec<Output>) -> bool {
+        let Some(to) = self.members.get(whom).filter(|m| m.is_here()).map(|m| self.route(m)) else {
+            return false;
+        };
+        if payload.len() > PAYLOAD_MOST || self.stepped_back {
+            return false;
+        }
+        self.send(to, Body::Word { topic, payload }, out);
+        true
+    }
+
+    /// Says something on a topic; an empty payload takes it back.
+    pub fn say(&mut self, topic: Topic, payload: Vec<u8>) -> Result<(), Refused> {
+        if payload.len() > PAYLOAD_MOST {
+            return Err(Refused::TooLong);
+        }
+        let key = (self.me.name.clone(), topic);
+        if self.said.get(&topic) == Some(&payload)
+            && self.facts.get(&key).is_some_and(|f| f.life == self.me.life)
+        {
+            return Ok(());
+        }
+        if self.facts.get(&key).is_none() && self.facts.count(&key.0) >= FACTS_MOST {
+            return Err(Refused::TooMany);
+        }
+        self.said.insert(topic, payload.clone());
+        self.utter(topic, payload);
+        Ok(())
+    }
+
+    fn utter(&mut self, topic: Topic, payload: Vec<u8>) {
+        self.version += 1;
+        let (origin, life, version) = (self.me.name.clone(), self.me.life, self.version);
+        if self.facts.take(Fact { origin: origin.clone(), topic, life, version, payload }) {
+            self.spread.add(News::Fact(origin, topic));
+        }
+    }
+
+    /// Says goodbye to everybody that is here; nothing is to be asked of it afterwards.
+    pub fn leave(&mut self, out: &mut Vec<Output>) {
+        self.me.standing = Standing::Left;
+        let to: Vec<SocketAddr> =
+            self.members.iter().filter(|m| m.is_here()).map(|m| self.route(m)).collect();
+        for address in to {
+            self.send(address, Body::Leaving, out);
+        }
+        self.stepped_back = true;
+    }
+
+    // ---- time ----
+
+    /// When [`Peers::tick`] has something to do.
+    pub fn next_wake(&self) -> Micros {
+        let probe =
+            self.probe.as_ref().map(|p| if p.asked == 0 { p.help_at.min(p.ends_at) } else { p.ends_at });
+        let errand = self.errands.values().map(|e| e.by).min();
+        let suspect =
+            self.members.iter().filter(|m| m.standing() == Standing::Suspect).map(|m| m.until).min();
+        [probe, errand, suspect]
+            .into_iter()
+            .flatten()
+            .chain([self.next_probe, self.next_repair])
+            .min()
+            .unwrap_or(0)
+    }
+
+    /// Does what has come due.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if self.stepped_back {
+            (self.next_probe, self.next_repair) = (Micros::MAX, Micros::MAX);
+            self.probe = None;
+            self.errands.clear();
+            return;
+        }
+        self.stood_still(now, out);
+        self.last_tick = now;
+        self.errands_due(now, out);
+        self.probe_due(now, out);
+        self.suspicions_due(now, out);
+        if now >= self.next_probe {
+            self.next_probe = now + self.health.stretch(self.settings.period);
+            self.periods += 1;
+            self.call_seeds(out);
+            self.probe_next(now, out);
+        }
+        if now >= self.next_repair {
+            self.next_repair = now + self.settings.repair;
+            self.compare(out);
+            let before = now.saturating_sub(self.settings.forget);
+            for name in self.members.forget(before) {
+                self.facts.forget(&name);
+                self.spread.drop(&News::Member(name));
+            }
+        }
+    }
+
+    /// Guards against a process that was paused and, awake again, takes everyone for dead: whatever it
+    /// waited for while it stood still says nothing, and its suspicions begin anew.
+    fn stood_still(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let due = self.next_wake().max(self.last_tick);
+        let late = now.saturating_sub(due);
+        if late < STOOD_STILL * self.settings.period {
+            return;
+        }
+        self.counters.paused += 1;
+        self.health.worse(4);
+        self.probe = None;
+        self.errands.clear();
+        let n = self.here();
+        let until = now + self.health.stretch(self.settings.suspicion_most(n));
+        let names: Vec<PeerName> = self.suspects().collect();
+        for name in names {
+            if let Some(m) = self.members.get_mut(&name) {
+                m.until = m.until.max(until);
+            }
+        }
+        out.push(Output::Notice(Notice::StoodStill(late)));
+    }
+
+    fn suspects(&self) -> impl Iterator<Item = PeerName> + '_ {
+        self.members.iter().filter(|m| m.standing() == Standing::Suspect).map(|m| m.name().clone())
+    }
+
+    fn errands_due(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let due: Vec<u32> = self.errands.iter().filter(|(_, e)| e.by <= now).map(|(n, _)| *n).collect();
+        for number in due {
+            if let Some(errand) = self.errands.remove(&number) {
+                self.send(errand.back, Body::Nothing { number: errand.number }, out);
+            }
+        }
+    }
+
+    fn probe_due(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let Some(mut probe) = self.probe.take() else { return };
+        if probe.asked == 0 && now >= probe.help_at && now < probe.ends_at {
+            let helpers = self.some(self.settings.indirect, |m| m.is_here() && *m.name() != probe.whom);
+            probe.asked = helpers.len().max(1);
+            if let Some(address) = self.members.get(&probe.whom).map(Member::address) {
+                for helper in helpers {
+                    let ask = Body::Ask { number: probe.number, whom: probe.whom.clone(), address };
+                    self.send(helper, ask, out);
+                }
+            }
+        }
+        if now < probe.ends_at {
+            self.probe = Some(probe);
+            return;
+        }
+        self.counters.unanswered += 1;
+        // Guards against blaming others for one's own links: helpers that cannot even be heard tell of
+        // this node, not of the peer.
+        if probe.heard < probe.asked {
+            self.health.worse(1);
+        }
+        let Some(word) = self.members.get(&probe.whom).filter(|m| m.is_here()).map(|m| m.word.clone()) else {
+            return;
+        };
+        let accuser = piece(2, &self.me.name, 0);
+        self.accuse(now, Word { standing: Standing::Suspect, accuser, ..word }, out);
+    }
+
+    /// Somebody says that a peer is suspect.
+    fn accuse(&mut self, now: Micros, word: Word, out: &mut Vec<Output>) {
+        let (name, accuser) = (word.name.clone(), word.accuser);
+        let n = self.here();
+        let (least, most) = (self.settings.suspicion_least(n), self.settings.suspicion_most(n));
+        let (least, most) = (self.health.stretch(least), self.health.stretch(most));
+        let fresh = matches!(self.members.take(now, word), Some(before) if before != Some(Standing::Suspect));
+        let asked = self.settings.indirect.max(1);
+        let Some(member) = self.members.get_mut(&name).filter(|m| m.standing() == Standing::Suspect) else {
+            return;
+        };
+        // Each of the first accusers is told on, so that others can count them too.
+        let shared = member.accusers.len() <= asked && member.accusers.insert(accuser);
+        if shared {
+            member.word.accuser = accuser;
+        }
+        // The more nodes share a suspicion the sooner it ends (Lifeguard).
+        let others = member.accusers.len().saturating_sub(1) as f64;
+        let part = ((others + 1.0).ln() / (asked as f64 + 1.0).ln()).min(1.0);
+        let span = most - ((most - least) as f64 * part) as Micros;
+        let until = member.since + span;
+        member.until = if fresh { until } else { member.until.min(until) };
+        if fresh {
+            out.push(Output::Notice(Notice::Suspected(name.clone())));
+        }
+        if shared {
+            self.spread.add(News::Member(name));
+        }
+    }
+
+    fn suspicions_due(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let names: Vec<PeerName> = self.suspects().collect();
+        for name in names {
+            let Some(member) = self.members.get(&name).filter(|m| m.until <= now) else { continue };
+            let word = Word { standing: Standing::Dead, ..member.word.clone() };
+            self.hear(now, word, out);
+        }
+    }
+
+    /// Nobody that is here, or too few after a cut: the seeds are called.
+    fn call_seeds(&mut self, out: &mut Vec<Output>) {
+        let alone = self.members.here() == 0;
+        if !alone && !self.periods.is_multiple_of(CALL_EVERY) {
+            return;
+        }
+        let here: Vec<SocketAddr> =
+            self.members.iter().filter(|m| m.is_here()).map(|m| self.route(m)).collect();
+        let mut seeds: Vec<SocketAddr> = self.settings.seeds.clone();
+        // Guards against a fleet that stays in halves after a cut: those thought dead are called as well.
+        seeds.extend(self.members.iter().filter(|m| m.standing() == Standing::Dead).map(|m| self.route(m)));
+        seeds.retain(|s| *s != self.me.address && !here.contains(s));
+        seeds.sort_unstable();
+        seeds.dedup();
+        seeds.shuffle(&mut self.rng);
+        for seed in seeds.into_iter().take(3) {
+            let number = self.next_number();
+            self.send(seed, Body::Ping { number, to: None }, out);
+        }
+    }
+
+    fn probe_next(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if self.probe.is_some() {
+            return;
+        }
+        for _ in 0..2 {
+            while let Some(whom) = self.round.pop() {
+                let Some(member) = self.members.get(&whom).filter(|m| m.is_here()) else { continue };
+                let address = self.route(member);
+                let number = self.next_number();
+                let period = self.health.stretch(self.settings.period);
+                let help_at = now + self.health.stretch(self.settings.answer_within);
+                self.counters.probes += 1;
+                let probe =
+                    Probe { whom: whom.clone(), number, help_at, ends_at: now + period, asked: 0, heard: 0 };
+                self.probe = Some(probe);
+                return self.send(address, Body::Ping { number, to: Some(whom) }, out);
+            }
+            self.round = self.members.iter().filter(|m| m.is_here()).map(|m| m.name().clone()).collect();
+            self.round.shuffle(&mut self.rng);
+        }
+    }
+
+    /// Compares what is known with some peer, in as many packets as it takes.
+    fn compare(&mut self, out: &mut Vec<Output>) {
+        for address in self.some(1, Member::is_here) {
+            self.digest_to(address, true, out);
+        }
+    }
+
+    fn digest_to(&mut self, to: SocketAddr, answer: bool, out: &mut Vec<Output>) {
+        let mut known: Vec<(u64, u32)> = vec![digest_of_word(&self.me)];
+        known.extend(self.members.iter().map(|m| digest_of_word(&m.word)));
+        known.extend(self.facts.iter().map(digest_of_fact));
+        known.sort_unstable();
+        let of = known.len().div_ceil(DIGEST_MOST) as u16;
+        for (part, some) in known.chunks(DIGEST_MOST).enumerate() {
+            let body = Body::Digest { part: part as u16, of, known: some.to_vec(), answer };
+            self.send(to, body, out);
+        }
+    }
+
+    // ---- what it hears ----
+
+    /// Takes in bytes that came from an address.
+    pub fn receive(&mut self, now: Micros, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        let packet = match Packet::decode(bytes, self.fleet) {
+            Ok(packet) => packet,
+            Err(Unread::Garbled) => return self.counters.garbled += 1,
+            Err(Unread::Foreign) => return self.counters.foreign += 1,
+        };
+        if self.stepped_back {
+            return;
+        }
+        self.counters.received += 1;
+        let Packet { from: name, life, body, words, facts, .. } = packet;
+        let knew = name == self.me.name || self.members.get(&name).is_some();
+        for word in words {
+            self.hear(now, word, out);
+        }
+        let repairing = matches!(body, Body::News);
+        for fact in facts {
+            self.learn(now, fact, repairing, out);
+        }
+        // Who speaks under an earlier life than is known hears of the later one: its disk went back, or
+        // another process runs under its name.
+        if let Some(later) = self.members.get(&name).filter(|m| m.life() > life).map(|m| m.word.clone()) {
+            return self.send_all(from, vec![later], Vec::new(), out);
+        }
+        if name == self.me.name && life != self.me.life {
+            // The other process of this name speaks; what it is told settles who steps back.
+            let me = self.me.clone();
+            return self.send_all(from, vec![me], Vec::new(), out);
+        }
+        match body {
+            Body::Ping { number, to } => {
+                if to.is_none_or(|to| to == self.me.name) {
+                    self.send(from, Body::Ack { number }, out);
+                }
+                // A stranger is told all that is known, in parts that fit.
+                if !knew && self.members.get(&name).is_some() {
+                    self.digest_to(from, true, out);
+                }
+            }
+            Body::Ack { number } => self.answered(now, number, out),
+            Body::Nothing { number } => {
+                if let Some(probe) = self.probe.as_mut().filter(|p| p.number == number) {
+                    probe.heard += 1;
+                }
+            }
+            Body::Ask { number, whom, address } => {
+                if self.errands.len() < ERRANDS_MOST {
+                    let own = self.next_number();
+                    let address = self.members.get(&whom).map_or(address, |m| self.route(m));
+                    let by = now + self.settings.answer_within;
+                    self.errands.insert(own, Errand { back: from, number, by });
+                    self.send(address, Body::Ping { number: own, to: Some(whom) }, out);
+                }
+            }
+            Body::Digest { part, of, known, answer } => self.differ(from, (part, of), &known, answer, out),
+            Body::News => {}
+            Body::Word { topic, payload } if payload.len() <= PAYLOAD_MOST => {
+                out.push(Output::Notice(Notice::Told(name, topic, payload)));
+            }
+            Body::Word { .. } => self.counters.garbled += 1,
+            Body::Leaving => {
+                if let Some(member) = self.members.get(&name).filter(|m| m.life() == life) {
+                    let word = Word { standing: Standing::Left, ..member.word.clone() };
+                    self.hear(now, word, out);
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, _now: Micros, number: u32, out: &mut Vec<Output>) {
+        if self.probe.as_ref().is_some_and(|p| p.number == number) {
+            self.probe = None;
+            self.health.better();
+        }
+        if let Some(errand) = self.errands.remove(&number) {
+            self.send(errand.back, Body::Ack { number: errand.number }, out);
+        }
+    }
+
+    /// Takes in a word on a peer, or on this node itself.
+    fn hear(&mut self, now: Micros, word: Word, out: &mut Vec<Output>) {
+        if word.name == self.me.name {
+            return self.hear_of_me(now, word, out);
+        }
+        let name = word.name.clone();
+        if word.standing == Standing::Suspect {
+            let known = self.members.get(&name).map(|m| m.word.clone());
+            let same = known.as_ref().is_some_and(|k| {
+                (k.life, k.incarnation, k.standing) == (word.life, word.incarnation, Standing::Suspect)
+            });
+            if same || known.is_none_or(|k| word.beats(&k)) {
+                self.accuse(now, word, out);
+            }
+            return;
+        }
+        let (standing, life) = (word.standing, word.life);
+        let known = self.members.get(&name).map(|m| (m.is_here(), m.life()));
+        // A peer that was never here is not mourned.
+        if known.is_none() && matches!(standing, Standing::Dead | Standing::Left) {
+            self.members.take(now, word);
+            return;
+        }
+        if self.members.take(now, word).is_none() {
+            return;
+        }
+        self.spread.add(News::Member(name.clone()));
+        let was_here = known.is_some_and(|(here, old)| here && old == life);
+        match standing {
+            Standing::Alive if !was_here => {
+                // Somewhere in what is left of the round, so that a newcomer is not first for everyone.
+                let place = (self.rng.next_u32() as usize) % (self.round.len() + 1);
+                self.round.insert(place, name.clone());
+                out.push(Output::Notice(Notice::Up(name, life)));
+            }
+            Standing::Dead => out.push(Output::Notice(Notice::Down(name))),
+            Standing::Left => out.push(Output::Notice(Notice::Left(name))),
+            _ => {}
+        }
+    }
+
+    /// A word on this node itself: a suspicion to refute, a life that its disk has forgotten, or another
+    /// process under its name.
+    fn hear_of_me(&mut self, now: Micros, word: Word, out: &mut Vec<Output>) {
+        if word.life == self.me.life {
+            if word.standing != Standing::Alive && word.incarnation >= self.me.incarnation {
+                self.me.incarnation = word.incarnation + 1;
+                self.counters.refuted += 1;
+                self.health.worse(1);
+                self.spread.add(News::Member(self.me.name.clone()));
+            }
+            return;
+        }
+        if word.life < self.me.life {
+            return;
+        }
+        // Later than this life is known to be. A disk that went back explains it once or twice; a
+        // process that goes on raising its own number as well is another one that lives now.
+        let span = 4 * self.settings.death_known_within(self.here());
+        if now > self.raises.1 + span {
+            self.raises = (0, now);
+        }
+        self.raises.0 += 1;
+        if self.raises.0 > RAISES_MOST && word.life.mark < self.me.life.mark {
+            self.stepped_back = true;
+            out.push(Output::Notice(Notice::SteppedBack));
+            return;
+        }
+        let own = self.me.life.boot;
+        self.me.life.boot = word.life.boot + 1;
+        self.me.incarnation = 0;
+        self.counters.disk_went_back += 1;
+        out.push(Output::Notice(Notice::DiskWentBack { own, now: self.me.life.boot }));
+        self.spread.add(News::Member(self.me.name.clone()));
+        // What it has said in this life is said again under the new number.
+        for (topic, payload) in self.said.clone() {
+            self.utter(topic, payload);
+        }
+    }
+
+    fn learn(&mut self, now: Micros, fact: Fact, repairing: bool, out: &mut Vec<Output>) {
+        let (origin, topic) = (fact.origin.clone(), fact.topic);
+        if origin == self.me.name {
+            if fact.life.mark == self.me.life.mark {
+                return;
+            }
+            let word = Word { life: fact.life, ..self.me.clone() };
+            self.hear_of_me(now, word, out);
+        }
+        if self.facts.take(fact) {
+            self.counters.repaired += u64::from(repairing);
+            self.spread.add(News::Fact(origin.clone(), topic));
+            out.push(Output::Notice(Notice::Fact(origin, topic)));
+        }
+    }
+
+    /// A peer has told what it knows: it is sent what it lacks, and asked for what this node lacks.
+    fn differ(
+        &mut self,
+        from: SocketAddr,
+        (part, of): (u16, u16),
+        known: &[(u64, u32)],
+        answer: bool,
+        out: &mut Vec<Output>,
+    ) {
+        if of == 0 || part >= of || known.len() > DIGEST_MOST || !known.is_sorted() {
+            self.counters.garbled += 1;
+            return;
+        }
+        // Each part speaks for all pieces from its first to its last; the outer ones for the rest.
+        let least = if part == 0 { 0 } else { known.first().map_or(0, |k| k.0) };
+        let most = if part + 1 == of { u64::MAX } else { known.last().map_or(0, |k| k.0) };
+        let theirs: BTreeMap<u64, u32> = known.iter().copied().collect();
+        let mut words = Vec::new();
+        let mut own = std::collections::BTreeSet::new();
+        let mut lacks = |place: (u64, u32)| {
+            own.insert(place);
+            (least..=most).contains(&place.0) && theirs.get(&place.0) != Some(&place.1)
+        };
+        for word in std::iter::once(&self.me).chain(self.members.iter().map(|m| &m.word)) {
+            if lacks(digest_of_word(word)) {
+                words.push(word.clone());
+            }
+        }
+        let facts: Vec<Fact> = self.facts.iter().filter(|f| lacks(digest_of_fact(f))).cloned().collect();
+        let wants = known.iter().any(|k| !own.contains(k));
+        self.send_all(from, words, facts, out);
+        // Both may lack something: the other side compares as well, once.
+        if answer && wants {
+            self.digest_to(from, false, out);
+        }
+    }
+
+    // ---- sending ----
+
+    fn next_number(&mut self) -> u32 {
+        self.number = self.number.wrapping_add(1);
+        self.number
+    }
+
+    /// Addresses of some peers at random.
+    fn some(&mut self, most: usize, which: impl Fn(&Member) -> bool) -> Vec<SocketAddr> {
+        let mut all: Vec<SocketAddr> =
+            self.members.iter().filter(|m| which(m)).map(|m| self.route(m)).collect();
+        all.shuffle(&mut self.rng);
+        all.truncate(most);
+        all
+    }
+
+    /// Sends a packet with as much news as fits.
+    fn send(&mut self, to: SocketAddr, body: Body, out: &mut Vec<Output>) {
+        let mut packet = self.packet(body);
+        // Guards against a suspect that hears last of it: whoever is written to hears first what is
+        // said of itself (Lifeguard's buddy system).
+        let about = self.members.iter().find(|m| m.standing() != Standing::Alive && self.route(m) == to);
+        packet.words.extend(about.map(|m| m.word.clone()));
+        let mut length = packet.encode().len();
+        let peers = self.members.here();
+        for news in self.spread.next() {
+            let size = match &news {
+                News::Member(name) => match self.word_on(name) {
+                    Some(word) if !packet.words.contains(&word) => {
+                        let size = 64 + word.name.0.len() + word.zone.len();
+                        packet.words.push(word);
+                        size
+                    }
+                    _ => 0,
+                },
+                News::Fact(origin, topic) => match self.facts.get(&(origin.clone(), *topic)) {
+                    Some(fact) => {
+                        packet.facts.push(fact.clone());
+                        48 + fact.origin.0.len() + fact.payload.len()
+                    }
+                    None => 0,
+                },
+            };
+            if length + size > DATAGRAM_MOST {
+                match news {
+                    News::Member(_) => packet.words.pop().map(|_| ()),
+                    News::Fact(..) => packet.facts.pop().map(|_| ()),
+                };
+                break;
+            }
+            length += size;
+            self.spread.told(&news, peers);
+        }
+        self.put(to, &packet, out);
+    }
+
+    /// Sends pieces that a comparison has found, in as many packets as it takes.
+    fn send_all(&mut self, to: SocketAddr, words: Vec<Word>, facts: Vec<Fact>, out: &mut Vec<Output>) {
+        let mut packet = self.packet(Body::News);
+        let mut length = packet.encode().len();
+        for word in words {
+            let size = 64 + word.name.0.len() + word.zone.len();
+            if length + size > DATAGRAM_MOST {
+                self.put(to, &packet, out);
+                packet = self.packet(Body::News);
+                length = 128;
+            }
+            length += size;
+            packet.words.push(word);
+        }
+        for fact in facts {
+            let size = 48 + fact.origin.0.len() + fact.payload.len();
+            if length + size > DATAGRAM_MOST {
+                self.put(to, &packet, out);
+                packet = self.packet(Body::News);
+                length = 128;
+            }
+            length += size;
+            packet.facts.push(fact);
+        }
+        if !packet.words.is_empty() || !packet.facts.is_empty() {
+            self.put(to, &packet, out);
+        }
+    }
+
+    fn word_on(&self, name: &PeerName) -> Option<Word> {
+        match *name == self.me.name {
+            true => Some(self.me.clone()),
+            false => self.members.get(name).map(|m| m.word.clone()),
+        }
+    }
+
+    fn packet(&self, body: Body) -> Packet {
+        // The sender's own word goes with what begins something, so that a stranger is known at once.
+        let introduce = matches!(body, Body::Ping { .. } | Body::Ack { .. } | Body::Leaving);
+        Packet {
+            fleet: self.fleet,
+            from: self.me.name.clone(),
+            life: self.me.life,
+            body,
+            words: if introduce { vec![self.me.clone()] } else { Vec::new() },
+            facts: Vec::new(),
+        }
+    }
+
+    fn put(&mut self, to: SocketAddr, packet: &Packet, out: &mut Vec<Output>) {
+        let bytes = packet.encode();
+        if bytes.is_empty() || bytes.len() > DATAGRAM_MOST + 600 {
+            return;
+        }
+        self.counters.sent += 1;
+        self.counters.bytes += bytes.len() as u64;
+        out.push(Output::Datagram(to, bytes));
+    }
+}
--- /dev/null
+++ b/crates/pintally-peers/src/settings.rs
@@ -0,0 +1,106 @@
+//! What a node is told of its fleet, and which figures go together.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+use crate::identity::{sound, PeerName};
+use crate::Micros;
+
+/// What a node is told of its fleet. Times in microseconds.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The fleet's name: packets of another fleet are dropped.
+    pub fleet: String,
+    /// This node's name.
+    pub name: PeerName,
+    /// Its zone.
+    pub zone: String,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// Where some of the others are, at the start and whenever nobody else is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Peers that are reached from here otherwise than they say.
+    pub reach: BTreeMap<PeerName, SocketAddr>,
+    /// Between two probes.
+    pub period: Micros,
+    /// A direct answer comes within this time; the rest of the period is for indirect ones.
+    pub answer_within: Micros,
+    /// Through so many others a silent peer is probed.
+    pub indirect: usize,
+    /// A suspicion that nobody shares ends in death after this many periods, times the logarithm of the
+    /// fleet's size; one that many share, after a sixth of it.
+    pub suspicion: f64,
+    /// Between two comparisons of digests with some peer.
+    pub repair: Micros,
+    /// What is said of a dead peer is kept for so long.
+    pub forget: Micros,
+}
+
+/// Figures that do not go together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unsound(pub &'static str);
+
+impl fmt::Display for Unsound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Unsound {}
+
+impl Settings {
+    /// Usual figures for a node.
+    pub fn new(fleet: &str, name: &str, zone: &str, address: SocketAddr, seeds: Vec<SocketAddr>) -> Settings {
+        Settings {
+            fleet: fleet.to_string(),
+            name: name.into(),
+            zone: zone.to_string(),
+            address,
+            seeds,
+            reach: BTreeMap::new(),
+            period: 500_000,
+            answer_within: 150_000,
+            indirect: 3,
+            suspicion: 4.0,
+            repair: 2_000_000,
+            forget: 600_000_000,
+        }
+    }
+
+    /// Checks that the figures go together.
+    pub fn check(&self) -> Result<(), Unsound> {
+        let wrong = |bad: bool, what| if bad { Err(Unsound(what)) } else { Ok(()) };
+        wrong(self.fleet.is_empty() || self.fleet.len() > 64, "the fleet's name needs 1 to 64 bytes")?;
+        wrong(!sound(&self.name), "a peer's name needs 1 to 64 bytes")?;
+        wrong(self.zone.len() > 64, "a zone's name has at most 64 bytes")?;
+        wrong(self.period < 1_000, "the period is under a millisecond")?;
+        wrong(
+            self.answer_within == 0 || self.answer_within > self.period / 2,
+            "an answer must come within half a period, so that indirect probes have the other half",
+        )?;
+        wrong(self.indirect > 16, "more than 16 indirect probes are a flood")?;
+        wrong(!(1.0..=100.0).contains(&self.suspicion), "suspicion lasts 1 to 100 periods")?;
+        wrong(self.repair < self.period, "repair more often than probes is a flood")?;
+        wrong(self.forget < 20 * self.repair, "what is forgotten before it is repaired comes back")
+    }
+
+    /// The longest time from a peer's death to its being known to this node, with `n` nodes and no
+    /// message lost: every peer is probed once in a round of `n - 1` periods, a round begins anew in
+    /// another order (so two rounds at worst), then the suspicion runs out. Word of others comes sooner.
+    pub fn death_known_within(&self, n: usize) -> Micros {
+        let rounds = 2 * n.saturating_sub(1).max(1) as u64 * self.period;
+        rounds + self.suspicion_most(n)
+    }
+
+    /// How long a suspicion lasts that nobody else shares.
+    pub(crate) fn suspicion_most(&self, n: usize) -> Micros {
+        let scale = ((n.max(2)) as f64).log10().max(1.0);
+        (self.suspicion * scale * self.period as f64) as Micros
+    }
+
+    /// And one that as many share as are asked.
+    pub(crate) fn suspicion_least(&self, n: usize) -> Micros {
+        (self.suspicion_most(n) / 6).max(self.period)
+    }
+}
--- a/crates/pintally-platform-node/src/attempts.rs
+++ b/crates/pintally-platform-node/src/attempts.rs
@@ -32,6 +32,8 @@
                     tracing::info!("{text}");
                 }
             }
+            // Nodes on the platform know of no peers.
+            Command::AskPeer(_) | Command::Stage(_) => {}
             Command::Stopped => self.stopped = true,
         }
     }
--- a/crates/pintally-platform/src/config.rs
+++ b/crates/pintally-platform/src/config.rs
@@ -138,6 +138,8 @@
             kept_list: None,
             cells_file: None,
             kept_cells: None,
+            peers: None,
+            recovery: None,
             limits,
             core: told.settings.clone(),
             classes: told
--- a/crates/pintally-wire/src/settings.rs
+++ b/crates/pintally-wire/src/settings.rs
@@ -226,6 +226,7 @@
         tip_window: micros(conf.rules.overload_for),
         release_within: micros(conf.family_info.let_go_by),
         ask_within: micros(conf.rules.ask_within),
+        usual: [0.0; 3],
     };
     Ok(Told { settings, names, ways })
 }
--- a/src/belief.rs
+++ b/src/belief.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Answers a second that it has had from one warm engine of each role lately, to be remembered over
+    /// a restart; 0 where too little was seen.
+    pub fn usual_all(&self) -> [f64; 3] {
+        [crate::state::READ, crate::state::WRITE, crate::state::BOTH].map(|step| self.usual(step))
+    }
+
     /// What it believes now of each engine that it knows.
     pub fn beliefs(&self, now: Micros) -> Vec<Belief> {
         let belief = |e: &crate::state::Engine| Belief {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -156,6 +156,9 @@
     pub release_within: Micros,
     /// Where discovery must be asked: the longest time without asking.
     pub ask_within: Micros,
+    /// Answers a second that one warm engine of each role gave this node in its life before (reads,
+    /// first tokens of fetched states, both), 0 if nothing is remembered.
+    pub usual: [f64; 3],
 }
 
 /// What discovery says of an engine.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,6 +14,8 @@
 const CAP_FACTOR: f64 = 1.25;
 /// Expected kept tokens under this count as no match (the paper's smallest block).
 const MIN_MATCH: f64 = 16.0;
+/// Homes of every beginning where nodes are blind.
+const BLIND_HOMES: usize = 2;
 /// Of so few nodes each sees enough of the traffic to go by its own table alone.
 const FEW_NODES: f64 = 2.5;
 /// Table entries fade by half in this time: about the time in which sessions come again.
@@ -205,8 +207,7 @@
         let s = &self.settings;
         let recent = engine.sends.iter().filter(|at| **at + s.tip_window > now).count();
         let window = s.tip_window.max(1) as f64;
-        let pool = &self.pools[step_of(engine.role)];
-        let usual = pool.answers / pool.engines.max(1.0) / (pool.watched + RATE_AFTER) * window / 1e6;
+        let usual = self.usual(step_of(engine.role)) * window / 1e6;
         let own = (COLD_SHARE * s.cold_from * s.tip_multiple * usual).max(1.0 / f64::from(s.nodes.max(1)));
         let herds = live.state.is_some() || self.worth(&live.request) > HERDS;
         let rush = if herds { COLD_HERD } else { COLD_RUSH };
@@ -217,6 +218,12 @@
         recent < own as usize + usize::from(turn)
     }
 
+    /// Answers a second of one warm engine: as remembered from the life before, until more were seen.
+    pub(crate) fn usual(&self, step: usize) -> f64 {
+        let (pool, told) = (&self.pools[step], self.settings.usual[step]);
+        (pool.answers / pool.engines.max(1.0) / (pool.watched + RATE_AFTER)).max(told)
+    }
+
     /// Guards against engines that are dead, cut off or silent, whatever the cause: each failure in
     /// a row doubles the time for which the engine gets trial work only.
     fn strike(&mut self, now: Micros, index: usize, acts: &mut Vec<Action>) {
@@ -328,11 +335,9 @@
         self.gauges.shared *= RATE_FADE;
         self.popular.values_mut().for_each(|seen| *seen *= RATE_FADE);
         self.popular.retain(|_, seen| *seen > 0.1);
-        let old = now.saturating_sub(FADE_HALF);
-        self.turned.retain(|_, first| *first > old);
+        self.turned.retain(|_, first| now < *first + FADE_HALF);
         if self.table.len() > 20_000 {
-            let old = now.saturating_sub(4 * FADE_HALF);
-            self.table.retain(|_, held| held.iter().any(|(_, _, at)| *at > old));
+            self.table.retain(|_, held| held.iter().any(|(_, _, at)| now < at + 4 * FADE_HALF));
         }
     }
 
@@ -390,8 +395,10 @@
         let mut ring: Vec<_> = readers.map(|(i, e)| (place(e), &e.id, i)).collect();
         ring.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
         let mut ring: Vec<usize> = ring.into_iter().map(|(_, _, i)| i).collect();
-        // Guards against beginnings too popular for one rack's writers: the first few share them.
-        let homes = (self.worth(request).ceil() as usize).min(ring.len());
+        // Guards against beginnings too popular for one rack's writers: the first few share them. A blind
+        // node cannot tell which are: by its few counts each node would have other homes than the next.
+        let least = if self.blind() { BLIND_HOMES } else { 0 };
+        let homes = (self.worth(request).ceil() as usize).max(least).min(ring.len());
         if homes > 1 {
             ring[..homes].rotate_left(request.session as usize % homes);
         }
@@ -518,7 +525,7 @@
 
     /// One of so many nodes that it seldom knows how the engine it sends to is doing.
     fn blind(&self) -> bool {
-        self.few() < 0.5
+        self.few() < 0.1
     }
 
     /// The tightest aim of any class.
@@ -868,7 +875,7 @@
                 let late = outcome == Outcome::TimedOut && now >= live.deadline;
                 if outcome == Outcome::TimedOut {
                     // Of many nodes each may see next to no first tokens: what never had one counts as late.
-                    if self.blind() {
+                    if self.few() < 0.5 {
                         self.paced(now, false);
                     }
                     self.timed(now, index, out.step, 0.0, took);
@@ -949,7 +956,7 @@
     fn looks(&mut self, now: Micros, id: &RequestId, index: usize, acts: &mut Vec<Action>) -> bool {
         let stale = |e: &Engine| e.report.is_none_or(|(at, _)| now > at + WATCH_EVERY);
         let Some(live) = self.live.get(id) else { return false };
-        let blind = self.blind() && self.settings.may_probe && !self.silent();
+        let blind = self.few() < 0.5 && self.settings.may_probe && !self.silent();
         let fresh = live.attempts == 0 && !live.request.resumed;
         // In a burst a node is not blind, and nothing is gained by looking again and again for each.
         let waited = self.waiting.len() >= LOOKS || live.looked.is_some_and(|at| now >= at + LOOK);
@@ -1081,9 +1088,8 @@
             (l.over_share, turn, std::cmp::Reverse(l.first), l.request.id.clone())
         });
         let mut room = self.room(now);
-        // A held request is given up when its first token would come late as things go: serving it
-        // would make the next one late too.
-        // No later than two looks before: the client's deadline must not fall between two of them.
+        // A held request is given up when its first token would come late as things go: serving it makes
+        // the next one late. No later than two looks before: no deadline must fall between two of them.
         let lead = (self.gauges.lead as Micros).max(2 * SWEEP_EVERY);
         for id in std::mem::take(&mut self.waiting) {
             let Some(live) = self.live.get_mut(&id) else { continue };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -54,6 +54,7 @@
         tip_window: 2 * SECOND,
         release_within: 500 * MS,
         ask_within: 10 * SECOND,
+        usual: [0.0; 3],
     }
 }
 
