--- a/crates/pintally-cli/tests/fleet/by_hand.rs
+++ b/crates/pintally-cli/tests/fleet/by_hand.rs
@@ -34,7 +34,14 @@
         let day = Day::parse("by-hand", &text).unwrap();
         let folder = tempfile::tempdir().unwrap();
         let ports: Vec<Port> = (0..2 * nodes).map(|_| Port::hold().unwrap()).collect();
-        let at = |n: usize| ports[n].address().unwrap();
+        // Links have addresses that nobody binds by chance: a node that was killed finds its own again.
+        let at = |n: usize| {
+            let mut at = ports[n].address().unwrap();
+            if n >= nodes {
+                at.set_ip([127, 0, 2, (n - nodes) as u8 + 101].into());
+            }
+            at
+        };
         let seeds: Vec<SocketAddr> = (0..nodes).map(|n| at(nodes + n)).collect();
         let settings = (0..nodes).map(|n| {
             let mut s = day.node(n);
@@ -205,7 +212,9 @@
     let mut twin = fleet.settings[2].clone();
     let (front, link) = (Port::hold().unwrap(), Port::hold().unwrap());
     twin.listen = front.address().unwrap();
-    twin.peers.as_mut().unwrap().listen = link.address().unwrap();
+    let mut at = link.address().unwrap();
+    at.set_ip([127, 0, 2, 99].into());
+    twin.peers.as_mut().unwrap().listen = at;
     twin.engines_file = fleet.folder.path().join("engines-twin.sexp").to_string_lossy().into_owned();
     twin.recovery.as_mut().unwrap().store = None;
     fs::write(&twin.engines_file, engines(1, &[Listing::Serving; 4]).render()).unwrap();
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -93,6 +93,8 @@
     figures: Vec<EngineFigures>,
     /// Between nodes that are processes.
     relays: Option<Relays>,
+    /// Hold the ports of nodes' links while they are down.
+    links: Vec<Port>,
     /// Holds the lists; removed with the day.
     _folder: TempDir,
 }
@@ -136,6 +138,7 @@
             starts: 0,
             figures: Vec::new(),
             relays: None,
+            links: Vec::new(),
             _folder: folder,
         };
         play.build_engines().map_err(|e| fail("an engine cannot listen", &e))?;
@@ -179,7 +182,12 @@
         let fail = |e: std::io::Error| RunError(format!("no links between nodes: {e}"));
         let held: Result<Vec<_>, _> =
             (0..self.day.nodes).map(|_| Port::hold().and_then(|p| Ok((p.address()?, p)))).collect();
-        let held = held.map_err(fail)?;
+        let mut held = held.map_err(fail)?;
+        // Addresses that nobody binds by chance, with ports that are held: a node that is down finds its
+        // own free when it returns.
+        for (number, (address, _)) in held.iter_mut().enumerate() {
+            address.set_ip(IpAddr::V4(Ipv4Addr::new(127, 0, 2, number as u8 + 1)));
+        }
         let listen: Vec<SocketAddr> = held.iter().map(|h| h.0).collect();
         self.relays = Some(Relays::open(&listen, self.seed).map_err(fail)?);
         Ok(held)
@@ -225,8 +233,7 @@
             self.nodes.push(Place { zone, settings: Arc::new(settings), _port: port, running: None });
             self.start_node(number)?;
         }
-        // Held until all have bound their own.
-        drop(links);
+        self.links = links.into_iter().map(|l| l.1).collect();
         Ok(())
     }
 
