--- a/crates/pintally-config/src/fleet.rs
+++ b/crates/pintally-config/src/fleet.rs
@@ -175,7 +175,7 @@
         ask: form.count_or("ask", 3, 1, 16)? as usize,
         careful_most: form.millis_or("careful-most-ms", 30_000.0, 1.0, 3_600_000.0)?,
         per_engine: form.number_or("per-engine-per-s", 2.0, 0.001, 1e6)?,
-        textless: form.number_or("textless", 0.6, 0.01, 1.0)?,
+        textless: form.number_or("textless", 0.9, 0.01, 1.0)?,
         lie,
     };
     form.finish()?;
--- a/examples/power-day.sexp
+++ b/examples/power-day.sexp
@@ -15,7 +15,7 @@
   (peers (fleet "power-day") (listen "127.0.0.1:0") (period-ms 200) (answer-ms 60) (indirect 2) (repair-ms 1000)
          (forget-ms 600000))
   (recovery (every-ms 100) (read-within-ms 300) (answer-within-ms 200) (rounds 2) (ask 3)
-            (careful-most-ms 12000) (per-engine-per-s 3) (textless 0.6))
+            (careful-most-ms 8000) (per-engine-per-s 5) (textless 0.9))
 
   (rules (attempts 6) (cold-from 0.3) (warm-after-ms 8000) (tip-multiple 2.5) (tip-window-ms 2000)
          (release-within-ms 500) (retry-after-most-ms 2000))
