Tests of processes started by hand share how a fleet is started and seen whole

Three tests repeated the same lines; no assertion changed. The field that keeps whole texts handed out says so by its name.

--- a/crates/pintally-cli/tests/fleet/by_hand.rs
+++ b/crates/pintally-cli/tests/fleet/by_hand.rs
@@ -71,6 +71,22 @@
         self.running[node] = Some(Box::new(process));
     }
 
+    /// Starts all of them with one list, and waits until each knows the others.
+    fn start_all(&mut self) {
+        for node in 0..self.settings.len() {
+            self.list(node, &engines(1, &[Listing::Serving; 4]));
+            self.start(node);
+        }
+        until("all know all", 10, || self.is_whole());
+    }
+
+    /// Whether each sees all others alive.
+    fn is_whole(&self) -> bool {
+        let all = 0..self.settings.len();
+        let sees = |n: usize, o: usize| n == o || self.sees(n, &format!("n{o}")) == "Alive";
+        all.clone().all(|n| all.clone().all(|o| sees(n, o)))
+    }
+
     fn kill(&mut self, node: usize) {
         if let Some(process) = self.running[node].take() {
             process.kill();
@@ -127,13 +143,7 @@
 #[test]
 fn they_know_of_deaths_and_returns_and_the_command_line_tells() {
     let mut fleet = Nodes::new(3);
-    for node in 0..3 {
-        fleet.list(node, &engines(1, &[Listing::Serving; 4]));
-        fleet.start(node);
-    }
-    until("all know all", 10, || {
-        (0..3).all(|n| (0..3).all(|o| n == o || fleet.sees(n, &format!("n{o}")) == "Alive"))
-    });
+    fleet.start_all();
     fleet.kill(2);
     until("the death is known", 10, || (0..2).all(|n| fleet.sees(n, "n2") == "Dead"));
     fleet.start(2);
@@ -181,19 +191,11 @@
 #[test]
 fn a_process_that_stood_still_is_taken_back_and_harms_nobody() {
     let mut fleet = Nodes::new(3);
-    for node in 0..3 {
-        fleet.list(node, &engines(1, &[Listing::Serving; 4]));
-        fleet.start(node);
-    }
-    until("all know all", 10, || {
-        (0..3).all(|n| (0..3).all(|o| n == o || fleet.sees(n, &format!("n{o}")) == "Alive"))
-    });
+    fleet.start_all();
     fleet.running[1].as_ref().unwrap().pause(true);
     until("it is taken for dead", 15, || [0, 2].iter().all(|n| fleet.sees(*n, "n1") == "Dead"));
     fleet.running[1].as_ref().unwrap().pause(false);
-    until("it is taken back", 15, || {
-        (0..3).all(|n| (0..3).all(|o| n == o || fleet.sees(n, &format!("n{o}")) == "Alive"))
-    });
+    until("it is taken back", 15, || fleet.is_whole());
     let counters = fleet.told(1, "/pintally/peers")["counters"].clone();
     assert!(counters["paused"].as_u64() >= Some(1), "{counters}");
 }
@@ -202,13 +204,7 @@
 #[test]
 fn a_name_that_is_taken_twice_harms_nobody_else() {
     let mut fleet = Nodes::new(3);
-    for node in 0..3 {
-        fleet.list(node, &engines(1, &[Listing::Serving; 4]));
-        fleet.start(node);
-    }
-    until("all know all", 10, || {
-        (0..3).all(|n| (0..3).all(|o| n == o || fleet.sees(n, &format!("n{o}")) == "Alive"))
-    });
+    fleet.start_all();
     let mut twin = fleet.settings[2].clone();
     let (front, link) = (Port::hold().unwrap(), Port::hold().unwrap());
     twin.listen = front.address().unwrap();
--- a/crates/pintally-node/src/fleet.rs
+++ b/crates/pintally-node/src/fleet.rs
@@ -207,7 +207,8 @@
 pub(crate) struct Fleet {
     udp: Udp,
     peers: Peers,
-    whole: Whole,
+    /// Hands out texts until it is dropped.
+    _whole: Whole,
     memory: Memory,
 }
 
@@ -237,7 +238,7 @@
     figures.forget = settings.forget;
     figures.check().map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e.to_string()))?;
     let peers = Peers::new(figures, before.life, seed, shared.clock.now());
-    Ok(Fleet { udp, peers, whole, memory: before.memory.clone() })
+    Ok(Fleet { udp, peers, _whole: whole, memory: before.memory.clone() })
 }
 
 /// What a node without peers does at its start: it goes by what its disk has.
@@ -483,7 +484,6 @@
 impl Fleet {
     /// Where peers reach it.
     pub(crate) fn address(&self) -> io::Result<SocketAddr> {
-        let _ = &self.whole;
         self.udp.address()
     }
 }
