Where recovery stands is told to people and disk every 20 ms, not with every batch

Read again: the deciding thread made the status page's texts and the rates for the store anew for each batch of messages (decide.rs), work on the way of requests that only people and the disk want. It does so every 20 ms and with each new stage; what peers are told stays as fresh as before. The tests of processes by hand, a second loss and a burst of clients pass. Without a recovery in the settings nothing changes.

--- a/crates/pintally-node/src/decide.rs
+++ b/crates/pintally-node/src/decide.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
-use pintally::interface::Outcome;
+use pintally::interface::{Micros, Outcome};
 use pintally_host::{Command, Host, Input, Ticket};
 use tracing::{info, warn};
 
@@ -13,6 +13,8 @@
 
 /// Messages taken in one go before timers are looked at.
 const BATCH: usize = 256;
+/// How often it is told where recovery stands, beside each new stage.
+const TELL_EVERY: Micros = 20_000;
 
 /// Where commands that are not for a request go.
 pub(crate) struct Ends {
@@ -33,6 +35,7 @@
 /// Decides until it is killed or nobody can send any more.
 pub(crate) fn run(shared: &Shared, host: Host, messages: &Receiver<Message>, ends: Ends) {
     let mut decider = Decider { shared, host, boxes: HashMap::new(), ends, commands: Vec::new() };
+    let mut told_at = 0;
     loop {
         let next = match decider.host.next_wake() {
             Some(at) => messages.recv_deadline(shared.clock.instant(at)),
@@ -57,19 +60,24 @@
         let busy = began.elapsed().as_nanos() as u64;
         shared.counts.busy_ns.fetch_add(busy, Ordering::Relaxed);
         *shared.host_counters.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.counters();
-        let now = shared.clock.now();
-        if let Some(answer) = decider.host.recovery_answer(now) {
-            *shared.fleet.answer.lock().unwrap_or_else(|e| e.into_inner()) = Some(answer);
-            *shared.fleet.recovery.lock().unwrap_or_else(|e| e.into_inner()) =
-                decider.host.recovery_status(now);
-            *shared.fleet.usual.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.usual();
-        }
         if decider.host.take_fleet_change() {
             *shared.cells.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.cells_status();
             let moves = decider.host.moves_status(shared.clock.unix_ms());
             *shared.moves.lock().unwrap_or_else(|e| e.into_inner()) = moves;
             shared.serving.store(decider.host.serving(), Ordering::Relaxed);
         }
+        let now = shared.clock.now();
+        if let Some(answer) = decider.host.recovery_answer(now) {
+            let before = shared.fleet.answer.lock().unwrap_or_else(|e| e.into_inner()).replace(answer);
+            // What only people and the disk want is not made anew for every batch.
+            if now < told_at + TELL_EVERY && before.is_some_and(|b| b.stage == answer.stage) {
+                continue;
+            }
+            told_at = now;
+            *shared.fleet.recovery.lock().unwrap_or_else(|e| e.into_inner()) =
+                decider.host.recovery_status(now);
+            *shared.fleet.usual.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.usual();
+        }
     }
 }
 
