A register in common among keepers, and shares of limits lent under leases

Each node divides limits by the number of nodes and knows of no other's use. Not yet part of the node.

Broken builds caught: shares taken up from an image of the disk, leases by wall clock, a new lender that lends at once.

--- /dev/null
+++ b/crates/pintally-accord/src/settings.rs
@@ -0,0 +1,89 @@
+//! What a keeper is told, and which figures go together.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use crate::{KeeperName, Micros};
+
+/// More keepers cost more messages and bear no more failures that are worth it.
+pub const KEEPERS_MOST: usize = 7;
+
+/// What a keeper is told. Times in microseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Its name.
+    pub name: KeeperName,
+    /// All keepers at the first start of the fleet; later the register itself says who they are.
+    pub keepers: Vec<KeeperName>,
+    /// Between two words of a leader.
+    pub beat: Micros,
+    /// A keeper that hears no leader for this time up to twice of it stands for the lead.
+    pub election: Micros,
+    /// A restarted keeper that cannot ask enough of the others believes a disk without visible harm
+    /// after this time.
+    pub doubt: Micros,
+    /// The most by which a second of one clock differs from a second of another, as a part.
+    pub drift: f64,
+    /// Applied entries that are kept in the log before a snapshot takes their place.
+    pub keep: usize,
+}
+
+/// Figures that do not go together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unsound(pub &'static str);
+
+impl fmt::Display for Unsound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Unsound {}
+
+impl Settings {
+    /// Usual figures.
+    pub fn new(name: &str, keepers: &[&str]) -> Settings {
+        Settings {
+            name: name.into(),
+            keepers: keepers.iter().map(|k| KeeperName::from(*k)).collect(),
+            beat: 100_000,
+            election: 600_000,
+            doubt: 5_000_000,
+            drift: 0.01,
+            keep: 64,
+        }
+    }
+
+    /// Checks that the figures go together.
+    pub fn check(&self) -> Result<(), Unsound> {
+        let wrong = |bad: bool, what| if bad { Err(Unsound(what)) } else { Ok(()) };
+        let sound = |k: &KeeperName| !k.0.is_empty() && k.0.len() <= 64;
+        let distinct: BTreeSet<&KeeperName> = self.keepers.iter().collect();
+        wrong(self.keepers.is_empty(), "there is no keeper")?;
+        wrong(self.keepers.len() > KEEPERS_MOST, "there are more than 7 keepers")?;
+        wrong(distinct.len() < self.keepers.len(), "a keeper is named twice")?;
+        wrong(!self.keepers.iter().all(sound), "a keeper's name needs 1 to 64 bytes")?;
+        wrong(self.beat < 1_000, "a leader's beat is under a millisecond")?;
+        wrong(self.election < 3 * self.beat, "the election time is under three beats")?;
+        wrong(self.doubt < self.election, "a disk is believed before an election is over")?;
+        wrong(!(0.0..=0.2).contains(&self.drift), "clocks that drift apart by over a fifth are none")
+    }
+
+    /// For how long after it heard a leader, or started, a keeper gives nobody its vote.
+    pub(crate) fn loyal(&self) -> Micros {
+        self.election
+    }
+
+    /// How long the lead surely lasts after a majority answered to what was sent at some time: a
+    /// follower counts its loyalty by its own clock, which may be fast.
+    pub fn lead_lasts(&self) -> Micros {
+        (self.election as f64 * (1.0 - 2.0 * self.drift)).max(0.0) as Micros
+    }
+
+    /// The longest time from the loss of a leader to the next one, with a majority that hears each
+    /// other, no message lost and no two that stand at once: loyalty, the spread of the time-outs, two
+    /// rounds of votes.
+    pub fn led_again_within(&self) -> Micros {
+        2 * self.election + 2 * self.beat
+    }
+}
--- /dev/null
+++ b/crates/pintally-shares/src/holder.rs
@@ -0,0 +1,350 @@
+//! A node's shares: what it admits by them, and what it asks for.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::limit::{Bound, Kind, Limit, LimitId, Settings};
+use crate::message::{Ask, Grant};
+use crate::Micros;
+
+/// Demand is counted with this half-life.
+const HALF_LIFE: f64 = 5e5;
+/// A holder asks for this much more than it could use now, so that growth finds room.
+const HEADROOM: f64 = 1.25;
+/// Demand below this is none.
+const NONE: f64 = 1e-3;
+/// After a refusal a share is asked for anew this many times sooner.
+const SOONER: u64 = 5;
+
+/// Whether something may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may.
+    Admit,
+    /// It may not; asking again after this time may help.
+    Refuse(Micros),
+}
+
+/// How one limit stands at this node.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LimitStatus {
+    /// Its name.
+    pub name: String,
+    /// `hard` or `soft`.
+    pub bound: &'static str,
+    /// `a second` or `at once`.
+    pub counts: &'static str,
+    /// The whole limit as this node knows it.
+    pub most: f64,
+    /// What the node has now, its floor included.
+    pub has: f64,
+    /// Of this its floor.
+    pub floor: f64,
+    /// What it could use.
+    pub wants: f64,
+    /// What runs, if it counts at once; what a rate owes, if it is below zero.
+    pub in_use: f64,
+    /// How old what it holds is, in milliseconds: none if no lender ever answered.
+    pub age_ms: Option<u64>,
+    /// Whether its lease holds.
+    pub leased: bool,
+    /// Let in and turned away so far.
+    pub admitted: u64,
+    /// Turned away for it.
+    pub refused: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    limit: Limit,
+    share: f32,
+    /// What it is to come down to, once it owes nothing.
+    down_to: Option<f32>,
+    /// By the own clock: the lease's end.
+    until: Micros,
+    /// When what it holds was asked for.
+    told: Option<Micros>,
+    /// Rate: what may be used now; below zero it is owed. Level: how much is in use.
+    level: f64,
+    at: Micros,
+    demand: f64,
+    demand_at: Micros,
+    turned_away: f64,
+    /// The latest ask: its number, when, and what was held.
+    asked: Option<(u32, Micros, f32)>,
+    number: u32,
+    urgent: bool,
+    admitted: u64,
+    refused: u64,
+}
+
+/// A node's shares of all limits.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    settings: Settings,
+    held: BTreeMap<LimitId, Held>,
+    names: BTreeMap<LimitId, String>,
+}
+
+impl Holder {
+    /// A node that holds nothing but its floors. What it held in a life before is never taken up again:
+    /// it stays debited until its lease is over.
+    pub fn new(settings: Settings, limits: impl IntoIterator<Item = (LimitId, String, Limit)>) -> Holder {
+        let mut holder = Holder { settings, held: BTreeMap::new(), names: BTreeMap::new() };
+        for (id, name, limit) in limits {
+            holder.names.insert(id, name);
+            holder.held.insert(id, Held::new(limit));
+        }
+        holder
+    }
+
+    /// Whether something that costs so much may begin under a limit. It is not counted yet: that is
+    /// [`Holder::take`], once all limits that it falls under have room.
+    pub fn ask(&mut self, now: Micros, id: LimitId, cost: f64) -> Verdict {
+        let settings = self.settings;
+        let Some(held) = self.held.get_mut(&id) else { return Verdict::Admit };
+        held.settle(now, &settings);
+        held.offered(now, cost);
+        let has = held.has(now, &settings);
+        let (room, lacks) = match held.limit.kind {
+            Kind::Rate => (held.level > 0.0, -held.level + 1e-6),
+            Kind::Level => (held.level + cost <= has + 1e-6, 0.0),
+        };
+        if room {
+            return Verdict::Admit;
+        }
+        held.refused += 1;
+        held.turned_away += cost;
+        held.urgent = true;
+        let soon = 2 * settings.every;
+        let after = match held.limit.kind {
+            Kind::Rate if has > 0.0 => (lacks / has * 1e6) as Micros,
+            _ => soon,
+        };
+        Verdict::Refuse(after.clamp(1_000, settings.lease.max(soon)))
+    }
+
+    /// Counts what begins.
+    pub fn take(&mut self, now: Micros, id: LimitId, cost: f64) {
+        let settings = self.settings;
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.settle(now, &settings);
+        held.admitted += 1;
+        held.level += if held.limit.kind == Kind::Level { cost } else { -cost };
+    }
+
+    /// Counts what has ended of what is counted at once.
+    pub fn give_back(&mut self, now: Micros, id: LimitId, cost: f64) {
+        let settings = self.settings;
+        let Some(held) = self.held.get_mut(&id).filter(|h| h.limit.kind == Kind::Level) else { return };
+        held.settle(now, &settings);
+        held.level = (held.level - cost).max(0.0);
+    }
+
+    /// What is to be asked for now.
+    pub fn asks(&mut self, now: Micros) -> Vec<Ask> {
+        let settings = self.settings;
+        let mut asks = Vec::new();
+        for (id, held) in &mut self.held {
+            held.settle(now, &settings);
+            let wants = held.wants(now, &settings);
+            if wants <= 0.0 && held.share <= 0.0 {
+                continue;
+            }
+            let pause = if held.urgent { settings.every / SOONER } else { settings.every };
+            if held.asked.is_some_and(|(_, at, _)| now < at + pause) {
+                continue;
+            }
+            held.urgent = false;
+            held.turned_away = 0.0;
+            held.number += 1;
+            held.asked = Some((held.number, now, held.share));
+            asks.push(Ask { limit: *id, number: held.number, holds: held.share, wants: wants as f32 });
+        }
+        asks
+    }
+
+    /// Takes a lender's answer in.
+    pub fn granted(&mut self, now: Micros, grant: &Grant) {
+        let settings = self.settings;
+        let Some(held) = self.held.get_mut(&grant.limit) else { return };
+        // Guards against a grant for an ask that another has followed: the lender does not reckon with
+        // it any more.
+        let Some((_, asked, held_then)) = held.asked.filter(|(number, ..)| *number == grant.number) else {
+            return;
+        };
+        let sound = grant.share.is_finite() && grant.share >= 0.0 && grant.most.is_finite();
+        if !sound || grant.most < 0.0 || held.told == Some(asked) {
+            return;
+        }
+        held.settle(now, &settings);
+        // Guards against a grant that rests on what has run out on the way: it may be lent anew already.
+        if held.share < held_then {
+            return;
+        }
+        held.limit.most = grant.most;
+        held.told = Some(asked);
+        held.until = asked + settings.lease;
+        if grant.share >= held.share {
+            (held.share, held.down_to) = (grant.share, None);
+        } else {
+            held.down_to = Some(grant.share);
+        }
+        held.come_down(&settings);
+    }
+
+    /// What the node has of a limit now, its floor included; none if there is no such limit.
+    pub fn has(&self, now: Micros, id: LimitId) -> Option<f64> {
+        self.held.get(&id).map(|h| h.has(now, &self.settings))
+    }
+
+    /// What of the limit's floor and lease is not of its own, for audits: the share alone.
+    pub fn share(&self, now: Micros, id: LimitId) -> f64 {
+        self.held.get(&id).map_or(0.0, |h| h.leased(now, &self.settings))
+    }
+
+    /// How each limit stands here.
+    pub fn status(&self, now: Micros) -> Vec<LimitStatus> {
+        let one = |(id, h): (&LimitId, &Held)| LimitStatus {
+            name: self.names.get(id).cloned().unwrap_or_default(),
+            bound: if h.limit.bound == Bound::Hard { "hard" } else { "soft" },
+            counts: if h.limit.kind == Kind::Rate { "a second" } else { "at once" },
+            most: h.limit.most,
+            has: h.has(now, &self.settings),
+            floor: self.settings.floor(&h.limit),
+            wants: h.wants(now, &self.settings),
+            in_use: h.level,
+            age_ms: h.told.map(|at| now.saturating_sub(at) / 1000),
+            leased: now < h.until && h.told.is_some(),
+            admitted: h.admitted,
+            refused: h.refused,
+        };
+        self.held.iter().map(one).collect()
+    }
+
+    /// Let in and turned away so far, over all limits.
+    pub fn counts(&self) -> (u64, u64) {
+        self.held.values().fold((0, 0), |(a, r), h| (a + h.admitted, r + h.refused))
+    }
+}
+
+impl Held {
+    fn new(limit: Limit) -> Held {
+        Held {
+            limit,
+            share: 0.0,
+            down_to: None,
+            until: 0,
+            told: None,
+            level: 0.0,
+            at: 0,
+            demand: 0.0,
+            demand_at: 0,
+            turned_away: 0.0,
+            asked: None,
+            number: 0,
+            urgent: false,
+            admitted: 0,
+            refused: 0,
+        }
+    }
+
+    /// The share at a time, without the floor.
+    fn leased(&self, now: Micros, settings: &Settings) -> f64 {
+        let share = f64::from(self.share);
+        if now < self.until {
+            return share;
+        }
+        match self.limit.bound {
+            Bound::Hard => 0.0,
+            Bound::Soft => {
+                let gone = (now - self.until) as f64 / settings.fade.max(1) as f64;
+                share * (1.0 - gone).max(0.0)
+            }
+        }
+    }
+
+    fn has(&self, now: Micros, settings: &Settings) -> f64 {
+        settings.floor(&self.limit) + self.leased(now, settings)
+    }
+
+    /// Brings what may be used up to a time.
+    fn settle(&mut self, now: Micros, settings: &Settings) {
+        if self.at == 0 {
+            self.at = now;
+        }
+        if now > self.at && self.limit.kind == Kind::Rate {
+            // A lease that ended in between counts up to its end.
+            let middle = self.until.clamp(self.at, now);
+            for (from, to) in [(self.at, middle), (middle, now)] {
+                let rate = self.has((from + to) / 2, settings);
+                let cap = (rate * settings.burst as f64 / 1e6).max(0.0);
+                let gained = self.level + rate * (to - from) as f64 / 1e6;
+                // What was saved under a greater share does not outlast it.
+                if to > from {
+                    self.level = gained.min(cap);
+                }
+            }
+        }
+        self.at = self.at.max(now);
+        let lost = match self.limit.bound {
+            Bound::Hard => now >= self.until,
+            Bound::Soft => now >= self.until + settings.fade,
+        };
+        if lost {
+            (self.share, self.down_to) = (0.0, None);
+        }
+        self.come_down(settings);
+    }
+
+    /// Gives back what was asked back, as far as it owes nothing by it.
+    fn come_down(&mut self, settings: &Settings) {
+        let Some(target) = self.down_to else { return };
+        match self.limit.kind {
+            // What is owed is paid first: otherwise the next holder would begin where this one went ahead.
+            Kind::Rate if self.level < 0.0 => {}
+            Kind::Rate => {
+                let cap = (settings.floor(&self.limit) + f64::from(target)) * settings.burst as f64 / 1e6;
+                (self.share, self.down_to, self.level) = (target, None, self.level.min(cap));
+                // Others wait for it: the lender hears of it soon.
+                self.urgent = true;
+            }
+            Kind::Level => {
+                let needed = (self.level - settings.floor(&self.limit)).max(0.0) as f32;
+                self.share = self.share.min(target.max(needed));
+                if self.share <= target {
+                    self.down_to = None;
+                }
+            }
+        }
+    }
+
+    fn offered(&mut self, now: Micros, cost: f64) {
+        if self.limit.kind == Kind::Rate {
+            self.demand = self.demand_now(now) + cost * std::f64::consts::LN_2 / (HALF_LIFE / 1e6);
+            self.demand_at = now;
+        }
+    }
+
+    fn demand_now(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.demand_at) as f64;
+        self.demand * 0.5f64.powf(age / HALF_LIFE)
+    }
+
+    /// What it could use beside its floor.
+    fn wants(&self, now: Micros, settings: &Settings) -> f64 {
+        let use_now = match self.limit.kind {
+            Kind::Rate => self.demand_now(now),
+            Kind::Level => self.level + self.turned_away,
+        };
+        if use_now < NONE * self.limit.most.min(1.0) {
+            return 0.0;
+        }
+        let wanted = match self.limit.kind {
+            Kind::Rate => use_now * HEADROOM,
+            Kind::Level => (use_now * HEADROOM).ceil(),
+        };
+        (wanted - settings.floor(&self.limit)).clamp(0.0, self.limit.most)
+    }
+}
--- /dev/null
+++ b/crates/pintally-shares/src/limit.rs
@@ -0,0 +1,137 @@
+//! Limits, and the figures by which they are shared.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Micros;
+
+/// What stands for a limit among nodes: a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LimitId(pub u32);
+
+/// What a limit counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// So much a second.
+    Rate,
+    /// So many at once.
+    Level,
+}
+
+/// What gives way when nodes cannot hear each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Bound {
+    /// The limit holds; what cannot be asked for is refused.
+    Hard,
+    /// Service goes on; the limit is exceeded by a stated part.
+    Soft,
+}
+
+/// One limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// What it counts.
+    pub kind: Kind,
+    /// What gives way.
+    pub bound: Bound,
+    /// How much for the whole fleet, a second or at once.
+    pub most: f64,
+}
+
+/// How limits are shared. Times in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Nodes of the fleet: each has a floor of its own, whoever is there.
+    pub nodes: u32,
+    /// The part of a hard limit that is floors, so that a node that is cut off can go on a little.
+    pub reserve: f64,
+    /// The part by which a soft limit may be exceeded while nodes are cut off.
+    pub over: f64,
+    /// A share that is not asked for again ends after this time.
+    pub lease: Micros,
+    /// A share in use is asked for this often.
+    pub every: Micros,
+    /// What was not used of a rate may be used later, within this time.
+    pub burst: Micros,
+    /// What is counted at once ends within this time: a lost holder's part returns no sooner.
+    pub hold: Micros,
+    /// The soft share of a node that is cut off falls away over this time.
+    pub fade: Micros,
+    /// The most by which a second of one clock differs from a second of another, as a part.
+    pub drift: f64,
+}
+
+/// Figures that do not go together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unsound(pub &'static str);
+
+impl fmt::Display for Unsound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Unsound {}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            nodes: 1,
+            reserve: 0.2,
+            over: 0.25,
+            lease: 4_000_000,
+            every: 400_000,
+            burst: 1_000_000,
+            hold: 30_000_000,
+            fade: 4_000_000,
+            drift: 0.01,
+        }
+    }
+}
+
+impl Settings {
+    /// Checks that the figures go together.
+    pub fn check(&self) -> Result<(), Unsound> {
+        let wrong = |bad: bool, what| if bad { Err(Unsound(what)) } else { Ok(()) };
+        wrong(self.nodes == 0, "a fleet has one node at least")?;
+        wrong(!(0.0..0.9).contains(&self.reserve), "floors take nearly all of a hard limit")?;
+        wrong(!(0.0..=1.0).contains(&self.over), "a soft limit is exceeded by more than itself")?;
+        wrong(self.every == 0, "a share is asked for all the time")?;
+        wrong(self.lease < 4 * self.every, "a lease ends before it was asked for four times")?;
+        wrong(self.burst < 10_000, "what is not used at once is lost")?;
+        wrong(!(0.0..=0.2).contains(&self.drift), "clocks that drift apart by over a fifth are none")
+    }
+
+    /// What a node may use of a limit without asking anybody.
+    pub fn floor(&self, limit: &Limit) -> f64 {
+        let nodes = f64::from(self.nodes.max(1));
+        match (limit.bound, limit.kind) {
+            (Bound::Hard, Kind::Rate) => limit.most * self.reserve / nodes,
+            // Half a stream is none: what does not make a whole one for each node stays with the lender.
+            (Bound::Hard, Kind::Level) => (limit.most * self.reserve / nodes).floor(),
+            (Bound::Soft, Kind::Rate) => limit.most * self.over / nodes,
+            (Bound::Soft, Kind::Level) => (limit.most * self.over / nodes).floor(),
+        }
+    }
+
+    /// What there is to lend of a limit.
+    pub fn lendable(&self, limit: &Limit) -> f64 {
+        match limit.bound {
+            Bound::Hard => limit.most - self.floor(limit) * f64::from(self.nodes.max(1)),
+            Bound::Soft => limit.most,
+        }
+    }
+
+    /// How long a lender reckons with a share after it was last asked for: the holder counts from when
+    /// it asked, by a clock that may be slow, and ends what it has at once within its own time.
+    pub fn debited_for(&self, limit: &Limit) -> Micros {
+        let lease = (self.lease as f64 * (1.0 + 2.0 * self.drift)) as Micros;
+        lease
+            + match (limit.kind, limit.bound) {
+                (Kind::Level, _) => (self.hold as f64 * (1.0 + 2.0 * self.drift)) as Micros,
+                (Kind::Rate, Bound::Hard) => 0,
+                (Kind::Rate, Bound::Soft) => (self.fade as f64 * (1.0 + 2.0 * self.drift)) as Micros,
+            }
+    }
+}
--- /dev/null
+++ b/crates/pintally-shares/src/message.rs
@@ -0,0 +1,34 @@
+//! What holders and the lender tell each other. Each may be lost, doubled, late or out of order.
+
+use serde::{Deserialize, Serialize};
+
+use crate::limit::LimitId;
+
+/// Asks, or grants, in one message: with what stands around them they stay below a datagram.
+pub const AT_ONCE: usize = 40;
+
+/// A holder asks for a share, and by this gives back what it holds no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Of which limit.
+    pub limit: LimitId,
+    /// Counts the asks of this holder's life for this limit. A grant for an earlier one is void.
+    pub number: u32,
+    /// What it holds, and will not exceed before it is granted more.
+    pub holds: f32,
+    /// What it could use.
+    pub wants: f32,
+}
+
+/// A lender's answer to one ask.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Of which limit.
+    pub limit: LimitId,
+    /// Which ask it answers.
+    pub number: u32,
+    /// What the holder has from now on, until its lease ends.
+    pub share: f32,
+    /// The whole limit as it is now.
+    pub most: f64,
+}
--- /dev/null
+++ b/crates/pintally-shares/tests/common/mod.rs
@@ -0,0 +1,330 @@
+//! Nodes and a lender in virtual time: clocks that drift, messages that are lost, doubled, late and out
+//! of order, nodes that restart, stand still or run twice, leads that pass on.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use pintally_shares::{Ask, Bound, Grant, Holder, Kind, Lender, Limit, LimitId, Micros, Settings, Verdict};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const MS: Micros = 1_000;
+pub const ONE: LimitId = LimitId(1);
+
+/// A build that is broken on purpose, to show that the audit can fail.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Broken {
+    Nothing,
+    /// A node takes up again what an image of its disk says that it held.
+    SharesFromDisk,
+    /// Holders count leases by wall clocks, which are set back now and then.
+    WallClock,
+    /// A new lender lends at once.
+    NoWait,
+}
+
+pub struct Node {
+    pub holder: Holder,
+    pub life: u64,
+    pub rate: f64,
+    pub offset: Micros,
+    pub set_back: Micros,
+    pub paused_until: Micros,
+    pub cut: bool,
+    /// Offered a second.
+    pub load: f64,
+    pub running: Vec<Micros>,
+    image: Holder,
+}
+
+enum Event {
+    Ask(usize, String, u64, Ask),
+    Grant(usize, u64, Grant),
+}
+
+pub struct World {
+    pub now: Micros,
+    pub rng: ChaCha8Rng,
+    pub nodes: Vec<Node>,
+    /// Nodes that the settings reckon with; the others are twins.
+    pub limit: Limit,
+    pub settings: Settings,
+    pub lender: Option<Lender>,
+    pub next_lender: Micros,
+    pub broken: Broken,
+    pub loss: f64,
+    pub troubles: bool,
+    queue: BTreeMap<(Micros, u64), Event>,
+    serial: u64,
+    lives: u64,
+    /// Beyond the limit in the worst window so far.
+    pub excess: f64,
+    running_excess: f64,
+    excess_at: Micros,
+    pub ended_leases: u64,
+    pub admitted: f64,
+    pub refused: u64,
+    /// The most that all had at one time.
+    pub peak: f64,
+    pub moves: u64,
+}
+
+impl World {
+    pub fn new(n: usize, seed: u64, limit: Limit) -> World {
+        let settings = Settings { nodes: n as u32, hold: 1_000_000, ..Settings::default() };
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = World {
+            now: 1,
+            nodes: Vec::new(),
+            limit,
+            settings,
+            lender: None,
+            next_lender: 1,
+            broken: Broken::Nothing,
+            loss: 0.0,
+            troubles: false,
+            queue: BTreeMap::new(),
+            serial: 0,
+            lives: 0,
+            excess: 0.0,
+            running_excess: 0.0,
+            excess_at: 1,
+            ended_leases: 0,
+            admitted: 0.0,
+            refused: 0,
+            peak: 0.0,
+            moves: 0,
+            rng: ChaCha8Rng::seed_from_u64(rng.random()),
+        };
+        for _ in 0..n {
+            let load = rng.random_range(0.0..2.0) * limit.most / n as f64;
+            world.add(load);
+        }
+        world
+    }
+
+    pub fn add(&mut self, load: f64) {
+        self.lives += 1;
+        let holder = Holder::new(self.settings, [(ONE, "one".to_string(), self.limit)]);
+        let drift = self.settings.drift;
+        self.nodes.push(Node {
+            image: holder.clone(),
+            holder,
+            life: self.lives,
+            rate: 1.0 + self.rng.random_range(-0.5..0.5) * drift,
+            offset: self.rng.random_range(0..1_000_000_000),
+            set_back: 0,
+            paused_until: 0,
+            cut: false,
+            load,
+            running: Vec::new(),
+        });
+    }
+
+    pub fn clock(&self, k: usize) -> Micros {
+        let node = &self.nodes[k];
+        node.offset + (self.now as f64 * node.rate) as Micros - node.set_back.min(node.offset)
+    }
+
+    fn push(&mut self, event: Event) {
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        let times = 1 + usize::from(self.rng.random_bool(self.loss));
+        for _ in 0..times {
+            let late = self.rng.random_bool(self.loss);
+            let most = if late { 2 * self.settings.lease } else { 20 * MS };
+            let after = self.rng.random_range(MS..most);
+            self.serial += 1;
+            let event = match &event {
+                Event::Ask(k, name, life, ask) => Event::Ask(*k, name.clone(), *life, *ask),
+                Event::Grant(k, life, grant) => Event::Grant(*k, *life, *grant),
+            };
+            self.queue.insert((self.now + after, self.serial), event);
+        }
+    }
+
+    pub fn restart(&mut self, k: usize) {
+        self.lives += 1;
+        let fresh = Holder::new(self.settings, [(ONE, "one".to_string(), self.limit)]);
+        let disk = self.broken == Broken::SharesFromDisk;
+        let node = &mut self.nodes[k];
+        node.holder = if disk { node.image.clone() } else { fresh };
+        node.life = self.lives;
+        node.running.clear();
+    }
+
+    /// The lead passes on: nobody lends for a while, then another does who knows nothing.
+    pub fn pass_lead(&mut self) {
+        self.lender = None;
+        self.next_lender = self.now + self.rng.random_range(0..1_500 * MS);
+    }
+
+    /// Plays a step of 5 ms.
+    pub fn step(&mut self) -> Result<(), String> {
+        self.now += 5 * MS;
+        if self.lender.is_none() && self.now >= self.next_lender {
+            let back = if self.broken == Broken::NoWait { self.now.min(100_000 * MS) } else { 0 };
+            let since = self.now - back;
+            self.lender = Some(Lender::new(self.settings, [(ONE, self.limit)], since));
+        }
+        if self.troubles {
+            self.trouble();
+        }
+        for k in 0..self.nodes.len() {
+            self.load(k)?;
+        }
+        while self.queue.first_key_value().is_some_and(|(at, _)| at.0 <= self.now) {
+            let Some((_, event)) = self.queue.pop_first() else { break };
+            match event {
+                Event::Ask(k, name, life, ask) => {
+                    let (now, cut) = (self.now, self.nodes[k].cut);
+                    let grant =
+                        self.lender.as_mut().filter(|_| !cut).and_then(|l| l.ask(now, &name, life, &ask));
+                    if let Some(grant) = grant {
+                        self.push(Event::Grant(k, life, grant));
+                    }
+                }
+                Event::Grant(k, life, grant) => {
+                    let clock = self.clock(k);
+                    let node = &mut self.nodes[k];
+                    if node.life == life && !node.cut && self.now >= node.paused_until {
+                        node.holder.granted(clock, &grant);
+                    }
+                }
+            }
+            self.check()?;
+        }
+        self.check()
+    }
+
+    fn load(&mut self, k: usize) -> Result<(), String> {
+        if self.now < self.nodes[k].paused_until {
+            return Ok(());
+        }
+        let clock = self.clock(k);
+        let before = self.nodes[k].holder.share(clock, ONE) > 0.0;
+        let mut expected = self.nodes[k].load * 0.005;
+        if self.limit.kind == Kind::Level {
+            // Each runs for half a second.
+            expected *= 2.0;
+            let now = self.now;
+            let node = &mut self.nodes[k];
+            let ended = node.running.iter().filter(|e| **e <= now).count();
+            node.running.retain(|e| *e > now);
+            (0..ended).for_each(|_| node.holder.give_back(clock, ONE, 1.0));
+        }
+        while expected > 0.0 {
+            if expected < 1.0 && !self.rng.random_bool(expected) {
+                break;
+            }
+            expected -= 1.0;
+            let node = &mut self.nodes[k];
+            if node.holder.ask(clock, ONE, 1.0) == Verdict::Admit {
+                node.holder.take(clock, ONE, 1.0);
+                node.running.push(self.now + 500 * MS);
+                self.admitted += 1.0;
+                let passed = (self.now - self.excess_at) as f64 / 1e6;
+                self.excess_at = self.now;
+                self.running_excess = (self.running_excess - self.limit.most * passed).max(0.0) + 1.0;
+                self.excess = self.excess.max(self.running_excess);
+            } else {
+                self.refused += 1;
+            }
+        }
+        if self.broken == Broken::SharesFromDisk {
+            // The image with most, of those that are not over.
+            let node = &mut self.nodes[k];
+            if node.image.share(clock, ONE) < node.holder.share(clock, ONE) {
+                node.image = node.holder.clone();
+            }
+        }
+        let asks = self.nodes[k].holder.asks(clock);
+        let life = self.nodes[k].life;
+        self.ended_leases += u64::from(before && self.nodes[k].holder.share(clock, ONE) <= 0.0);
+        if !self.nodes[k].cut {
+            asks.into_iter().for_each(|ask| self.push(Event::Ask(k, format!("n{k}"), life, ask)));
+        }
+        self.check()
+    }
+
+    fn trouble(&mut self) {
+        if !self.rng.random_bool(0.01) {
+            return;
+        }
+        let k = self.rng.random_range(0..self.nodes.len());
+        let span = self.rng.random_range(0..6_000 * MS);
+        match self.rng.random_range(0..6u32) {
+            0 => self.restart(k),
+            1 => self.nodes[k].paused_until = self.now + span,
+            2 => self.nodes[k].cut = !self.nodes[k].cut,
+            3 => self.pass_lead(),
+            4 => {
+                // All load of the world moves to one node.
+                let whole = 2.0 * self.limit.most;
+                let n = self.nodes.len() as f64;
+                let skewed = self.rng.random_bool(0.5);
+                for (n_k, node) in self.nodes.iter_mut().enumerate() {
+                    node.load = if !skewed {
+                        whole / n
+                    } else if n_k == k {
+                        whole
+                    } else {
+                        0.0
+                    };
+                }
+                self.moves += 1;
+            }
+            5 if self.broken == Broken::WallClock => self.nodes[k].set_back += 3_600_000 * MS / 1000,
+            _ => {}
+        }
+    }
+
+    /// What all nodes may use now.
+    pub fn sum(&self) -> f64 {
+        (0..self.nodes.len()).filter_map(|k| self.nodes[k].holder.has(self.clock(k), ONE)).sum()
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        let sum = self.sum();
+        self.peak = self.peak.max(sum);
+        let bounds = self.settings.bounds(&self.limit);
+        let more = self.nodes.len().saturating_sub(self.settings.nodes as usize) as f64;
+        let most = bounds.at_once + more * bounds.each_more;
+        if sum > most * (1.0 + 1e-6) {
+            return Err(format!("at {} ms all have {sum:.3} of {most:.3}", self.now / MS));
+        }
+        if self.limit.kind == Kind::Rate {
+            let each = self.lives as f64 + self.ended_leases as f64 + self.nodes.len() as f64;
+            let over = (bounds.at_once - self.limit.most) * self.now as f64 / 1e6;
+            if self.excess > bounds.burst + each + over + more * bounds.each_more * self.now as f64 / 1e6 {
+                return Err(format!("{:.1} beyond the limit in one window", self.excess));
+            }
+        } else {
+            // What a node that stands still has not counted as ended has ended at its engine.
+            let now = self.now;
+            let running: usize =
+                self.nodes.iter().map(|n| n.running.iter().filter(|e| **e > now).count()).sum();
+            if running as f64 > most + 1e-6 {
+                return Err(format!("{running} at once of {most}"));
+            }
+        }
+        Ok(())
+    }
+
+    pub fn run(&mut self, ms: Micros) -> Result<(), String> {
+        let until = self.now + ms * MS;
+        while self.now < until {
+            self.step()?;
+        }
+        Ok(())
+    }
+}
+
+pub fn rate(most: f64, bound: Bound) -> Limit {
+    Limit { kind: Kind::Rate, bound, most }
+}
+
+pub fn level(most: f64, bound: Bound) -> Limit {
+    Limit { kind: Kind::Level, bound, most }
+}
--- /dev/null
+++ b/crates/pintally-shares/tests/decisions.rs
@@ -0,0 +1,192 @@
+//! How shares follow demand, and what single cases come to.
+
+mod common;
+
+use common::{level, rate, World, MS, ONE};
+use pintally_shares::{Ask, Bound, Grant, Holder, Lender, Limit, LimitId, Settings, Verdict};
+
+/// All of a tenant's load moves from one node to another every 5 s.
+#[test]
+fn shares_follow_a_load_that_moves() {
+    let mut world = World::new(5, 1, rate(100.0, Bound::Hard));
+    world.run(6_000).unwrap();
+    let before = world.admitted;
+    for k in 0..10 {
+        for (n, node) in world.nodes.iter_mut().enumerate() {
+            node.load = if n == k % 5 { 90.0 } else { 0.0 };
+        }
+        world.run(5_000).unwrap();
+    }
+    let served = (world.admitted - before) / (50.0 * 90.0);
+    // A node can have 84 of 100: its floor, and what is no floor of another.
+    println!("{served:.3} of a load of 0.9 of the limit is let in while it moves every 5 s");
+    assert!(served > 0.7, "{served}");
+}
+
+#[test]
+fn shares_do_not_swing_while_demand_is_steady() {
+    let mut world = World::new(4, 2, rate(400.0, Bound::Hard));
+    for node in &mut world.nodes {
+        node.load = 80.0;
+    }
+    world.run(10_000).unwrap();
+    let mut seen = vec![(f64::MAX, 0.0f64); 4];
+    let before = world.refused;
+    for _ in 0..100 {
+        world.run(100).unwrap();
+        for (k, (low, high)) in seen.iter_mut().enumerate() {
+            let share = world.nodes[k].holder.share(world.clock(k), ONE);
+            (*low, *high) = (low.min(share), high.max(share));
+        }
+    }
+    for (low, high) in seen {
+        assert!(high < 1.8 * low, "a share swings from {low:.1} to {high:.1}");
+    }
+    let refused = world.refused - before;
+    assert!(refused < 16, "{refused} of 3200 refused though all are within the limit");
+}
+
+/// 40 nodes and a limit of one a second: each gets its turn, and the sum is used.
+#[test]
+fn small_limits_are_shared_among_many_nodes() {
+    let mut world = World::new(40, 3, rate(1.0, Bound::Hard));
+    for node in &mut world.nodes {
+        node.load = 0.1;
+    }
+    world.run(10_000).unwrap();
+    let before = world.admitted;
+    world.run(200_000).unwrap();
+    let got = (world.admitted - before) / 200.0;
+    println!("{got:.2} a second of 1.0 are let in");
+    assert!((0.7..=1.3).contains(&got), "{got}");
+}
+
+#[test]
+fn streams_at_once_fewer_than_nodes_go_round() {
+    let mut world = World::new(8, 4, level(3.0, Bound::Hard));
+    for node in &mut world.nodes {
+        node.load = 3.0;
+    }
+    world.run(40_000).unwrap();
+    // Three at once, each for half a second: six a second at the most.
+    let got = world.admitted / 40.0;
+    println!("{got:.2} a second of 6.0 are let in");
+    assert!(got > 1.5, "{got}");
+}
+
+#[test]
+fn a_node_that_is_cut_off_lives_on_its_floor() {
+    let limit = rate(100.0, Bound::Hard);
+    let mut world = World::new(4, 5, limit);
+    for node in &mut world.nodes {
+        node.load = 24.0;
+    }
+    world.run(8_000).unwrap();
+    world.nodes[0].cut = true;
+    world.run(10_000).unwrap();
+    let has = world.nodes[0].holder.has(world.clock(0), ONE).unwrap();
+    assert_eq!(has, world.settings.floor(&limit));
+    let status = world.nodes[0].holder.status(world.clock(0));
+    assert!(!status[0].leased && status[0].age_ms > Some(4_000), "{status:?}");
+    // And a soft one keeps its part beyond.
+    let soft = rate(100.0, Bound::Soft);
+    assert_eq!(world.settings.floor(&soft), 100.0 * world.settings.over / 4.0);
+}
+
+/// A node that its peers judge dead goes on using what it has: nobody else has it before it is over.
+#[test]
+fn a_dead_nodes_share_returns_only_when_its_lease_is_surely_over() {
+    let settings = Settings { nodes: 2, ..Settings::default() };
+    let limit = rate(100.0, Bound::Hard);
+    let mut lender = Lender::new(settings, [(ONE, limit)], 0);
+    let mut now = settings.debited_for(&limit) + 1;
+    let ask = |number, holds| Ask { limit: ONE, number, holds, wants: 100.0 };
+    let first = lender.ask(now, "a", 1, &ask(1, 0.0)).unwrap();
+    assert!(f64::from(first.share) <= 80.0 && first.share > 79.0, "{first:?}");
+    let died = now;
+    // Its next life is another holder.
+    now += 10 * MS;
+    let next = lender.ask(now, "a", 2, &ask(1, 0.0)).unwrap();
+    assert_eq!(next.share, 0.0, "what the life before holds is not lent again");
+    let mut number = 1;
+    let mut back = None;
+    while back.is_none() {
+        now += 100 * MS;
+        number += 1;
+        let grant = lender.ask(now, "a", 2, &ask(number, 0.0)).unwrap();
+        back = (grant.share > 0.0).then_some(now - died);
+    }
+    let bound = settings.bounds(&limit).returns_within;
+    assert!(back >= Some(settings.lease) && back <= Some(bound + 200 * MS), "{back:?} of {bound}");
+}
+
+/// Guards against a late or doubled ask, and a grant for an ask that another has followed.
+#[test]
+fn what_is_late_or_doubled_changes_nothing() {
+    let settings = Settings { nodes: 1, ..Settings::default() };
+    let limit = rate(100.0, Bound::Hard);
+    let mut lender = Lender::new(settings, [(ONE, limit)], 0);
+    let mut holder = Holder::new(settings, [(ONE, "one".into(), limit)]);
+    let mut now = 10_000 * MS;
+    for _ in 0..50 {
+        holder.ask(now, ONE, 1.0);
+    }
+    let first = holder.asks(now)[0];
+    let grant = lender.ask(now, "a", 1, &first).unwrap();
+    assert_eq!(lender.ask(now, "a", 1, &first), None, "doubled");
+    holder.granted(now + 1, &grant);
+    let held = holder.share(now + 1, ONE);
+    assert!(held > 0.0);
+    now += 1_000 * MS;
+    let second = holder.asks(now)[0];
+    holder.granted(now, &Grant { share: 1e9, ..grant });
+    assert_eq!(holder.share(now, ONE), held, "a grant for an earlier ask is void");
+    lender.ask(now, "a", 1, &second).unwrap();
+    assert_eq!(lender.ask(now, "a", 1, &first), None, "late");
+    for bad in [f32::NAN, -1.0, f32::INFINITY] {
+        assert_eq!(lender.ask(now, "a", 1, &Ask { number: 99, holds: bad, ..second }), None);
+        holder.granted(now, &Grant { share: bad, number: second.number, ..grant });
+        assert_eq!(holder.share(now, ONE), held);
+    }
+    assert_eq!(lender.ask(now, "a", 1, &Ask { limit: LimitId(77), ..second }), None);
+}
+
+/// The limit is changed while traffic flows: all have come down within the time that a lease takes.
+#[test]
+fn a_limit_that_is_lowered_holds_within_a_lease() {
+    let mut world = World::new(4, 6, rate(100.0, Bound::Hard));
+    for node in &mut world.nodes {
+        node.load = 40.0;
+    }
+    world.run(8_000).unwrap();
+    if let Some(lender) = &mut world.lender {
+        lender.change(ONE, 40.0);
+    }
+    let from = world.now;
+    while world.sum() > 40.0 * 1.0001 {
+        world.run(20).unwrap();
+        assert!(world.now - from < world.settings.lease, "it still stands at {}", world.sum());
+    }
+    println!("lowered from 100 to 40 everywhere after {} ms", (world.now - from) / MS);
+}
+
+#[test]
+fn a_refusal_says_when_asking_again_may_help() {
+    let settings = Settings { nodes: 1, ..Settings::default() };
+    let limit = Limit { most: 10.0, ..rate(10.0, Bound::Hard) };
+    let mut holder = Holder::new(settings, [(ONE, "one".into(), limit)]);
+    assert!(matches!(holder.ask(1_000, ONE, 1.0), Verdict::Refuse(_)), "a new life has saved nothing");
+    assert_eq!(holder.ask(1_000 * MS, ONE, 1.0), Verdict::Admit);
+    (0..4).for_each(|_| holder.take(1_000 * MS, ONE, 1.0));
+    let Verdict::Refuse(after) = holder.ask(1_000 * MS, ONE, 1.0) else { panic!("it owes") };
+    let then = 1_000 * MS + after + 1_000;
+    assert_eq!(holder.ask(then, ONE, 1.0), Verdict::Admit);
+}
+
+#[test]
+fn figures_that_do_not_go_together_are_told() {
+    assert!(Settings::default().check().is_ok());
+    assert!(Settings { lease: 1_000, ..Settings::default() }.check().is_err());
+    assert!(Settings { reserve: 0.95, ..Settings::default() }.check().is_err());
+    assert!(Settings { nodes: 0, ..Settings::default() }.check().is_err());
+}
