--- a/crates/pintally-audit/src/index.rs
+++ b/crates/pintally-audit/src/index.rs
@@ -51,6 +51,8 @@
     pub(crate) by_request: BTreeMap<&'a str, Vec<usize>>,
     /// When each node went down.
     downs: BTreeMap<&'a str, Vec<u64>>,
+    /// When each node's process stood still.
+    stood: BTreeMap<&'a str, Vec<(u64, u64)>>,
     /// When the machine was late, and by how much.
     late: Vec<(u64, u64)>,
     /// The record's last time.
@@ -71,6 +73,7 @@
             works: Vec::new(),
             by_request: BTreeMap::new(),
             downs: BTreeMap::new(),
+            stood: BTreeMap::new(),
             late: Vec::new(),
             end,
         };
@@ -127,6 +130,14 @@
             }
             What::Ran { attempt, .. } => self.with(open.get(attempt.as_str()), |w| w.ran = true),
             What::Late { us } => self.late.push((at, *us)),
+            What::Stood { node, still: true } => {
+                self.stood.entry(node).or_default().push((at, self.end));
+            }
+            What::Stood { node, still: false } => {
+                if let Some(last) = self.stood.get_mut(node.as_str()).and_then(|s| s.last_mut()) {
+                    last.1 = at;
+                }
+            }
             What::NodeDown { node } => self.downs.entry(node).or_default().push(at),
             _ => {}
         }
@@ -153,6 +164,12 @@
         self.figures.slack_us + near.map(|(_, us)| us * LATE_HOPS).max().unwrap_or(0).min(LATE_MOST)
     }
 
+    /// For how long of a span a node's process stood still.
+    pub(crate) fn stood(&self, node: &str, from: u64, to: u64) -> u64 {
+        let spans = self.stood.get(node).into_iter().flatten();
+        spans.map(|(begin, end)| (*end).min(to).saturating_sub((*begin).max(from))).sum()
+    }
+
     /// Whether a node went down in a span.
     pub(crate) fn went_down(&self, node: &str, from: u64, to: u64) -> bool {
         self.downs.get(node).is_some_and(|downs| downs.iter().any(|at| (from..=to).contains(at)))
--- a/crates/pintally-audit/src/record.rs
+++ b/crates/pintally-audit/src/record.rs
@@ -69,6 +69,8 @@
     Late { us: u64 },
     /// A node has started.
     NodeUp { node: String },
+    /// A node's process stands still from here on, or goes on: it can keep no time meanwhile.
+    Stood { node: String, still: bool },
     /// A node was killed, or told to stop.
     NodeDown { node: String },
 }
--- /dev/null
+++ b/crates/pintally-audit/tests/stood.rs
@@ -0,0 +1,43 @@
+//! A process that stands still keeps no time, and nothing else is forgiven for it.
+
+use pintally_audit::{audit, Answer, ClassFigures, Effect, Figures, Record, What};
+
+fn record(middle: Vec<(u64, What)>) -> Vec<Record> {
+    let figures = Figures {
+        drain_grace_us: 1_000_000,
+        release_within_us: 500_000,
+        slack_us: 100_000,
+        classes: vec![ClassFigures { name: "hint".into(), effect: Effect::Safe }],
+        engines: Vec::new(),
+    };
+    let mut all = vec![Record { at: 0, what: What::Figures(figures) }];
+    all.extend(middle.into_iter().map(|(at, what)| Record { at, what }));
+    all
+}
+
+fn asked(at: u64) -> (u64, What) {
+    let (request, node, class) = ("c1".into(), "n0".into(), "hint".into());
+    (at, What::Asked { request, node, class, tenant: None, patience_us: 2_000_000, streamed: false })
+}
+
+fn stood(at: u64, still: bool) -> (u64, What) {
+    (at, What::Stood { node: "n0".into(), still })
+}
+
+fn answered(at: u64) -> (u64, What) {
+    (at, What::Answered { request: "c1".into(), answer: Answer::Served })
+}
+
+#[test]
+fn what_came_late_because_the_process_stood_still_is_not_lost() {
+    let lost = |middle| audit(&record(middle)).unwrap().rules.lost.len();
+    assert_eq!(lost(vec![asked(1_000), stood(2_000, true), stood(4_000_000, false), answered(4_100_000)]), 0);
+    assert_eq!(lost(vec![asked(1_000), stood(2_000, true), stood(4_000_000, false)]), 0);
+    // It stood still at another time, or for less than the lateness.
+    assert_eq!(
+        lost(vec![asked(5_000_000), stood(2_000, true), stood(4_000_000, false), answered(9_000_000)]),
+        1
+    );
+    assert_eq!(lost(vec![asked(1_000), stood(2_000, true), stood(1_000_000, false), answered(9_000_000)]), 1);
+    assert_eq!(lost(vec![asked(1_000)]), 1);
+}
--- a/crates/pintally-cli/src/check.rs
+++ b/crates/pintally-cli/src/check.rs
@@ -38,6 +38,33 @@
             recovery.every as f64 / 1e6
         );
     }
+    if let Some(keepers) = &settings.keepers {
+        let figures = keepers.figures(&settings.name);
+        lines += &format!(
+            "\n  {} keepers, {} of them may fail at once; without a leader for {:.1} s at the most while a \
+             majority hears each other\n  a lead surely ends {:.2} s after its last answered word",
+            keepers.names.len(),
+            (keepers.names.len() - 1) / 2,
+            figures.led_again_within() as f64 / 1e6,
+            figures.lead_lasts() as f64 / 1e6
+        );
+    }
+    for limit in settings.shared_limits.iter().flat_map(|l| &l.limits) {
+        let figures = settings.shared_limits.as_ref().map(|l| l.figures).unwrap_or_default();
+        let bounds = figures.bounds(&limit.limit());
+        lines += &format!(
+            "\n  limit `{}` of {} {}: all nodes together have {:.2} at the most, and {:.3} more for each node \
+             beyond {}\n    a node that is cut off has {:.3}; what a lost node had returns within {:.1} s",
+            limit.name,
+            limit.most,
+            limit.counts.name(),
+            bounds.at_once,
+            bounds.each_more,
+            settings.core.nodes,
+            bounds.floor,
+            bounds.returns_within as f64 / 1e6
+        );
+    }
     lines
 }
 
--- /dev/null
+++ b/crates/pintally-cli/src/common.rs
@@ -0,0 +1,203 @@
+//! What holds for the whole fleet: `pintally limits show|set`, `pintally keepers status|change`.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::Subcommand;
+use comfy_table::Table;
+use pintally_peerlink::order;
+use serde_json::{json, Value};
+
+use crate::told::ask;
+use crate::Failure;
+
+/// The number of orders on the link between nodes.
+const ORDER: u8 = 128;
+
+#[derive(clap::Args)]
+pub(crate) struct Limits {
+    #[command(subcommand)]
+    command: LimitsCommand,
+}
+
+#[derive(Subcommand)]
+enum LimitsCommand {
+    /// How each limit stands at nodes, and what the lender has lent.
+    Show {
+        /// Where nodes listen for clients.
+        #[arg(required = true)]
+        nodes: Vec<SocketAddr>,
+        /// Print one line of JSON for each node.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Make a limit another one, for the whole fleet.
+    Set {
+        /// The limit's name.
+        name: String,
+        /// How much for the whole fleet.
+        most: f64,
+        /// Where keepers listen for peers; whichever leads takes it.
+        #[arg(required = true)]
+        keepers: Vec<SocketAddr>,
+    },
+}
+
+#[derive(clap::Args)]
+pub(crate) struct Keepers {
+    #[command(subcommand)]
+    command: KeepersCommand,
+}
+
+#[derive(Subcommand)]
+enum KeepersCommand {
+    /// Where keepers stand: who leads, who votes, who catches up and why.
+    Status {
+        /// Where nodes listen for clients.
+        #[arg(required = true)]
+        nodes: Vec<SocketAddr>,
+        /// Print one line of JSON for each node.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Make these the keepers: one more, or one fewer, than there are.
+    Change {
+        /// Names of nodes, with commas between them.
+        #[arg(long, value_delimiter = ',', required = true)]
+        to: Vec<String>,
+        /// Where keepers listen for peers; whichever leads takes it.
+        #[arg(required = true)]
+        keepers: Vec<SocketAddr>,
+    },
+}
+
+pub(crate) fn limits(args: &Limits) -> Result<ExitCode, Failure> {
+    match &args.command {
+        LimitsCommand::Show { nodes, json } => {
+            let heads =
+                ["node", "limit", "kind", "whole", "has", "floor", "wants", "owes or runs", "age", "refused"];
+            show(nodes, "/pintally/limits", *json, &heads, limit_rows)
+        }
+        LimitsCommand::Set { name, most, keepers } => give(keepers, &json!({ "Limit": [name, most] })),
+    }
+}
+
+pub(crate) fn keepers(args: &Keepers) -> Result<ExitCode, Failure> {
+    match &args.command {
+        KeepersCommand::Status { nodes, json } => {
+            let heads =
+                ["node", "keeper", "stands", "term", "leader", "agreed", "keepers", "lead lasts", "why"];
+            show(nodes, "/pintally/keepers", *json, &heads, keeper_rows)
+        }
+        KeepersCommand::Change { to, keepers } => give(keepers, &json!({ "Keepers": to })),
+    }
+}
+
+/// Asks all nodes and prints what they tell; fails if one is silent.
+fn show(
+    nodes: &[SocketAddr],
+    path: &str,
+    json: bool,
+    heads: &[&str],
+    rows: fn(SocketAddr, &Value) -> Vec<Vec<String>>,
+) -> Result<ExitCode, Failure> {
+    let mut table = Table::new();
+    table.set_header(heads.to_vec());
+    let mut silent = false;
+    for node in nodes {
+        match ask(*node, path) {
+            Some(told) if json => println!("{}", json!({ "node": node.to_string(), "told": told })),
+            Some(told) => rows(*node, &told).into_iter().for_each(|row| {
+                table.add_row(row);
+            }),
+            None => {
+                silent = true;
+                table.add_row([node.to_string(), "no answer, or none of this in its settings".into()]);
+            }
+        }
+    }
+    if !json {
+        println!("{table}");
+    }
+    Ok(if silent { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
+/// Gives an order to whichever of the keepers takes it.
+fn give(keepers: &[SocketAddr], what: &Value) -> Result<ExitCode, Failure> {
+    let mut last = String::new();
+    for keeper in keepers {
+        let told = order(*keeper, ORDER, what.to_string().as_bytes());
+        let told: Value = match told.map(|bytes| serde_json::from_slice(&bytes)) {
+            Ok(Ok(told)) => told,
+            Ok(Err(e)) => json!({ "why": e.to_string() }),
+            Err(e) => json!({ "why": e.to_string() }),
+        };
+        let why = told["why"].as_str().unwrap_or("").to_string();
+        if told["done"] == true {
+            println!("{keeper}: {why}");
+            return Ok(ExitCode::SUCCESS);
+        }
+        last += &format!("\n  {keeper}: {why}");
+    }
+    Err(Failure::failed(format!("nobody took it:{last}")))
+}
+
+fn number(value: &Value) -> String {
+    value.as_f64().map_or_else(String::new, |n| format!("{:.2}", n + 0.0))
+}
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::Null => String::new(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+fn limit_rows(node: SocketAddr, told: &Value) -> Vec<Vec<String>> {
+    let name = format!("{} ({node})", text(&told["node"]));
+    let mut rows: Vec<Vec<String>> = Vec::new();
+    for l in told["limits"].as_array().into_iter().flatten() {
+        let age =
+            l["age_ms"].as_u64().map_or("never told".to_string(), |ms| format!("{:.1} s", ms as f64 / 1e3));
+        rows.push(vec![
+            name.clone(),
+            text(&l["name"]),
+            format!("{} {}", text(&l["bound"]), text(&l["counts"])),
+            number(&l["most"]),
+            number(&l["has"]),
+            number(&l["floor"]),
+            number(&l["wants"]),
+            number(&l["in_use"]),
+            if l["leased"] == true { age } else { format!("{age}, lives on its floor") },
+            text(&l["refused"]),
+        ]);
+    }
+    for pool in told["lends"].as_array().into_iter().flatten() {
+        let holders = pool["holders"].as_array().into_iter().flatten();
+        let holders: Vec<String> = holders.map(|h| format!("{} {}", text(&h[0]), number(&h[1]))).collect();
+        rows.push(vec![
+            name.clone(),
+            format!("lent of {}", number(&pool["most"])),
+            number(&pool["lent"]),
+            holders.join(", "),
+        ]);
+    }
+    rows
+}
+
+fn keeper_rows(node: SocketAddr, told: &Value) -> Vec<Vec<String>> {
+    let keepers: Vec<String> = told["keepers"].as_array().into_iter().flatten().map(text).collect();
+    let joining = told["joining"].as_str().map_or(String::new(), |j| format!(" ({j} catches up)"));
+    vec![vec![
+        node.to_string(),
+        text(&told["name"]),
+        text(&told["standing"]),
+        text(&told["term"]),
+        text(&told["leader"]),
+        format!("{} of {}", told["commit"], told["last"]),
+        keepers.join(", ") + &joining,
+        told["lead_ms"].as_u64().map_or(String::new(), |ms| format!("{ms} ms")),
+        text(&told["why"]),
+    ]]
+}
--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod audit;
 mod cells;
 mod check;
+mod common;
 mod day;
 mod lab;
 mod log;
@@ -53,6 +54,10 @@
     Peers(told::Args),
     /// Where nodes stand on their way back to service after a start.
     Recovery(told::Args),
+    /// Limits that hold for the whole fleet: how they stand, and to change them.
+    Limits(common::Limits),
+    /// The keepers of the fleet's register: where they stand, and to change who they are.
+    Keepers(common::Keepers),
     /// Scripted days on loopback.
     Day(day::Args),
     /// Run stand-in engines on loopback and write their list.
@@ -96,6 +101,8 @@
         Command::Cells(args) => cells::run(&args),
         Command::Peers(args) => told::run(&args, told::What::Peers),
         Command::Recovery(args) => told::run(&args, told::What::Recovery),
+        Command::Limits(args) => common::limits(&args),
+        Command::Keepers(args) => common::keepers(&args),
         Command::Day(args) => day::run(&args),
         Command::Standin(args) => standin::run(&args),
         Command::Lab(args) => lab::run(&args),
--- a/crates/pintally-config/src/lib.rs
+++ b/crates/pintally-config/src/lib.rs
@@ -9,9 +9,11 @@
 pub mod form;
 mod members;
 mod settings;
+mod shared;
 
 pub use check::check;
 pub use error::ConfigError;
 pub use fleet::{PeerSettings, RecoverySettings, LIES};
 pub use members::{EngineEntry, EngineList};
 pub use settings::{shape, ClassSettings, Limits, NodeSettings};
+pub use shared::{Counts, KeeperSettings, LimitSettings, SharedLimit};
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -5,7 +5,9 @@
 use pintally::interface::{Class, Discovery, Effect, Group, Kind, Micros, Reports, Role, Settings, Tenant};
 
 use crate::form::{Document, Form};
-use crate::{check, fleet, ConfigError, PeerSettings, RecoverySettings};
+use crate::{
+    check, fleet, shared, ConfigError, KeeperSettings, LimitSettings, PeerSettings, RecoverySettings,
+};
 
 /// Everything that one node is told.
 #[derive(Clone, Debug)]
@@ -32,6 +34,10 @@
     pub peers: Option<PeerSettings>,
     /// How it comes back after a start; none takes whatever comes from the first second.
     pub recovery: Option<RecoverySettings>,
+    /// The keepers of the fleet's register; none where nothing is agreed on.
+    pub keepers: Option<KeeperSettings>,
+    /// Limits that hold for the whole fleet.
+    pub shared_limits: Option<LimitSettings>,
     /// Bounds on what clients and engines may use.
     pub limits: Limits,
     /// What the decision core is told.
@@ -167,7 +173,8 @@
         }
         check::kinds(root, &core)?;
         let (peers, recovery) = fleet::read(root)?;
-        let settings = NodeSettings {
+        let (keepers, shared_limits) = shared::read(root)?;
+        let mut settings = NodeSettings {
             name,
             listen,
             source,
@@ -179,6 +186,8 @@
             kept_cells,
             peers,
             recovery,
+            keepers,
+            shared_limits,
             limits: limits(root)?,
             core,
             classes,
@@ -187,6 +196,7 @@
         node.finish()?;
         check::check(root, &settings)?;
         fleet::check(root, &settings)?;
+        shared::check(root, &mut settings)?;
         Ok(settings)
     }
 }
--- /dev/null
+++ b/crates/pintally-config/src/shared.rs
@@ -0,0 +1,236 @@
+//! What holds for the whole fleet: `(keepers ...)` and `(shared-limits ...)`. Without them a node keeps
+//! to itself.
+
+use std::fmt;
+
+use pintally::interface::Micros;
+use pintally_accord as accord;
+use pintally_shares as shares;
+use pintally_shares::{Bound, Kind, LimitId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::form::{quoted, Form};
+use crate::{ConfigError, NodeSettings};
+
+/// Who the keepers are at the fleet's first start, and their figures. Times in microseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeeperSettings {
+    /// Names of nodes.
+    pub names: Vec<String>,
+    /// Between two words of the leader.
+    pub beat: Micros,
+    /// Without a leader's word for so long another stands.
+    pub election: Micros,
+    /// A disk without visible harm is believed after this time.
+    pub doubt: Micros,
+    /// The most by which clocks differ, as a part.
+    pub drift: f64,
+}
+
+/// What a limit counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Counts {
+    /// Requests that begin, a second.
+    Requests,
+    /// Tokens of prompts and the most of answers, a second.
+    Tokens,
+    /// Requests that run, at once.
+    Streams,
+    /// Attempts after one that failed, a second.
+    Retries,
+}
+
+impl Counts {
+    const NAMES: [(&'static str, Counts); 4] = [
+        ("requests", Counts::Requests),
+        ("tokens", Counts::Tokens),
+        ("streams", Counts::Streams),
+        ("retries", Counts::Retries),
+    ];
+
+    /// Its word in settings.
+    pub fn name(self) -> &'static str {
+        Counts::NAMES.iter().find(|(_, c)| *c == self).map_or("", |(name, _)| name)
+    }
+}
+
+/// One limit of the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SharedLimit {
+    /// Its name.
+    pub name: String,
+    /// Whose requests it counts; everybody's if not told.
+    pub tenant: Option<String>,
+    /// What it counts.
+    pub counts: Counts,
+    /// What gives way when nodes cannot hear each other.
+    pub bound: Bound,
+    /// How much for the whole fleet.
+    pub most: f64,
+}
+
+impl SharedLimit {
+    /// What stands for it among nodes.
+    pub fn id(&self) -> LimitId {
+        LimitId(xxh3_64(self.name.as_bytes()) as u32)
+    }
+
+    /// As the lender and the holders take it.
+    pub fn limit(&self) -> shares::Limit {
+        let kind = if self.counts == Counts::Streams { Kind::Level } else { Kind::Rate };
+        shares::Limit { kind, bound: self.bound, most: self.most }
+    }
+}
+
+/// Limits of the fleet and how they are shared.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitSettings {
+    /// How they are shared.
+    pub figures: shares::Settings,
+    /// The limits.
+    pub limits: Vec<SharedLimit>,
+}
+
+impl fmt::Display for KeeperSettings {
+    /// The form that reads back as these settings.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = |span: Micros| span as f64 / 1e3;
+        f.write_str("(keepers (names")?;
+        self.names.iter().try_for_each(|name| write!(f, " {}", quoted(name)))?;
+        write!(f, ") (beat-ms {}) (election-ms {})", ms(self.beat), ms(self.election))?;
+        write!(f, " (doubt-ms {}) (drift {:?}))", ms(self.doubt), self.drift)
+    }
+}
+
+impl fmt::Display for LimitSettings {
+    /// The form that reads back as these settings.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (s, ms) = (&self.figures, |span: Micros| span as f64 / 1e3);
+        write!(f, "(shared-limits (lease-ms {}) (every-ms {})", ms(s.lease), ms(s.every))?;
+        write!(f, " (reserve {:?}) (over {:?}) (burst-ms {})", s.reserve, s.over, ms(s.burst))?;
+        write!(f, " (hold-ms {}) (fade-ms {}) (drift {:?})", ms(s.hold), ms(s.fade), s.drift)?;
+        for limit in &self.limits {
+            write!(f, " (limit {} (counts {})", quoted(&limit.name), limit.counts.name())?;
+            if let Some(tenant) = &limit.tenant {
+                write!(f, " (tenant {})", quoted(tenant))?;
+            }
+            let bound = if limit.bound == Bound::Hard { "hard" } else { "soft" };
+            write!(f, " (bound {bound}) (most {:?}))", limit.most)?;
+        }
+        f.write_str(")")
+    }
+}
+
+impl KeeperSettings {
+    /// As the register takes them, for the node of this name.
+    pub fn figures(&self, name: &str) -> accord::Settings {
+        let names: Vec<&str> = self.names.iter().map(String::as_str).collect();
+        let usual = accord::Settings::new(name, &names);
+        let (beat, election, doubt, drift) = (self.beat, self.election, self.doubt, self.drift);
+        accord::Settings { beat, election, doubt, drift, ..usual }
+    }
+}
+
+/// Reads both forms, if they are there.
+pub(crate) fn read(root: &Form) -> Result<(Option<KeeperSettings>, Option<LimitSettings>), ConfigError> {
+    let keepers = root.maybe("keepers")?.map(|form| keepers(&form)).transpose()?;
+    let limits = root.maybe("shared-limits")?.map(|form| limits(&form)).transpose()?;
+    Ok((keepers, limits))
+}
+
+fn keepers(form: &Form) -> Result<KeeperSettings, ConfigError> {
+    let mut names = Vec::new();
+    if let Some(list) = form.maybe("names")? {
+        while let Some(name) = list.maybe_text()? {
+            names.push(name);
+        }
+        list.finish()?;
+    }
+    let settings = KeeperSettings {
+        names,
+        beat: form.millis_or("beat-ms", 100.0, 1.0, 60_000.0)?,
+        election: form.millis_or("election-ms", 600.0, 1.0, 600_000.0)?,
+        doubt: form.millis_or("doubt-ms", 5_000.0, 1.0, 3_600_000.0)?,
+        drift: form.number_or("drift", 0.01, 0.0, 0.2)?,
+    };
+    form.finish()?;
+    settings.figures("x").check().map_err(|e| form.error(e.to_string()))?;
+    Ok(settings)
+}
+
+fn limits(form: &Form) -> Result<LimitSettings, ConfigError> {
+    let usual = shares::Settings::default();
+    let figures = shares::Settings {
+        lease: form.millis_or("lease-ms", 4_000.0, 1.0, 3_600_000.0)?,
+        every: form.millis_or("every-ms", 400.0, 1.0, 600_000.0)?,
+        reserve: form.number_or("reserve", usual.reserve, 0.0, 1.0)?,
+        over: form.number_or("over", usual.over, 0.0, 1.0)?,
+        burst: form.millis_or("burst-ms", 1_000.0, 1.0, 3_600_000.0)?,
+        hold: form.millis_or("hold-ms", 30_000.0, 0.0, 86_400_000.0)?,
+        fade: form.millis_or("fade-ms", 4_000.0, 0.0, 3_600_000.0)?,
+        drift: form.number_or("drift", 0.01, 0.0, 0.2)?,
+        ..usual
+    };
+    figures.check().map_err(|e| form.error(e.to_string()))?;
+    let mut limits: Vec<SharedLimit> = Vec::new();
+    for one in form.all("limit")? {
+        let limit = limit(&one)?;
+        if let Some(other) = limits.iter().find(|l| l.id() == limit.id()) {
+            return Err(one.error(format!(
+                "limits `{}` and `{}` cannot be told apart among nodes: another name is needed",
+                other.name, limit.name
+            )));
+        }
+        limits.push(limit);
+    }
+    form.finish()?;
+    Ok(LimitSettings { figures, limits })
+}
+
+fn limit(form: &Form) -> Result<SharedLimit, ConfigError> {
+    let name = form.text()?;
+    if name.is_empty() || name.len() > 64 {
+        return Err(form.error("a limit's name needs 1 to 64 bytes"));
+    }
+    let counts = form.need("counts")?;
+    let word = counts.text()?;
+    counts.finish()?;
+    let known = Counts::NAMES.iter().find(|(n, _)| *n == word);
+    let Some((_, counted)) = known else {
+        return Err(counts.error(format!("`{word}` is not requests, tokens, streams or retries")));
+    };
+    let bound = match form.text_or("bound", "hard")?.as_str() {
+        "hard" => Bound::Hard,
+        "soft" => Bound::Soft,
+        other => return Err(form.error(format!("`bound` is `{other}`, not hard or soft"))),
+    };
+    let most = form.need("most")?;
+    let much = most.number(0.0, 1e9)?;
+    most.finish()?;
+    let tenant = Some(form.text_or("tenant", "")?).filter(|t| !t.is_empty());
+    form.finish()?;
+    Ok(SharedLimit { name, tenant, counts: *counted, bound, most: much })
+}
+
+/// What the forms need beside them.
+pub(crate) fn check(root: &Form, s: &mut NodeSettings) -> Result<(), ConfigError> {
+    let at = |name: &str, what: String| -> Result<(), ConfigError> {
+        Err(root.maybe(name)?.map_or_else(|| root.error(what.clone()), |form| form.error(what.clone())))
+    };
+    if s.keepers.is_some() && s.peers.is_none() {
+        return at("keepers", "keepers need `(peers ...)`: they talk to each other".into());
+    }
+    let Some(limits) = &mut s.shared_limits else { return Ok(()) };
+    limits.figures.nodes = s.core.nodes.max(1);
+    if s.keepers.is_none() {
+        return at("shared-limits", "shared limits need `(keepers ...)`: their leader lends".into());
+    }
+    let tenants = &s.core.tenants;
+    let unknown =
+        |l: &&SharedLimit| l.tenant.as_ref().is_some_and(|t| !tenants.iter().any(|known| known.name == *t));
+    if let Some(limit) = limits.limits.iter().find(unknown) {
+        let tenant = limit.tenant.as_deref().unwrap_or("");
+        return at("shared-limits", format!("limit `{}`: no `tenant` is named `{tenant}`", limit.name));
+    }
+    Ok(())
+}
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -397,6 +397,7 @@
             Act::Pause(node, on) => {
                 if let Some(running) = &self.nodes[node].running {
                     running.pause(on);
+                    self.fleet.recorder.note(What::Stood { node: format!("n{node}"), still: on });
                 }
             }
             Act::Link(from, to, link) => {
--- a/crates/pintally-host/src/counters.rs
+++ b/crates/pintally-host/src/counters.rs
@@ -11,6 +11,10 @@
     pub at_the_edge: u64,
     /// Of these, kept out while the fleet recovers.
     pub kept_out: u64,
+    /// Of these, over a limit of the whole fleet.
+    pub limited: u64,
+    /// Further attempts that a limit of the whole fleet did not allow.
+    pub retries_limited: u64,
     /// Requests that waited and gave up their place to another's part.
     pub gave_way: u64,
     /// Final answers.
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -15,6 +15,7 @@
 
 use crate::input::{Arrival, Command, Final, Input, Listed, Order, Scope, Ticket};
 use crate::ledger::{Entry, HeldState, Out};
+use crate::limits::Limiting;
 use crate::recover::Recovering;
 use crate::releases::{Releases, Verdict};
 use crate::timers::{Due, Timers};
@@ -64,6 +65,8 @@
     stopped: bool,
     /// The way back to service after a start, if there is one.
     pub(crate) recovering: Option<Recovering>,
+    /// Limits of the whole fleet, if there are any.
+    pub(crate) limiting: Option<Limiting>,
     /// The list that holds has come from its source in this life.
     pub(crate) list_fresh: bool,
     pub(crate) counters: Counters,
@@ -96,6 +99,7 @@
             stopping: false,
             stopped: false,
             recovering: None,
+            limiting: None,
             list_fresh: false,
             counters: Counters::default(),
         }
@@ -172,6 +176,7 @@
                 Due::Answer(ticket) => self.overdue(now, ticket, out),
                 Due::Release(id, engine) => self.release_again(id, engine, out),
                 Due::Recovery => self.recovery_due(now, out),
+                Due::Shares => self.shares_due(now, out),
                 Due::Stop => self.give_up_all(now, out),
             }
             self.settle(out);
@@ -192,6 +197,7 @@
                 }
             }
             Input::Recovery(heard) => self.recover(now, heard, out),
+            Input::Granted(grants) => self.granted(now, &grants),
             Input::Cells(file) => self.take_cells(now, *file, out),
             Input::Arrived(arrival) => self.arrived(now, arrival, out),
             Input::FirstToken(ticket, attempt) => self.first_token(now, ticket, attempt, out),
@@ -299,9 +305,18 @@
             self.counters.kept_out += 1;
             return self.turn_away(arrival.ticket, after, out);
         }
+        let class = arrival.class.and_then(|c| self.settings.classes.get(c));
+        let most = class.map_or(256, |c| c.max_tokens);
+        let max_tokens = arrival.max_tokens.unwrap_or(most);
+        let costs = match self.costs(now, &arrival, max_tokens) {
+            Ok(costs) => costs,
+            Err(after) => {
+                self.counters.limited += 1;
+                return self.turn_away(arrival.ticket, after, out);
+            }
+        };
         let session = arrival.session.unwrap_or(arrival.ticket | 1 << 52);
         let Some(cell) = self.cell_for(now, &arrival, session, out) else { return };
-        let class = arrival.class.and_then(|c| self.settings.classes.get(c));
         let own = || RequestId(format!("{}-{}", self.stamp, arrival.ticket).into());
         let id = arrival.name.clone().unwrap_or_else(own);
         // Guards against two requests of one name: the first would never be ended.
@@ -309,8 +324,7 @@
             self.counters.stray += 1;
             return self.turn_away(arrival.ticket, None, out);
         }
-        let most = class.map_or(256, |c| c.max_tokens);
-        let max_tokens = arrival.max_tokens.unwrap_or(most);
+        let counted = self.charge(now, &costs);
         // The core answers by the deadline; the guard stands behind it, before the client gives up.
         let deadline = now.saturating_add(left);
         let guard = self.timers.set(deadline + margin / 2, Due::Answer(arrival.ticket));
@@ -331,6 +345,8 @@
             out: None,
             held: Vec::new(),
             over: false,
+            failed: false,
+            counted,
         };
         self.entries.insert(arrival.ticket, entry);
         self.by_id.insert(id.clone(), arrival.ticket);
@@ -368,6 +384,14 @@
         };
         let attempt = entry.attempts;
         entry.attempts += 1;
+        let (again, tenant) = (entry.failed, entry.tenant);
+        if again && !self.may_retry(now, tenant) {
+            self.counters.never_sent += 1;
+            self.counters.retries_limited += 1;
+            self.owed.push_back((cell.clone(), never_sent(id, attempt)));
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(&ticket) else { return };
         let most = self.settings.core.max_attempts;
         let left = entry.deadline.saturating_sub(now);
         let place = self.places.get(&engine);
@@ -485,6 +509,7 @@
         if outcome == Outcome::Served {
             entry.held.retain(|h| h.state.is_none());
         }
+        entry.failed |= !matches!(outcome, Outcome::Read | Outcome::Served | Outcome::NeverSent);
         let over = entry.over;
         match outcome {
             Outcome::Read | Outcome::Served => self.heard_engine(now, &ended.engine, true, out),
@@ -664,6 +689,7 @@
                 cells.give_back(&entry.cell, tenant.map(|t| t.name.as_str()), entry.bytes);
             }
             self.timers.unset(entry.guard);
+            self.give_back(self.now, &std::mem::take(&mut entry.counted));
             out.push(Command::Over(ticket));
             for state in std::mem::take(&mut entry.held) {
                 self.counters.releases_by_host += 1;
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -101,6 +101,8 @@
     Released(RequestId, EngineId, bool),
     /// Something on the way back to service after a start.
     Recovery(pintally_recovery::Input),
+    /// The lender of limits has answered.
+    Granted(Vec<pintally_shares::Grant>),
     /// Take nothing new, end what is held.
     Stop,
 }
@@ -169,6 +171,8 @@
     AskPeer(u64),
     /// A stage of recovery has begun.
     Stage(pintally_recovery::Stage),
+    /// Ask the lender of limits for shares.
+    AskShares(Vec<pintally_shares::Ask>),
     /// Say something to the people on call.
     Log(String),
     /// Everything has ended after [`Input::Stop`].
--- a/crates/pintally-host/src/ledger.rs
+++ b/crates/pintally-host/src/ledger.rs
@@ -5,6 +5,7 @@
 use pintally::interface::{Attempt, EngineId, Micros, RequestId};
 use pintally_cells::CellName;
 use pintally_engine::Step;
+use pintally_shares::LimitId;
 use serde_json::Value;
 
 /// An attempt that is out.
@@ -46,6 +47,10 @@
     pub(crate) held: Vec<HeldState>,
     /// The final answer is given, or the client has left and none is owed.
     pub(crate) over: bool,
+    /// An attempt of it has failed: the next one is made again.
+    pub(crate) failed: bool,
+    /// Limits of what runs at once that count it.
+    pub(crate) counted: Vec<LimitId>,
 }
 
 impl Entry {
--- a/crates/pintally-host/src/lib.rs
+++ b/crates/pintally-host/src/lib.rs
@@ -14,6 +14,7 @@
 mod host;
 mod input;
 mod ledger;
+mod limits;
 mod list;
 mod recover;
 mod releases;
--- a/crates/pintally-host/src/timers.rs
+++ b/crates/pintally-host/src/timers.rs
@@ -21,6 +21,8 @@
     Release(RequestId, EngineId),
     /// Recovery has something to do.
     Recovery,
+    /// Shares of limits are asked for.
+    Shares,
     /// Stopping has taken its whole time.
     Stop,
 }
--- a/crates/pintally-kserve/src/route.rs
+++ b/crates/pintally-kserve/src/route.rs
@@ -19,6 +19,10 @@
     Peers,
     /// `GET /pintally/recovery`: where it stands on its way to full service.
     Recovery,
+    /// `GET /pintally/limits`: how the fleet's limits stand here.
+    Limits,
+    /// `GET /pintally/keepers`: who leads the keepers, if this node is one.
+    Keepers,
     /// `GET /v2/models/{model}[/versions/{version}]`
     Model(String),
     /// `GET /v2/models/{model}[/versions/{version}]/ready`
@@ -50,6 +54,8 @@
         ["pintally", "counters"] => get(Route::Counters),
         ["pintally", "peers"] => get(Route::Peers),
         ["pintally", "recovery"] => get(Route::Recovery),
+        ["pintally", "limits"] => get(Route::Limits),
+        ["pintally", "keepers"] => get(Route::Keepers),
         ["v2", "health", "live"] => get(Route::Live),
         ["v2", "health", "ready"] => get(Route::Ready),
         ["v2", "models", model] => get(Route::Model(model.into())),
--- a/crates/pintally-lab/src/baseline.rs
+++ b/crates/pintally-lab/src/baseline.rs
@@ -275,7 +275,12 @@
                     known.load = load;
                 }
             }
-            Input::Cells(_) | Input::Fresh | Input::Recovery(_) | Input::Released(..) | Input::Stop => {}
+            Input::Cells(_)
+            | Input::Fresh
+            | Input::Recovery(_)
+            | Input::Granted(_)
+            | Input::Released(..)
+            | Input::Stop => {}
         }
     }
 
--- a/crates/pintally-lab/src/world.rs
+++ b/crates/pintally-lab/src/world.rs
@@ -393,7 +393,11 @@
                     self.at(self.now + 2 * HOP, Event::Tell(node, Box::new(Input::Probed(engine, up, load))));
                 }
                 Command::Reread => self.list(node, HOP),
-                Command::AskPeer(_) | Command::Stage(_) | Command::Log(_) | Command::Stopped => {}
+                Command::AskPeer(_)
+                | Command::Stage(_)
+                | Command::AskShares(_)
+                | Command::Log(_)
+                | Command::Stopped => {}
             }
         }
     }
--- a/crates/pintally-node/src/connection.rs
+++ b/crates/pintally-node/src/connection.rs
@@ -138,6 +138,8 @@
         Route::Counters => (200, counters(shared)),
         Route::Peers => told(&shared.fleet.peers, "this node has no peers in its settings"),
         Route::Recovery => told(&shared.fleet.recovery, "this node has no recovery in its settings"),
+        Route::Keepers => told(&shared.fleet.keeper, "this node is no keeper"),
+        Route::Limits => limits(shared),
         Route::Server => (200, kserve::metadata(env!("CARGO_PKG_VERSION"))),
         Route::Model(model) if known(&model) => (200, kserve::model_metadata(&model)),
         Route::Work(model, form) if known(&model) => return work(shared, stream, waker, form, &request),
@@ -169,6 +171,19 @@
     }
 }
 
+/// How the fleet's limits stand here, who lends, and what this node lends if it does.
+fn limits(shared: &Shared) -> (u16, String) {
+    let limits = crate::fleet::lock(&shared.fleet.limits);
+    let Some(limits) = limits.as_ref() else {
+        return (404, kserve::error("this node has no shared limits in its settings", false));
+    };
+    let body = serde_json::json!({
+        "node": shared.settings.name, "lender": *crate::fleet::lock(&shared.fleet.lender),
+        "limits": limits, "lends": *crate::fleet::lock(&shared.fleet.pools),
+    });
+    (200, body.to_string())
+}
+
 fn counters(shared: &Shared) -> String {
     let c = shared.counters();
     let h = c.host;
@@ -194,7 +209,7 @@
         "unwritten": c.unwritten, "lists_refused": c.lists_refused,
         "deciding_us": c.deciding.as_micros() as u64, "serving_engines": shared.serving.load(Ordering::Relaxed),
         "taken": h.taken, "served": h.served, "refused": h.refused, "failed": h.failed, "cut": h.cut,
-        "left": h.left, "kept_out": h.kept_out, "attempts": h.attempts, "never_sent": h.never_sent, "overdue": h.overdue,
+        "left": h.left, "kept_out": h.kept_out, "limited": h.limited, "retries_limited": h.retries_limited, "attempts": h.attempts, "never_sent": h.never_sent, "overdue": h.overdue,
         "releases": h.releases, "releases_by_host": h.releases_by_host,
         "releases_lost": h.releases_lost, "stray": h.stray,
     })
--- a/crates/pintally-node/src/decide.rs
+++ b/crates/pintally-node/src/decide.rs
@@ -15,6 +15,8 @@
 const BATCH: usize = 256;
 /// How often it is told where recovery stands, beside each new stage.
 const TELL_EVERY: Micros = 20_000;
+/// How often it is told how the fleet's limits stand here.
+const LIMITS_EVERY: Micros = 200_000;
 
 /// Where commands that are not for a request go.
 pub(crate) struct Ends {
@@ -22,6 +24,7 @@
     pub(crate) look: Sender<()>,
     pub(crate) stopped: Sender<()>,
     pub(crate) ask: Sender<u64>,
+    pub(crate) shares: Sender<Vec<pintally_shares::Ask>>,
 }
 
 struct Decider<'a> {
@@ -35,7 +38,7 @@
 /// Decides until it is killed or nobody can send any more.
 pub(crate) fn run(shared: &Shared, host: Host, messages: &Receiver<Message>, ends: Ends) {
     let mut decider = Decider { shared, host, boxes: HashMap::new(), ends, commands: Vec::new() };
-    let mut told_at = 0;
+    let (mut told_at, mut limits_at) = (0, 0);
     loop {
         let next = match decider.host.next_wake() {
             Some(at) => messages.recv_deadline(shared.clock.instant(at)),
@@ -67,6 +70,10 @@
             shared.serving.store(decider.host.serving(), Ordering::Relaxed);
         }
         let now = shared.clock.now();
+        if shared.settings.shared_limits.is_some() && now >= limits_at + LIMITS_EVERY {
+            limits_at = now;
+            *shared.fleet.limits.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.limits_status(now);
+        }
         if let Some(answer) = decider.host.recovery_answer(now) {
             let before = shared.fleet.answer.lock().unwrap_or_else(|e| e.into_inner()).replace(answer);
             // What only people and the disk want is not made anew for every batch.
@@ -150,6 +157,9 @@
                     Command::AskPeer(peer) => {
                         let _ = self.ends.ask.try_send(peer);
                     }
+                    Command::AskShares(asks) => {
+                        let _ = self.ends.shares.try_send(asks);
+                    }
                     Command::Stage(stage) => info!(?stage, "recovery"),
                     Command::Log(text) => info!("{text}"),
                     Command::Stopped => {
--- a/crates/pintally-node/src/fleet.rs
+++ b/crates/pintally-node/src/fleet.rs
@@ -10,16 +10,19 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, Sender};
+use crossbeam_channel::{bounded, Receiver, Sender};
 use pintally::interface::Micros;
+use pintally_accord::KeeperName;
 use pintally_config::{NodeSettings, PeerSettings, RecoverySettings};
 use pintally_durable::{Lie, Loaded, Store, StoreSettings};
 use pintally_host::Input;
 use pintally_peerlink::{fetch, Came, Udp, Whole};
 use pintally_peers::{Life, Notice, Output, PeerName, Peers, Settings, Topic};
 use pintally_recovery::{self as recovery, Answer, ClassWorth, Memory, Recovery};
+use pintally_shares::{Ask, Grant, LimitStatus, PoolStatus, AT_ONCE};
 use tracing::{debug, info, warn};
 
+use crate::keeper::{self, FromKeeper, ToKeeper};
 use crate::shared::{spawn_small, Shared};
 
 /// What nodes say of what they carried, and of the list that they hold.
@@ -28,6 +31,15 @@
 /// Questions and answers of recovery.
 const HOW: Topic = Topic(32);
 const SO: Topic = Topic(33);
+/// Who leads the keepers, in which term; what keepers, and holders and lender, tell each other.
+const LENDER: Topic = Topic(3);
+const KEEPERS: Topic = Topic(34);
+const ASKS: Topic = Topic(35);
+const GRANTS: Topic = Topic(36);
+/// The number of people's orders among whole texts.
+const ORDER: u8 = 128;
+/// An order that nobody has answered by then is of unknown effect.
+const ORDER_WITHIN: Duration = Duration::from_secs(3);
 /// The number of the list among whole texts.
 const LIST_TEXT: u8 = 1;
 /// How often rates are counted, and records of them kept.
@@ -55,6 +67,14 @@
     pub(crate) recovery: Mutex<Option<recovery::Status>>,
     /// Whom the node knows, as people are told.
     pub(crate) peers: Mutex<Option<pintally_peers::Status>>,
+    /// Where the keeper stands, if this node is one.
+    pub(crate) keeper: Mutex<Option<pintally_accord::Status>>,
+    /// What it lends, while it does.
+    pub(crate) pools: Mutex<Option<Vec<PoolStatus>>>,
+    /// How the fleet's limits stand here; told by the deciding thread.
+    pub(crate) limits: Mutex<Option<Vec<LimitStatus>>>,
+    /// Who lends, as far as this node knows.
+    pub(crate) lender: Mutex<Option<String>>,
     /// Answers a second of one warm engine of each role; told by the deciding thread.
     pub(crate) usual: Mutex<[f64; 3]>,
     /// The list that holds, with its version and what stands for its text.
@@ -66,7 +86,7 @@
     fetching: AtomicBool,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
 
@@ -164,7 +184,7 @@
 }
 
 /// A lying disk by its name in settings.
-fn lie(name: &str) -> Option<Lie> {
+pub(crate) fn lie(name: &str) -> Option<Lie> {
     Some(match name {
         "lost-syncs" => Lie::LostSyncs,
         "torn-write" => Lie::TornWrite,
@@ -210,18 +230,24 @@
     /// Hands out texts until it is dropped.
     _whole: Whole,
     memory: Memory,
+    keeper: Option<Sender<ToKeeper>>,
 }
 
-/// Opens the sockets towards peers.
+/// Opens the sockets towards peers. `keeper` is where this node's keeper hears, if it is one.
 pub(crate) fn open(
     shared: &Arc<Shared>,
     settings: &PeerSettings,
     before: &Before,
     seed: u64,
+    keeper: Option<Sender<ToKeeper>>,
 ) -> io::Result<Fleet> {
     let udp = Udp::bind(settings.listen)?;
     let own = shared.clone();
-    let whole = Whole::serve(settings.listen, move |what| {
+    let orders = keeper.clone();
+    let whole = Whole::serve(settings.listen, move |what, asked| {
+        if what == ORDER {
+            return serde_json::to_vec(&ordered(orders.as_ref(), asked)).ok();
+        }
         let list = lock(&own.fleet.list).clone();
         (what == LIST_TEXT).then_some(list).flatten().map(|(_, _, text)| text.as_bytes().to_vec())
     })?;
@@ -238,7 +264,21 @@
     figures.forget = settings.forget;
     figures.check().map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e.to_string()))?;
     let peers = Peers::new(figures, before.life, seed, shared.clock.now());
-    Ok(Fleet { udp, peers, _whole: whole, memory: before.memory.clone() })
+    Ok(Fleet { udp, peers, _whole: whole, memory: before.memory.clone(), keeper })
+}
+
+/// Gives the keeper an order of people, and waits for what becomes of it.
+fn ordered(keeper: Option<&Sender<ToKeeper>>, asked: &[u8]) -> keeper::Answer {
+    let Some(keeper) = keeper else { return keeper::Answer::no("this node is no keeper") };
+    let Ok(order) = serde_json::from_slice(asked) else {
+        return keeper::Answer::no("there is no such order");
+    };
+    let (to, answer) = bounded(1);
+    if keeper.try_send(ToKeeper::Order(order, to)).is_err() {
+        return keeper::Answer::no("the keeper has too much to do");
+    }
+    let late = |_| keeper::Answer::no("not agreed on in time: ask whether it was made");
+    answer.recv_timeout(ORDER_WITHIN).unwrap_or_else(late)
 }
 
 /// What a node without peers does at its start: it goes by what its disk has.
@@ -258,8 +298,18 @@
     next_count: Micros,
 }
 
-/// Runs until the node ends. `ask` brings numbers of peers to be asked.
-pub(crate) fn run(shared: &Arc<Shared>, fleet: Fleet, ask: &Receiver<u64>, look: Sender<()>) {
+/// What comes from the node's other threads.
+pub(crate) struct Mail {
+    /// Numbers of peers to be asked how the fleet is.
+    pub(crate) ask: Receiver<u64>,
+    /// Shares to be asked for.
+    pub(crate) shares: Receiver<Vec<Ask>>,
+    /// The keeper's words.
+    pub(crate) keeper: Receiver<FromKeeper>,
+}
+
+/// Runs until the node ends.
+pub(crate) fn run(shared: &Arc<Shared>, fleet: Fleet, mail: &Mail, look: Sender<()>) {
     shared.tell(Input::Recovery(recovery::Input::Read(fleet.memory.clone())));
     let carried = fleet.memory.carried;
     let mut running = Running {
@@ -276,7 +326,7 @@
     let mut leaving = false;
     while !shared.is_dead() && !leaving {
         leaving = shared.is_closing();
-        running.turn(ask);
+        running.turn(mail);
     }
     if leaving && !shared.is_dead() {
         let mut out = Vec::new();
@@ -286,16 +336,22 @@
 }
 
 impl Running<'_> {
-    fn turn(&mut self, ask: &Receiver<u64>) {
+    fn turn(&mut self, mail: &Mail) {
         let mut out = Vec::new();
         let now = self.shared.clock.now();
         if self.fleet.peers.next_wake() <= now {
             self.fleet.peers.tick(now, &mut out);
         }
-        for number in ask.try_iter() {
+        for number in mail.ask.try_iter() {
             let Some(name) = self.names.get(number as usize).cloned() else { continue };
             self.fleet.peers.tell(&name, HOW, Vec::new(), &mut out);
         }
+        for one in mail.keeper.try_iter() {
+            self.keeper_says(one, &mut out);
+        }
+        for asks in mail.shares.try_iter() {
+            self.ask_for(&asks, &mut out);
+        }
         self.carry_out(out);
         if now >= self.next_count {
             self.next_count = now + COUNT_EVERY;
@@ -304,6 +360,8 @@
         let wake = self.shared.clock.instant(self.fleet.peers.next_wake());
         let until = wake.min(Instant::now() + TURN);
         match self.fleet.udp.receive(until) {
+            // Another thread of this node has something to say.
+            Ok(Came::Datagram(_, bytes)) if bytes.is_empty() => {}
             Ok(Came::Datagram(from, bytes)) => {
                 let mut out = Vec::new();
                 self.fleet.peers.receive(self.shared.clock.now(), from, &bytes, &mut out);
@@ -372,6 +430,19 @@
                     self.shared.tell(Input::Recovery(recovery::Input::Answered(number, answer)));
                 }
             }
+            Notice::Told(from, KEEPERS, bytes) => {
+                self.to_keeper(ToKeeper::From(KeeperName(from.0.clone()), bytes));
+            }
+            Notice::Told(from, ASKS, bytes) => {
+                if let Ok((life, asks)) = postcard::from_bytes::<(u64, Vec<Ask>)>(&bytes) {
+                    self.to_keeper(ToKeeper::Asks(from.to_string(), life, asks));
+                }
+            }
+            Notice::Told(_, GRANTS, bytes) => {
+                if let Ok((life, grants)) = postcard::from_bytes::<(u64, Vec<Grant>)>(&bytes) {
+                    self.granted(life, grants);
+                }
+            }
             Notice::Told(..) => {}
             Notice::DiskWentBack { own, now } => {
                 warn!(own, now, "peers remember a later life of this node: its disk went back, or was lost");
@@ -385,6 +456,65 @@
         false
     }
 
+    fn to_keeper(&self, one: ToKeeper) {
+        if let Some(keeper) = &self.fleet.keeper {
+            let _ = keeper.try_send(one);
+        }
+    }
+
+    fn keeper_says(&mut self, one: FromKeeper, out: &mut Vec<Output>) {
+        match one {
+            FromKeeper::To(to, bytes) => {
+                self.fleet.peers.tell(&PeerName(to.0.clone()), KEEPERS, bytes, out);
+            }
+            FromKeeper::Grants(name, life, grants) if name == self.shared.settings.name => {
+                self.granted(life, grants);
+            }
+            FromKeeper::Grants(name, life, grants) => {
+                if let Ok(bytes) = postcard::to_stdvec(&(life, grants)) {
+                    self.fleet.peers.tell(&PeerName::from(name.as_str()), GRANTS, bytes, out);
+                }
+            }
+            FromKeeper::Leads(term) => {
+                let said = term.map(|t| t.to_le_bytes().to_vec()).unwrap_or_default();
+                if self.fleet.peers.say(LENDER, said).is_err() {
+                    debug!("there is no room for the word of who leads");
+                }
+            }
+        }
+    }
+
+    /// Grants are for one life: another one of the same name holds shares of its own.
+    fn granted(&self, life: u64, grants: Vec<Grant>) {
+        if life == self.fleet.peers.life().mark {
+            self.shared.tell(Input::Granted(grants));
+        }
+    }
+
+    /// Who leads in the latest term, among those that are here.
+    fn lender(&self) -> Option<PeerName> {
+        let here = |name: &PeerName| {
+            *name.0 == *self.shared.settings.name
+                || self.fleet.peers.member(name).is_some_and(|m| m.is_here())
+        };
+        let facts = self.fleet.peers.facts(LENDER).filter(|f| here(&f.origin));
+        let term = |payload: &[u8]| <[u8; 8]>::try_from(payload).map(u64::from_le_bytes).unwrap_or(0);
+        facts.max_by_key(|f| term(&f.payload)).map(|f| f.origin.clone())
+    }
+
+    fn ask_for(&mut self, asks: &[Ask], out: &mut Vec<Output>) {
+        let lender = self.lender();
+        *lock(&self.shared.fleet.lender) = lender.as_ref().map(ToString::to_string);
+        let (Some(lender), life) = (lender, self.fleet.peers.life().mark) else { return };
+        for asks in asks.chunks(AT_ONCE) {
+            if *lender.0 == *self.shared.settings.name {
+                self.to_keeper(ToKeeper::Asks(lender.to_string(), life, asks.to_vec()));
+            } else if let Ok(bytes) = postcard::to_stdvec(&(life, asks)) {
+                self.fleet.peers.tell(&lender, ASKS, bytes, out);
+            }
+        }
+    }
+
     /// The version of the list that holds, and what stands for its text.
     fn list_held(&self) -> Option<(u64, u32)> {
         lock(&self.shared.fleet.list).as_ref().map(|(version, sum, _)| (*version, *sum))
@@ -482,6 +612,11 @@
 }
 
 impl Fleet {
+    /// What wakes the fleet's thread.
+    pub(crate) fn waker(&self) -> io::Result<pintally_peerlink::Waker> {
+        self.udp.waker()
+    }
+
     /// Where peers reach it.
     pub(crate) fn address(&self) -> io::Result<SocketAddr> {
         self.udp.address()
--- /dev/null
+++ b/crates/pintally-node/src/keeper.rs
@@ -0,0 +1,309 @@
+//! The keeper's thread: votes and the log go to disk before anything is said, and whoever leads lends
+//! the limits' shares. Nobody on a request's way waits for it.
+
+use std::collections::VecDeque;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use pintally::interface::Micros;
+use pintally_accord::{Keeper, KeeperName, Message, Output, Write};
+use pintally_config::KeeperSettings;
+use pintally_durable::{Store, StoreSettings};
+use pintally_peerlink::Waker;
+use pintally_shares::{Ask, Grant, Lender, PoolStatus};
+use serde::{Deserialize, Serialize};
+use tracing::{info, warn};
+
+use crate::fleet::{lie, lock};
+use crate::shared::Shared;
+
+/// The key of a keeper's state on its disk, and of limits in the register.
+const KEY: &str = "accord";
+const LIMIT: &str = "limit/";
+/// A disk that takes longer for a vote is one that failed: the keeper says nothing.
+const SAVE_WITHIN: Duration = Duration::from_secs(2);
+/// How often it is told where the keeper stands.
+const TELL_EVERY: Micros = 100_000;
+/// Orders that wait for what becomes of them.
+const ORDERS_MOST: usize = 64;
+
+/// To the keeper.
+pub(crate) enum ToKeeper {
+    /// Another keeper's message.
+    From(KeeperName, Vec<u8>),
+    /// A holder asks for shares: its name, its life, what it asks for.
+    Asks(String, u64, Vec<Ask>),
+    /// People's order, and where the answer goes.
+    Order(Order, Sender<Answer>),
+}
+
+/// From the keeper, to the fleet's thread.
+pub(crate) enum FromKeeper {
+    /// A message for another keeper.
+    To(KeeperName, Vec<u8>),
+    /// Grants for a holder of this name and life.
+    Grants(String, u64, Vec<Grant>),
+    /// In which term it leads and lends, if it does.
+    Leads(Option<u64>),
+}
+
+/// What people may order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Order {
+    /// A limit is another from now on.
+    Limit(String, f64),
+    /// The keepers are these from now on: one more or one fewer than before.
+    Keepers(Vec<String>),
+}
+
+/// What became of an order.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(crate) struct Answer {
+    pub(crate) done: bool,
+    pub(crate) why: String,
+}
+
+impl Answer {
+    pub(crate) fn no(why: impl Into<String>) -> Answer {
+        Answer { done: false, why: why.into() }
+    }
+}
+
+struct Running<'a> {
+    shared: &'a Arc<Shared>,
+    keeper: Keeper,
+    store: Option<Store>,
+    /// What could not be made safe yet: until it is, nothing is said.
+    unsaved: Option<Vec<u8>>,
+    lender: Option<(u64, Lender)>,
+    out: Sender<FromKeeper>,
+    waker: Waker,
+    orders: VecDeque<(u64, Sender<Answer>)>,
+    number: u64,
+    leads: Option<u64>,
+    told_at: Micros,
+}
+
+/// Runs until the node ends.
+pub(crate) fn run(
+    shared: &Arc<Shared>,
+    settings: &KeeperSettings,
+    seed: u64,
+    mail: &Receiver<ToKeeper>,
+    (out, waker): (Sender<FromKeeper>, Waker),
+) {
+    let recovery = shared.settings.recovery.as_ref();
+    let folder = recovery.and_then(|r| r.store.as_ref()).map(|s| PathBuf::from(s).join("keeper"));
+    let opened = folder.map(|folder| {
+        Store::open(&StoreSettings {
+            folder,
+            every: Duration::from_millis(1),
+            within: Duration::from_micros(recovery.map_or(300_000, |r| r.read_within)),
+            lie: recovery.and_then(|r| r.lie.as_ref()).and_then(|(name, seed)| Some((lie(name)?, *seed))),
+        })
+    });
+    let (store, loaded) = opened.map_or((None, None), |(store, loaded)| (Some(store), Some(loaded)));
+    let saved = loaded.as_ref().and_then(|l| l.get(KEY)).map(|r| r.payload.clone());
+    let clean = loaded.as_ref().is_some_and(|l| l.lacks.is_empty());
+    let figures = settings.figures(&shared.settings.name);
+    let keeper = Keeper::new(figures, saved.as_deref(), clean, seed, shared.clock.now());
+    let mut running = Running {
+        shared,
+        keeper,
+        store,
+        unsaved: None,
+        lender: None,
+        out,
+        waker,
+        orders: VecDeque::new(),
+        number: 0,
+        leads: None,
+        told_at: 0,
+    };
+    while !shared.is_dead() && !shared.is_closing() {
+        let now = shared.clock.now();
+        let wake = running.keeper.next_wake().min(now + TELL_EVERY);
+        match mail.recv_deadline(shared.clock.instant(wake)) {
+            Ok(one) => running.take(one),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        running.tick();
+    }
+}
+
+impl Running<'_> {
+    fn take(&mut self, one: ToKeeper) {
+        let now = self.shared.clock.now();
+        let mut out = Vec::new();
+        match one {
+            ToKeeper::From(from, bytes) => match postcard::from_bytes::<Message>(&bytes) {
+                Ok(message) => self.keeper.receive(now, &from, message, &mut out),
+                Err(_) => return,
+            },
+            ToKeeper::Asks(name, life, asks) => return self.lend(&name, life, &asks),
+            ToKeeper::Order(order, answer) => {
+                self.number += 1;
+                if self.orders.len() >= ORDERS_MOST {
+                    self.orders.pop_front();
+                }
+                self.orders.push_back((self.number, answer));
+                self.order(now, order, &mut out);
+            }
+        }
+        self.carry_out(out);
+    }
+
+    fn order(&mut self, now: Micros, order: Order, out: &mut Vec<Output>) {
+        match order {
+            Order::Keepers(names) => {
+                let names = names.iter().map(|n| KeeperName::from(n.as_str())).collect();
+                self.keeper.change(now, self.number, names, out);
+            }
+            Order::Limit(name, most) => {
+                let known = self.shared.settings.shared_limits.iter().flat_map(|l| &l.limits);
+                if !known.clone().any(|l| l.name == name) || !(0.0..=1e9).contains(&most) {
+                    return self.answer(self.number, Answer::no(format!("there is no limit `{name}`")));
+                }
+                let write =
+                    Write { key: format!("{LIMIT}{name}"), value: most.to_string().into(), expect: None };
+                self.keeper.propose(now, self.number, write, out);
+            }
+        }
+    }
+
+    fn answer(&mut self, number: u64, answer: Answer) {
+        if let Some(at) = self.orders.iter().position(|(n, _)| *n == number) {
+            if let Some((_, to)) = self.orders.remove(at) {
+                let _ = to.try_send(answer);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.shared.clock.now();
+        let mut out = Vec::new();
+        if self.keeper.next_wake() <= now {
+            self.keeper.tick(now, &mut out);
+        }
+        self.carry_out(out);
+        self.lead(now);
+        if now >= self.told_at + TELL_EVERY {
+            self.told_at = now;
+            *lock(&self.shared.fleet.keeper) = Some(self.keeper.status(now));
+            *lock(&self.shared.fleet.pools) = self.pools();
+        }
+    }
+
+    fn pools(&self) -> Option<Vec<PoolStatus>> {
+        self.lender.as_ref().map(|(_, lender)| lender.status())
+    }
+
+    /// Begins to lend with a lead, and ends with it.
+    fn lead(&mut self, now: Micros) {
+        let leads = self.keeper.leads(now).filter(|_| self.unsaved.is_none());
+        let term = leads.map(|(term, _)| term);
+        if let Some((term, since)) =
+            leads.filter(|(term, _)| self.lender.as_ref().map(|l| l.0) != Some(*term))
+        {
+            if let Some(limits) = &self.shared.settings.shared_limits {
+                let known = limits.limits.iter().map(|l| (l.id(), l.limit()));
+                self.lender = Some((term, Lender::new(limits.figures, known, since)));
+                self.changed();
+            }
+        } else if leads.is_none() {
+            self.lender = None;
+        }
+        if term != self.leads {
+            self.leads = term;
+            match term {
+                Some(term) => info!(term, "this node leads the keepers"),
+                None => info!("this node leads the keepers no more"),
+            }
+            self.send(FromKeeper::Leads(term));
+        }
+    }
+
+    /// Limits as the register has them hold from now on.
+    fn changed(&mut self) {
+        let Some((_, lender)) = &mut self.lender else { return };
+        let Some(limits) = &self.shared.settings.shared_limits else { return };
+        for limit in &limits.limits {
+            let told = self.keeper.register().get(&format!("{LIMIT}{}", limit.name));
+            let most = told.and_then(|v| std::str::from_utf8(&v.bytes).ok()).and_then(|t| t.parse().ok());
+            lender.change(limit.id(), most.unwrap_or(limit.most));
+        }
+    }
+
+    fn lend(&mut self, name: &str, life: u64, asks: &[Ask]) {
+        // Guards against a keeper that was paused between its last look and this ask.
+        let now = self.shared.clock.now();
+        self.lead(now);
+        let Some((_, lender)) = &mut self.lender else { return };
+        let grants: Vec<Grant> = asks.iter().filter_map(|ask| lender.ask(now, name, life, ask)).collect();
+        if !grants.is_empty() {
+            self.send(FromKeeper::Grants(name.to_string(), life, grants));
+        }
+    }
+
+    fn send(&self, one: FromKeeper) {
+        let _ = self.out.try_send(one);
+        self.waker.wake();
+    }
+
+    fn carry_out(&mut self, out: Vec<Output>) {
+        for one in out {
+            if let Output::Save(bytes) = one {
+                self.unsaved = Some(bytes);
+                continue;
+            }
+            // Guards against a vote, or a confirmation, that a loss of power would undo.
+            if !self.safe() {
+                if let Output::Done(number, _) = one {
+                    self.answer(
+                        number,
+                        Answer::no("this keeper's disk does not take it: ask whether it was made"),
+                    );
+                }
+                continue;
+            }
+            match one {
+                Output::Save(_) => {}
+                Output::Send(to, message) => {
+                    if let Ok(bytes) = postcard::to_stdvec(&message) {
+                        self.send(FromKeeper::To(to, bytes));
+                    }
+                }
+                Output::Done(number, Ok(_)) => self.answer(number, Answer { done: true, why: "made".into() }),
+                Output::Done(number, Err(at)) => {
+                    self.answer(number, Answer::no(format!("version {at} stands in its way")));
+                }
+                Output::Refused(number, why) => self.answer(number, Answer::no(why.to_string())),
+                Output::Changed => self.changed(),
+            }
+        }
+    }
+
+    /// Whether all that was to be saved is safe.
+    fn safe(&mut self) -> bool {
+        let (Some(store), Some(bytes)) = (&self.store, &self.unsaved) else {
+            self.unsaved = None;
+            return true;
+        };
+        let before = store.health().commits;
+        store.put(KEY, bytes.clone());
+        let began = Instant::now();
+        let done = store.flush(SAVE_WITHIN) && store.health().commits > before;
+        if done {
+            self.unsaved = None;
+        } else {
+            warn!(
+                ms = began.elapsed().as_millis() as u64,
+                "a keeper's vote cannot be made safe: it says nothing"
+            );
+        }
+        done
+    }
+}
--- a/crates/pintally-node/src/lib.rs
+++ b/crates/pintally-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod door;
 mod errand;
 mod fleet;
+mod keeper;
 mod life;
 mod node;
 mod pool;
--- a/crates/pintally-peerlink/src/lib.rs
+++ b/crates/pintally-peerlink/src/lib.rs
@@ -5,5 +5,5 @@
 mod udp;
 mod whole;
 
-pub use udp::{Came, Udp};
-pub use whole::{fetch, Whole, TEXT_MOST};
+pub use udp::{Came, Udp, Waker};
+pub use whole::{fetch, order, Whole, ORDER_MOST, TEXT_MOST};
--- a/crates/pintally-peerlink/src/udp.rs
+++ b/crates/pintally-peerlink/src/udp.rs
@@ -1,7 +1,7 @@
 //! Datagrams, and a way to be woken while waiting for one.
 
 use std::io;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -24,6 +24,20 @@
     socket: UdpSocket,
 }
 
+/// Wakes whoever waits at a socket.
+#[derive(Debug)]
+pub struct Waker {
+    socket: UdpSocket,
+    to: SocketAddr,
+}
+
+impl Waker {
+    /// Wakes it; where that fails it wakes by itself a little later.
+    pub fn wake(&self) {
+        let _ = self.socket.send_to(&[], self.to);
+    }
+}
+
 impl Udp {
     /// Listens on an address.
     pub fn bind(address: SocketAddr) -> io::Result<Udp> {
@@ -42,6 +56,22 @@
         self.socket.send_to(bytes, to).is_ok()
     }
 
+    /// What wakes whoever waits here: an empty datagram comes.
+    pub fn waker(&self) -> io::Result<Waker> {
+        let mut to = self.address()?;
+        if to.ip().is_unspecified() {
+            to.set_ip(if to.is_ipv4() { Ipv4Addr::LOCALHOST.into() } else { Ipv6Addr::LOCALHOST.into() });
+        }
+        let own = if to.is_ipv4() {
+            (IpAddr::from(Ipv4Addr::LOCALHOST), 0)
+        } else {
+            (Ipv6Addr::LOCALHOST.into(), 0)
+        };
+        let socket = UdpSocket::bind(own)?;
+        socket.set_nonblocking(true)?;
+        Ok(Waker { socket, to })
+    }
+
     /// The next datagram; waits for it until a time.
     pub fn receive(&self, until: Instant) -> io::Result<Came> {
         let mut buffer = [0u8; MOST];
--- a/crates/pintally-peerlink/src/whole.rs
+++ b/crates/pintally-peerlink/src/whole.rs
@@ -1,4 +1,5 @@
-//! Whole texts over TCP: one byte asks for a text, a length and a checksum come before it.
+//! Whole texts over TCP: one byte asks for a text, a length and a checksum come before it. An order of
+//! the operators goes the same way: its byte, the order's own length and checksum, and its text.
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -9,6 +10,12 @@
 
 /// Bytes of the longest text.
 pub const TEXT_MOST: usize = 16 << 20;
+/// Bytes of the longest order.
+pub const ORDER_MOST: usize = 4096;
+/// From this number on a text of the asker follows.
+const ORDERS: u8 = 128;
+/// Whoever orders waits so long for what became of it.
+const ORDER_WITHIN: Duration = Duration::from_secs(5);
 /// Texts handed out at once.
 const AT_ONCE: usize = 4;
 /// A peer that takes longer for a step is let go.
@@ -16,6 +23,9 @@
 /// How often the listener looks whether it is to end.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// What there is for a number, and for an order's text.
+type Texts = dyn Fn(u8, &[u8]) -> Option<Vec<u8>>;
+
 /// Hands out whole texts until it is dropped.
 #[derive(Debug)]
 pub struct Whole {
@@ -24,10 +34,11 @@
 }
 
 impl Whole {
-    /// Listens on an address and hands out what `text` has for a number; nothing closes the connection.
+    /// Listens on an address and hands out what `text` has for a number, and for an order's text if the
+    /// number is one of orders; nothing closes the connection.
     pub fn serve(
         address: SocketAddr,
-        text: impl Fn(u8) -> Option<Vec<u8>> + Send + Sync + 'static,
+        text: impl Fn(u8, &[u8]) -> Option<Vec<u8>> + Send + Sync + 'static,
     ) -> io::Result<Whole> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
@@ -68,30 +79,32 @@
     }
 }
 
-fn hand_out(mut stream: TcpStream, text: &dyn Fn(u8) -> Option<Vec<u8>>) -> io::Result<()> {
+fn hand_out(mut stream: TcpStream, text: &Texts) -> io::Result<()> {
     stream.set_nonblocking(false)?;
     stream.set_read_timeout(Some(STEP))?;
     stream.set_write_timeout(Some(STEP))?;
     let mut what = [0u8];
     stream.read_exact(&mut what)?;
-    let Some(text) = text(what[0]).filter(|t| t.len() <= TEXT_MOST) else { return Ok(()) };
+    let asked = if what[0] >= ORDERS { take(&mut stream, ORDER_MOST)? } else { Vec::new() };
+    match text(what[0], &asked).filter(|t| t.len() <= TEXT_MOST) {
+        Some(text) => give(&mut stream, &text),
+        None => Ok(()),
+    }
+}
+
+fn give(stream: &mut TcpStream, text: &[u8]) -> io::Result<()> {
     let mut head = (text.len() as u32).to_le_bytes().to_vec();
-    head.extend(crc32fast::hash(&text).to_le_bytes());
+    head.extend(crc32fast::hash(text).to_le_bytes());
     stream.write_all(&head)?;
-    stream.write_all(&text)
+    stream.write_all(text)
 }
 
-/// Asks a peer for a text by its number.
-pub fn fetch(from: SocketAddr, what: u8) -> io::Result<Vec<u8>> {
-    let mut stream = TcpStream::connect_timeout(&from, STEP)?;
-    stream.set_read_timeout(Some(STEP))?;
-    stream.set_write_timeout(Some(STEP))?;
-    stream.write_all(&[what])?;
+fn take(stream: &mut TcpStream, most: usize) -> io::Result<Vec<u8>> {
     let mut head = [0u8; 8];
     stream.read_exact(&mut head)?;
     let word = |at: usize| u32::from_le_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
     let (length, sum) = (word(0) as usize, word(4));
-    if length > TEXT_MOST {
+    if length > most {
         return Err(io::Error::new(io::ErrorKind::InvalidData, "the text is longer than texts may be"));
     }
     // Grows with what comes, so that a length alone takes no memory.
@@ -102,3 +115,25 @@
     }
     Ok(text)
 }
+
+fn reach(from: SocketAddr, answers_within: Duration) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&from, STEP)?;
+    stream.set_read_timeout(Some(answers_within))?;
+    stream.set_write_timeout(Some(STEP))?;
+    Ok(stream)
+}
+
+/// Asks a peer for a text by its number.
+pub fn fetch(from: SocketAddr, what: u8) -> io::Result<Vec<u8>> {
+    let mut stream = reach(from, STEP)?;
+    stream.write_all(&[what])?;
+    take(&mut stream, TEXT_MOST)
+}
+
+/// Gives a node an order by its number, from 128 on, and waits for what becomes of it.
+pub fn order(node: SocketAddr, what: u8, text: &[u8]) -> io::Result<Vec<u8>> {
+    let mut stream = reach(node, ORDER_WITHIN)?;
+    stream.write_all(&[what.max(ORDERS)])?;
+    give(&mut stream, text)?;
+    take(&mut stream, TEXT_MOST)
+}
--- a/crates/pintally-peers/src/lib.rs
+++ b/crates/pintally-peers/src/lib.rs
@@ -20,7 +20,7 @@
 pub use facts::{Fact, Refused, Topic, FACTS_MOST, PAYLOAD_MOST};
 pub use identity::{Life, PeerName};
 pub use members::{Member, Standing};
-pub use packet::DATAGRAM_MOST;
+pub use packet::{DATAGRAM_MOST, WORD_MOST};
 pub use peers::{Notice, Output, Peers};
 pub use settings::{Settings, Unsound};
 pub use status::{Counters, PeerStatus, Status};
--- a/crates/pintally-peers/src/peers.rs
+++ b/crates/pintally-peers/src/peers.rs
@@ -12,7 +12,7 @@
 use crate::identity::{Life, PeerName};
 use crate::members::{Member, Members, Standing, Word};
 use crate::packet::{
-    digest_of_fact, digest_of_word, fleet_number, piece, Body, Packet, Unread, DATAGRAM_MOST,
+    digest_of_fact, digest_of_word, fleet_number, piece, Body, Packet, Unread, DATAGRAM_MOST, WORD_MOST,
 };
 use crate::probe::{Errand, Probe, ERRANDS_MOST};
 use crate::settings::Settings;
@@ -215,7 +215,7 @@
         let Some(to) = self.members.get(whom).filter(|m| m.is_here()).map(|m| self.route(m)) else {
             return false;
         };
-        if payload.len() > PAYLOAD_MOST || self.stepped_back {
+        if payload.len() > WORD_MOST || self.stepped_back {
             return false;
         }
         self.send(to, Body::Word { topic, payload }, out);
--- a/crates/pintally-platform/src/config.rs
+++ b/crates/pintally-platform/src/config.rs
@@ -140,6 +140,8 @@
             kept_cells: None,
             peers: None,
             recovery: None,
+            keepers: None,
+            shared_limits: None,
             limits,
             core: told.settings.clone(),
             classes: told
--- a/crates/pintally-shares/src/holder.rs
+++ b/crates/pintally-shares/src/holder.rs
@@ -1,6 +1,6 @@
 //! A node's shares: what it admits by them, and what it asks for.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 
@@ -85,13 +85,16 @@
     settings: Settings,
     held: BTreeMap<LimitId, Held>,
     names: BTreeMap<LimitId, String>,
+    /// Those that are in use: the others cost nothing.
+    active: BTreeSet<LimitId>,
 }
 
 impl Holder {
     /// A node that holds nothing but its floors. What it held in a life before is never taken up again:
     /// it stays debited until its lease is over.
     pub fn new(settings: Settings, limits: impl IntoIterator<Item = (LimitId, String, Limit)>) -> Holder {
-        let mut holder = Holder { settings, held: BTreeMap::new(), names: BTreeMap::new() };
+        let (held, names, active) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
+        let mut holder = Holder { settings, held, names, active };
         for (id, name, limit) in limits {
             holder.names.insert(id, name);
             holder.held.insert(id, Held::new(limit));
@@ -104,6 +107,7 @@
     pub fn ask(&mut self, now: Micros, id: LimitId, cost: f64) -> Verdict {
         let settings = self.settings;
         let Some(held) = self.held.get_mut(&id) else { return Verdict::Admit };
+        self.active.insert(id);
         held.settle(now, &settings);
         held.offered(now, cost);
         let has = held.has(now, &settings);
@@ -146,10 +150,13 @@
     pub fn asks(&mut self, now: Micros) -> Vec<Ask> {
         let settings = self.settings;
         let mut asks = Vec::new();
-        for (id, held) in &mut self.held {
+        let mut resting = Vec::new();
+        for id in &self.active {
+            let Some(held) = self.held.get_mut(id) else { continue };
             held.settle(now, &settings);
             let wants = held.wants(now, &settings);
             if wants <= 0.0 && held.share <= 0.0 {
+                resting.push(*id);
                 continue;
             }
             let pause = if held.urgent { settings.every / SOONER } else { settings.every };
@@ -162,6 +169,9 @@
             held.asked = Some((held.number, now, held.share));
             asks.push(Ask { limit: *id, number: held.number, holds: held.share, wants: wants as f32 });
         }
+        resting.iter().for_each(|id| {
+            self.active.remove(id);
+        });
         asks
     }
 
