Verdicts of the whole fleet on engines: held back by all, back by one trial and in steps

Seen: each node finds out by itself that an engine is bad, at the price of failed attempts, and tries it again by itself. With (verdicts ...) beside (peers ...) hosts tell what their attempts saw, by engine and start; an engine that enough sound nodes accuse, and few clear, is told to the core as draining. The way back is one node's trial, a quarter, everyone, with doubled rests. Nodes whose own links fail, zones that cannot reach each other and lateness everywhere blacken no engine. CLI: verdicts show|clear. Without the form nothing runs.

Processes: a dead reader is held back by all of four nodes, comes back by one node first; a cut between nodes holds nothing back.

--- a/crates/pintally-cli/src/check.rs
+++ b/crates/pintally-cli/src/check.rs
@@ -49,6 +49,15 @@
             figures.lead_lasts() as f64 / 1e6
         );
     }
+    if let Some(verdicts) = &settings.verdicts {
+        lines += &format!(
+            "\n  a bad engine costs the fleet {} failed attempts, and what is sent while word is on its way; no node \
+             holds back more than {:.0}% of a kind\n    a verdict without evidence dies within {:.0} s",
+            verdicts.price(),
+            verdicts.most * 100.0,
+            verdicts.dies_within() as f64 / 1e6
+        );
+    }
     for limit in settings.shared_limits.iter().flat_map(|l| &l.limits) {
         let figures = settings.shared_limits.as_ref().map(|l| l.figures).unwrap_or_default();
         let bounds = figures.bounds(&limit.limit());
--- a/crates/pintally-cli/src/common.rs
+++ b/crates/pintally-cli/src/common.rs
@@ -71,6 +71,44 @@
     },
 }
 
+#[derive(clap::Args)]
+pub(crate) struct Verdicts {
+    #[command(subcommand)]
+    command: VerdictsCommand,
+}
+
+#[derive(Subcommand)]
+enum VerdictsCommand {
+    /// Which engines are accused or held back, by whom, and how far it reaches.
+    Show {
+        /// Where nodes listen for clients.
+        #[arg(required = true)]
+        nodes: Vec<SocketAddr>,
+        /// Print one line of JSON for each node.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Call an engine well: what was said of it so far does not count any more.
+    Clear {
+        /// The engine's name.
+        engine: String,
+        /// Where a node listens for peers; it tells the others.
+        #[arg(required = true)]
+        nodes: Vec<SocketAddr>,
+    },
+}
+
+pub(crate) fn verdicts(args: &Verdicts) -> Result<ExitCode, Failure> {
+    match &args.command {
+        VerdictsCommand::Show { nodes, json } => {
+            let heads =
+                ["node", "engine", "what", "reaches", "who says so", "who not", "step", "held back", "for"];
+            show(nodes, "/pintally/verdicts", *json, &heads, verdict_rows)
+        }
+        VerdictsCommand::Clear { engine, nodes } => give(nodes, &json!({ "Clear": engine })),
+    }
+}
+
 pub(crate) fn limits(args: &Limits) -> Result<ExitCode, Failure> {
     match &args.command {
         LimitsCommand::Show { nodes, json } => {
@@ -201,3 +239,37 @@
         text(&told["why"]),
     ]]
 }
+
+fn verdict_rows(node: SocketAddr, told: &Value) -> Vec<Vec<String>> {
+    let names = |v: &Value| v.as_array().into_iter().flatten().map(text).collect::<Vec<_>>().join(", ");
+    let mut rows: Vec<Vec<String>> = Vec::new();
+    for v in told["engines"].as_array().into_iter().flatten() {
+        let reach = match &v["reach"] {
+            Value::Object(zone) => format!("zone {}", zone.values().map(text).collect::<String>()),
+            Value::Null => String::new(),
+            other => text(other).to_lowercase(),
+        };
+        rows.push(vec![
+            node.to_string(),
+            text(&v["engine"]),
+            text(&v["fault"]),
+            reach,
+            names(&v["accusers"]),
+            names(&v["clear"]),
+            text(&v["step"]),
+            if v["held_back"] == true { "yes" } else { "no" }.into(),
+            format!("{:.1} s", v["for_ms"].as_f64().unwrap_or(0.0) / 1e3),
+        ]);
+    }
+    let unsound = names(&told["unsound"]);
+    if !unsound.is_empty() {
+        rows.push(vec![node.to_string(), format!("most of what they use fails: {unsound}")]);
+    }
+    for cut in told["cut"].as_array().into_iter().flatten() {
+        rows.push(vec![node.to_string(), format!("zone {} cannot reach another zone", text(&cut[0]))]);
+    }
+    if rows.is_empty() {
+        rows.push(vec![node.to_string(), "nobody accuses an engine".into()]);
+    }
+    rows
+}
--- a/crates/pintally-cli/tests/fleet/by_hand.rs
+++ b/crates/pintally-cli/tests/fleet/by_hand.rs
@@ -63,7 +63,7 @@
         Nodes { day, settings, running, folder, starts: 0, _ports: ports }
     }
 
-    fn list(&self, node: usize, list: &EngineList) {
+    pub fn list(&self, node: usize, list: &EngineList) {
         fs::write(file(self.folder.path(), node), list.render()).unwrap();
     }
 
@@ -86,7 +86,7 @@
     }
 
     /// Whether each sees all others alive.
-    fn is_whole(&self) -> bool {
+    pub fn is_whole(&self) -> bool {
         let all = 0..self.settings.len();
         let sees = |n: usize, o: usize| n == o || self.sees(n, &format!("n{o}")) == "Alive";
         all.clone().all(|n| all.clone().all(|o| sees(n, o)))
--- a/crates/pintally-cli/tests/fleet/main.rs
+++ b/crates/pintally-cli/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 
 mod by_hand;
 mod limits;
+mod verdicts;
 
 use std::path::Path;
 use std::sync::Mutex;
--- /dev/null
+++ b/crates/pintally-cli/tests/fleet/verdicts.rs
@@ -0,0 +1,134 @@
+//! Several processes that tell each other what they saw of engines: who is held back, the way back, and
+//! that a cut between nodes, or one node's own trouble, blackens nobody.
+
+use std::collections::BTreeSet;
+use std::process::Command;
+use std::time::Duration;
+
+use pintally::interface::{EngineId, Listing, Role};
+use pintally_config::{EngineEntry, EngineList};
+use pintally_day::{Client, Rig, Try};
+use pintally_standin::{Fleet, Recorder};
+
+use crate::by_hand::{until, Nodes, EXE};
+
+const VERDICTS: &str = "(verdicts (memory-ms 4000) (rest-ms 800) (rest-most-ms 6000) (step-ms 500))";
+
+/// Nodes of `fleet` that hold an engine back.
+fn holding(fleet: &Nodes, engine: &str) -> usize {
+    let told = (0..fleet.settings.len()).map(|n| fleet.told(n, "/pintally/verdicts"));
+    told.filter(|t| {
+        let all = t["engines"].as_array().cloned().unwrap_or_default();
+        all.iter().any(|v| v["engine"] == engine && v["held_back"] == true)
+    })
+    .count()
+}
+
+#[test]
+fn a_dead_engine_is_held_back_by_all_and_comes_back_in_steps() {
+    let recorder = Recorder::default();
+    let stand = Fleet::new(recorder.clone());
+    let mut list = EngineList { version: 1, engines: Vec::new() };
+    let mut engines = Vec::new();
+    for (id, role) in [
+        ("r0", Role::Reader),
+        ("r1", Role::Reader),
+        ("r2", Role::Reader),
+        ("r3", Role::Reader),
+        ("w0", Role::Writer),
+        ("w1", Role::Writer),
+    ] {
+        let engine = stand.add(Rig::spec(id, role), false).unwrap();
+        list.engines.push(EngineEntry {
+            id: EngineId(id.into()),
+            address: engine.address,
+            zone: "a".into(),
+            kind: engine.spec.kind.clone(),
+            rack: 0,
+            cell: None,
+            listing: Listing::Serving,
+            weight: 1.0,
+            started_unix_ms: None,
+        });
+        engines.push(engine);
+    }
+    let mut fleet = Nodes::with(4, VERDICTS);
+    for node in 0..4 {
+        fleet.list(node, &list);
+        fleet.start(node);
+    }
+    until("all know all", 15, || fleet.is_whole());
+    let client = Client { recorder };
+    let mut sent = 0;
+    let mut send = |fleet: &Nodes| {
+        for node in 0..4 {
+            sent += 1;
+            client.attempt(&Try {
+                id: format!("v{sent}"),
+                node: format!("n{node}"),
+                address: fleet.settings[node].listen,
+                class: "hint".into(),
+                tenant: None,
+                session: sent,
+                prefix: None,
+                prefix_tokens: 0,
+                prompt: "text ".repeat(60),
+                max_tokens: 3,
+                patience: Duration::from_secs(2),
+                streamed: true,
+                leaves: None,
+            });
+        }
+    };
+    until("requests are served", 20, || fleet.told(0, "/pintally/recovery")["stage"] == "Serving");
+    (0..5).for_each(|_| send(&fleet));
+    engines[3].crash();
+    for _ in 0..200 {
+        send(&fleet);
+        if holding(&fleet, "r3") == 4 {
+            break;
+        }
+    }
+    assert_eq!(holding(&fleet, "r3"), 4);
+    assert_eq!(["r0", "r1", "r2"].iter().map(|w| holding(&fleet, w)).sum::<usize>(), 0);
+    let at: Vec<String> = fleet.settings.iter().map(|s| s.listen.to_string()).collect();
+    let out = Command::new(EXE).args(["verdicts", "show"]).args(&at).output().unwrap();
+    let text = String::from_utf8_lossy(&out.stdout);
+    assert!(out.status.success() && text.contains("r3") && text.contains("everyone"), "{text}");
+    // People may call it well: it is held back no more, until it fails again.
+    let link = fleet.settings[0].peers.as_ref().unwrap().listen.to_string();
+    let out = Command::new(EXE).args(["verdicts", "clear", "r3", &link]).output().unwrap();
+    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    until("it is cleared at all nodes", 10, || holding(&fleet, "r3") == 0);
+    for _ in 0..200 {
+        send(&fleet);
+        if holding(&fleet, "r3") == 4 {
+            break;
+        }
+    }
+    assert_eq!(holding(&fleet, "r3"), 4, "it is dead all the same");
+    engines[3].start(false);
+    let mut seen = BTreeSet::new();
+    for _ in 0..400 {
+        send(&fleet);
+        let holds = holding(&fleet, "r3");
+        seen.insert(holds);
+        if holds == 0 && seen.len() > 1 {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    println!("nodes that held it back on the way: {seen:?}");
+    assert!(seen.contains(&0), "{seen:?}");
+    assert!(seen.contains(&3), "one node tries it first: {seen:?}");
+    stand.shut_down();
+}
+
+/// Links between nodes fail, and no engine is sick: all goes on as in calm.
+#[test]
+fn a_cut_between_nodes_blackens_no_engine() {
+    let result =
+        crate::play("verdicts-cut", 14, 4, 43, &format!("{VERDICTS} (fault peer-cut (at 4) (for 6))"));
+    let end = crate::served_at_the_end(&result, 10.0);
+    assert!(end > 0.9, "{end:.2} served at the end");
+}
--- a/crates/pintally-config/src/lib.rs
+++ b/crates/pintally-config/src/lib.rs
@@ -16,4 +16,4 @@
 pub use fleet::{PeerSettings, RecoverySettings, LIES};
 pub use members::{EngineEntry, EngineList};
 pub use settings::{shape, ClassSettings, Limits, NodeSettings};
-pub use shared::{Counts, KeeperSettings, LimitSettings, SharedLimit};
+pub use shared::{verdicts_form, Counts, KeeperSettings, LimitSettings, SharedLimit};
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -38,6 +38,8 @@
     pub keepers: Option<KeeperSettings>,
     /// Limits that hold for the whole fleet.
     pub shared_limits: Option<LimitSettings>,
+    /// Verdicts of the whole fleet on engines; none where each node judges alone.
+    pub verdicts: Option<pintally_verdicts::Settings>,
     /// Bounds on what clients and engines may use.
     pub limits: Limits,
     /// What the decision core is told.
@@ -173,7 +175,7 @@
         }
         check::kinds(root, &core)?;
         let (peers, recovery) = fleet::read(root)?;
-        let (keepers, shared_limits) = shared::read(root)?;
+        let (keepers, shared_limits, verdicts) = shared::read(root)?;
         let mut settings = NodeSettings {
             name,
             listen,
@@ -188,6 +190,7 @@
             recovery,
             keepers,
             shared_limits,
+            verdicts,
             limits: limits(root)?,
             core,
             classes,
--- a/crates/pintally-config/src/shared.rs
+++ b/crates/pintally-config/src/shared.rs
@@ -131,11 +131,50 @@
     }
 }
 
-/// Reads both forms, if they are there.
-pub(crate) fn read(root: &Form) -> Result<(Option<KeeperSettings>, Option<LimitSettings>), ConfigError> {
+/// What was read, if it was there.
+type Shared = (Option<KeeperSettings>, Option<LimitSettings>, Option<pintally_verdicts::Settings>);
+
+/// Reads the forms that are there.
+pub(crate) fn read(root: &Form) -> Result<Shared, ConfigError> {
     let keepers = root.maybe("keepers")?.map(|form| keepers(&form)).transpose()?;
     let limits = root.maybe("shared-limits")?.map(|form| limits(&form)).transpose()?;
-    Ok((keepers, limits))
+    let verdicts = root.maybe("verdicts")?.map(|form| verdicts(&form)).transpose()?;
+    Ok((keepers, limits, verdicts))
+}
+
+fn verdicts(form: &Form) -> Result<pintally_verdicts::Settings, ConfigError> {
+    let usual = pintally_verdicts::Settings::default();
+    let ms = |span: Micros| span as f64 / 1e3;
+    let settings = pintally_verdicts::Settings {
+        memory: form.millis_or("memory-ms", ms(usual.memory), 1.0, 600_000.0)?,
+        strikes: form.count_or("strikes", u64::from(usual.strikes), 1, 100)? as u32,
+        accusers: form.count_or("accusers", usual.accusers as u64, 1, 100)? as usize,
+        rest: form.millis_or("rest-ms", ms(usual.rest), 1.0, 600_000.0)?,
+        rest_most: form.millis_or("rest-most-ms", ms(usual.rest_most), 1.0, 3_600_000.0)?,
+        step: form.millis_or("step-ms", ms(usual.step), 1.0, 600_000.0)?,
+        most: form.number_or("most", usual.most, 0.0, 1.0)?,
+        own: form.number_or("own", usual.own, 0.0, 1.0)?,
+    };
+    form.finish()?;
+    settings.check().map_err(|e| form.error(e.to_string()))?;
+    Ok(settings)
+}
+
+/// The form of verdicts that reads back as these settings.
+pub fn verdicts_form(s: &pintally_verdicts::Settings) -> String {
+    let ms = |span: Micros| span as f64 / 1e3;
+    format!(
+        "(verdicts (memory-ms {}) (strikes {}) (accusers {}) (rest-ms {}) (rest-most-ms {}) (step-ms {}) \
+         (most {:?}) (own {:?}))",
+        ms(s.memory),
+        s.strikes,
+        s.accusers,
+        ms(s.rest),
+        ms(s.rest_most),
+        ms(s.step),
+        s.most,
+        s.own
+    )
 }
 
 fn keepers(form: &Form) -> Result<KeeperSettings, ConfigError> {
@@ -220,6 +259,12 @@
     if s.keepers.is_some() && s.peers.is_none() {
         return at("keepers", "keepers need `(peers ...)`: they talk to each other".into());
     }
+    if s.verdicts.is_some() && s.peers.is_none() {
+        return at("verdicts", "verdicts need `(peers ...)`: nodes tell each other what they saw".into());
+    }
+    if s.verdicts.is_some() && s.cells_file.is_some() {
+        return at("verdicts", "verdicts and cells do not go together yet".into());
+    }
     let Some(limits) = &mut s.shared_limits else { return Ok(()) };
     limits.figures.nodes = s.core.nodes.max(1);
     if s.keepers.is_none() {
--- a/crates/pintally-host/src/cellular.rs
+++ b/crates/pintally-host/src/cellular.rs
@@ -83,7 +83,7 @@
         if !self.divided() {
             let whole = CellName::default();
             self.core_of(&whole);
-            let members = list.into_iter().map(|one| one.member).collect();
+            let members = list.into_iter().map(|one| self.as_judged(one.member)).collect();
             self.event(now, &whole, Event::Members(form, members), out);
         } else if form != ListForm::Failed {
             self.list_to_cells(now, out);
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -14,6 +14,7 @@
 use serde_json::Value;
 
 use crate::input::{Arrival, Command, Final, Input, Listed, Order, Scope, Ticket};
+use crate::judged::Judging;
 use crate::ledger::{Entry, HeldState, Out};
 use crate::limits::Limiting;
 use crate::recover::Recovering;
@@ -67,6 +68,8 @@
     pub(crate) recovering: Option<Recovering>,
     /// Limits of the whole fleet, if there are any.
     pub(crate) limiting: Option<Limiting>,
+    /// Verdicts of the whole fleet on engines, if there are any.
+    pub(crate) judging: Option<Judging>,
     /// The list that holds has come from its source in this life.
     pub(crate) list_fresh: bool,
     pub(crate) counters: Counters,
@@ -100,6 +103,7 @@
             stopped: false,
             recovering: None,
             limiting: None,
+            judging: None,
             list_fresh: false,
             counters: Counters::default(),
         }
@@ -177,6 +181,7 @@
                 Due::Release(id, engine) => self.release_again(id, engine, out),
                 Due::Recovery => self.recovery_due(now, out),
                 Due::Shares => self.shares_due(now, out),
+                Due::Verdicts => self.verdicts_due(now, out),
                 Due::Stop => self.give_up_all(now, out),
             }
             self.settle(out);
@@ -189,6 +194,7 @@
         match input {
             Input::List(form, members) => {
                 self.list(now, form, members, out);
+                self.relist();
                 self.recount(now, out);
             }
             Input::Fresh => {
@@ -198,6 +204,9 @@
             }
             Input::Recovery(heard) => self.recover(now, heard, out),
             Input::Granted(grants) => self.granted(now, &grants),
+            Input::Evidence(from, report) => self.evidence(now, &from, &report),
+            Input::Nodes(nodes) => self.nodes_here(nodes),
+            Input::Cleared(engine) => self.cleared(now, &engine),
             Input::Cells(file) => self.take_cells(now, *file, out),
             Input::Arrived(arrival) => self.arrived(now, arrival, out),
             Input::FirstToken(ticket, attempt) => self.first_token(now, ticket, attempt, out),
@@ -511,6 +520,7 @@
         }
         entry.failed |= !matches!(outcome, Outcome::Read | Outcome::Served | Outcome::NeverSent);
         let over = entry.over;
+        self.witnessed(now, &ended.engine, outcome);
         match outcome {
             Outcome::Read | Outcome::Served => self.heard_engine(now, &ended.engine, true, out),
             Outcome::Unreachable => self.heard_engine(now, &ended.engine, false, out),
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -63,6 +63,8 @@
     pub address: SocketAddr,
     /// The cell that it belongs to; spare if none.
     pub cell: Option<CellName>,
+    /// When it started, as the list says; with name and address it tells its lives apart.
+    pub started_unix_ms: Option<u64>,
 }
 
 /// What a host learns.
@@ -103,6 +105,12 @@
     Recovery(pintally_recovery::Input),
     /// The lender of limits has answered.
     Granted(Vec<pintally_shares::Grant>),
+    /// A node has told what it saw of engines.
+    Evidence(pintally_verdicts::Node, Vec<u8>),
+    /// Which nodes are here.
+    Nodes(Vec<pintally_verdicts::Node>),
+    /// People say that an engine is well.
+    Cleared(String),
     /// Take nothing new, end what is held.
     Stop,
 }
@@ -173,6 +181,8 @@
     Stage(pintally_recovery::Stage),
     /// Ask the lender of limits for shares.
     AskShares(Vec<pintally_shares::Ask>),
+    /// Tell the fleet what this node saw of engines; empty takes it back.
+    Testify(Vec<u8>),
     /// Say something to the people on call.
     Log(String),
     /// Everything has ended after [`Input::Stop`].
--- a/crates/pintally-host/src/lib.rs
+++ b/crates/pintally-host/src/lib.rs
@@ -13,6 +13,7 @@
 mod counters;
 mod host;
 mod input;
+mod judged;
 mod ledger;
 mod limits;
 mod list;
--- a/crates/pintally-host/src/list.rs
+++ b/crates/pintally-host/src/list.rs
@@ -96,5 +96,10 @@
 
 fn listed(entry: &EngineEntry, clock: impl Fn(u64) -> Micros) -> Listed {
     let cell = entry.cell.as_deref().map(CellName::from);
-    Listed { member: entry.member(clock), address: entry.address, cell }
+    Listed {
+        member: entry.member(clock),
+        address: entry.address,
+        cell,
+        started_unix_ms: entry.started_unix_ms,
+    }
 }
--- a/crates/pintally-host/src/timers.rs
+++ b/crates/pintally-host/src/timers.rs
@@ -23,6 +23,8 @@
     Recovery,
     /// Shares of limits are asked for.
     Shares,
+    /// What the fleet saw of engines is weighed.
+    Verdicts,
     /// Stopping has taken its whole time.
     Stop,
 }
--- a/crates/pintally-host/tests/host.rs
+++ b/crates/pintally-host/tests/host.rs
@@ -99,7 +99,12 @@
                 weight: 1.0,
                 started: None,
             };
-            Listed { member, address: "127.0.0.1:9".parse().unwrap(), cell: cell_of(id) }
+            Listed {
+                member,
+                address: "127.0.0.1:9".parse().unwrap(),
+                cell: cell_of(id),
+                started_unix_ms: None,
+            }
         });
         let members = members.collect();
         self.handle(Input::List(form, members));
@@ -138,7 +143,7 @@
                     assert!(self.over.insert(ticket), "over twice");
                     assert!(!self.out.contains_key(&ticket), "over with an attempt out");
                 }
-                Command::AskPeer(_) | Command::Stage(_) | Command::AskShares(_) => {
+                Command::AskPeer(_) | Command::Stage(_) | Command::AskShares(_) | Command::Testify(_) => {
                     panic!("it knows no others")
                 }
                 Command::Reread | Command::Log(_) => {}
--- a/crates/pintally-host/tests/scope.rs
+++ b/crates/pintally-host/tests/scope.rs
@@ -41,6 +41,7 @@
             },
             address: ([127, 0, 0, 1], 4000 + n as u16).into(),
             cell: None,
+            started_unix_ms: None,
         };
         node.tell(Input::List(ListForm::Full, engines.iter().enumerate().map(listed).collect()));
         node
--- a/crates/pintally-kserve/src/route.rs
+++ b/crates/pintally-kserve/src/route.rs
@@ -21,6 +21,8 @@
     Recovery,
     /// `GET /pintally/limits`: how the fleet's limits stand here.
     Limits,
+    /// `GET /pintally/verdicts`: what the fleet believes of engines.
+    Verdicts,
     /// `GET /pintally/keepers`: who leads the keepers, if this node is one.
     Keepers,
     /// `GET /v2/models/{model}[/versions/{version}]`
@@ -55,6 +57,7 @@
         ["pintally", "peers"] => get(Route::Peers),
         ["pintally", "recovery"] => get(Route::Recovery),
         ["pintally", "limits"] => get(Route::Limits),
+        ["pintally", "verdicts"] => get(Route::Verdicts),
         ["pintally", "keepers"] => get(Route::Keepers),
         ["v2", "health", "live"] => get(Route::Live),
         ["v2", "health", "ready"] => get(Route::Ready),
--- a/crates/pintally-lab/src/baseline.rs
+++ b/crates/pintally-lab/src/baseline.rs
@@ -279,6 +279,9 @@
             | Input::Fresh
             | Input::Recovery(_)
             | Input::Granted(_)
+            | Input::Evidence(..)
+            | Input::Nodes(_)
+            | Input::Cleared(_)
             | Input::Released(..)
             | Input::Stop => {}
         }
--- a/crates/pintally-lab/src/world.rs
+++ b/crates/pintally-lab/src/world.rs
@@ -396,6 +396,7 @@
                 Command::AskPeer(_)
                 | Command::Stage(_)
                 | Command::AskShares(_)
+                | Command::Testify(_)
                 | Command::Log(_)
                 | Command::Stopped => {}
             }
@@ -416,7 +417,12 @@
                 weight: 1.0,
                 started: self.started[n],
             };
-            list.push(Listed { member, address, cell: spec.cell.as_deref().map(Into::into) });
+            list.push(Listed {
+                member,
+                address,
+                cell: spec.cell.as_deref().map(Into::into),
+                started_unix_ms: None,
+            });
         }
         let at = self.now + after;
         for one in &list {
--- a/crates/pintally-node/src/connection.rs
+++ b/crates/pintally-node/src/connection.rs
@@ -140,6 +140,7 @@
         Route::Recovery => told(&shared.fleet.recovery, "this node has no recovery in its settings"),
         Route::Keepers => told(&shared.fleet.keeper, "this node is no keeper"),
         Route::Limits => limits(shared),
+        Route::Verdicts => told(&shared.fleet.verdicts, "this node has no verdicts in its settings"),
         Route::Server => (200, kserve::metadata(env!("CARGO_PKG_VERSION"))),
         Route::Model(model) if known(&model) => (200, kserve::model_metadata(&model)),
         Route::Work(model, form) if known(&model) => return work(shared, stream, waker, form, &request),
--- a/crates/pintally-node/src/decide.rs
+++ b/crates/pintally-node/src/decide.rs
@@ -25,6 +25,7 @@
     pub(crate) stopped: Sender<()>,
     pub(crate) ask: Sender<u64>,
     pub(crate) shares: Sender<Vec<pintally_shares::Ask>>,
+    pub(crate) testify: Sender<Vec<u8>>,
 }
 
 struct Decider<'a> {
@@ -70,8 +71,11 @@
             shared.serving.store(decider.host.serving(), Ordering::Relaxed);
         }
         let now = shared.clock.now();
-        if shared.settings.shared_limits.is_some() && now >= limits_at + LIMITS_EVERY {
+        let tells = shared.settings.shared_limits.is_some() || shared.settings.verdicts.is_some();
+        if tells && now >= limits_at + LIMITS_EVERY {
             limits_at = now;
+            *shared.fleet.verdicts.lock().unwrap_or_else(|e| e.into_inner()) =
+                decider.host.verdicts_status(now);
             *shared.fleet.limits.lock().unwrap_or_else(|e| e.into_inner()) = decider.host.limits_status(now);
         }
         if let Some(answer) = decider.host.recovery_answer(now) {
@@ -160,6 +164,9 @@
                     Command::AskShares(asks) => {
                         let _ = self.ends.shares.try_send(asks);
                     }
+                    Command::Testify(report) => {
+                        let _ = self.ends.testify.try_send(report);
+                    }
                     Command::Stage(stage) => info!(?stage, "recovery"),
                     Command::Log(text) => info!("{text}"),
                     Command::Stopped => {
--- a/crates/pintally-node/src/fleet.rs
+++ b/crates/pintally-node/src/fleet.rs
@@ -20,9 +20,10 @@
 use pintally_peers::{Life, Notice, Output, PeerName, Peers, Settings, Topic};
 use pintally_recovery::{self as recovery, Answer, ClassWorth, Memory, Recovery};
 use pintally_shares::{Ask, Grant, LimitStatus, PoolStatus, AT_ONCE};
+use pintally_verdicts::{Node, Report};
 use tracing::{debug, info, warn};
 
-use crate::keeper::{self, FromKeeper, ToKeeper};
+use crate::keeper::{self, FromKeeper, Order, ToKeeper};
 use crate::shared::{spawn_small, Shared};
 
 /// What nodes say of what they carried, and of the list that they hold.
@@ -33,11 +34,15 @@
 const SO: Topic = Topic(33);
 /// Who leads the keepers, in which term; what keepers, and holders and lender, tell each other.
 const LENDER: Topic = Topic(3);
+const EVIDENCE: Topic = Topic(4);
+const CLEARED: Topic = Topic(5);
 const KEEPERS: Topic = Topic(34);
 const ASKS: Topic = Topic(35);
 const GRANTS: Topic = Topic(36);
 /// The number of people's orders among whole texts.
 const ORDER: u8 = 128;
+/// Engines that people may clear before the fleet's thread has told of them.
+const ASKED_MOST: usize = 64;
 /// An order that nobody has answered by then is of unknown effect.
 const ORDER_WITHIN: Duration = Duration::from_secs(3);
 /// The number of the list among whole texts.
@@ -73,6 +78,10 @@
     pub(crate) pools: Mutex<Option<Vec<PoolStatus>>>,
     /// How the fleet's limits stand here; told by the deciding thread.
     pub(crate) limits: Mutex<Option<Vec<LimitStatus>>>,
+    /// What is believed of engines; told by the deciding thread.
+    pub(crate) verdicts: Mutex<Option<pintally_verdicts::Status>>,
+    /// Engines that people have called well at this node, to be told to all.
+    cleared: Mutex<Vec<String>>,
     /// Who lends, as far as this node knows.
     pub(crate) lender: Mutex<Option<String>>,
     /// Answers a second of one warm engine of each role; told by the deciding thread.
@@ -246,7 +255,7 @@
     let orders = keeper.clone();
     let whole = Whole::serve(settings.listen, move |what, asked| {
         if what == ORDER {
-            return serde_json::to_vec(&ordered(orders.as_ref(), asked)).ok();
+            return serde_json::to_vec(&ordered(&own, orders.as_ref(), asked)).ok();
         }
         let list = lock(&own.fleet.list).clone();
         (what == LIST_TEXT).then_some(list).flatten().map(|(_, _, text)| text.as_bytes().to_vec())
@@ -268,11 +277,22 @@
 }
 
 /// Gives the keeper an order of people, and waits for what becomes of it.
-fn ordered(keeper: Option<&Sender<ToKeeper>>, asked: &[u8]) -> keeper::Answer {
-    let Some(keeper) = keeper else { return keeper::Answer::no("this node is no keeper") };
+fn ordered(shared: &Shared, keeper: Option<&Sender<ToKeeper>>, asked: &[u8]) -> keeper::Answer {
     let Ok(order) = serde_json::from_slice(asked) else {
         return keeper::Answer::no("there is no such order");
     };
+    if let Order::Clear(engine) = order {
+        if shared.settings.verdicts.is_none() {
+            return keeper::Answer::no("this node has no verdicts in its settings");
+        }
+        let mut waiting = lock(&shared.fleet.cleared);
+        if waiting.len() >= ASKED_MOST {
+            return keeper::Answer::no("too many engines are cleared at once");
+        }
+        waiting.push(engine);
+        return keeper::Answer { done: true, why: "told to all".into() };
+    }
+    let Some(keeper) = keeper else { return keeper::Answer::no("this node is no keeper") };
     let (to, answer) = bounded(1);
     if keeper.try_send(ToKeeper::Order(order, to)).is_err() {
         return keeper::Answer::no("the keeper has too much to do");
@@ -304,6 +324,8 @@
     pub(crate) ask: Receiver<u64>,
     /// Shares to be asked for.
     pub(crate) shares: Receiver<Vec<Ask>>,
+    /// What this node saw of engines.
+    pub(crate) testimonies: Receiver<Vec<u8>>,
     /// The keeper's words.
     pub(crate) keeper: Receiver<FromKeeper>,
 }
@@ -349,6 +371,18 @@
         for one in mail.keeper.try_iter() {
             self.keeper_says(one, &mut out);
         }
+        for report in mail.testimonies.try_iter() {
+            if self.fleet.peers.say(EVIDENCE, report).is_err() {
+                debug!("there is no room for what this node saw of engines");
+            }
+        }
+        for engine in std::mem::take(&mut *lock(&self.shared.fleet.cleared)) {
+            self.shared.tell(Input::Cleared(engine.clone()));
+            // Each word is another one, though it may be of the same engine.
+            let mut word = now.to_le_bytes().to_vec();
+            word.extend_from_slice(engine.as_bytes());
+            let _ = self.fleet.peers.say(CLEARED, word);
+        }
         for asks in mail.shares.try_iter() {
             self.ask_for(&asks, &mut out);
         }
@@ -407,6 +441,14 @@
             }
             Notice::Suspected(name) => debug!(peer = %name, "a peer is suspected"),
             Notice::Fact(origin, LIST) => self.list_of(&origin),
+            Notice::Fact(origin, EVIDENCE) => self.evidence_of(&origin),
+            Notice::Fact(origin, CLEARED) => {
+                let fact = self.fleet.peers.facts(CLEARED).find(|f| f.origin == origin);
+                let engine = fact.and_then(|f| std::str::from_utf8(f.payload.get(8..)?).ok());
+                if let Some(engine) = engine {
+                    self.shared.tell(Input::Cleared(engine.to_string()));
+                }
+            }
             Notice::Fact(..) => {}
             Notice::Told(from, HOW, _) => {
                 let (answer, list) = (*lock(&self.shared.fleet.answer), self.list_held());
@@ -456,6 +498,15 @@
         false
     }
 
+    /// What a node saw of engines goes to the host, with the node's zone.
+    fn evidence_of(&self, origin: &PeerName) {
+        let fact = self.fleet.peers.facts(EVIDENCE).find(|f| f.origin == *origin);
+        let Some(member) = self.fleet.peers.member(origin) else { return };
+        let node = Node { name: origin.to_string(), zone: member.zone().to_string() };
+        let report = fact.map(|f| f.payload.clone()).unwrap_or_else(|| Report::default().encode());
+        self.shared.tell(Input::Evidence(node, report));
+    }
+
     fn to_keeper(&self, one: ToKeeper) {
         if let Some(keeper) = &self.fleet.keeper {
             let _ = keeper.try_send(one);
@@ -541,6 +592,12 @@
             .map(|m| self.fleet.peers.route(m).to_string())
             .collect();
         self.shared.fleet.keep(KEY_PEERS, at.join("\n").into_bytes());
+        if self.shared.settings.verdicts.is_some() {
+            let members = self.fleet.peers.members().filter(|m| m.is_here());
+            let node =
+                |m: &pintally_peers::Member| Node { name: m.name().to_string(), zone: m.zone().to_string() };
+            self.shared.tell(Input::Nodes(members.map(node).collect()));
+        }
         let numbers: Vec<u64> = here.iter().map(|n| self.number(n)).collect();
         self.shared.tell(Input::Recovery(recovery::Input::Peers(self.fleet.peers.here(), numbers)));
     }
--- a/crates/pintally-node/src/keeper.rs
+++ b/crates/pintally-node/src/keeper.rs
@@ -56,6 +56,8 @@
     Limit(String, f64),
     /// The keepers are these from now on: one more or one fewer than before.
     Keepers(Vec<String>),
+    /// An engine is well, whatever was said of it.
+    Clear(String),
 }
 
 /// What became of an order.
@@ -158,6 +160,8 @@
 
     fn order(&mut self, now: Micros, order: Order, out: &mut Vec<Output>) {
         match order {
+            // The fleet's thread takes it.
+            Order::Clear(_) => {}
             Order::Keepers(names) => {
                 let names = names.iter().map(|n| KeeperName::from(n.as_str())).collect();
                 self.keeper.change(now, self.number, names, out);
--- a/crates/pintally-platform-node/src/attempts.rs
+++ b/crates/pintally-platform-node/src/attempts.rs
@@ -33,7 +33,7 @@
                 }
             }
             // Nodes on the platform know of no peers.
-            Command::AskPeer(_) | Command::Stage(_) | Command::AskShares(_) => {}
+            Command::AskPeer(_) | Command::Stage(_) | Command::AskShares(_) | Command::Testify(_) => {}
             Command::Stopped => self.stopped = true,
         }
     }
--- a/crates/pintally-platform/src/config.rs
+++ b/crates/pintally-platform/src/config.rs
@@ -142,6 +142,7 @@
             recovery: None,
             keepers: None,
             shared_limits: None,
+            verdicts: None,
             limits,
             core: told.settings.clone(),
             classes: told
--- a/crates/pintally-platform/src/discovery.rs
+++ b/crates/pintally-platform/src/discovery.rs
@@ -73,7 +73,12 @@
                 // The node's clock counts from the same beginning as the platform's.
                 started: m.up_since_ms.filter(|ms| ms.is_finite()).map(|ms| (ms.max(0.0) * 1e3) as u64),
             };
-            members.push(Listed { member: entry.member(), address: m.host_port, cell: None });
+            members.push(Listed {
+                member: entry.member(),
+                address: m.host_port,
+                cell: None,
+                started_unix_ms: None,
+            });
         }
         Ok(List { revision: raw.revision, complete: raw.complete, members })
     }
--- a/crates/pintally-verdicts/src/evidence.rs
+++ b/crates/pintally-verdicts/src/evidence.rs
@@ -4,6 +4,7 @@
 
 use crate::report::Seen;
 use crate::settings::Settings;
+use crate::witness::Fault;
 use crate::Micros;
 
 /// How far a failure reaches.
@@ -36,7 +37,10 @@
     }
 
     pub(crate) fn accuses(&self, now: Micros, settings: &Settings) -> bool {
-        u32::from(self.bad) >= settings.strikes
+        // Lateness has many reasons: it takes twice as many.
+        let late = Fault::of(self.fault) == Some(Fault::Late);
+        let strikes = if late { 2 * settings.strikes } else { settings.strikes };
+        u32::from(self.bad) >= strikes
             && self.bad_at > self.good_at
             && now.saturating_sub(self.bad_at) <= settings.memory
     }
