--- a/crates/pintally-cli/src/check.rs
+++ b/crates/pintally-cli/src/check.rs
@@ -58,6 +58,20 @@
             verdicts.dies_within() as f64 / 1e6
         );
     }
+    if let Some(regions) = &settings.regions {
+        let s = &regions.figures;
+        let told = settings.peers.as_ref().map_or(0, |p| 2 * p.period);
+        lines += &format!(
+            "\n  {} zones: work leaves a lost one within {:.1} s, and is back {:.0} s after the end of its trouble if \
+             it was not tried before, {:.0} s at the most\n    without word of the keepers' leader for {:.1} s a node \
+             serves what is near",
+            s.map.zones.len(),
+            s.moved_within(told) as f64 / 1e6,
+            s.back_within(0) as f64 / 1e6,
+            s.back_within(20) as f64 / 1e6,
+            s.lasts as f64 / 1e6
+        );
+    }
     for limit in settings.shared_limits.iter().flat_map(|l| &l.limits) {
         let figures = settings.shared_limits.as_ref().map(|l| l.figures).unwrap_or_default();
         let bounds = figures.bounds(&limit.limit());
--- a/crates/pintally-cli/src/common.rs
+++ b/crates/pintally-cli/src/common.rs
@@ -109,6 +109,58 @@
     }
 }
 
+#[derive(clap::Args)]
+pub(crate) struct Regions {
+    #[command(subcommand)]
+    command: RegionsCommand,
+}
+
+#[derive(Subcommand)]
+enum RegionsCommand {
+    /// What is known of each zone, how much of it is in use and why, and where its requests go.
+    Status {
+        /// Where nodes listen for clients.
+        #[arg(required = true)]
+        nodes: Vec<SocketAddr>,
+        /// Print one line of JSON for each node.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Rehearse: where requests would go without a zone. Nothing is changed.
+    Plan(Zone),
+    /// Give a zone up, and leave it so until it is released.
+    Order(Zone),
+    /// Leave a zone as it is, whatever the program wants.
+    Hold(Zone),
+    /// Let the program decide on a zone again.
+    Release(Zone),
+}
+
+#[derive(clap::Args)]
+struct Zone {
+    /// The zone.
+    zone: String,
+    /// Where keepers listen for peers; whichever leads takes it.
+    #[arg(required = true)]
+    keepers: Vec<SocketAddr>,
+}
+
+pub(crate) fn regions(args: &Regions) -> Result<ExitCode, Failure> {
+    let order = |zone: &Zone, word: &str| give(&zone.keepers, &json!({ "Zone": [zone.zone, word] }));
+    match &args.command {
+        RegionsCommand::Status { nodes, json } => {
+            let heads = [
+                "node", "zone", "known", "nodes", "in use", "room", "comes", "takes", "fails", "goes", "why",
+            ];
+            show(nodes, "/pintally/regions", *json, &heads, region_rows)
+        }
+        RegionsCommand::Plan(zone) => give(&zone.keepers, &json!({ "Rehearse": zone.zone })),
+        RegionsCommand::Order(zone) => order(zone, "out"),
+        RegionsCommand::Hold(zone) => order(zone, "hold"),
+        RegionsCommand::Release(zone) => order(zone, ""),
+    }
+}
+
 pub(crate) fn limits(args: &Limits) -> Result<ExitCode, Failure> {
     match &args.command {
         LimitsCommand::Show { nodes, json } => {
@@ -273,3 +325,43 @@
     }
     rows
 }
+
+fn region_rows(node: SocketAddr, told: &Value) -> Vec<Vec<String>> {
+    let goes = |row: &Value| -> String {
+        let part = |r: &Value| format!("{} {:.0}%", text(&r[0]), r[1].as_f64().unwrap_or(0.0) * 100.0);
+        row.as_array().into_iter().flatten().map(part).collect::<Vec<_>>().join(", ")
+    };
+    let name = format!("{} ({node})", text(&told["node"]));
+    if let Some(zones) = told["leads"]["zones"].as_array() {
+        let row = |(n, z): (usize, &Value)| {
+            vec![
+                name.clone(),
+                text(&z["zone"]),
+                text(&z["known"]).to_lowercase(),
+                text(&z["nodes"]),
+                format!("{:.0}%", z["open"].as_f64().unwrap_or(0.0) * 100.0),
+                number(&z["room"]),
+                number(&z["offered"]),
+                number(&z["takes"]),
+                format!("{:.0}%", z["failing"].as_f64().unwrap_or(0.0) * 100.0),
+                goes(&told["leads"]["goes"][n]),
+                text(&z["why"]),
+            ]
+        };
+        return zones.iter().enumerate().map(row).collect();
+    }
+    let plan = &told["plan"];
+    if plan.is_null() {
+        return vec![vec![name, "no plan has been heard: it serves what is near".into()]];
+    }
+    let names = told["names"].as_array().cloned().unwrap_or_default();
+    let row = |(n, zone): (usize, &Value)| {
+        let mut row =
+            vec![name.clone(), text(zone), format!("plan {} of term {}", plan["number"], plan["term"])];
+        row.extend(["".to_string(), format!("{:.0}%", plan["open"][n].as_f64().unwrap_or(0.0) / 2.55)]);
+        row.extend(["", "", "", ""].map(String::from));
+        row.push(goes(&plan["rows"][n]));
+        row
+    };
+    names.iter().enumerate().map(row).collect()
+}
--- a/crates/pintally-cli/src/lab.rs
+++ b/crates/pintally-cli/src/lab.rs
@@ -5,6 +5,7 @@
 
 use comfy_table::Table;
 use pintally_day::Day;
+use pintally_lab::fleet::{self, FleetSpec};
 use pintally_lab::{compare, play, record, size, supported, Which};
 use pintally_measure::{moves, price, MeasureError};
 
@@ -61,6 +62,28 @@
         #[arg(long, default_value_t = 20)]
         seeds: u64,
     },
+    /// A whole fleet's peers, keepers and shares: what a node sends, how soon deaths are known, how far a
+    /// limit is used and never exceeded.
+    Fleet {
+        /// Nodes.
+        #[arg(long, value_delimiter = ',', default_values_t = [47, 214, 300])]
+        nodes: Vec<usize>,
+        /// Parts of datagrams that are lost.
+        #[arg(long, value_delimiter = ',', default_values_t = [0.0, 0.05, 0.2])]
+        loss: Vec<f64>,
+        /// Seconds of calm.
+        #[arg(long, default_value_t = 60)]
+        calm: u64,
+        /// Nodes that die, one after the other.
+        #[arg(long, default_value_t = 6)]
+        deaths: usize,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Seeds of each.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+    },
     /// How fast a day goes with so many engines and nodes.
     Size {
         /// The day; its engines and its rate are scaled together.
@@ -149,6 +172,20 @@
             print_prices(&found);
             Ok(if found.iter().all(|p| p.kept) { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
+        What::Fleet { nodes, loss, calm, deaths, seed, seeds } => {
+            for (nodes, loss) in nodes.iter().flat_map(|n| loss.iter().map(move |l| (*n, *l))) {
+                if nodes < 4 || !(0.0..=0.9).contains(&loss) {
+                    return Err(Failure::usage("a fleet has four nodes at least, and loses at most 0.9"));
+                }
+                for seed in *seed..seed + seeds {
+                    let (calm, deaths) = (*calm, *deaths);
+                    let spec = FleetSpec { nodes, loss, calm, deaths, limit: 200.0, seed };
+                    let report = fleet::play(&spec);
+                    println!("{}", serde_json::to_string(&report).map_err(Failure::failed)?);
+                }
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         What::Size { day, engines, nodes, seeds } => {
             let day = load(day)?;
             let s = size(&day, *engines, *nodes, *seeds).map_err(Failure::failed)?;
--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -56,6 +56,8 @@
     Recovery(told::Args),
     /// Limits that hold for the whole fleet: how they stand, and to change them.
     Limits(common::Limits),
+    /// Zones and regions: what is known, where work goes, to order, hold and rehearse.
+    Regions(common::Regions),
     /// What the fleet believes of engines: who says so, and to call one well.
     Verdicts(common::Verdicts),
     /// The keepers of the fleet's register: where they stand, and to change who they are.
@@ -104,6 +106,7 @@
         Command::Peers(args) => told::run(&args, told::What::Peers),
         Command::Recovery(args) => told::run(&args, told::What::Recovery),
         Command::Limits(args) => common::limits(&args),
+        Command::Regions(args) => common::regions(&args),
         Command::Verdicts(args) => common::verdicts(&args),
         Command::Keepers(args) => common::keepers(&args),
         Command::Day(args) => day::run(&args),
--- a/crates/pintally-cli/tests/fleet/main.rs
+++ b/crates/pintally-cli/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 
 mod by_hand;
 mod limits;
+mod regions;
 mod verdicts;
 
 use std::path::Path;
--- a/crates/pintally-config/src/lib.rs
+++ b/crates/pintally-config/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 pub mod form;
 mod members;
+mod regions;
 mod settings;
 mod shared;
 
@@ -15,5 +16,6 @@
 pub use error::ConfigError;
 pub use fleet::{PeerSettings, RecoverySettings, LIES};
 pub use members::{EngineEntry, EngineList};
+pub use regions::RegionSettings;
 pub use settings::{shape, ClassSettings, Limits, NodeSettings};
 pub use shared::{verdicts_form, Counts, KeeperSettings, LimitSettings, SharedLimit};
--- /dev/null
+++ b/crates/pintally-config/src/regions.rs
@@ -0,0 +1,129 @@
+//! Zones and regions: `(regions ...)`. Without it every zone's engines serve everyone.
+
+use std::fmt;
+
+use pintally::interface::Micros;
+use pintally_regions::{Map, Settings, Zone};
+
+use crate::form::{quoted, Form};
+use crate::{ConfigError, NodeSettings};
+
+const COLD: &str = "a cold engine is not pushed over";
+
+/// Zones, regions, and what must stay.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionSettings {
+    /// How failover goes.
+    pub figures: Settings,
+    /// Classes whose requests may not leave their region.
+    pub stay_classes: Vec<String>,
+    /// Tenants whose requests may not.
+    pub stay_tenants: Vec<String>,
+}
+
+impl fmt::Display for RegionSettings {
+    /// The form that reads back as these settings.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (s, ms) = (&self.figures, |span: Micros| span as f64 / 1e3);
+        write!(
+            f,
+            "(regions (per-engine-per-s {:?}) (fill {:?}) (floor {:?})",
+            s.per_engine, s.fill, s.floor
+        )?;
+        write!(f, " (every-ms {}) (lasts-ms {}) (grace-ms {})", ms(s.every), ms(s.lasts), ms(s.grace))?;
+        write!(f, " (hold-ms {}) (hold-most-ms {}) (step-ms {})", ms(s.hold), ms(s.hold_most), ms(s.step))?;
+        for zone in &s.map.zones {
+            write!(f, " (zone {} {})", quoted(&zone.name), quoted(&zone.region))?;
+        }
+        let name = |zone: usize| quoted(&s.map.zones[zone].name);
+        for (a, b, price) in &s.map.prices {
+            match price.is_finite() {
+                true => write!(f, " (price {} {} {price:?})", name(*a), name(*b))?,
+                false => write!(f, " (no-way {} {})", name(*a), name(*b))?,
+            }
+        }
+        self.stay_classes.iter().try_for_each(|c| write!(f, " (class-stays {})", quoted(c)))?;
+        self.stay_tenants.iter().try_for_each(|t| write!(f, " (tenant-stays {})", quoted(t)))?;
+        f.write_str(")")
+    }
+}
+
+/// Reads the form, if it is there.
+pub(crate) fn read(root: &Form) -> Result<Option<RegionSettings>, ConfigError> {
+    root.maybe("regions")?.map(|form| regions(&form)).transpose()
+}
+
+fn regions(form: &Form) -> Result<RegionSettings, ConfigError> {
+    let mut map = Map::default();
+    for one in form.all("zone")? {
+        map.zones.push(Zone { name: one.text()?, region: one.text()? });
+        one.finish()?;
+    }
+    for (key, forbids) in [("price", false), ("no-way", true)] {
+        for one in form.all(key)? {
+            let zone = |name: String| {
+                map.zone(&name).ok_or_else(|| one.error(format!("no zone of a region is named `{name}`")))
+            };
+            let (a, b) = (zone(one.text()?)?, zone(one.text()?)?);
+            let price = if forbids { f64::INFINITY } else { one.number(0.0, 1e6)? };
+            one.finish()?;
+            map.prices.push((a, b, price));
+        }
+    }
+    let usual = Settings::new(map);
+    let ms = |span: Micros| span as f64 / 1e3;
+    let figures = Settings {
+        per_engine: form.number_or("per-engine-per-s", usual.per_engine, 0.001, 1e6)?,
+        fill: form.number_or("fill", usual.fill, 0.0, 1.0)?,
+        floor: form.number_or("floor", usual.floor, 0.0, 1.0)?,
+        every: form.millis_or("every-ms", ms(usual.every), 10.0, 60_000.0)?,
+        lasts: form.millis_or("lasts-ms", ms(usual.lasts), 10.0, 600_000.0)?,
+        grace: form.millis_or("grace-ms", ms(usual.grace), 10.0, 600_000.0)?,
+        hold: form.millis_or("hold-ms", ms(usual.hold), 10.0, 3_600_000.0)?,
+        hold_most: form.millis_or("hold-most-ms", ms(usual.hold_most), 10.0, 86_400_000.0)?,
+        step: form.millis_or("step-ms", ms(usual.step), 10.0, 3_600_000.0)?,
+        ..usual
+    };
+    figures.check().map_err(|e| form.error(e.to_string()))?;
+    let names = |key: &str| -> Result<Vec<String>, ConfigError> {
+        let mut names = Vec::new();
+        for one in form.all(key)? {
+            names.push(one.text()?);
+            one.finish()?;
+        }
+        Ok(names)
+    };
+    let (stay_classes, stay_tenants) = (names("class-stays")?, names("tenant-stays")?);
+    form.finish()?;
+    Ok(RegionSettings { figures, stay_classes, stay_tenants })
+}
+
+/// What the form needs beside it.
+pub(crate) fn check(root: &Form, s: &NodeSettings) -> Result<(), ConfigError> {
+    let (Some(regions), Some(form)) = (&s.regions, root.maybe("regions")?) else { return Ok(()) };
+    if s.keepers.is_none() {
+        return Err(form.error("regions need `(keepers ...)`: their leader decides what is given up"));
+    }
+    if s.cells_file.is_some() {
+        return Err(form.error("regions and cells do not go together yet"));
+    }
+    let unknown = regions.stay_classes.iter().find(|c| !s.core.classes.iter().any(|k| k.name == **c));
+    if let Some(class) = unknown {
+        return Err(form.error(format!("no `class` is named `{class}`")));
+    }
+    let unknown = regions.stay_tenants.iter().find(|t| !s.core.tenants.iter().any(|k| k.name == **t));
+    if let Some(tenant) = unknown {
+        return Err(form.error(format!("no `tenant` is named `{tenant}`")));
+    }
+    let home = &s.core.zone;
+    if !home.is_empty() && regions.figures.map.zone(home).is_none() {
+        return Err(form.error(format!("the node's zone `{home}` is in no region")));
+    }
+    let figures = &regions.figures;
+    if 4 * figures.step < s.core.warm_after {
+        let what =
+            "four times `step-ms` is under `warm-after-ms`: all work would be back before engines are warm";
+        return Err(form.breaks(COLD, what));
+    }
+    Ok(())
+}
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -6,7 +6,8 @@
 
 use crate::form::{Document, Form};
 use crate::{
-    check, fleet, shared, ConfigError, KeeperSettings, LimitSettings, PeerSettings, RecoverySettings,
+    check, fleet, regions, shared, ConfigError, KeeperSettings, LimitSettings, PeerSettings,
+    RecoverySettings, RegionSettings,
 };
 
 /// Everything that one node is told.
@@ -40,6 +41,8 @@
     pub shared_limits: Option<LimitSettings>,
     /// Verdicts of the whole fleet on engines; none where each node judges alone.
     pub verdicts: Option<pintally_verdicts::Settings>,
+    /// Zones and regions between which work goes by a common plan; none where all serve everyone.
+    pub regions: Option<RegionSettings>,
     /// Bounds on what clients and engines may use.
     pub limits: Limits,
     /// What the decision core is told.
@@ -191,6 +194,7 @@
             keepers,
             shared_limits,
             verdicts,
+            regions: regions::read(root)?,
             limits: limits(root)?,
             core,
             classes,
@@ -200,6 +204,7 @@
         check::check(root, &settings)?;
         fleet::check(root, &settings)?;
         shared::check(root, &mut settings)?;
+        regions::check(root, &settings)?;
         Ok(settings)
     }
 }
--- /dev/null
+++ b/crates/pintally-config/tests/fleet_forms.rs
@@ -0,0 +1,68 @@
+//! The forms of what holds for the whole fleet: what is read comes back as it was, and what does not go
+//! together is told with its place.
+
+use pintally_config::{verdicts_form, NodeSettings};
+
+fn example() -> String {
+    std::fs::read_to_string("../../examples/regions.sexp").unwrap()
+}
+
+fn error(text: &str) -> String {
+    NodeSettings::parse("x.sexp", text).expect_err("it does not go together").to_string()
+}
+
+#[test]
+fn forms_come_back_as_they_were_read() {
+    let text = example();
+    let first = NodeSettings::parse("x.sexp", &text).unwrap();
+    let forms = [
+        first.peers.as_ref().unwrap().to_string(),
+        first.recovery.as_ref().unwrap().to_string(),
+        first.keepers.as_ref().unwrap().to_string(),
+        first.shared_limits.as_ref().unwrap().to_string(),
+        verdicts_form(first.verdicts.as_ref().unwrap()),
+        first.regions.as_ref().unwrap().to_string(),
+    ];
+    let begin = text.find("(peers").unwrap();
+    let end = text.find("(rules").unwrap();
+    let again = format!("{}{}\n  {}", &text[..begin], forms.join("\n  "), &text[end..]);
+    let second = NodeSettings::parse("x.sexp", &again).unwrap();
+    assert_eq!(first.keepers, second.keepers);
+    assert_eq!(first.shared_limits, second.shared_limits);
+    assert_eq!(first.verdicts, second.verdicts);
+    assert_eq!(first.regions, second.regions);
+    assert_eq!(second.shared_limits.unwrap().figures.nodes, 6, "floors are for as many nodes as there are");
+}
+
+#[test]
+fn what_does_not_go_together_is_told_with_its_place() {
+    let text = example();
+    for (from, to, what) in [
+        ("(names \"n0\" \"n1\" \"n2\")", "(names \"n0\" \"n0\")", "named twice"),
+        ("(keepers (names \"n0\" \"n1\" \"n2\"))", "", "need `(keepers ...)`"),
+        ("(names \"n0\" \"n1\" \"n2\")", "(names \"n0\") (beat-ms 500)", "under three beats"),
+        ("(counts requests)", "(counts apples)", "not requests, tokens, streams or retries"),
+        ("(counts requests) (most 200)", "(counts requests)", "lacks `(most ...)`"),
+        ("(tenant \"labs\") (counts requests)", "(tenant \"nobody\") (counts requests)", "no `tenant`"),
+        ("\"labs-streams\"", "\"labs-requests\"", "cannot be told apart"),
+        ("(bound soft)", "(bound hardly)", "not hard or soft"),
+        ("(shared-limits", "(shared-limits (lease-ms 500)", "asked for four times"),
+        ("(verdicts)", "(verdicts (rest-ms 9000) (rest-most-ms 100))", "the rest is nothing"),
+        ("(zone \"south-1\" \"south\")", "", "no zone of a region is named `south-1`"),
+        (
+            "(zone \"north-2\" \"north\")",
+            "(zone \"north-2\" \"north\") (zone \"north-1\" \"south\")",
+            "in two regions",
+        ),
+        ("(zone \"north-1\") (number", "(zone \"moon\") (number", "is in no region"),
+        ("(class-stays \"graded-submit\")", "(class-stays \"none\")", "no `class` is named"),
+        ("(per-engine-per-s 6)", "(per-engine-per-s 6) (lasts-ms 600)", "renewed three times"),
+        ("(per-engine-per-s 6)", "(per-engine-per-s 6) (step-ms 1000)", "before engines are warm"),
+        ("(price \"north-1\"", "(price \"moon\"", "no zone of a region is named `moon`"),
+    ] {
+        assert!(text.contains(from), "{from}");
+        let told = error(&text.replacen(from, to, 1));
+        assert!(told.contains(what), "{from} -> {to}: {told}");
+        assert!(told.starts_with("x.sexp:"), "{told}");
+    }
+}
--- a/crates/pintally-day/src/faults.rs
+++ b/crates/pintally-day/src/faults.rs
@@ -1,5 +1,6 @@
 //! The kinds of trouble: their names in a file, their defaults, and what they become in a script.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use pintally_cells::CellsFile;
@@ -13,7 +14,7 @@
 use crate::spec::{Fault, Kind};
 
 /// Name, kind, and the usual size.
-const KINDS: [(&str, Kind, f64); 31] = [
+const KINDS: [(&str, Kind, f64); 33] = [
     ("crash", Kind::Crash, 0.0),
     ("restart", Kind::Restart, 0.0),
     ("hang", Kind::Hang, 0.0),
@@ -39,6 +40,8 @@
     ("move-tenant", Kind::MoveTenant, 0.0),
     ("bad-release", Kind::BadRelease, 400.0),
     ("power", Kind::Power, 0.0),
+    ("zone-power", Kind::ZonePower, 0.0),
+    ("zone-dark", Kind::ZoneDark, 0.0),
     ("node-pause", Kind::NodePause, 0.0),
     ("peer-cut", Kind::PeerCut, 0.0),
     ("peer-one-way", Kind::PeerOneWay, 0.0),
@@ -125,6 +128,8 @@
 pub(crate) struct Stage<'a> {
     /// Engines with their kinds and cells.
     pub(crate) engines: &'a [(String, String, Option<String>)],
+    /// In which zone each engine stands.
+    pub(crate) places: &'a BTreeMap<String, String>,
     pub(crate) nodes: usize,
     pub(crate) zones: &'a [String],
     pub(crate) tenants: &'a [String],
@@ -215,6 +220,19 @@
             }
         }
         Kind::Power => power(fault, on, rng, script),
+        Kind::ZonePower | Kind::ZoneDark => {
+            let zone = pick(on.zones);
+            let number = on.zones.iter().position(|z| *z == zone);
+            let nodes = if fault.kind == Kind::ZonePower { on.nodes } else { 0 };
+            for node in (0..nodes).filter(|n| Some(n % on.zones.len()) == number) {
+                script.add(from, Act::KillNode(node));
+                script.add(to, Act::StartNode(node));
+            }
+            for (engine, _) in on.places.iter().filter(|(_, at)| **at == zone) {
+                script.add(from, Act::PowerOff(Target(engine.clone())));
+                script.add(to, Act::Start(Target(engine.clone())));
+            }
+        }
         Kind::NodePause => {
             let mut nodes: Vec<usize> = (0..on.nodes).collect();
             nodes.shuffle(rng);
--- a/crates/pintally-day/src/play.rs
+++ b/crates/pintally-day/src/play.rs
@@ -268,7 +268,12 @@
             .collect();
         let tenants: Vec<String> = self.day.settings.core.tenants.iter().map(|t| t.name.clone()).collect();
         let (nodes, zones) = (self.day.nodes, &self.day.zones);
-        let on = Stage { engines: &engines, nodes, zones, tenants: &tenants };
+        let places: BTreeMap<String, String> = self
+            .stand_for
+            .keys()
+            .filter_map(|t| Some((t.0.clone(), self.fleet.engine(&t.0)?.spec.zone.clone())))
+            .collect();
+        let on = Stage { engines: &engines, places: &places, nodes, zones, tenants: &tenants };
         for fault in &self.day.faults {
             stage(fault, &on, &mut rng, &mut self.script);
         }
--- a/crates/pintally-day/src/process.rs
+++ b/crates/pintally-day/src/process.rs
@@ -142,6 +142,7 @@
         s.recovery.as_ref().map(ToString::to_string),
         s.keepers.as_ref().map(ToString::to_string),
         s.shared_limits.as_ref().map(ToString::to_string),
+        s.regions.as_ref().map(ToString::to_string),
         s.verdicts.as_ref().map(pintally_config::verdicts_form),
     ];
     for form in forms {
--- a/crates/pintally-day/src/spec.rs
+++ b/crates/pintally-day/src/spec.rs
@@ -154,6 +154,8 @@
     MoveTenant,
     BadRelease,
     Power,
+    ZonePower,
+    ZoneDark,
     NodePause,
     PeerCut,
     PeerOneWay,
--- a/crates/pintally-host/src/cellular.rs
+++ b/crates/pintally-host/src/cellular.rs
@@ -30,6 +30,9 @@
 
     /// The cell's requests hear how one of them fared: its answer has begun, or never will.
     pub(crate) fn hear(&mut self, now: Micros, cell: &CellName, late: bool) {
+        if late {
+            self.zone_late(now, cell);
+        }
         if let Some(cells) = &mut self.cells {
             cells.heard(now, cell, late);
             self.uneasy |= late;
@@ -42,7 +45,7 @@
     }
 
     /// Makes sure that a cell has a core. Each begins with a seed of its own.
-    fn core_of(&mut self, cell: &CellName) {
+    pub(crate) fn core_of(&mut self, cell: &CellName) {
         if !self.routers.contains_key(cell) {
             let own =
                 cell.0.bytes().fold(self.seed, |seed, b| (seed ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
@@ -81,10 +84,7 @@
             self.members.insert(member.engine.clone(), one.clone());
         }
         if !self.divided() {
-            let whole = CellName::default();
-            self.core_of(&whole);
-            let members = list.into_iter().map(|one| self.as_judged(one.member)).collect();
-            self.event(now, &whole, Event::Members(form, members), out);
+            self.list_to_cores(now, form, list, out);
         } else if form != ListForm::Failed {
             self.list_to_cells(now, out);
         }
@@ -180,6 +180,18 @@
         session: u64,
         out: &mut Vec<Command>,
     ) -> Option<CellName> {
+        match self.zone_for(now, arrival, session) {
+            Some(Ok(zone)) => return Some(zone),
+            Some(Err(after)) => {
+                let core = &self.settings.core;
+                let told = core.retry_advice && core.max_retry_after > 0;
+                self.counters.no_zone += 1;
+                let after = told.then(|| after.min(core.max_retry_after));
+                self.turn_away(arrival.ticket, after, out);
+                return None;
+            }
+            None => {}
+        }
         if !self.divided() {
             let whole = CellName::default();
             self.core_of(&whole);
--- a/crates/pintally-host/src/counters.rs
+++ b/crates/pintally-host/src/counters.rs
@@ -15,6 +15,10 @@
     pub limited: u64,
     /// Further attempts that a limit of the whole fleet did not allow.
     pub retries_limited: u64,
+    /// Of those turned away, for want of room in any zone that they may use.
+    pub no_zone: u64,
+    /// Requests led to another zone than their node's.
+    pub led_far: u64,
     /// Requests that waited and gave up their place to another's part.
     pub gave_way: u64,
     /// Final answers.
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -18,6 +18,7 @@
 use crate::ledger::{Entry, HeldState, Out};
 use crate::limits::Limiting;
 use crate::recover::Recovering;
+use crate::regional::Regional;
 use crate::releases::{Releases, Verdict};
 use crate::timers::{Due, Timers};
 use crate::Counters;
@@ -70,6 +71,8 @@
     pub(crate) limiting: Option<Limiting>,
     /// Verdicts of the whole fleet on engines, if there are any.
     pub(crate) judging: Option<Judging>,
+    /// Zones with a core each, if there are any.
+    pub(crate) regional: Option<Regional>,
     /// The list that holds has come from its source in this life.
     pub(crate) list_fresh: bool,
     pub(crate) counters: Counters,
@@ -104,6 +107,7 @@
             recovering: None,
             limiting: None,
             judging: None,
+            regional: None,
             list_fresh: false,
             counters: Counters::default(),
         }
@@ -122,7 +126,7 @@
 
     /// What it has counted.
     pub fn counters(&self) -> Counters {
-        self.counters
+        Counters { led_far: self.led_far(), ..self.counters }
     }
 
     /// Requests whose answer or last attempt is outstanding.
@@ -182,6 +186,7 @@
                 Due::Recovery => self.recovery_due(now, out),
                 Due::Shares => self.shares_due(now, out),
                 Due::Verdicts => self.verdicts_due(now, out),
+                Due::Regions => self.regions_due(now, out),
                 Due::Stop => self.give_up_all(now, out),
             }
             self.settle(out);
@@ -207,6 +212,7 @@
             Input::Evidence(from, report) => self.evidence(now, &from, &report),
             Input::Nodes(nodes) => self.nodes_here(nodes),
             Input::Cleared(engine) => self.cleared(now, &engine),
+            Input::Plan(bytes) => self.planned(now, &bytes),
             Input::Cells(file) => self.take_cells(now, *file, out),
             Input::Arrived(arrival) => self.arrived(now, arrival, out),
             Input::FirstToken(ticket, attempt) => self.first_token(now, ticket, attempt, out),
@@ -521,6 +527,7 @@
         entry.failed |= !matches!(outcome, Outcome::Read | Outcome::Served | Outcome::NeverSent);
         let over = entry.over;
         self.witnessed(now, &ended.engine, outcome);
+        self.zone_saw(now, &cell, outcome);
         match outcome {
             Outcome::Read | Outcome::Served => self.heard_engine(now, &ended.engine, true, out),
             Outcome::Unreachable => self.heard_engine(now, &ended.engine, false, out),
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -111,6 +111,8 @@
     Nodes(Vec<pintally_verdicts::Node>),
     /// People say that an engine is well.
     Cleared(String),
+    /// A plan of which zone serves whom.
+    Plan(Vec<u8>),
     /// Take nothing new, end what is held.
     Stop,
 }
@@ -183,6 +185,8 @@
     AskShares(Vec<pintally_shares::Ask>),
     /// Tell the fleet what this node saw of engines; empty takes it back.
     Testify(Vec<u8>),
+    /// Tell whoever plans what this node sees of zones; and engines that take work, by zone.
+    ZoneWord(Vec<u8>, Vec<f64>),
     /// Say something to the people on call.
     Log(String),
     /// Everything has ended after [`Input::Stop`].
--- a/crates/pintally-host/src/lib.rs
+++ b/crates/pintally-host/src/lib.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod list;
 mod recover;
+mod regional;
 mod releases;
 mod timers;
 
--- a/crates/pintally-host/src/recover.rs
+++ b/crates/pintally-host/src/recover.rs
@@ -102,7 +102,7 @@
     /// The list has changed: recovery counts engines that take work.
     pub(crate) fn recount(&mut self, now: Micros, out: &mut Vec<Command>) {
         if self.recovering.is_some() {
-            let (serving, fresh) = (self.serving(), self.list_fresh);
+            let (serving, fresh) = (self.serving_near(), self.list_fresh);
             self.recover(now, Heard::Listed(serving, fresh), out);
         }
     }
@@ -115,6 +115,9 @@
         there: bool,
         out: &mut Vec<Command>,
     ) {
+        if !self.is_near(engine) {
+            return;
+        }
         if self.recovering.as_ref().is_some_and(|r| r.machine.stage() != Stage::Serving) {
             let heard = if there { Heard::Heard(engine.clone()) } else { Heard::Lost(engine.clone()) };
             self.recover(now, heard, out);
--- a/crates/pintally-host/src/timers.rs
+++ b/crates/pintally-host/src/timers.rs
@@ -25,6 +25,8 @@
     Shares,
     /// What the fleet saw of engines is weighed.
     Verdicts,
+    /// What this node sees of zones is told.
+    Regions,
     /// Stopping has taken its whole time.
     Stop,
 }
--- a/crates/pintally-host/tests/host.rs
+++ b/crates/pintally-host/tests/host.rs
@@ -143,7 +143,11 @@
                     assert!(self.over.insert(ticket), "over twice");
                     assert!(!self.out.contains_key(&ticket), "over with an attempt out");
                 }
-                Command::AskPeer(_) | Command::Stage(_) | Command::AskShares(_) | Command::Testify(_) => {
+                Command::AskPeer(_)
+                | Command::Stage(_)
+                | Command::AskShares(_)
+                | Command::Testify(_)
+                | Command::ZoneWord(..) => {
                     panic!("it knows no others")
                 }
                 Command::Reread | Command::Log(_) => {}
--- a/crates/pintally-kserve/src/route.rs
+++ b/crates/pintally-kserve/src/route.rs
@@ -21,6 +21,8 @@
     Recovery,
     /// `GET /pintally/limits`: how the fleet's limits stand here.
     Limits,
+    /// `GET /pintally/regions`: zones, the plan, and who plans.
+    Regions,
     /// `GET /pintally/verdicts`: what the fleet believes of engines.
     Verdicts,
     /// `GET /pintally/keepers`: who leads the keepers, if this node is one.
@@ -57,6 +59,7 @@
         ["pintally", "peers"] => get(Route::Peers),
         ["pintally", "recovery"] => get(Route::Recovery),
         ["pintally", "limits"] => get(Route::Limits),
+        ["pintally", "regions"] => get(Route::Regions),
         ["pintally", "verdicts"] => get(Route::Verdicts),
         ["pintally", "keepers"] => get(Route::Keepers),
         ["v2", "health", "live"] => get(Route::Live),
--- /dev/null
+++ b/crates/pintally-lab/src/fleet/world.rs
@@ -0,0 +1,440 @@
+//! Nodes, the network between them, and what befalls them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+
+use pintally_accord as accord;
+use pintally_accord::{Keeper, KeeperName};
+use pintally_peers::{Life, Notice, Output, PeerName, Peers, Settings, Topic};
+use pintally_shares as shares;
+use pintally_shares::{Ask, Bound, Grant, Holder, Kind, Lender, Limit, LimitId, Verdict, AT_ONCE};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::report::{FleetReport, Spread};
+
+type Micros = u64;
+const SECOND: Micros = 1_000_000;
+const LENDER: Topic = Topic(3);
+const KEEPERS: Topic = Topic(34);
+const ASKS: Topic = Topic(35);
+const GRANTS: Topic = Topic(36);
+const LIMIT: LimitId = LimitId(7);
+/// How often holders look, load is drawn and sums are taken.
+const STEP: Micros = 50_000;
+
+/// A fleet to be played.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// Nodes.
+    pub nodes: usize,
+    /// The part of datagrams that is lost.
+    pub loss: f64,
+    /// Seconds of calm that are counted.
+    pub calm: u64,
+    /// Nodes that die, one after the other; the leader of the keepers is the first and every third.
+    pub deaths: usize,
+    /// A hard limit of so many requests a second, under a load of 1.2 of it, skewed 1 to 20 over nodes.
+    pub limit: f64,
+    /// The seed.
+    pub seed: u64,
+}
+
+struct Node {
+    peers: Peers,
+    alive: bool,
+    woken_for: Micros,
+    keeper: Option<Keeper>,
+    lender: Option<(u64, Lender)>,
+    holder: Holder,
+    load: f64,
+    life: u64,
+}
+
+enum Event {
+    Datagram(usize, SocketAddr, Vec<u8>),
+    Peers(usize),
+    Keeper(usize),
+    Step,
+}
+
+struct World {
+    spec: FleetSpec,
+    now: Micros,
+    rng: ChaCha8Rng,
+    nodes: Vec<Node>,
+    queue: BTreeMap<(Micros, u64), Event>,
+    serial: u64,
+    figures: shares::Settings,
+    /// Of the dead: when, and who has called them dead since.
+    dead: BTreeMap<usize, (Micros, BTreeSet<usize>)>,
+    known: Vec<f64>,
+    false_deaths: u64,
+    false_suspicions: u64,
+    sent: (u64, u64),
+    counting: bool,
+    admitted: f64,
+    peak: f64,
+}
+
+fn address(node: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 0, (node / 250) as u8, (node % 250) as u8 + 1), 7000))
+}
+
+fn node_of(at: SocketAddr) -> Option<usize> {
+    match at {
+        SocketAddr::V4(at) => {
+            let [_, _, high, low] = at.ip().octets();
+            Some(usize::from(high) * 250 + usize::from(low).checked_sub(1)?)
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
+
+/// Plays a fleet: it starts at once, is counted in calm, then nodes die one after the other.
+pub fn play(spec: &FleetSpec) -> FleetReport {
+    let mut world = World::new(spec.clone());
+    let mut report =
+        FleetReport { nodes: spec.nodes, loss: spec.loss, seed: spec.seed, ..FleetReport::default() };
+    while !world.is_whole() && world.now < 300 * SECOND {
+        world.run(SECOND / 4);
+    }
+    report.whole_s = world.now as f64 / 1e6;
+    world.run(20 * SECOND);
+    world.counting = true;
+    (world.sent, world.admitted, world.false_deaths, world.false_suspicions) = ((0, 0), 0.0, 0, 0);
+    let began = world.now;
+    world.run(spec.calm * SECOND);
+    world.counting = false;
+    let span = (world.now - began) as f64 / 1e6;
+    let n = spec.nodes as f64;
+    report.datagrams_per_s = world.sent.0 as f64 / span / n;
+    report.bytes_per_s = world.sent.1 as f64 / span / n;
+    report.false_deaths_per_hour = world.false_deaths as f64 / span * 3600.0;
+    report.false_suspicions_per_hour = world.false_suspicions as f64 / span * 3600.0;
+    report.let_in = world.admitted / span / spec.limit;
+    let each = spec.limit / n;
+    report.let_in_divided = world.nodes.iter().map(|n| n.load.min(each)).sum::<f64>() / spec.limit;
+    let mut led_again = Vec::new();
+    for death in 0..spec.deaths {
+        let leader = world.leader();
+        let victim = match leader {
+            Some(leader) if death % 3 == 0 && world.keepers_alive() > 2 => leader,
+            _ => loop {
+                let node = world.rng.random_range(3..spec.nodes);
+                if world.nodes[node].alive {
+                    break node;
+                }
+            },
+        };
+        let died = world.now;
+        world.kill(victim);
+        while leader == Some(victim) && world.leader().is_none() && world.now < died + 30 * SECOND {
+            world.run(SECOND / 50);
+        }
+        if leader == Some(victim) {
+            led_again.push((world.now - died) as f64 / 1e6);
+        }
+        let until = died + 60 * SECOND;
+        while world.dead.contains_key(&victim) && world.now < until {
+            world.run(SECOND / 4);
+        }
+    }
+    report.death_known_s = Spread::of(world.known.clone());
+    report.led_again_s = Spread::of(led_again);
+    report.limit_peak = world.peak / spec.limit;
+    report
+}
+
+impl World {
+    fn new(spec: FleetSpec) -> World {
+        let mut rng = ChaCha8Rng::seed_from_u64(spec.seed);
+        let names: Vec<String> = (0..spec.nodes).map(|n| format!("n{n}")).collect();
+        let seeds: Vec<SocketAddr> = (0..3.min(spec.nodes)).map(address).collect();
+        let figures = shares::Settings { nodes: spec.nodes as u32, ..shares::Settings::default() };
+        let limit = Limit { kind: Kind::Rate, bound: Bound::Hard, most: spec.limit };
+        let weights: Vec<f64> = (0..spec.nodes).map(|n| 1.0 + 19.0 * n as f64 / spec.nodes as f64).collect();
+        let sum: f64 = weights.iter().sum();
+        let keepers: Vec<&str> = names.iter().take(3).map(String::as_str).collect();
+        let node = |n: usize, rng: &mut ChaCha8Rng| {
+            let life = rng.random();
+            let zone = format!("zone-{}", n % 3);
+            let settings = Settings::new("lab", &names[n], &zone, address(n), seeds.clone());
+            let keeper = (n < 3).then(|| {
+                Keeper::new(accord::Settings::new(&names[n], &keepers), None, false, rng.random(), 1)
+            });
+            Node {
+                peers: Peers::new(settings, Life { boot: 1, mark: life }, rng.random(), 1),
+                alive: true,
+                woken_for: Micros::MAX,
+                keeper,
+                lender: None,
+                holder: Holder::new(figures, [(LIMIT, "limit".to_string(), limit)]),
+                load: 1.2 * spec.limit * weights[n] / sum,
+                life,
+            }
+        };
+        let nodes: Vec<Node> = (0..spec.nodes).map(|n| node(n, &mut rng)).collect();
+        let mut world = World {
+            now: 1,
+            rng,
+            nodes,
+            queue: BTreeMap::new(),
+            serial: 0,
+            figures,
+            dead: BTreeMap::new(),
+            known: Vec::new(),
+            false_deaths: 0,
+            false_suspicions: 0,
+            sent: (0, 0),
+            counting: false,
+            admitted: 0.0,
+            peak: 0.0,
+            spec,
+        };
+        for n in 0..world.nodes.len() {
+            world.push(n as Micros * 37, Event::Peers(n));
+            if world.nodes[n].keeper.is_some() {
+                world.push(1, Event::Keeper(n));
+            }
+        }
+        world.push(STEP, Event::Step);
+        world
+    }
+
+    fn push(&mut self, after: Micros, event: Event) {
+        self.serial += 1;
+        self.queue.insert((self.now + after, self.serial), event);
+    }
+
+    fn run(&mut self, span: Micros) {
+        let until = self.now + span;
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            if at > until {
+                self.serial += 1;
+                self.queue.insert((at, self.serial), event);
+                break;
+            }
+            self.now = at;
+            self.step(event);
+        }
+        self.now = until;
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Datagram(to, from, bytes) if self.nodes[to].alive => {
+                let mut out = Vec::new();
+                self.nodes[to].peers.receive(now, from, &bytes, &mut out);
+                self.carry_out(to, out);
+            }
+            Event::Peers(n) if self.nodes[n].alive => {
+                let mut out = Vec::new();
+                if self.nodes[n].peers.next_wake() <= now {
+                    self.nodes[n].peers.tick(now, &mut out);
+                }
+                self.nodes[n].woken_for = Micros::MAX;
+                self.carry_out(n, out);
+            }
+            Event::Keeper(n) if self.nodes[n].alive => {
+                let mut out = Vec::new();
+                if let Some(keeper) = &mut self.nodes[n].keeper {
+                    keeper.tick(now, &mut out);
+                }
+                self.keeper_says(n, out);
+                let wake = self.nodes[n].keeper.as_ref().map_or(now, Keeper::next_wake);
+                self.push(wake.saturating_sub(now).max(1_000), Event::Keeper(n));
+            }
+            Event::Step => {
+                self.push(STEP, Event::Step);
+                (0..self.nodes.len()).for_each(|n| self.load(n));
+                let has = |n: &Node| if n.alive { n.holder.has(now, LIMIT).unwrap_or(0.0) } else { 0.0 };
+                self.peak = self.peak.max(self.nodes.iter().map(has).sum());
+            }
+            _ => {}
+        }
+    }
+
+    /// Wakes a node's peers when they next have something to do, once.
+    fn wake(&mut self, n: usize) {
+        let at = self.nodes[n].peers.next_wake().max(self.now + 1);
+        if at < self.nodes[n].woken_for {
+            self.nodes[n].woken_for = at;
+            self.push(at - self.now, Event::Peers(n));
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, out: Vec<Output>) {
+        for one in out {
+            match one {
+                Output::Datagram(to, bytes) => self.datagram(n, to, bytes),
+                Output::Notice(notice) => self.notice(n, notice),
+            }
+        }
+        self.wake(n);
+    }
+
+    fn datagram(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
+        if self.counting {
+            self.sent = (self.sent.0 + 1, self.sent.1 + bytes.len() as u64);
+        }
+        let Some(to) = node_of(to).filter(|t| *t < self.nodes.len()) else { return };
+        if self.rng.random_bool(self.spec.loss) {
+            return;
+        }
+        // Within a zone it is near, between zones not.
+        let way = if from % 3 == to % 3 { 300..1_500 } else { 4_000..9_000 };
+        let after = self.rng.random_range(way);
+        self.push(after, Event::Datagram(to, address(from), bytes));
+    }
+
+    fn notice(&mut self, n: usize, notice: Notice) {
+        let now = self.now;
+        let number = |name: &PeerName| name.0[1..].parse::<usize>().unwrap_or(0);
+        match notice {
+            Notice::Down(name) => {
+                let who = number(&name);
+                if self.nodes[who].alive {
+                    self.false_deaths += 1;
+                }
+                self.told_of_death(who, n);
+            }
+            Notice::Suspected(name) => self.false_suspicions += u64::from(self.nodes[number(&name)].alive),
+            Notice::Told(from, KEEPERS, bytes) => {
+                let (mut out, from) = (Vec::new(), KeeperName(from.0.clone()));
+                if let (Some(keeper), Ok(message)) = (&mut self.nodes[n].keeper, postcard::from_bytes(&bytes))
+                {
+                    keeper.receive(now, &from, message, &mut out);
+                }
+                self.keeper_says(n, out);
+            }
+            Notice::Told(from, ASKS, bytes) => {
+                if let Ok((life, asks)) = postcard::from_bytes::<(u64, Vec<Ask>)>(&bytes) {
+                    self.lend(n, &from.0, life, &asks);
+                }
+            }
+            Notice::Told(_, GRANTS, bytes) => {
+                if let Ok((life, grants)) = postcard::from_bytes::<(u64, Vec<Grant>)>(&bytes) {
+                    self.granted(n, life, &grants);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn told_of_death(&mut self, who: usize, by: usize) {
+        let living = self.nodes.iter().filter(|n| n.alive).count();
+        let Some((died, by_whom)) = self.dead.get_mut(&who) else { return };
+        by_whom.insert(by);
+        if by_whom.len() >= living {
+            self.known.push((self.now - *died) as f64 / 1e6);
+            self.dead.remove(&who);
+        }
+    }
+
+    fn keeper_says(&mut self, n: usize, out: Vec<accord::Output>) {
+        let mut peers_out = Vec::new();
+        for one in out {
+            if let accord::Output::Send(to, message) = one {
+                let bytes = postcard::to_stdvec(&message).unwrap_or_default();
+                self.nodes[n].peers.tell(&PeerName(to.0.clone()), KEEPERS, bytes, &mut peers_out);
+            }
+        }
+        self.lead(n);
+        self.carry_out(n, peers_out);
+    }
+
+    /// Begins and ends a node's lending with its lead, and says so.
+    fn lead(&mut self, n: usize) {
+        let (now, figures) = (self.now, self.figures);
+        let limit = Limit { kind: Kind::Rate, bound: Bound::Hard, most: self.spec.limit };
+        let node = &mut self.nodes[n];
+        let leads = node.keeper.as_ref().and_then(|k| k.leads(now));
+        let known = node.lender.as_ref().map(|l| l.0);
+        if leads.map(|l| l.0) != known {
+            node.lender = leads.map(|(term, since)| (term, Lender::new(figures, [(LIMIT, limit)], since)));
+            let said = leads.map(|(term, _)| term.to_le_bytes().to_vec()).unwrap_or_default();
+            let _ = node.peers.say(LENDER, said);
+        }
+    }
+
+    fn lend(&mut self, n: usize, name: &str, life: u64, asks: &[Ask]) {
+        self.lead(n);
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        let Some((_, lender)) = &mut node.lender else { return };
+        let grants: Vec<Grant> = asks.iter().filter_map(|a| lender.ask(now, name, life, a)).collect();
+        if *name == format!("n{n}") {
+            return self.granted(n, life, &grants);
+        }
+        let mut out = Vec::new();
+        if let Ok(bytes) = postcard::to_stdvec(&(life, grants)) {
+            node.peers.tell(&PeerName::from(name), GRANTS, bytes, &mut out);
+        }
+        self.carry_out(n, out);
+    }
+
+    fn granted(&mut self, n: usize, life: u64, grants: &[Grant]) {
+        let now = self.now;
+        if self.nodes[n].life == life {
+            grants.iter().for_each(|g| self.nodes[n].holder.granted(now, g));
+        }
+    }
+
+    /// A node's clients, and what it asks of whoever lends.
+    fn load(&mut self, n: usize) {
+        if !self.nodes[n].alive {
+            return;
+        }
+        let now = self.now;
+        let mut expected = self.nodes[n].load * STEP as f64 / 1e6;
+        while expected > 0.0 {
+            let comes = expected >= 1.0 || self.rng.random_bool(expected);
+            expected -= 1.0;
+            let holder = &mut self.nodes[n].holder;
+            if comes && holder.ask(now, LIMIT, 1.0) == Verdict::Admit {
+                holder.take(now, LIMIT, 1.0);
+                self.admitted += 1.0;
+            }
+        }
+        let asks = self.nodes[n].holder.asks(now);
+        if asks.is_empty() {
+            return;
+        }
+        let node = &mut self.nodes[n];
+        let term = |p: &[u8]| <[u8; 8]>::try_from(p).map(u64::from_le_bytes).unwrap_or(0);
+        let own = format!("n{n}");
+        let here = |o: &PeerName| *o.0 == *own || node.peers.member(o).is_some_and(|m| m.is_here());
+        let lender = node.peers.facts(LENDER).filter(|f| here(&f.origin)).max_by_key(|f| term(&f.payload));
+        let Some(lender) = lender.map(|f| f.origin.clone()) else { return };
+        let life = node.life;
+        let mut out = Vec::new();
+        for asks in asks.chunks(AT_ONCE) {
+            if *lender.0 == *own {
+                self.lend(n, &own, life, asks);
+            } else if let Ok(bytes) = postcard::to_stdvec(&(life, asks)) {
+                self.nodes[n].peers.tell(&lender, ASKS, bytes, &mut out);
+            }
+        }
+        self.carry_out(n, out);
+    }
+
+    fn is_whole(&self) -> bool {
+        self.nodes.iter().all(|n| n.peers.here() == self.nodes.len())
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let leads = |n: &Node| n.alive && n.keeper.as_ref().is_some_and(|k| k.leads(self.now).is_some());
+        self.nodes.iter().position(leads)
+    }
+
+    fn keepers_alive(&self) -> usize {
+        self.nodes.iter().filter(|n| n.alive && n.keeper.is_some()).count()
+    }
+
+    fn kill(&mut self, n: usize) {
+        self.nodes[n].alive = false;
+        self.dead.insert(n, (self.now, BTreeSet::new()));
+    }
+}
--- a/crates/pintally-lab/src/lib.rs
+++ b/crates/pintally-lab/src/lib.rs
@@ -9,6 +9,7 @@
 mod baseline;
 mod clients;
 mod compare;
+pub mod fleet;
 mod policy;
 mod script;
 mod world;
--- a/crates/pintally-lab/src/world.rs
+++ b/crates/pintally-lab/src/world.rs
@@ -397,6 +397,7 @@
                 | Command::Stage(_)
                 | Command::AskShares(_)
                 | Command::Testify(_)
+                | Command::ZoneWord(..)
                 | Command::Log(_)
                 | Command::Stopped => {}
             }
--- /dev/null
+++ b/crates/pintally-lab/tests/fleet.rs
@@ -0,0 +1,16 @@
+//! Fleets in virtual time: the same seed gives the same fleet, and what is promised holds in it.
+
+use pintally_lab::fleet::{play, FleetSpec};
+
+#[test]
+fn a_small_fleet_keeps_its_promises_and_is_the_same_each_time() {
+    let spec = FleetSpec { nodes: 12, loss: 0.05, calm: 20, deaths: 3, limit: 100.0, seed: 3 };
+    let report = play(&spec);
+    println!("{report:?}");
+    assert_eq!(report, play(&spec), "one seed, one fleet");
+    assert!(report.limit_peak <= 1.0 + 1e-6, "a hard limit is never exceeded: {report:?}");
+    assert!(report.let_in > 0.9 && report.let_in > report.let_in_divided, "{report:?}");
+    assert_eq!(report.death_known_s.count, 3, "all deaths are known to all");
+    assert!(report.led_again_s.count > 0 && report.led_again_s.worst < 5.0, "{report:?}");
+    assert_eq!(report.false_deaths_per_hour, 0.0, "{report:?}");
+}
--- a/crates/pintally-node/src/connection.rs
+++ b/crates/pintally-node/src/connection.rs
@@ -140,6 +140,7 @@
         Route::Recovery => told(&shared.fleet.recovery, "this node has no recovery in its settings"),
         Route::Keepers => told(&shared.fleet.keeper, "this node is no keeper"),
         Route::Limits => limits(shared),
+        Route::Regions => told(&shared.fleet.regions, "this node has no regions in its settings"),
         Route::Verdicts => told(&shared.fleet.verdicts, "this node has no verdicts in its settings"),
         Route::Server => (200, kserve::metadata(env!("CARGO_PKG_VERSION"))),
         Route::Model(model) if known(&model) => (200, kserve::model_metadata(&model)),
@@ -210,7 +211,8 @@
         "unwritten": c.unwritten, "lists_refused": c.lists_refused,
         "deciding_us": c.deciding.as_micros() as u64, "serving_engines": shared.serving.load(Ordering::Relaxed),
         "taken": h.taken, "served": h.served, "refused": h.refused, "failed": h.failed, "cut": h.cut,
-        "left": h.left, "kept_out": h.kept_out, "limited": h.limited, "retries_limited": h.retries_limited, "attempts": h.attempts, "never_sent": h.never_sent, "overdue": h.overdue,
+        "left": h.left, "kept_out": h.kept_out, "limited": h.limited, "retries_limited": h.retries_limited,
+        "no_zone": h.no_zone, "led_far": h.led_far, "attempts": h.attempts, "never_sent": h.never_sent, "overdue": h.overdue,
         "releases": h.releases, "releases_by_host": h.releases_by_host,
         "releases_lost": h.releases_lost, "stray": h.stray,
     })
--- a/crates/pintally-node/src/decide.rs
+++ b/crates/pintally-node/src/decide.rs
@@ -26,6 +26,7 @@
     pub(crate) ask: Sender<u64>,
     pub(crate) shares: Sender<Vec<pintally_shares::Ask>>,
     pub(crate) testify: Sender<Vec<u8>>,
+    pub(crate) zones: Sender<(Vec<u8>, Vec<f64>)>,
 }
 
 struct Decider<'a> {
@@ -164,6 +165,9 @@
                     Command::AskShares(asks) => {
                         let _ = self.ends.shares.try_send(asks);
                     }
+                    Command::ZoneWord(word, engines) => {
+                        let _ = self.ends.zones.try_send((word, engines));
+                    }
                     Command::Testify(report) => {
                         let _ = self.ends.testify.try_send(report);
                     }
--- a/crates/pintally-node/src/fleet.rs
+++ b/crates/pintally-node/src/fleet.rs
@@ -24,6 +24,7 @@
 use tracing::{debug, info, warn};
 
 use crate::keeper::{self, FromKeeper, Order, ToKeeper};
+use crate::regions::{self, Regions, Rehearsal, PLAN, ZONE_WORD};
 use crate::shared::{spawn_small, Shared};
 
 /// What nodes say of what they carried, and of the list that they hold.
@@ -80,6 +81,12 @@
     pub(crate) limits: Mutex<Option<Vec<LimitStatus>>>,
     /// What is believed of engines; told by the deciding thread.
     pub(crate) verdicts: Mutex<Option<pintally_verdicts::Status>>,
+    /// Zones, the plan, and who plans, as people are told.
+    pub(crate) regions: Mutex<Option<serde_json::Value>>,
+    /// What people have ordered for zones, by the register.
+    pub(crate) zone_orders: Mutex<BTreeMap<String, String>>,
+    /// Somebody waits for a rehearsal.
+    pub(crate) rehearse: Mutex<Option<Rehearsal>>,
     /// Engines that people have called well at this node, to be told to all.
     cleared: Mutex<Vec<String>>,
     /// Who lends, as far as this node knows.
@@ -216,7 +223,12 @@
         .iter()
         .map(|c| ClassWorth { worth: c.worth, once: c.effect == pintally::interface::Effect::Unsafe });
     let figures = recovery::Settings {
-        expected: core.nodes.max(1) as usize,
+        // Where zones have cores of their own, a zone's engines are shared by the nodes there: as many in
+        // each zone, as far as a node can know.
+        expected: match &settings.regions {
+            Some(regions) => (core.nodes.max(1) as usize).div_ceil(regions.figures.map.zones.len()),
+            None => core.nodes.max(1) as usize,
+        },
         peers: settings.peers.is_some(),
         ask: own.ask,
         answer_within: own.answer_within,
@@ -292,6 +304,12 @@
         waiting.push(engine);
         return keeper::Answer { done: true, why: "told to all".into() };
     }
+    if let Order::Rehearse(zone) = order {
+        return match regions::rehearse(shared, zone, ORDER_WITHIN) {
+            Some(dry) => keeper::Answer { done: true, why: serde_json::to_string(&dry).unwrap_or_default() },
+            None => keeper::Answer::no("this node does not lead, or there is no such zone"),
+        };
+    }
     let Some(keeper) = keeper else { return keeper::Answer::no("this node is no keeper") };
     let (to, answer) = bounded(1);
     if keeper.try_send(ToKeeper::Order(order, to)).is_err() {
@@ -310,6 +328,7 @@
     shared: &'a Arc<Shared>,
     fleet: Fleet,
     look: Sender<()>,
+    regions: Option<Regions>,
     numbers: BTreeMap<PeerName, u64>,
     names: Vec<PeerName>,
     carried: f64,
@@ -324,6 +343,8 @@
     pub(crate) ask: Receiver<u64>,
     /// Shares to be asked for.
     pub(crate) shares: Receiver<Vec<Ask>>,
+    /// What this node sees of zones, and engines that take work there.
+    pub(crate) zone_words: Receiver<(Vec<u8>, Vec<f64>)>,
     /// What this node saw of engines.
     pub(crate) testimonies: Receiver<Vec<u8>>,
     /// The keeper's words.
@@ -338,6 +359,7 @@
         shared,
         fleet,
         look,
+        regions: shared.settings.regions.as_ref().map(Regions::new),
         numbers: BTreeMap::new(),
         names: Vec::new(),
         carried: if carried.is_finite() { carried } else { 0.0 },
@@ -376,6 +398,16 @@
                 debug!("there is no room for what this node saw of engines");
             }
         }
+        for (word, engines) in mail.zone_words.try_iter() {
+            self.zone_word(now, word, engines, &mut out);
+        }
+        let plan = self.regions.as_mut().and_then(|r| r.plan(now, self.shared, &self.fleet.peers));
+        if let Some(plan) = plan {
+            self.shared.tell(Input::Plan(plan.clone()));
+            if self.fleet.peers.say(PLAN, plan).is_err() {
+                debug!("there is no room for the plan of zones");
+            }
+        }
         for engine in std::mem::take(&mut *lock(&self.shared.fleet.cleared)) {
             self.shared.tell(Input::Cleared(engine.clone()));
             // Each word is another one, though it may be of the same engine.
@@ -442,6 +474,15 @@
             Notice::Suspected(name) => debug!(peer = %name, "a peer is suspected"),
             Notice::Fact(origin, LIST) => self.list_of(&origin),
             Notice::Fact(origin, EVIDENCE) => self.evidence_of(&origin),
+            Notice::Fact(origin, PLAN) => {
+                let fact = self.fleet.peers.facts(PLAN).find(|f| f.origin == origin);
+                if let (Some(fact), Some(regions)) = (fact, &mut self.regions) {
+                    let plan = fact.payload.clone();
+                    if regions.heard(&plan) {
+                        self.shared.tell(Input::Plan(plan));
+                    }
+                }
+            }
             Notice::Fact(origin, CLEARED) => {
                 let fact = self.fleet.peers.facts(CLEARED).find(|f| f.origin == origin);
                 let engine = fact.and_then(|f| std::str::from_utf8(f.payload.get(8..)?).ok());
@@ -485,6 +526,12 @@
                     self.granted(life, grants);
                 }
             }
+            Notice::Told(from, ZONE_WORD, word) => {
+                let zone = self.fleet.peers.member(&from).map(|m| m.zone().to_string());
+                if let (Some(zone), Some(regions)) = (zone, &mut self.regions) {
+                    regions.word(self.shared.clock.now(), &from.0, &zone, &word);
+                }
+            }
             Notice::Told(..) => {}
             Notice::DiskWentBack { own, now } => {
                 warn!(own, now, "peers remember a later life of this node: its disk went back, or was lost");
@@ -527,6 +574,9 @@
                 }
             }
             FromKeeper::Leads(term) => {
+                if let Some(regions) = &mut self.regions {
+                    regions.leads(self.shared.clock.now(), term);
+                }
                 let said = term.map(|t| t.to_le_bytes().to_vec()).unwrap_or_default();
                 if self.fleet.peers.say(LENDER, said).is_err() {
                     debug!("there is no room for the word of who leads");
@@ -553,6 +603,21 @@
         facts.max_by_key(|f| term(&f.payload)).map(|f| f.origin.clone())
     }
 
+    /// What this node sees of zones goes to whoever leads.
+    fn zone_word(&mut self, now: Micros, word: Vec<u8>, engines: Vec<f64>, out: &mut Vec<Output>) {
+        let lender = self.lender();
+        let Some(regions) = &mut self.regions else { return };
+        regions.engines(engines);
+        let own = &self.shared.settings;
+        match lender {
+            Some(lender) if *lender.0 == *own.name => regions.word(now, &own.name, &own.core.zone, &word),
+            Some(lender) => {
+                self.fleet.peers.tell(&lender, ZONE_WORD, word, out);
+            }
+            None => {}
+        }
+    }
+
     fn ask_for(&mut self, asks: &[Ask], out: &mut Vec<Output>) {
         let lender = self.lender();
         *lock(&self.shared.fleet.lender) = lender.as_ref().map(ToString::to_string);
@@ -598,8 +663,23 @@
                 |m: &pintally_peers::Member| Node { name: m.name().to_string(), zone: m.zone().to_string() };
             self.shared.tell(Input::Nodes(members.map(node).collect()));
         }
-        let numbers: Vec<u64> = here.iter().map(|n| self.number(n)).collect();
-        self.shared.tell(Input::Recovery(recovery::Input::Peers(self.fleet.peers.here(), numbers)));
+        // Where zones have cores of their own, a node shares its zone's engines with the nodes there.
+        let near: Vec<PeerName> = self
+            .fleet
+            .peers
+            .members()
+            .filter(|m| m.is_here() && self.is_near(m))
+            .map(|m| m.name().clone())
+            .collect();
+        let count = near.len() + 1;
+        let asked = if near.is_empty() { here } else { near };
+        let numbers: Vec<u64> = asked.iter().map(|n| self.number(n)).collect();
+        self.shared.tell(Input::Recovery(recovery::Input::Peers(count, numbers)));
+    }
+
+    /// Whether a peer sends to the same engines.
+    fn is_near(&self, member: &pintally_peers::Member) -> bool {
+        self.regions.is_none() || *member.zone() == *self.shared.settings.core.zone
     }
 
     /// Counts what was carried, and tells and keeps it while the node serves in full.
@@ -610,8 +690,9 @@
         let stage = lock(&self.shared.fleet.answer).map(|a| a.stage);
         if stage.is_none_or(|s| s == recovery::Stage::Serving) {
             let _ = self.fleet.peers.say(CARRIED, self.rate.to_bits().to_le_bytes().to_vec());
-            let here =
-                |f: &&pintally_peers::Fact| self.fleet.peers.member(&f.origin).is_some_and(|m| m.is_here());
+            let here = |f: &&pintally_peers::Fact| {
+                self.fleet.peers.member(&f.origin).is_some_and(|m| m.is_here() && self.is_near(m))
+            };
             let told = self.fleet.peers.facts(CARRIED).filter(here).filter_map(|f| {
                 let bytes = <[u8; 8]>::try_from(f.payload.as_slice()).ok()?;
                 Some(f64::from_bits(u64::from_le_bytes(bytes))).filter(|c| c.is_finite() && *c >= 0.0)
--- a/crates/pintally-node/src/keeper.rs
+++ b/crates/pintally-node/src/keeper.rs
@@ -22,6 +22,7 @@
 /// The key of a keeper's state on its disk, and of limits in the register.
 const KEY: &str = "accord";
 const LIMIT: &str = "limit/";
+const ZONE: &str = "zone/";
 /// A disk that takes longer for a vote is one that failed: the keeper says nothing.
 const SAVE_WITHIN: Duration = Duration::from_secs(2);
 /// How often it is told where the keeper stands.
@@ -58,6 +59,10 @@
     Keepers(Vec<String>),
     /// An engine is well, whatever was said of it.
     Clear(String),
+    /// A zone is given up (`out`), left as it is (`hold`), or the program's again (empty).
+    Zone(String, String),
+    /// What the plan would be without a zone.
+    Rehearse(String),
 }
 
 /// What became of an order.
@@ -161,7 +166,8 @@
     fn order(&mut self, now: Micros, order: Order, out: &mut Vec<Output>) {
         match order {
             // The fleet's thread takes it.
-            Order::Clear(_) => {}
+            Order::Clear(_) | Order::Rehearse(_) => {}
+            Order::Zone(zone, word) => self.order_zone(now, zone, word, out),
             Order::Keepers(names) => {
                 let names = names.iter().map(|n| KeeperName::from(n.as_str())).collect();
                 self.keeper.change(now, self.number, names, out);
@@ -178,6 +184,15 @@
         }
     }
 
+    fn order_zone(&mut self, now: Micros, zone: String, word: String, out: &mut Vec<Output>) {
+        let map = self.shared.settings.regions.as_ref().map(|r| &r.figures.map);
+        if map.and_then(|m| m.zone(&zone)).is_none() || !["out", "hold", ""].contains(&word.as_str()) {
+            return self.answer(self.number, Answer::no(format!("no zone of a region is named `{zone}`")));
+        }
+        let write = Write { key: format!("{ZONE}{zone}"), value: word.into(), expect: None };
+        self.keeper.propose(now, self.number, write, out);
+    }
+
     fn answer(&mut self, number: u64, answer: Answer) {
         if let Some(at) = self.orders.iter().position(|(n, _)| *n == number) {
             if let Some((_, to)) = self.orders.remove(at) {
@@ -215,8 +230,8 @@
             if let Some(limits) = &self.shared.settings.shared_limits {
                 let known = limits.limits.iter().map(|l| (l.id(), l.limit()));
                 self.lender = Some((term, Lender::new(limits.figures, known, since)));
-                self.changed();
             }
+            self.changed();
         } else if leads.is_none() {
             self.lender = None;
         }
@@ -232,6 +247,12 @@
 
     /// Limits as the register has them hold from now on.
     fn changed(&mut self) {
+        let values = self.keeper.register().iter();
+        let orders = values.filter_map(|(key, value)| {
+            let word = String::from_utf8(value.bytes.clone()).ok()?;
+            Some((key.strip_prefix(ZONE)?.to_string(), word))
+        });
+        *lock(&self.shared.fleet.zone_orders) = orders.collect();
         let Some((_, lender)) = &mut self.lender else { return };
         let Some(limits) = &self.shared.settings.shared_limits else { return };
         for limit in &limits.limits {
--- a/crates/pintally-node/src/lib.rs
+++ b/crates/pintally-node/src/lib.rs
@@ -16,6 +16,7 @@
 mod life;
 mod node;
 mod pool;
+mod regions;
 mod shared;
 mod wait;
 mod watch;
--- a/crates/pintally-node/src/node.rs
+++ b/crates/pintally-node/src/node.rs
@@ -83,10 +83,13 @@
         if let Some(recovery) = fleet::recovery_of(&settings, shared.clock.now()) {
             host = host.with_recovery(recovery);
         }
-        host = host.with_limits(shared.clock.now()).with_verdicts(shared.clock.now());
+        host = host
+            .with_limits(shared.clock.now())
+            .with_verdicts(shared.clock.now())
+            .with_regions(shared.clock.now());
         let ((ask, asked), (shares, shares_asked)) = (bounded(ASKED), bounded(ASKED));
-        let (testify, testimonies) = bounded(ASKED);
-        let ends = Ends { errands, look: look.clone(), stopped: stopped_sender, ask, shares, testify };
+        let ((testify, testimonies), (zones, zone_words)) = (bounded(ASKED), bounded(ASKED));
+        let ends = Ends { errands, look: look.clone(), stopped: stopped_sender, ask, shares, testify, zones };
         let ((to_keeper, keeper_mail), (from_keeper, keeper_words)) = (bounded(KEEPER), bounded(KEEPER));
         let keeps = settings.keepers.clone().filter(|k| k.names.contains(&settings.name));
         let link = match &settings.peers {
@@ -119,8 +122,13 @@
                     })?;
                 }
                 let (own, look) = (shared.clone(), look.clone());
-                let mail =
-                    fleet::Mail { ask: asked, shares: shares_asked, testimonies, keeper: keeper_words };
+                let mail = fleet::Mail {
+                    ask: asked,
+                    shares: shares_asked,
+                    testimonies,
+                    zone_words,
+                    keeper: keeper_words,
+                };
                 node.spawn("fleet", move || fleet::run(&own, link, &mail, look))?;
             }
             None => fleet::alone(&shared, &before),
--- a/crates/pintally-platform-node/src/attempts.rs
+++ b/crates/pintally-platform-node/src/attempts.rs
@@ -33,7 +33,11 @@
                 }
             }
             // Nodes on the platform know of no peers.
-            Command::AskPeer(_) | Command::Stage(_) | Command::AskShares(_) | Command::Testify(_) => {}
+            Command::AskPeer(_)
+            | Command::Stage(_)
+            | Command::AskShares(_)
+            | Command::Testify(_)
+            | Command::ZoneWord(..) => {}
             Command::Stopped => self.stopped = true,
         }
     }
--- a/crates/pintally-platform/src/config.rs
+++ b/crates/pintally-platform/src/config.rs
@@ -143,6 +143,7 @@
             keepers: None,
             shared_limits: None,
             verdicts: None,
+            regions: None,
             limits,
             core: told.settings.clone(),
             classes: told
--- /dev/null
+++ b/crates/pintally-regions/src/lib.rs
@@ -0,0 +1,25 @@
+//! Zones and regions decided in common. Each node tells what it is asked for and how each zone's engines
+//! fare for it ([`Local`]). Whoever leads the keepers works out how much of each zone's work goes where
+//! ([`Planner`]) and tells it with its term; each node follows the latest plan until it ends
+//! ([`Follower`]), whole sessions at a time. Without a plan a node serves what is near.
+//!
+//! Inside a zone the core decides as ever. `docs/regions.md` has the options weighed and the bounds.
+
+mod flow;
+mod follower;
+mod local;
+mod map;
+mod plan;
+mod planner;
+mod way;
+
+pub use flow::{place, Placed};
+pub use follower::{Choice, Follower};
+pub use local::{Local, Word};
+pub use map::{Map, Settings, Unsound, Zone, ZONES_MOST};
+pub use plan::Plan;
+pub use planner::{Order, Planner, Status, ZoneStatus};
+pub use way::Known;
+
+/// Microseconds of a clock that never goes back.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/pintally-regions/src/map.rs
@@ -0,0 +1,139 @@
+//! The map: zones, the regions that they are in, how far they are from each other.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use crate::Micros;
+
+/// Zones at the most: a plan fits into one small fact.
+pub const ZONES_MOST: usize = 20;
+
+/// A zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Zone {
+    /// Its name.
+    pub name: String,
+    /// The region that it is in.
+    pub region: String,
+}
+
+/// What is near what. Zones go by their place in the list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Map {
+    /// All zones.
+    pub zones: Vec<Zone>,
+    /// Prices of a request's way between two zones; pairs that are not told cost 1 within a region and
+    /// 10 beyond. A price that is not finite forbids it.
+    pub prices: Vec<(usize, usize, f64)>,
+}
+
+impl Map {
+    /// A zone's place by its name.
+    pub fn zone(&self, name: &str) -> Option<usize> {
+        self.zones.iter().position(|z| z.name == name)
+    }
+
+    /// What a request's way from one zone to another costs.
+    pub fn price(&self, from: usize, to: usize) -> f64 {
+        let told = self.prices.iter().find(|(a, b, _)| (*a, *b) == (from, to) || (*b, *a) == (from, to));
+        match (told, self.zones.get(from), self.zones.get(to)) {
+            (Some((_, _, price)), ..) => *price,
+            (None, Some(a), Some(b)) if a.name == b.name => 0.0,
+            (None, Some(a), Some(b)) if a.region == b.region => 1.0,
+            _ => 10.0,
+        }
+    }
+
+    /// Whether two zones are in one region.
+    pub fn together(&self, a: usize, b: usize) -> bool {
+        matches!((self.zones.get(a), self.zones.get(b)), (Some(a), Some(b)) if a.region == b.region)
+    }
+}
+
+/// How failover goes. Times in microseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The map.
+    pub map: Map,
+    /// Requests a second that one warm engine carries, over all nodes.
+    pub per_engine: f64,
+    /// The part of a zone's capacity that may be used: what is over it is offered to nobody.
+    pub fill: f64,
+    /// The part of a zone's capacity that it keeps for its own.
+    pub floor: f64,
+    /// Plans are made this often.
+    pub every: Micros,
+    /// A plan that is not renewed ends after this time.
+    pub lasts: Micros,
+    /// A zone must look bad for so long before it is given up.
+    pub grace: Micros,
+    /// A zone that was given up is tried again after this time; doubled each time it fails again.
+    pub hold: Micros,
+    /// And no later than this.
+    pub hold_most: Micros,
+    /// How long a step of the way back lasts.
+    pub step: Micros,
+}
+
+/// Figures that do not go together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unsound(pub String);
+
+impl fmt::Display for Unsound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Unsound {}
+
+impl Settings {
+    /// Usual figures for a map.
+    pub fn new(map: Map) -> Settings {
+        Settings {
+            map,
+            per_engine: 4.0,
+            fill: 0.9,
+            floor: 0.3,
+            every: 500_000,
+            lasts: 3_000_000,
+            grace: 1_500_000,
+            hold: 4_000_000,
+            hold_most: 60_000_000,
+            step: 2_000_000,
+        }
+    }
+
+    /// Checks that the figures go together.
+    pub fn check(&self) -> Result<(), Unsound> {
+        let wrong = |bad: bool, what: &str| if bad { Err(Unsound(what.into())) } else { Ok(()) };
+        let zones = &self.map.zones;
+        let names: BTreeSet<&str> = zones.iter().map(|z| z.name.as_str()).collect();
+        wrong(zones.is_empty(), "there is no zone")?;
+        wrong(zones.len() > ZONES_MOST, "there are more than 20 zones")?;
+        wrong(names.len() < zones.len(), "a zone is in two regions, or named twice")?;
+        wrong(self.map.prices.iter().any(|p| p.2.is_nan() || p.2 < 0.0), "a price is below nothing")?;
+        wrong(self.per_engine.is_nan() || self.per_engine <= 0.0, "an engine carries nothing")?;
+        wrong(!(0.1..=1.0).contains(&self.fill), "nearly nothing of a zone may be used")?;
+        wrong(!(0.0..=1.0).contains(&self.floor), "a zone keeps more than it has")?;
+        wrong(self.lasts < 3 * self.every, "a plan ends before it was renewed three times")?;
+        wrong(self.grace < 2 * self.every, "a zone is given up before two plans have seen it bad")?;
+        wrong(
+            self.hold < self.grace || self.hold > self.hold_most,
+            "a zone is tried again before it was given up, or never",
+        )?;
+        wrong(self.step < 2 * self.every, "a step of the way back is over before it was seen")
+    }
+
+    /// From the first sign that a zone is lost to all nodes following the plan without it, with words and
+    /// plans that take `told` to reach everyone.
+    pub fn moved_within(&self, told: Micros) -> Micros {
+        self.grace + 2 * self.every + 2 * told
+    }
+
+    /// From the end of a trouble of which a zone was tried `fails` times in vain to its full use.
+    pub fn back_within(&self, fails: u32) -> Micros {
+        let hold = self.hold.saturating_mul(1 << fails.min(20)).min(self.hold_most);
+        hold + 4 * self.step + self.every
+    }
+}
--- /dev/null
+++ b/crates/pintally-regions/tests/regions.rs
@@ -0,0 +1,397 @@
+//! Zones in virtual time: clients, nodes and engines as rates; what nodes see reaches the leader late.
+
+use pintally_regions::{
+    place, Choice, Follower, Known, Local, Map, Micros, Order, Plan, Planner, Settings, Word, Zone,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const MS: Micros = 1_000;
+const STEP: Micros = 100 * MS;
+
+fn settings() -> Settings {
+    let zone = |name: &str, region: &str| Zone { name: name.into(), region: region.into() };
+    let zones = vec![zone("a", "north"), zone("b", "north"), zone("c", "south")];
+    Settings { per_engine: 1.0, ..Settings::new(Map { zones, prices: Vec::new() }) }
+}
+
+/// Three zones with two nodes each; loads and engines as rates.
+struct World {
+    now: Micros,
+    settings: Settings,
+    planner: Planner,
+    followers: Vec<Follower>,
+    locals: Vec<Local>,
+    loads: Vec<f64>,
+    /// Requests a second that a zone's engines carry now; what is over it fails.
+    carries: Vec<f64>,
+    /// The part that fails whatever the load.
+    fails: Vec<f64>,
+    nodes_here: Vec<usize>,
+    rng: ChaCha8Rng,
+    /// Since the last look: came, served, gone far, by zone; and the most that a zone was sent.
+    came: Vec<f64>,
+    served: Vec<f64>,
+    far: f64,
+    peak: Vec<f64>,
+    told: Vec<(Micros, Plan)>,
+    moves: u64,
+}
+
+impl World {
+    fn new(seed: u64, loads: [f64; 3]) -> World {
+        let settings = settings();
+        let now = 1_000 * MS;
+        World {
+            now,
+            planner: Planner::new(settings.clone(), 1, None, now),
+            followers: (0..6).map(|n| Follower::new(settings.clone(), n % 3)).collect(),
+            locals: (0..6).map(|_| Local::new(3)).collect(),
+            settings,
+            loads: loads.to_vec(),
+            carries: vec![100.0; 3],
+            fails: vec![0.0; 3],
+            nodes_here: vec![2; 3],
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            came: vec![0.0; 3],
+            served: vec![0.0; 3],
+            far: 0.0,
+            peak: vec![0.0; 3],
+            told: Vec::new(),
+            moves: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        let mut sent = vec![Vec::new(); 3];
+        for node in 0..6 {
+            let home = node % 3;
+            // Clients of a zone whose nodes are gone come to the next zone's.
+            let loads: f64 = (0..3)
+                .filter(|z| {
+                    *z == home && self.nodes_here[*z] > 0 || self.nodes_here[*z] == 0 && (*z + 1) % 3 == home
+                })
+                .map(|z| self.loads[z])
+                .sum();
+            if self.nodes_here[home] == 0 {
+                continue;
+            }
+            let mut count = loads / 2.0 * 0.1;
+            while count > 0.0 {
+                if count < 1.0 && !self.rng.random_bool(count) {
+                    break;
+                }
+                count -= 1.0;
+                self.came[home] += 1.0;
+                self.locals[node].offered(now);
+                let session = self.rng.random();
+                if let Choice::Zone(zone) = self.followers[node].choose(now, session, false) {
+                    self.far += f64::from(u8::from(zone != home));
+                    sent[zone].push((node, home));
+                }
+            }
+        }
+        for (zone, requests) in sent.into_iter().enumerate() {
+            let rate = requests.len() as f64 * 10.0;
+            self.peak[zone] = self.peak[zone] * 0.9 + rate * 0.1;
+            let over = (1.0 - self.carries[zone] / rate.max(1e-9)).max(0.0);
+            for (node, home) in requests {
+                let failed =
+                    self.rng.random_bool((self.fails[zone] + (1.0 - self.fails[zone]) * over).min(1.0));
+                self.locals[node].ended(now, zone, failed);
+                self.served[home] += f64::from(u8::from(!failed));
+            }
+        }
+        if now.is_multiple_of(self.settings.every) {
+            for node in (0..6).filter(|n| self.nodes_here[n % 3] > 0) {
+                let word = Word::decode(&self.locals[node].word(now).encode()).unwrap();
+                self.planner.word(now, &format!("n{node}"), node % 3, word);
+            }
+            self.planner.world(&self.nodes_here, &[100.0; 3]);
+            let plan = self.planner.plan(now);
+            assert!(plan.encode().len() < 400);
+            self.told.push((now + 200 * MS, Plan::decode(&plan.encode(), 3).unwrap()));
+            self.moves = self.planner.status().zones.iter().map(|z| z.moves).sum();
+        }
+        for (_, plan) in self.told.extract_if(.., |t| t.0 <= now) {
+            self.followers.iter_mut().for_each(|f| {
+                f.hear(now, plan.clone());
+            });
+        }
+    }
+
+    /// Plays for so long; the part that was served, and the part that went far.
+    fn run(&mut self, ms: u64) -> (f64, f64) {
+        (self.came, self.served, self.far) = (vec![0.0; 3], vec![0.0; 3], 0.0);
+        (0..ms / 100).for_each(|_| self.step());
+        let came: f64 = self.came.iter().sum();
+        (self.served.iter().sum::<f64>() / came.max(1.0), self.far / came.max(1.0))
+    }
+}
+
+#[test]
+fn in_calm_nothing_goes_far_and_nothing_moves() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, [60.0, 55.0, 65.0]);
+        world.run(3_000);
+        let (served, far) = world.run(60_000);
+        assert!(served > 0.99 && far < 0.01, "seed {seed}: served {served:.3}, far {far:.3}");
+        assert_eq!(world.moves, 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_zone_that_is_lost_is_served_by_others_and_comes_back_in_steps() {
+    let mut world = World::new(3, [30.0, 30.0, 30.0]);
+    world.run(4_000);
+    // Its engines are lost; its nodes live, and send their clients' work elsewhere.
+    (world.carries[0], world.fails[0]) = (0.0, 1.0);
+    let moved = world.settings.moved_within(200 * MS) / MS;
+    world.run(moved + 1_000);
+    let (served, _) = world.run(8_000);
+    assert!(served > 0.97, "{served:.3} served while it is gone");
+    assert!(world.peak[1] < 95.0 && world.peak[2] < 95.0, "{:?}", world.peak);
+    (world.carries[0], world.fails[0]) = (100.0, 0.0);
+    let back = world.settings.back_within(4) / MS;
+    let mut opened = Vec::new();
+    for _ in 0..back / 500 {
+        let (served, _) = world.run(500);
+        assert!(served > 0.9, "{served}: returning is never a wave");
+        let open = world.planner.status().zones[0].open;
+        if opened.last() != Some(&open) {
+            opened.push(open);
+        }
+    }
+    println!("opened in steps: {opened:?}");
+    assert_eq!(opened.last(), Some(&1.0));
+    assert!(opened.len() >= 4);
+}
+
+/// Guards against giving up a zone that is only cut off from the leader.
+#[test]
+fn unknown_is_not_gone() {
+    let mut world = World::new(4, [30.0; 3]);
+    world.run(4_000);
+    let mut planner = world.planner.clone();
+    planner.world(&[0, 2, 2], &[100.0; 3]);
+    for step in 1..40 {
+        let now = world.now + step * 500 * MS;
+        for node in [1, 2, 4, 5] {
+            planner.word(
+                now,
+                &format!("n{node}"),
+                node % 3,
+                Word { offered: 15.0, zones: vec![(0, 0, 0); 3] },
+            );
+        }
+        let plan = planner.plan(now);
+        assert_eq!(plan.open[0], 255);
+    }
+    assert_eq!(planner.status().zones[0].known, Known::Unknown);
+    assert!(planner.status().zones.iter().all(|z| z.takes == 0.0), "nobody sends anything there either");
+}
+
+#[test]
+fn a_grey_zone_keeps_what_it_can_carry() {
+    let mut world = World::new(5, [80.0, 30.0, 30.0]);
+    world.run(4_000);
+    world.fails[0] = 0.3;
+    world.carries[0] = 70.0;
+    world.run(6_000);
+    let status = world.planner.status().clone();
+    assert_eq!(status.zones[0].known, Known::Grey, "{status:?}");
+    assert_eq!(status.zones[0].open, 1.0, "it is not given up");
+    let near = status.goes[0].iter().find(|g| g.0 == "a").map_or(0.0, |g| g.1);
+    assert!((0.4..0.95).contains(&near), "{status:?}");
+    assert!(status.goes[0].iter().any(|g| g.0 == "b"), "the near zone takes it: {status:?}");
+}
+
+/// A flapping zone is tried ever more rarely, and given up on the first sign.
+#[test]
+fn a_zone_that_flaps_is_left_alone_for_longer_each_time() {
+    let mut world = World::new(6, [30.0; 3]);
+    world.run(4_000);
+    let mut moves = Vec::new();
+    for _ in 0..15 {
+        let before = world.moves;
+        world.fails[0] = 1.0;
+        world.run(4_000);
+        world.fails[0] = 0.0;
+        world.run(4_000);
+        moves.push(world.moves - before);
+    }
+    println!("moves in 8 s of flapping: {moves:?}");
+    let (first, last): (u64, u64) = (moves[..5].iter().sum(), moves[10..].iter().sum());
+    assert!(last <= first, "{moves:?}");
+    world.run(200_000);
+    assert_eq!(world.planner.status().zones[0].open, 1.0, "nothing stays broken by itself");
+}
+
+/// Overload everywhere while a zone goes: nowhere to go, and the others keep their share.
+#[test]
+fn with_no_room_anywhere_the_others_do_not_drown() {
+    let mut world = World::new(7, [85.0, 85.0, 85.0]);
+    world.run(4_000);
+    (world.carries[0], world.fails[0], world.nodes_here[0]) = (0.0, 1.0, 0);
+    world.run(5_000);
+    (world.came, world.served) = (vec![0.0; 3], vec![0.0; 3]);
+    world.peak = vec![0.0; 3];
+    world.run(10_000);
+    // The zone to which the lost one's clients came has more than it carries: that is its core's matter,
+    // and no plan sends it on to where there is no room either.
+    assert!(world.peak[2] <= 103.0, "{:?}", world.peak);
+    let (b, c) = (world.served[1] / world.came[1], world.served[2] / world.came[2]);
+    assert!(c > 0.9, "the zone that nobody fled to is served: {c:.2}");
+    assert!(b > 0.4, "{b:.2}");
+}
+
+/// After the cause has gone service is whole again, in every seed.
+#[test]
+fn nothing_stays_broken_by_itself() {
+    let seeds = std::env::var("REGION_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(150);
+    let mut worst = 0;
+    for seed in 0..seeds {
+        let mut world = World::new(seed, [40.0, 40.0, 40.0]);
+        world.run(3_000);
+        for _ in 0..4 {
+            let zone = world.rng.random_range(0..3);
+            match world.rng.random_range(0..4u32) {
+                0 => (world.fails[zone], world.carries[zone]) = (1.0, 0.0),
+                1 => world.fails[zone] = 0.5,
+                2 => world.carries[zone] = 30.0,
+                _ => {
+                    (world.fails[zone], world.nodes_here[zone]) =
+                        (1.0, usize::from(world.nodes_here.iter().filter(|n| **n > 0).count() <= 1) * 2)
+                }
+            }
+            let span = world.rng.random_range(500..6_000);
+            world.run(span);
+        }
+        (world.fails, world.carries, world.nodes_here) = (vec![0.0; 3], vec![100.0; 3], vec![2; 3]);
+        let from = world.now;
+        let bound = world.settings.hold_most + 6 * world.settings.step + 10_000 * MS;
+        loop {
+            let (served, far) = world.run(2_000);
+            if served > 0.98 && far < 0.02 {
+                break;
+            }
+            assert!(world.now - from < bound, "seed {seed}: {:?}", world.planner.status());
+        }
+        worst = worst.max(world.now - from);
+    }
+    println!("{seeds} seeds: whole again after {} s at worst", worst / 1_000_000);
+}
+
+#[test]
+fn plans_carry_their_term_and_end_by_themselves() {
+    let settings = settings();
+    let mut follower = Follower::new(settings.clone(), 0);
+    assert_eq!(follower.choose(1, 7, false), Choice::Zone(0), "without a plan what is near is served");
+    let away = |term, number| Plan {
+        term,
+        number,
+        rows: vec![vec![(2, 255)], vec![], vec![]],
+        open: vec![0, 255, 255],
+    };
+    assert!(follower.hear(1, away(3, 1)));
+    assert_eq!(follower.choose(2, 7, false), Choice::Zone(2));
+    assert!(matches!(follower.choose(2, 7, true), Choice::Refuse(_)), "what must stay stays");
+    let home = Plan { rows: vec![vec![(0, 255)], vec![], vec![]], ..away(2, 900) };
+    assert!(!follower.hear(3, home), "an old one that arrives late does nothing");
+    assert_eq!(follower.choose(settings.lasts + 2, 7, false), Choice::Zone(0), "it has ended");
+    assert!(Plan::decode(&[9; 40], 3).is_none());
+    assert!(Plan::decode(&away(1, 1).encode(), 2).is_none());
+}
+
+#[test]
+fn whole_sessions_go_and_few_of_them_when_parts_change() {
+    let settings = settings();
+    let plan = |number, own: u8| Plan {
+        term: 1,
+        number,
+        rows: vec![vec![(0, own), (1, 255 - own)], vec![], vec![]],
+        open: vec![255; 3],
+    };
+    let mut follower = Follower::new(settings, 0);
+    follower.hear(1, plan(1, 200));
+    let before: Vec<Choice> = (0..1_000).map(|s| follower.choose(2, s, false)).collect();
+    follower.hear(3, plan(2, 180));
+    let moved = (0..1_000).filter(|s| follower.choose(4, *s, false) != before[*s as usize]).count();
+    assert!((40..130).contains(&moved), "{moved} of 1000 sessions moved for 8% of them");
+}
+
+/// The flow is the cheapest one: against all divisions of small whole amounts.
+#[test]
+fn flows_are_cheapest() {
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    for _ in 0..300 {
+        let needs: Vec<f64> = (0..3).map(|_| f64::from(rng.random_range(0..3u32))).collect();
+        let offers: Vec<f64> = (0..3).map(|_| f64::from(rng.random_range(0..4u32))).collect();
+        let prices: Vec<f64> = (0..9).map(|_| f64::from(rng.random_range(1..9u32))).collect();
+        let placed = place(&needs, &offers, |a, b| prices[a * 3 + b]);
+        let best = all_ways(&needs, &offers, &prices, 0, 0.0, 0.0);
+        let amount: f64 = placed.flow.iter().flatten().sum();
+        assert!((amount - best.0).abs() < 1e-6 && (placed.cost - best.1).abs() < 1e-6, "{placed:?} {best:?}");
+    }
+}
+
+/// The most that can be placed, and its least cost, unit by unit.
+fn all_ways(
+    needs: &[f64],
+    offers: &[f64],
+    prices: &[f64],
+    zone: usize,
+    amount: f64,
+    cost: f64,
+) -> (f64, f64) {
+    let Some(from) = (zone..3).find(|z| needs[*z] > 0.5) else { return (amount, cost) };
+    let mut best: (f64, f64) = {
+        let mut rest = needs.to_vec();
+        rest[from] = 0.0;
+        all_ways(&rest, offers, prices, from, amount, cost)
+    };
+    for to in (0..3).filter(|t| offers[*t] > 0.5) {
+        let (mut rest, mut room) = (needs.to_vec(), offers.to_vec());
+        rest[from] -= 1.0;
+        room[to] -= 1.0;
+        let way = all_ways(&rest, &room, prices, from, amount + 1.0, cost + prices[from * 3 + to]);
+        if way.0 > best.0 || way.0 == best.0 && way.1 < best.1 {
+            best = way;
+        }
+    }
+    best
+}
+
+#[test]
+fn people_order_and_rehearse() {
+    let mut world = World::new(8, [30.0; 3]);
+    world.run(5_000);
+    let dry = world.planner.rehearse(world.now, 1);
+    assert_eq!(dry.zones[1].open, 0.0);
+    assert!(dry.goes[1].iter().all(|g| g.0 != "b"), "{dry:?}");
+    assert_eq!(world.planner.status().zones[1].open, 1.0, "a rehearsal changes nothing");
+    world.planner.order(1, Some(Order::Out));
+    let (served, _) = world.run(20_000);
+    assert!(served > 0.97, "{served}");
+    assert_eq!(world.planner.status().zones[1].open, 0.0);
+    world.planner.order(1, None);
+    world.run(20_000);
+    assert_eq!(world.planner.status().zones[1].open, 1.0);
+    world.planner.order(1, Some(Order::Hold));
+    world.fails[1] = 1.0;
+    world.run(6_000);
+    assert_eq!(world.planner.status().zones[1].open, 1.0, "held as it is");
+}
+
+#[test]
+fn figures_that_do_not_go_together_are_told() {
+    let good = settings();
+    assert!(good.check().is_ok());
+    assert!(Settings { lasts: good.every, ..good.clone() }.check().is_err());
+    assert!(Settings { per_engine: 0.0, ..good.clone() }.check().is_err());
+    let mut twice = good.clone();
+    twice.map.zones.push(twice.map.zones[0].clone());
+    assert!(twice.check().is_err());
+}
--- a/crates/pintally-shares/tests/decisions.rs
+++ b/crates/pintally-shares/tests/decisions.rs
@@ -190,3 +190,28 @@
     assert!(Settings { reserve: 0.95, ..Settings::default() }.check().is_err());
     assert!(Settings { nodes: 0, ..Settings::default() }.check().is_err());
 }
+
+/// What a request costs at a node with 10,000 limits of which it uses one; printed, and bounded loosely.
+#[test]
+fn a_decision_costs_little_whatever_the_number_of_limits() {
+    let settings = Settings { nodes: 40, ..Settings::default() };
+    let limits = (0..10_000u32).map(|n| (LimitId(n), format!("limit-{n}"), rate(1_000.0, Bound::Hard)));
+    let mut holder = Holder::new(settings, limits);
+    let mut now = 1_000 * MS;
+    let began = std::time::Instant::now();
+    let mut admitted = 0u32;
+    for n in 0..200_000u32 {
+        now += 50;
+        let id = LimitId(n % 16);
+        if holder.ask(now, id, 1.0) == Verdict::Admit {
+            holder.take(now, id, 1.0);
+            admitted += 1;
+        }
+    }
+    let each = began.elapsed().as_nanos() / 200_000;
+    let began = std::time::Instant::now();
+    let asks = holder.asks(now).len();
+    println!("{each} ns a request, {:?} for {asks} asks, {admitted} let in", began.elapsed());
+    assert_eq!(asks, 16, "limits that nobody uses are not asked for");
+    assert!(each < 20_000, "{each} ns");
+}
