--- a/crates/pintally-cli/tests/fleet/main.rs
+++ b/crates/pintally-cli/tests/fleet/main.rs
@@ -13,7 +13,7 @@
 use pintally_day::{run_with, Day, DayResult};
 
 /// Days at once: each has a handful of processes and hundreds of clients.
-static TURN: [Mutex<()>; 2] = [Mutex::new(()), Mutex::new(())];
+static TURN: [Mutex<()>; 3] = [Mutex::new(()), Mutex::new(()), Mutex::new(())];
 
 /// A day of some nodes and nine engines; `more` adds disks and faults.
 fn text(seconds: u32, nodes: usize, seed: u64, more: &str) -> String {
