--- a/crates/pintally-node/src/keeper.rs
+++ b/crates/pintally-node/src/keeper.rs
@@ -25,6 +25,8 @@
 const ZONE: &str = "zone/";
 /// A disk that takes longer for a vote is one that failed: the keeper says nothing.
 const SAVE_WITHIN: Duration = Duration::from_secs(2);
+/// A disk that has told nothing by then is lost.
+const OPEN_WITHIN: Duration = Duration::from_secs(10);
 /// How often it is told where the keeper stands.
 const TELL_EVERY: Micros = 100_000;
 /// Orders that wait for what becomes of them.
@@ -107,12 +109,17 @@
         Store::open(&StoreSettings {
             folder,
             every: Duration::from_millis(1),
-            within: Duration::from_micros(recovery.map_or(300_000, |r| r.read_within)),
+            // Nobody waits for this thread. Guards against a disk that is slow at the start and taken for lost:
+            // the keeper would have no vote until all others had answered.
+            within: OPEN_WITHIN,
             lie: recovery.and_then(|r| r.lie.as_ref()).and_then(|(name, seed)| Some((lie(name)?, *seed))),
         })
     });
     let (store, loaded) = opened.map_or((None, None), |(store, loaded)| (Some(store), Some(loaded)));
     let saved = loaded.as_ref().and_then(|l| l.get(KEY)).map(|r| r.payload.clone());
+    for lack in loaded.iter().flat_map(|l| &l.lacks) {
+        warn!(%lack, "the keeper's disk lacks something: it is not believed");
+    }
     let clean = loaded.as_ref().is_some_and(|l| l.lacks.is_empty());
     let figures = settings.figures(&shared.settings.name);
     let keeper = Keeper::new(figures, saved.as_deref(), clean, seed, shared.clock.now());
