Twins in the fleet's packages become one piece each, and work done twice is done once

Read again: six packages had an error type of their own for figures that do not go together, word for word (pintally-figures now has it); two ways to print what nodes tell (told::show); four searches through all facts for one that has a key (Peers::fact), and two copies of who leads in the latest term (Peers::highest), one in the node and one in the laboratory; two rankings of plans (Plan::follows). Done once now: what nodes saw of a zone, in each plan; who is here. Off the deciding thread's way: verdicts weigh engines that somebody accuses and not all of them every 100 ms; names of limits are shared and not copied; rules of a request's limits are not collected. Gone: what nobody called (Follower::latest, Holder::counts, Bounds::lends_after, answers of Way).

--- a/crates/pintally-accord/src/settings.rs
+++ b/crates/pintally-accord/src/settings.rs
@@ -1,7 +1,8 @@
 //! What a keeper is told, and which figures go together.
 
 use std::collections::BTreeSet;
-use std::fmt;
+
+use pintally_figures::{wrong, Unsound};
 
 use crate::{KeeperName, Micros};
 
@@ -28,18 +29,6 @@
     pub keep: usize,
 }
 
-/// Figures that do not go together.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unsound(pub &'static str);
-
-impl fmt::Display for Unsound {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.0)
-    }
-}
-
-impl std::error::Error for Unsound {}
-
 impl Settings {
     /// Usual figures.
     pub fn new(name: &str, keepers: &[&str]) -> Settings {
@@ -56,7 +45,6 @@
 
     /// Checks that the figures go together.
     pub fn check(&self) -> Result<(), Unsound> {
-        let wrong = |bad: bool, what| if bad { Err(Unsound(what)) } else { Ok(()) };
         let sound = |k: &KeeperName| !k.0.is_empty() && k.0.len() <= 64;
         let distinct: BTreeSet<&KeeperName> = self.keepers.iter().collect();
         wrong(self.keepers.is_empty(), "there is no keeper")?;
--- a/crates/pintally-cli/src/common.rs
+++ b/crates/pintally-cli/src/common.rs
@@ -4,11 +4,10 @@
 use std::process::ExitCode;
 
 use clap::Subcommand;
-use comfy_table::Table;
 use pintally_peerlink::order;
 use serde_json::{json, Value};
 
-use crate::told::ask;
+use crate::told::{seconds, show, text};
 use crate::Failure;
 
 /// The number of orders on the link between nodes.
@@ -183,35 +182,6 @@
     }
 }
 
-/// Asks all nodes and prints what they tell; fails if one is silent.
-fn show(
-    nodes: &[SocketAddr],
-    path: &str,
-    json: bool,
-    heads: &[&str],
-    rows: fn(SocketAddr, &Value) -> Vec<Vec<String>>,
-) -> Result<ExitCode, Failure> {
-    let mut table = Table::new();
-    table.set_header(heads.to_vec());
-    let mut silent = false;
-    for node in nodes {
-        match ask(*node, path) {
-            Some(told) if json => println!("{}", json!({ "node": node.to_string(), "told": told })),
-            Some(told) => rows(*node, &told).into_iter().for_each(|row| {
-                table.add_row(row);
-            }),
-            None => {
-                silent = true;
-                table.add_row([node.to_string(), "no answer, or none of this in its settings".into()]);
-            }
-        }
-    }
-    if !json {
-        println!("{table}");
-    }
-    Ok(if silent { ExitCode::FAILURE } else { ExitCode::SUCCESS })
-}
-
 /// Gives an order to whichever of the keepers takes it.
 fn give(keepers: &[SocketAddr], what: &Value) -> Result<ExitCode, Failure> {
     let mut last = String::new();
@@ -236,20 +206,11 @@
     value.as_f64().map_or_else(String::new, |n| format!("{:.2}", n + 0.0))
 }
 
-fn text(value: &Value) -> String {
-    match value {
-        Value::Null => String::new(),
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
-    }
-}
-
 fn limit_rows(node: SocketAddr, told: &Value) -> Vec<Vec<String>> {
     let name = format!("{} ({node})", text(&told["node"]));
     let mut rows: Vec<Vec<String>> = Vec::new();
     for l in told["limits"].as_array().into_iter().flatten() {
-        let age =
-            l["age_ms"].as_u64().map_or("never told".to_string(), |ms| format!("{:.1} s", ms as f64 / 1e3));
+        let age = if l["age_ms"].is_null() { "never told".to_string() } else { seconds(&l["age_ms"]) };
         rows.push(vec![
             name.clone(),
             text(&l["name"]),
@@ -310,7 +271,7 @@
             names(&v["clear"]),
             text(&v["step"]),
             if v["held_back"] == true { "yes" } else { "no" }.into(),
-            format!("{:.1} s", v["for_ms"].as_f64().unwrap_or(0.0) / 1e3),
+            seconds(&v["for_ms"]),
         ]);
     }
     let unsound = names(&told["unsound"]);
--- a/crates/pintally-cli/src/told.rs
+++ b/crates/pintally-cli/src/told.rs
@@ -49,23 +49,34 @@
             &["node", "stage", "for", "waits for", "here", "engines", "lets in", "lacks"],
         ),
     };
+    let rows: fn(SocketAddr, &Value) -> Vec<Vec<String>> = match what {
+        What::Peers => peers,
+        What::Recovery => recovery,
+    };
+    show(nodes, path, *json, heads, rows)
+}
+
+/// Asks all nodes and prints what they tell; fails if one is silent.
+pub(crate) fn show(
+    nodes: &[SocketAddr],
+    path: &str,
+    json: bool,
+    heads: &[&str],
+    rows: fn(SocketAddr, &Value) -> Vec<Vec<String>>,
+) -> Result<ExitCode, Failure> {
     let mut table = Table::new();
     table.set_header(heads.to_vec());
-    let mut silent = 0;
+    let mut silent = false;
     for node in nodes {
-        let told = ask(*node, path);
-        silent += usize::from(told.is_none());
-        match told {
-            Some(told) if *json => {
-                println!("{}", serde_json::json!({ "node": node.to_string(), "told": told }))
+        match ask(*node, path) {
+            Some(told) if json => {
+                println!("{}", serde_json::json!({ "node": node.to_string(), "told": told }));
             }
-            Some(told) => match what {
-                What::Peers => peers(&mut table, &told),
-                What::Recovery => {
-                    table.add_row(recovery(*node, &told));
-                }
-            },
+            Some(told) => rows(*node, &told).into_iter().for_each(|row| {
+                table.add_row(row);
+            }),
             None => {
+                silent = true;
                 table.add_row([node.to_string(), "no answer, or none of this in its settings".into()]);
             }
         }
@@ -73,20 +84,26 @@
     if !json {
         println!("{table}");
     }
-    Ok(if silent == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if silent { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
-fn text(value: &Value) -> String {
-    value.as_str().map_or_else(|| value.to_string(), str::to_string)
+/// A value as people read it; nothing where there is none.
+pub(crate) fn text(value: &Value) -> String {
+    match value {
+        Value::Null => String::new(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
 }
 
-fn seconds(value: &Value) -> String {
+/// Milliseconds as seconds.
+pub(crate) fn seconds(value: &Value) -> String {
     format!("{:.1} s", value.as_f64().unwrap_or(0.0) / 1e3)
 }
 
-fn peers(table: &mut Table, told: &Value) {
+fn peers(_: SocketAddr, told: &Value) -> Vec<Vec<String>> {
     let own = if told["stepped_back"] == true { "stepped back: its name is taken" } else { "itself" };
-    table.add_row([
+    let mut rows = vec![vec![
         text(&told["name"]),
         String::new(),
         String::new(),
@@ -94,9 +111,9 @@
         text(&told["boot"]),
         String::new(),
         text(&told["doubt"]),
-    ]);
+    ]];
     for peer in told["peers"].as_array().into_iter().flatten() {
-        table.add_row([
+        rows.push(vec![
             text(&told["name"]),
             text(&peer["name"]),
             text(&peer["zone"]),
@@ -106,12 +123,13 @@
             String::new(),
         ]);
     }
+    rows
 }
 
-fn recovery(node: SocketAddr, told: &Value) -> [String; 8] {
+fn recovery(node: SocketAddr, told: &Value) -> Vec<Vec<String>> {
     let rate = told["rate"].as_f64().map_or("everybody".to_string(), |r| format!("{r:.1}/s"));
     let lacks = told["lacks"].as_array().into_iter().flatten().map(text).collect::<Vec<_>>().join("; ");
-    [
+    vec![vec![
         node.to_string(),
         text(&told["stage"]),
         seconds(&told["for_ms"]),
@@ -120,5 +138,5 @@
         format!("{} of {}", told["engines"][0], told["engines"][1]),
         rate,
         lacks,
-    ]
+    ]]
 }
--- a/crates/pintally-cli/tests/fleet/by_hand.rs
+++ b/crates/pintally-cli/tests/fleet/by_hand.rs
@@ -12,7 +12,7 @@
 use pintally_audit::Answer;
 use pintally_config::{EngineEntry, EngineList, NodeSettings};
 use pintally_day::{get, Client, Day, Ended, Process, Rig, Running, Try};
-use pintally_standin::{Fleet, Port, Recorder};
+use pintally_standin::{Engine, Fleet, Port, Recorder};
 use serde_json::Value;
 use tempfile::TempDir;
 
@@ -130,6 +130,21 @@
     }
 }
 
+/// A stand-in as the list has it.
+pub fn entry(engine: &Engine) -> EngineEntry {
+    EngineEntry {
+        id: EngineId(engine.spec.id.as_str().into()),
+        address: engine.address,
+        zone: "a".into(),
+        kind: engine.spec.kind.clone(),
+        rack: 0,
+        cell: None,
+        listing: Listing::Serving,
+        weight: 1.0,
+        started_unix_ms: None,
+    }
+}
+
 fn engines(version: u64, listings: &[Listing]) -> EngineList {
     let entry = |n: usize, listing: Listing| EngineEntry {
         id: EngineId(format!("e{n}").as_str().into()),
@@ -240,17 +255,7 @@
     let mut list = EngineList { version: 1, engines: Vec::new() };
     for (id, role) in [("r", Role::Reader), ("w", Role::Writer)] {
         let engine = stand.add(Rig::spec(id, role), false).unwrap();
-        list.engines.push(EngineEntry {
-            id: EngineId(id.into()),
-            address: engine.address,
-            zone: "a".into(),
-            kind: engine.spec.kind.clone(),
-            rack: 0,
-            cell: None,
-            listing: Listing::Serving,
-            weight: 1.0,
-            started_unix_ms: None,
-        });
+        list.engines.push(entry(&engine));
     }
     let mut fleet = Nodes::new(3);
     let blocked = fleet.folder.path().join("no-folder");
--- a/crates/pintally-cli/tests/fleet/verdicts.rs
+++ b/crates/pintally-cli/tests/fleet/verdicts.rs
@@ -5,12 +5,12 @@
 use std::process::Command;
 use std::time::Duration;
 
-use pintally::interface::{EngineId, Listing, Role};
-use pintally_config::{EngineEntry, EngineList};
+use pintally::interface::Role;
+use pintally_config::EngineList;
 use pintally_day::{Client, Rig, Try};
 use pintally_standin::{Fleet, Recorder};
 
-use crate::by_hand::{until, Nodes, EXE};
+use crate::by_hand::{entry, until, Nodes, EXE};
 
 const VERDICTS: &str = "(verdicts (memory-ms 4000) (rest-ms 800) (rest-most-ms 6000) (step-ms 500))";
 
@@ -39,17 +39,7 @@
         ("w1", Role::Writer),
     ] {
         let engine = stand.add(Rig::spec(id, role), false).unwrap();
-        list.engines.push(EngineEntry {
-            id: EngineId(id.into()),
-            address: engine.address,
-            zone: "a".into(),
-            kind: engine.spec.kind.clone(),
-            rack: 0,
-            cell: None,
-            listing: Listing::Serving,
-            weight: 1.0,
-            started_unix_ms: None,
-        });
+        list.engines.push(entry(&engine));
         engines.push(engine);
     }
     let mut fleet = Nodes::with(4, VERDICTS);
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -305,6 +305,7 @@
             // A class that nobody named waits as long as the least patient one.
             None => self.settings.classes.iter().map(|c| c.patience).min().unwrap_or(1_000_000),
         };
+        let max_tokens = arrival.max_tokens.unwrap_or(class.map_or(256, |c| c.max_tokens));
         let patience = arrival.patience.map_or(usual, |own| own.min(usual));
         let left = patience.saturating_sub(limits.answer_margin);
         let full = self.cells.is_none() && self.entries.len() >= limits.held;
@@ -320,9 +321,6 @@
             self.counters.kept_out += 1;
             return self.turn_away(arrival.ticket, after, out);
         }
-        let class = arrival.class.and_then(|c| self.settings.classes.get(c));
-        let most = class.map_or(256, |c| c.max_tokens);
-        let max_tokens = arrival.max_tokens.unwrap_or(most);
         let costs = match self.costs(now, &arrival, max_tokens) {
             Ok(costs) => costs,
             Err(after) => {
--- a/crates/pintally-host/src/limits.rs
+++ b/crates/pintally-host/src/limits.rs
@@ -11,14 +11,27 @@
 /// How often, within the time between two asks, it is looked whether one is due.
 const LOOKS: Micros = 5;
 
-/// A node's shares, and which limits count for whom.
+/// A node's shares, and the rules by which they are used.
 pub(crate) struct Limiting {
     pub(crate) holder: Holder,
     every: Micros,
+    rules: Rules,
+}
+
+/// Which limits count for whom.
+struct Rules {
     all: Vec<(LimitId, Counts)>,
     tenants: Vec<Vec<(LimitId, Counts)>>,
 }
 
+impl Rules {
+    /// The limits that count for a tenant's requests.
+    fn of(&self, tenant: Option<usize>) -> impl Iterator<Item = (LimitId, Counts)> + '_ {
+        let own = tenant.and_then(|t| self.tenants.get(t)).into_iter().flatten();
+        self.all.iter().chain(own).copied()
+    }
+}
+
 impl Limiting {
     fn new(settings: &NodeSettings, limits: &LimitSettings) -> Limiting {
         let tenants = &settings.core.tenants;
@@ -28,24 +41,17 @@
                 limits.limits.iter().map(|l| (l.id(), l.name.clone(), l.limit())),
             ),
             every: (limits.figures.every / LOOKS).max(1_000),
-            all: Vec::new(),
-            tenants: vec![Vec::new(); tenants.len()],
+            rules: Rules { all: Vec::new(), tenants: vec![Vec::new(); tenants.len()] },
         };
         for limit in &limits.limits {
             let counts = (limit.id(), limit.counts);
             match limit.tenant.as_ref().and_then(|t| tenants.iter().position(|k| k.name == *t)) {
-                Some(tenant) => limiting.tenants[tenant].push(counts),
-                None => limiting.all.push(counts),
+                Some(tenant) => limiting.rules.tenants[tenant].push(counts),
+                None => limiting.rules.all.push(counts),
             }
         }
         limiting
     }
-
-    /// The limits that count for a tenant's requests.
-    fn rules(&self, tenant: Option<usize>) -> Vec<(LimitId, Counts)> {
-        let own = tenant.and_then(|t| self.tenants.get(t)).into_iter().flatten();
-        self.all.iter().chain(own).copied().collect()
-    }
 }
 
 /// What a request takes of each limit that counts for it.
@@ -80,8 +86,8 @@
             Counts::Tokens => Some((arrival.prompt_tokens + max) as f64),
             Counts::Retries => None,
         };
-        let rules = limiting.rules(arrival.tenant).into_iter();
-        let costs: Costs = rules.filter_map(|(id, c)| Some((id, c, cost(c)?))).collect();
+        let costs: Costs =
+            limiting.rules.of(arrival.tenant).filter_map(|(id, c)| Some((id, c, cost(c)?))).collect();
         let mut wait = None;
         for (id, _, cost) in &costs {
             if let Verdict::Refuse(after) = limiting.holder.ask(now, *id, *cost) {
@@ -113,12 +119,11 @@
     /// Whether an attempt after one that failed may be made; it counts if so.
     pub(crate) fn may_retry(&mut self, now: Micros, tenant: Option<usize>) -> bool {
         let Some(limiting) = &mut self.limiting else { return true };
-        let rules = limiting.rules(tenant);
-        let retries: Vec<LimitId> =
-            rules.into_iter().filter(|(_, c)| *c == Counts::Retries).map(|(id, _)| id).collect();
-        let free = retries.iter().all(|id| limiting.holder.ask(now, *id, 1.0) == Verdict::Admit);
+        let Limiting { holder, rules, .. } = limiting;
+        let retries = || rules.of(tenant).filter(|(_, c)| *c == Counts::Retries).map(|(id, _)| id);
+        let free = retries().all(|id| holder.ask(now, id, 1.0) == Verdict::Admit);
         if free {
-            retries.iter().for_each(|id| limiting.holder.take(now, *id, 1.0));
+            retries().for_each(|id| holder.take(now, id, 1.0));
         }
         free
     }
--- a/crates/pintally-lab/src/fleet/world.rs
+++ b/crates/pintally-lab/src/fleet/world.rs
@@ -421,12 +421,9 @@
         if asks.is_empty() {
             return;
         }
-        let node = &mut self.nodes[n];
-        let term = |p: &[u8]| <[u8; 8]>::try_from(p).map(u64::from_le_bytes).unwrap_or(0);
+        let node = &self.nodes[n];
         let own = format!("n{n}");
-        let here = |o: &PeerName| *o.0 == *own || node.peers.member(o).is_some_and(|m| m.is_here());
-        let lender = node.peers.facts(LENDER).filter(|f| here(&f.origin)).max_by_key(|f| term(&f.payload));
-        let Some(lender) = lender.map(|f| f.origin.clone()) else { return };
+        let Some(lender) = node.peers.highest(LENDER).cloned() else { return };
         let life = node.life;
         let mut out = Vec::new();
         for asks in asks.chunks(AT_ONCE) {
--- a/crates/pintally-node/src/fleet.rs
+++ b/crates/pintally-node/src/fleet.rs
@@ -17,7 +17,7 @@
 use pintally_durable::{Lie, Loaded, Store, StoreSettings};
 use pintally_host::Input;
 use pintally_peerlink::{fetch, Came, Udp, Whole};
-use pintally_peers::{Life, Notice, Output, PeerName, Peers, Settings, Topic};
+use pintally_peers::{Life, Member, Notice, Output, PeerName, Peers, Settings, Topic};
 use pintally_recovery::{self as recovery, Answer, ClassWorth, Memory, Recovery};
 use pintally_shares::{Ask, Grant, LimitStatus, PoolStatus, AT_ONCE};
 use pintally_verdicts::{Node, Report};
@@ -475,7 +475,7 @@
             Notice::Fact(origin, LIST) => self.list_of(&origin),
             Notice::Fact(origin, EVIDENCE) => self.evidence_of(&origin),
             Notice::Fact(origin, PLAN) => {
-                let fact = self.fleet.peers.facts(PLAN).find(|f| f.origin == origin);
+                let fact = self.fleet.peers.fact(&origin, PLAN);
                 if let (Some(fact), Some(regions)) = (fact, &mut self.regions) {
                     let plan = fact.payload.clone();
                     if regions.heard(&plan) {
@@ -484,7 +484,7 @@
                 }
             }
             Notice::Fact(origin, CLEARED) => {
-                let fact = self.fleet.peers.facts(CLEARED).find(|f| f.origin == origin);
+                let fact = self.fleet.peers.fact(&origin, CLEARED);
                 let engine = fact.and_then(|f| std::str::from_utf8(f.payload.get(8..)?).ok());
                 if let Some(engine) = engine {
                     self.shared.tell(Input::Cleared(engine.to_string()));
@@ -547,7 +547,7 @@
 
     /// What a node saw of engines goes to the host, with the node's zone.
     fn evidence_of(&self, origin: &PeerName) {
-        let fact = self.fleet.peers.facts(EVIDENCE).find(|f| f.origin == *origin);
+        let fact = self.fleet.peers.fact(origin, EVIDENCE);
         let Some(member) = self.fleet.peers.member(origin) else { return };
         let node = Node { name: origin.to_string(), zone: member.zone().to_string() };
         let report = fact.map(|f| f.payload.clone()).unwrap_or_else(|| Report::default().encode());
@@ -592,20 +592,10 @@
         }
     }
 
-    /// Who leads in the latest term, among those that are here.
-    fn lender(&self) -> Option<PeerName> {
-        let here = |name: &PeerName| {
-            *name.0 == *self.shared.settings.name
-                || self.fleet.peers.member(name).is_some_and(|m| m.is_here())
-        };
-        let facts = self.fleet.peers.facts(LENDER).filter(|f| here(&f.origin));
-        let term = |payload: &[u8]| <[u8; 8]>::try_from(payload).map(u64::from_le_bytes).unwrap_or(0);
-        facts.max_by_key(|f| term(&f.payload)).map(|f| f.origin.clone())
-    }
-
     /// What this node sees of zones goes to whoever leads.
     fn zone_word(&mut self, now: Micros, word: Vec<u8>, engines: Vec<f64>, out: &mut Vec<Output>) {
-        let lender = self.lender();
+        // Who leads in the latest term.
+        let lender = self.fleet.peers.highest(LENDER).cloned();
         let Some(regions) = &mut self.regions else { return };
         regions.engines(engines);
         let own = &self.shared.settings;
@@ -619,7 +609,7 @@
     }
 
     fn ask_for(&mut self, asks: &[Ask], out: &mut Vec<Output>) {
-        let lender = self.lender();
+        let lender = self.fleet.peers.highest(LENDER).cloned();
         *lock(&self.shared.fleet.lender) = lender.as_ref().map(ToString::to_string);
         let (Some(lender), life) = (lender, self.fleet.peers.life().mark) else { return };
         for asks in asks.chunks(AT_ONCE) {
@@ -647,38 +637,24 @@
     }
 
     fn tell_who_is_here(&mut self) {
-        let here: Vec<PeerName> =
-            self.fleet.peers.members().filter(|m| m.is_here()).map(|m| m.name().clone()).collect();
-        let at: Vec<String> = self
-            .fleet
-            .peers
-            .members()
-            .filter(|m| m.is_here())
-            .map(|m| self.fleet.peers.route(m).to_string())
-            .collect();
+        let here: Vec<&Member> = self.fleet.peers.members().filter(|m| m.is_here()).collect();
+        let at: Vec<String> = here.iter().map(|m| self.fleet.peers.route(m).to_string()).collect();
         self.shared.fleet.keep(KEY_PEERS, at.join("\n").into_bytes());
         if self.shared.settings.verdicts.is_some() {
-            let members = self.fleet.peers.members().filter(|m| m.is_here());
-            let node =
-                |m: &pintally_peers::Member| Node { name: m.name().to_string(), zone: m.zone().to_string() };
-            self.shared.tell(Input::Nodes(members.map(node).collect()));
+            let node = |m: &&Member| Node { name: m.name().to_string(), zone: m.zone().to_string() };
+            self.shared.tell(Input::Nodes(here.iter().map(node).collect()));
         }
         // Where zones have cores of their own, a node shares its zone's engines with the nodes there.
-        let near: Vec<PeerName> = self
-            .fleet
-            .peers
-            .members()
-            .filter(|m| m.is_here() && self.is_near(m))
-            .map(|m| m.name().clone())
-            .collect();
+        let near: Vec<&Member> = here.iter().copied().filter(|m| self.is_near(m)).collect();
         let count = near.len() + 1;
         let asked = if near.is_empty() { here } else { near };
+        let asked: Vec<PeerName> = asked.into_iter().map(|m| m.name().clone()).collect();
         let numbers: Vec<u64> = asked.iter().map(|n| self.number(n)).collect();
         self.shared.tell(Input::Recovery(recovery::Input::Peers(count, numbers)));
     }
 
     /// Whether a peer sends to the same engines.
-    fn is_near(&self, member: &pintally_peers::Member) -> bool {
+    fn is_near(&self, member: &Member) -> bool {
         self.regions.is_none() || *member.zone() == *self.shared.settings.core.zone
     }
 
@@ -716,7 +692,7 @@
 
     /// A peer has told which list it holds: one that is newer, or another of the same version, is fetched.
     fn list_of(&mut self, origin: &PeerName) {
-        let fact = self.fleet.peers.facts(LIST).find(|f| f.origin == *origin);
+        let fact = self.fleet.peers.fact(origin, LIST);
         let Some(payload) = fact.map(|f| f.payload.clone()).filter(|p| p.len() == 12) else { return };
         let mut version = [0u8; 8];
         version.copy_from_slice(&payload[..8]);
--- a/crates/pintally-node/src/keeper.rs
+++ b/crates/pintally-node/src/keeper.rs
@@ -187,9 +187,7 @@
                 if !known.clone().any(|l| l.name == name) || !(0.0..=1e9).contains(&most) {
                     return self.answer(self.number, Answer::no(format!("there is no limit `{name}`")));
                 }
-                let write =
-                    Write { key: format!("{LIMIT}{name}"), value: most.to_string().into(), expect: None };
-                self.keeper.propose(now, self.number, write, out);
+                self.write(now, format!("{LIMIT}{name}"), most.to_string(), out);
             }
         }
     }
@@ -199,8 +197,11 @@
         if map.and_then(|m| m.zone(&zone)).is_none() || !["out", "hold", ""].contains(&word.as_str()) {
             return self.answer(self.number, Answer::no(format!("no zone of a region is named `{zone}`")));
         }
-        let write = Write { key: format!("{ZONE}{zone}"), value: word.into(), expect: None };
-        self.keeper.propose(now, self.number, write, out);
+        self.write(now, format!("{ZONE}{zone}"), word, out);
+    }
+
+    fn write(&mut self, now: Micros, key: String, value: String, out: &mut Vec<Output>) {
+        self.keeper.propose(now, self.number, Write { key, value: value.into(), expect: None }, out);
     }
 
     fn answer(&mut self, number: u64, answer: Answer) {
--- a/crates/pintally-node/src/regions.rs
+++ b/crates/pintally-node/src/regions.rs
@@ -52,7 +52,7 @@
     /// A plan has come; whether it is the latest.
     pub(crate) fn heard(&mut self, bytes: &[u8]) -> bool {
         let Some(plan) = Plan::decode(bytes, self.engines.len()) else { return false };
-        let newer = self.latest.as_ref().is_none_or(|known| known.rank() < plan.rank());
+        let newer = plan.follows(self.latest.as_ref());
         if newer {
             self.latest = Some(plan);
         }
--- a/crates/pintally-peers/src/lib.rs
+++ b/crates/pintally-peers/src/lib.rs
@@ -22,7 +22,8 @@
 pub use members::{Member, Standing};
 pub use packet::{DATAGRAM_MOST, WORD_MOST};
 pub use peers::{Notice, Output, Peers};
-pub use settings::{Settings, Unsound};
+pub use pintally_figures::Unsound;
+pub use settings::Settings;
 pub use status::{Counters, PeerStatus, Status};
 
 /// Microseconds on the node's own clock, which never goes back.
--- a/crates/pintally-peers/src/peers.rs
+++ b/crates/pintally-peers/src/peers.rs
@@ -171,6 +171,20 @@
         self.facts.iter().filter(move |f| f.topic == topic && !f.payload.is_empty())
     }
 
+    /// What one peer said on a topic, unless it took that back.
+    pub fn fact(&self, origin: &PeerName, topic: Topic) -> Option<&Fact> {
+        self.facts.get(&(origin.clone(), topic)).filter(|f| !f.payload.is_empty())
+    }
+
+    /// Of those that are here, this node among them, who has said the highest number on a topic. Numbers
+    /// are told as eight bytes, the least first.
+    pub fn highest(&self, topic: Topic) -> Option<&PeerName> {
+        let here =
+            |f: &&Fact| f.origin == self.me.name || self.members.get(&f.origin).is_some_and(Member::is_here);
+        let number = |f: &&Fact| <[u8; 8]>::try_from(f.payload.as_slice()).map_or(0, u64::from_le_bytes);
+        self.facts(topic).filter(here).max_by_key(number).map(|f| &f.origin)
+    }
+
     /// How much it doubts itself, 0 to 8.
     pub fn doubt(&self) -> u32 {
         self.health.doubt()
--- a/crates/pintally-peers/src/settings.rs
+++ b/crates/pintally-peers/src/settings.rs
@@ -1,9 +1,10 @@
 //! What a node is told of its fleet, and which figures go together.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
 
+use pintally_figures::{wrong, Unsound};
+
 use crate::identity::{sound, PeerName};
 use crate::Micros;
 
@@ -37,18 +38,6 @@
     pub forget: Micros,
 }
 
-/// Figures that do not go together.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unsound(pub &'static str);
-
-impl fmt::Display for Unsound {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.0)
-    }
-}
-
-impl std::error::Error for Unsound {}
-
 impl Settings {
     /// Usual figures for a node.
     pub fn new(fleet: &str, name: &str, zone: &str, address: SocketAddr, seeds: Vec<SocketAddr>) -> Settings {
@@ -70,7 +59,6 @@
 
     /// Checks that the figures go together.
     pub fn check(&self) -> Result<(), Unsound> {
-        let wrong = |bad: bool, what| if bad { Err(Unsound(what)) } else { Ok(()) };
         wrong(self.fleet.is_empty() || self.fleet.len() > 64, "the fleet's name needs 1 to 64 bytes")?;
         wrong(!sound(&self.name), "a peer's name needs 1 to 64 bytes")?;
         wrong(self.zone.len() > 64, "a zone's name has at most 64 bytes")?;
--- a/crates/pintally-recovery/src/lib.rs
+++ b/crates/pintally-recovery/src/lib.rs
@@ -14,7 +14,8 @@
 pub use capacity::{share, Capacity, Fleet};
 pub use gate::{Gate, Plan, Verdict};
 pub use list::{merge, Merged};
-pub use settings::{ClassWorth, Settings, Unsound};
+pub use pintally_figures::Unsound;
+pub use settings::{ClassWorth, Settings};
 pub use stage::{Answer, Input, Memory, Output, Recovery, Stage};
 pub use status::Status;
 
--- a/crates/pintally-recovery/src/settings.rs
+++ b/crates/pintally-recovery/src/settings.rs
@@ -1,8 +1,7 @@
 //! The figures that recovery goes by.
 
-use std::fmt;
-
 use pintally::interface::Micros;
+use pintally_figures::{wrong, Unsound};
 
 /// A class, as far as it matters to what is let in first.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -42,22 +41,9 @@
     pub classes: Vec<ClassWorth>,
 }
 
-/// Figures that do not go together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Unsound(pub &'static str);
-
-impl fmt::Display for Unsound {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.0)
-    }
-}
-
-impl std::error::Error for Unsound {}
-
 impl Settings {
     /// Checks that the figures go together.
     pub fn check(&self) -> Result<(), Unsound> {
-        let wrong = |bad: bool, what| if bad { Err(Unsound(what)) } else { Ok(()) };
         wrong(self.expected == 0, "a fleet has one node at least")?;
         wrong(!(0.001..=1.0).contains(&self.cold_from), "a cold engine does some part of its work")?;
         wrong(!(0.01..=1.0).contains(&self.textless), "an engine without texts does some part of its work")?;
--- a/crates/pintally-regions/src/follower.rs
+++ b/crates/pintally-regions/src/follower.rs
@@ -31,7 +31,7 @@
 
     /// A plan has come; whether it is the latest. An old one that arrives late does nothing.
     pub fn hear(&mut self, now: Micros, plan: Plan) -> bool {
-        if self.plan.as_ref().is_some_and(|(known, _)| known.rank() >= plan.rank()) {
+        if !plan.follows(self.plan.as_ref().map(|(known, _)| known)) {
             return false;
         }
         self.plan = Some((plan, now));
@@ -44,11 +44,6 @@
         (now < at + self.settings.lasts).then_some(plan)
     }
 
-    /// The latest plan, whether it still holds or not: a new leader goes on from it.
-    pub fn latest(&self) -> Option<&Plan> {
-        self.plan.as_ref().map(|(plan, _)| plan)
-    }
-
     /// Where a session's requests go: the same zone for all of them while parts stay as they are, and as
     /// few of them as can be go elsewhere when parts change. `stays`: it may not leave the region.
     pub fn choose(&self, now: Micros, session: u64, stays: bool) -> Choice {
--- a/crates/pintally-regions/src/map.rs
+++ b/crates/pintally-regions/src/map.rs
@@ -1,7 +1,8 @@
 //! The map: zones, the regions that they are in, how far they are from each other.
 
 use std::collections::BTreeSet;
-use std::fmt;
+
+use pintally_figures::{wrong, Unsound};
 
 use crate::Micros;
 
@@ -75,18 +76,6 @@
     pub step: Micros,
 }
 
-/// Figures that do not go together.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unsound(pub String);
-
-impl fmt::Display for Unsound {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for Unsound {}
-
 impl Settings {
     /// Usual figures for a map.
     pub fn new(map: Map) -> Settings {
@@ -106,7 +95,6 @@
 
     /// Checks that the figures go together.
     pub fn check(&self) -> Result<(), Unsound> {
-        let wrong = |bad: bool, what: &str| if bad { Err(Unsound(what.into())) } else { Ok(()) };
         let zones = &self.map.zones;
         let names: BTreeSet<&str> = zones.iter().map(|z| z.name.as_str()).collect();
         wrong(zones.is_empty(), "there is no zone")?;
--- a/crates/pintally-regions/src/plan.rs
+++ b/crates/pintally-regions/src/plan.rs
@@ -35,8 +35,8 @@
         (fits && plan.rows.iter().all(sound)).then_some(plan)
     }
 
-    /// Which of two plans holds.
-    pub fn rank(&self) -> (u64, u64) {
-        (self.term, self.number)
+    /// Whether it holds instead of the one that is known, if any is.
+    pub fn follows(&self, known: Option<&Plan>) -> bool {
+        known.is_none_or(|known| (known.term, known.number) < (self.term, self.number))
     }
 }
--- a/crates/pintally-regions/src/planner.rs
+++ b/crates/pintally-regions/src/planner.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::flow::place;
+use crate::flow::{place, Placed};
 use crate::local::Word;
 use crate::map::Settings;
 use crate::plan::Plan;
@@ -31,6 +31,14 @@
     Hold,
 }
 
+/// Of all attempts at a zone that nodes saw lately: how many, which part failed, which was late.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    all: f64,
+    failed: f64,
+    late: f64,
+}
+
 #[derive(Clone, Debug)]
 struct Told {
     zone: usize,
@@ -135,8 +143,7 @@
         }
     }
 
-    /// Of all attempts at a zone that nodes saw lately: how many, which part failed, which was late.
-    fn seen(&self, zone: usize) -> (f64, f64, f64) {
+    fn seen(&self, zone: usize) -> Seen {
         let (mut all, mut failed, mut late) = (0.0, 0.0, 0.0);
         for told in self.told.values() {
             let Some((ended, fails, lates)) = told.word.zones.get(zone) else { continue };
@@ -145,11 +152,11 @@
             failed += ended * f64::from(*fails) / 255.0;
             late += ended * f64::from(*lates) / 255.0;
         }
-        (all, failed / all.max(1e-9), late / all.max(1e-9))
+        Seen { all, failed: failed / all.max(1e-9), late: late / all.max(1e-9) }
     }
 
-    fn known(&self, zone: usize) -> Known {
-        let (all, failed, late) = self.seen(zone);
+    fn known(&self, zone: usize, seen: &Seen) -> Known {
+        let Seen { all, failed, late } = *seen;
         let here = self.here[zone] > 0;
         match (here, all >= ENOUGH) {
             (false, true) if failed >= FAILING => Known::Gone,
@@ -164,15 +171,16 @@
     pub fn plan(&mut self, now: Micros) -> Plan {
         self.told.retain(|_, t| now.saturating_sub(t.at) <= WORD_LASTS);
         let zones = self.here.len();
-        let known: Vec<Known> = (0..zones).map(|z| self.known(z)).collect();
+        let seen: Vec<Seen> = (0..zones).map(|z| self.seen(z)).collect();
+        let known: Vec<Known> = (0..zones).map(|z| self.known(z, &seen[z])).collect();
         for (zone, known) in known.iter().enumerate() {
             match self.orders[zone] {
-                Some(Order::Out) => self.ways[zone].put(now, true),
+                Some(Order::Out) => self.ways[zone].put_out(now),
                 Some(Order::Hold) => {}
                 // A new lead hears the words first.
                 None if now < self.since + self.settings.grace => {}
                 None => {
-                    let late = self.seen(zone).2 >= LATE;
+                    let late = seen[zone].late >= LATE;
                     self.ways[zone].look(now, *known, late, &self.settings);
                 }
             }
@@ -181,7 +189,7 @@
         for told in self.told.values() {
             offered[told.zone] += f64::from(told.word.offered);
         }
-        let room: Vec<f64> = (0..zones).map(|z| self.room(z)).collect();
+        let room: Vec<f64> = (0..zones).map(|z| self.room(z, &seen[z])).collect();
         let own: Vec<f64> = (0..zones).map(|z| offered[z].min(room[z])).collect();
         let needs: Vec<f64> = (0..zones).map(|z| offered[z] - own[z]).collect();
         // A zone's floor is its own, whether it is asked for or not; a zone on its way back, or of which
@@ -193,22 +201,21 @@
             _ => 0.0,
         };
         let offers: Vec<f64> = (0..zones).map(offer).collect();
-        let map = self.settings.map.clone();
+        let map = &self.settings.map;
         let placed = place(&needs, &offers, |a, b| if a == b { f64::INFINITY } else { map.price(a, b) });
         let rows = (0..zones)
             .map(|z| row(z, offered[z], own[z], &placed.flow[z], (room[z], self.ways[z].open() == 255)))
             .collect();
         self.keep_still(rows);
-        self.tell(&known, &offered, &room, &placed.flow, placed.left.iter().sum());
+        self.tell((&known, &seen), &offered, &room, &placed);
         self.number += 1;
         let open = self.ways.iter().map(Way::open).collect();
         Plan { term: self.term, number: self.number, rows: self.rows.clone(), open }
     }
 
     /// What a zone carries as it is: its engines, less what fails there, as far as it is in use.
-    fn room(&self, zone: usize) -> f64 {
-        let (all, failed, _) = self.seen(zone);
-        let sound = if all >= ENOUGH && failed >= GREY { 1.0 - failed } else { 1.0 };
+    fn room(&self, zone: usize, seen: &Seen) -> f64 {
+        let sound = if seen.all >= ENOUGH && seen.failed >= GREY { 1.0 - seen.failed } else { 1.0 };
         let open = f64::from(self.ways[zone].open()) / 255.0;
         self.engines[zone] * self.settings.per_engine * self.settings.fill * sound * open
     }
@@ -227,10 +234,10 @@
         }
     }
 
-    fn tell(&mut self, known: &[Known], offered: &[f64], room: &[f64], flow: &[Vec<f64>], refused: f64) {
+    fn tell(&mut self, (known, seen): (&[Known], &[Seen]), offered: &[f64], room: &[f64], placed: &Placed) {
         let names = &self.settings.map.zones;
         let status = |z: usize| {
-            let (all, failing, late) = self.seen(z);
+            let Seen { all, failed: failing, late } = seen[z];
             let why = match (self.orders[z], self.ways[z].open()) {
                 (Some(Order::Out), _) => "people gave it up".to_string(),
                 (Some(Order::Hold), _) => "people hold it as it is".to_string(),
@@ -255,7 +262,7 @@
                 room: room[z],
                 open: f64::from(self.ways[z].open()) / 255.0,
                 offered: offered[z],
-                takes: flow.iter().map(|row| row[z]).sum(),
+                takes: placed.flow.iter().map(|row| row[z]).sum(),
                 failing,
                 why,
                 moves: self.ways[z].moves,
@@ -269,7 +276,7 @@
         self.status = Status {
             zones: (0..names.len()).map(status).collect(),
             goes: self.rows.iter().map(goes).collect(),
-            refused,
+            refused: placed.left.iter().sum(),
         };
     }
 
--- a/crates/pintally-regions/src/way.rs
+++ b/crates/pintally-regions/src/way.rs
@@ -33,7 +33,7 @@
     /// Since when it looks bad without a pause.
     bad_since: Option<Micros>,
     hold: Micros,
-    /// Since when it is whole; a zone that is whole for long is forgiven.
+    /// How often it was given up or came a step back.
     pub(crate) moves: u64,
 }
 
@@ -52,8 +52,8 @@
         STEPS[self.step]
     }
 
-    /// Looks at what is known; whether anything changed.
-    pub(crate) fn look(&mut self, now: Micros, known: Known, late: bool, settings: &Settings) -> bool {
+    /// Looks at what is known, and takes a step if it is time.
+    pub(crate) fn look(&mut self, now: Micros, known: Known, late: bool, settings: &Settings) {
         let bad = matches!(known, Known::Failing | Known::Gone);
         self.bad_since = if bad { self.bad_since.or(Some(now)) } else { None };
         let whole = self.step == STEPS.len() - 1;
@@ -75,23 +75,18 @@
         if whole && at >= 4 * settings.hold_most {
             self.hold = settings.hold;
         }
-        false
     }
 
-    /// People give it up, or take it back.
-    pub(crate) fn put(&mut self, now: Micros, out: bool) {
-        if out && self.step > 0 {
+    /// People give it up: it stays out until they take that back.
+    pub(crate) fn put_out(&mut self, now: Micros) {
+        if self.step > 0 {
             self.go(now, 0);
         }
-        if out {
-            // It stays out until they take it back.
-            self.since = now;
-        }
+        self.since = now;
     }
 
-    fn go(&mut self, now: Micros, step: usize) -> bool {
+    fn go(&mut self, now: Micros, step: usize) {
         (self.step, self.since) = (step, now);
         self.moves += 1;
-        true
     }
 }
--- a/crates/pintally-shares/src/bounds.rs
+++ b/crates/pintally-shares/src/bounds.rs
@@ -15,10 +15,9 @@
     pub burst: f64,
     /// What a node that is cut off may use.
     pub floor: f64,
-    /// A share that is lost with its holder returns within this time, if somebody lends.
+    /// A share that is lost with its holder returns within this time, if somebody lends; a new lender
+    /// lends nothing but what is already held before this time is over.
     pub returns_within: Micros,
-    /// A new lender lends nothing but what is already held before this time is over.
-    pub lends_after: Micros,
 }
 
 impl Settings {
@@ -35,6 +34,6 @@
             Kind::Level => 0.0,
         };
         let returns_within = self.debited_for(limit);
-        Bounds { at_once, each_more: floor, burst, floor, returns_within, lends_after: returns_within }
+        Bounds { at_once, each_more: floor, burst, floor, returns_within }
     }
 }
--- a/crates/pintally-shares/src/holder.rs
+++ b/crates/pintally-shares/src/holder.rs
@@ -1,6 +1,7 @@
 //! A node's shares: what it admits by them, and what it asks for.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use serde::Serialize;
 
@@ -30,7 +31,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct LimitStatus {
     /// Its name.
-    pub name: String,
+    pub name: Arc<str>,
     /// `hard` or `soft`.
     pub bound: &'static str,
     /// `a second` or `at once`.
@@ -84,7 +85,7 @@
 pub struct Holder {
     settings: Settings,
     held: BTreeMap<LimitId, Held>,
-    names: BTreeMap<LimitId, String>,
+    names: BTreeMap<LimitId, Arc<str>>,
     /// Those that are in use: the others cost nothing.
     active: BTreeSet<LimitId>,
 }
@@ -96,7 +97,7 @@
         let (held, names, active) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
         let mut holder = Holder { settings, held, names, active };
         for (id, name, limit) in limits {
-            holder.names.insert(id, name);
+            holder.names.insert(id, name.into());
             holder.held.insert(id, Held::new(limit));
         }
         holder
@@ -217,7 +218,7 @@
     /// How each limit stands here.
     pub fn status(&self, now: Micros) -> Vec<LimitStatus> {
         let one = |(id, h): (&LimitId, &Held)| LimitStatus {
-            name: self.names.get(id).cloned().unwrap_or_default(),
+            name: self.names.get(id).cloned().unwrap_or_else(|| "".into()),
             bound: if h.limit.bound == Bound::Hard { "hard" } else { "soft" },
             counts: if h.limit.kind == Kind::Rate { "a second" } else { "at once" },
             most: h.limit.most,
@@ -232,11 +233,6 @@
         };
         self.held.iter().map(one).collect()
     }
-
-    /// Let in and turned away so far, over all limits.
-    pub fn counts(&self) -> (u64, u64) {
-        self.held.values().fold((0, 0), |(a, r), h| (a + h.admitted, r + h.refused))
-    }
 }
 
 impl Held {
--- a/crates/pintally-shares/src/lib.rs
+++ b/crates/pintally-shares/src/lib.rs
@@ -17,8 +17,9 @@
 pub use holder::{Holder, LimitStatus, Verdict};
 pub use lender::{Lender, PoolStatus};
 pub use lending::Lending;
-pub use limit::{Bound, Kind, Limit, LimitId, Settings, Unsound};
+pub use limit::{Bound, Kind, Limit, LimitId, Settings};
 pub use message::{Ask, Grant, AT_ONCE};
+pub use pintally_figures::Unsound;
 
 /// Microseconds of a clock that never goes back.
 pub type Micros = u64;
--- a/crates/pintally-shares/src/limit.rs
+++ b/crates/pintally-shares/src/limit.rs
@@ -1,7 +1,6 @@
 //! Limits, and the figures by which they are shared.
 
-use std::fmt;
-
+use pintally_figures::{wrong, Unsound};
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
@@ -62,18 +61,6 @@
     pub drift: f64,
 }
 
-/// Figures that do not go together.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unsound(pub &'static str);
-
-impl fmt::Display for Unsound {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.0)
-    }
-}
-
-impl std::error::Error for Unsound {}
-
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
@@ -93,7 +80,6 @@
 impl Settings {
     /// Checks that the figures go together.
     pub fn check(&self) -> Result<(), Unsound> {
-        let wrong = |bad: bool, what| if bad { Err(Unsound(what)) } else { Ok(()) };
         wrong(self.nodes == 0, "a fleet has one node at least")?;
         wrong(!(0.0..0.9).contains(&self.reserve), "floors take nearly all of a hard limit")?;
         wrong(!(0.0..=1.0).contains(&self.over), "a soft limit is exceeded by more than itself")?;
--- a/crates/pintally-verdicts/src/lib.rs
+++ b/crates/pintally-verdicts/src/lib.rs
@@ -14,8 +14,9 @@
 mod witness;
 
 pub use evidence::Reach;
+pub use pintally_figures::Unsound;
 pub use report::{Report, Seen, SEEN_MOST};
-pub use settings::{Settings, Unsound};
+pub use settings::Settings;
 pub use verdicts::{EngineVerdict, Listed, Node, Status, Verdicts};
 pub use witness::{Fault, Witness};
 
--- a/crates/pintally-verdicts/src/settings.rs
+++ b/crates/pintally-verdicts/src/settings.rs
@@ -1,6 +1,6 @@
 //! The figures of verdicts.
 
-use std::fmt;
+use pintally_figures::{wrong, Unsound};
 
 use crate::Micros;
 
@@ -25,18 +25,6 @@
     pub own: f64,
 }
 
-/// Figures that do not go together.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unsound(pub &'static str);
-
-impl fmt::Display for Unsound {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.0)
-    }
-}
-
-impl std::error::Error for Unsound {}
-
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
@@ -55,7 +43,6 @@
 impl Settings {
     /// Checks that the figures go together.
     pub fn check(&self) -> Result<(), Unsound> {
-        let wrong = |bad: bool, what| if bad { Err(Unsound(what)) } else { Ok(()) };
         wrong(self.strikes == 0, "no failure at all accuses an engine")?;
         wrong(self.accusers == 0, "nobody needs to accuse an engine")?;
         wrong(self.memory < 2 * self.step, "evidence is forgotten within a step of the way back")?;
--- a/crates/pintally-verdicts/src/verdicts.rs
+++ b/crates/pintally-verdicts/src/verdicts.rs
@@ -173,7 +173,8 @@
         self.told.retain(|_, t| now.saturating_sub(t.at) <= 2 * memory);
         let unsound = self.unsound();
         let mut sick = BTreeMap::new();
-        for engine in self.engines.keys() {
+        // Nothing is to be weighed of the others: in calm this is nobody.
+        for engine in self.accused(now).iter().filter(|e| self.engines.contains_key(e)) {
             let (accusers, clear) = self.heard(now, *engine, 0, &unsound);
             let reach = self.reach(&accusers, &clear);
             // For whom it works, while it fails others, it goes on by its own evidence.
@@ -341,7 +342,8 @@
     pub fn status(&self, now: Micros) -> Status {
         let unsound = self.unsound();
         let mut status = Status { held_s: self.held_s, verdicts: self.verdicts, ..Status::default() };
-        for (engine, (listed, _)) in &self.engines {
+        for engine in &self.accused(now) {
+            let Some((listed, _)) = self.engines.get(engine) else { continue };
             let (accusers, clear) = self.heard(now, *engine, 0, &unsound);
             let way = self.back.get(engine);
             if accusers.is_empty() && way.is_none() {
