Cold engines admit reads by lot where nodes see little; keyed repeats leave time to connect

Change: where a node's part of the budget is no whole send, a read is admitted by lot, with the part 0.6 x cold_from x tip_multiple of an even share; a beginning that may be more popular than its homes are many counts as more shares (crowd). The lot is the request's, the same for all cold engines, so that what one does not get does not crowd onto the next. Cause (keyed): lawful() held a repeat to the window when it was sent; a connection may take the settings' connect time-out longer, and the repeat then comes behind the window. Change: that time is left (new setting of the core, connect_within).

--- a/crates/pintally-cells/tests/cells.rs
+++ b/crates/pintally-cells/tests/cells.rs
@@ -42,6 +42,7 @@
         warm_after: 0,
         tip_multiple: 2.5,
         tip_window: 1,
+        connect_within: 0,
         release_within: 500_000,
         ask_within: 0,
         usual: [0.0; 3],
--- a/crates/pintally-config/src/settings.rs
+++ b/crates/pintally-config/src/settings.rs
@@ -179,6 +179,8 @@
         check::kinds(root, &core)?;
         let (peers, recovery) = fleet::read(root)?;
         let (keepers, shared_limits, verdicts) = shared::read(root)?;
+        let limits = limits(root)?;
+        core.connect_within = limits.connect;
         let mut settings = NodeSettings {
             name,
             listen,
@@ -195,7 +197,7 @@
             shared_limits,
             verdicts,
             regions: regions::read(root)?,
-            limits: limits(root)?,
+            limits,
             core,
             classes,
             slots,
@@ -269,6 +271,7 @@
         warm_after: 14_000_000,
         tip_multiple: 2.5,
         tip_window: 2_000_000,
+        connect_within: 250_000,
         release_within: 500_000,
         ask_within: 0,
         usual: [0.0; 3],
--- a/crates/pintally-wire/src/settings.rs
+++ b/crates/pintally-wire/src/settings.rs
@@ -230,6 +230,7 @@
         warm_after: micros(conf.rules.warm_after),
         tip_multiple: conf.rules.tip_multiple,
         tip_window: micros(conf.rules.overload_for),
+        connect_within: ways.connect_timeout,
         release_within: match micros(conf.family_info.let_go_by) {
             0 => LET_GO_BY,
             told => told,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -152,6 +152,8 @@
     pub tip_multiple: f64,
     /// The window over which that is counted.
     pub tip_window: Micros,
+    /// A connection to an engine is up within this time, or counts as failed.
+    pub connect_within: Micros,
     /// What is held must be taken or let go within this time.
     pub release_within: Micros,
     /// Where discovery must be asked: the longest time without asking.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,7 +15,7 @@
 /// Expected kept tokens under this count as no match (the paper's smallest block).
 const MIN_MATCH: f64 = 16.0;
 /// Homes of every beginning where nodes are blind.
-const BLIND_HOMES: usize = 2;
+const BLIND_HOMES: f64 = 2.0;
 /// Of so few nodes each sees enough of the traffic to go by its own table alone.
 const FEW_NODES: f64 = 2.5;
 /// Table entries fade by half in this time: about the time in which sessions come again.
@@ -34,8 +34,9 @@
 const RATE_FADE: f64 = 0.97;
 /// Rates are taken as low until engines have been seen for about this many seconds each.
 const RATE_AFTER: f64 = 5.0;
-/// What nodes in turn may make of the budget if all want one engine: most reads are spread, all else herds.
-const COLD_RUSH: f64 = 5.0;
+/// This part of the budget is given out where demand is estimated, and what nodes in turn may make of it
+/// if all want one engine.
+const COLD_SPREAD: f64 = 0.6;
 const COLD_HERD: f64 = 0.75;
 /// Share of a cold engine's budget in use: a warm engine answers less on the mean than it could.
 const COLD_SHARE: f64 = 1.2;
@@ -73,8 +74,6 @@
 const EVEN: f64 = 0.5;
 /// A mixed engine's own writing at hand, in writers: what it reads itself slows its answers.
 const MIXED_AT_HAND: f64 = 0.25;
-/// From this many writers' worth on, requests that begin alike herd to a cold reader.
-const HERDS: f64 = 0.25;
 /// How fast the number of requests before their first token grows while on target, and shrinks.
 const GROW: f64 = 2.0;
 /// This part of the requests has its first token within the time that counts as the usual lead.
@@ -98,7 +97,7 @@
     pools: [Pool; 3],
     /// What the list says of each rack.
     pub(crate) racks: BTreeMap<u64, Rack>,
-    table: HashMap<(bool, u64), Vec<Kept>>,
+    table: Table,
     pub(crate) live: HashMap<RequestId, Live>,
     waiting: Vec<RequestId>,
     /// Prompts turned away lately, by session and length, and when they first came.
@@ -122,7 +121,7 @@
             pools: [Pool::default(); 3],
             racks: BTreeMap::new(),
             popular: HashMap::new(),
-            table: HashMap::new(),
+            table: Table::default(),
             live: HashMap::new(),
             waiting: Vec::new(),
             turned: HashMap::new(),
@@ -192,9 +191,9 @@
     /// Whether one more send keeps a cold engine's budget. The budget is all nodes' together and no
     /// capacity is told: what a warm engine of the pool answers on the mean, this node's part times
     /// the nodes, stands for it. Each node may use an even part of the budget in a window. Where that
-    /// is no whole send, nodes take turns by their numbers, so that of all nodes only that part which
-    /// bounds a rush of all at once has one send each: a node's own rate is too low to tell.
-    /// Too careful where the fleet idles; harms where all nodes go on wanting one engine.
+    /// is no whole send, its own rate is too low to tell. Reads are spread evenly then: of an even share,
+    /// no more than a warm engine can do, each node admits the same part by lot, so that the sum is the
+    /// budget's part whatever the nodes' number. All else herds: nodes take turns by their numbers.
     fn within_cold_budget(&self, now: Micros, live: &Live, index: usize) -> bool {
         let engine = &self.engines[index];
         if now >= engine.cold_until {
@@ -209,10 +208,14 @@
         let window = s.tip_window.max(1) as f64;
         let usual = self.usual(step_of(engine.role)) * window / 1e6;
         let own = (COLD_SHARE * s.cold_from * s.tip_multiple * usual).max(1.0 / f64::from(s.nodes.max(1)));
-        let herds = live.state.is_some() || self.worth(&live.request) > HERDS;
-        let rush = if herds { COLD_HERD } else { COLD_RUSH };
-        let part = if own < 1.0 { (own * rush).min(1.0) } else { own.fract() };
-        let place = xxh3_64_with_seed(engine.id.0.as_bytes(), 0) as f64 / u64::MAX as f64;
+        let lot = |id: &str, seed| xxh3_64_with_seed(id.as_bytes(), seed) as f64 / u64::MAX as f64;
+        if own < 1.0 && live.state.is_none() {
+            // The same for all cold engines: what one of them does not get must not crowd onto the next.
+            let drawn = lot(&live.request.id.0, s.node.into()) * self.crowd(&live.request);
+            return recent == 0 && drawn < COLD_SPREAD * s.cold_from * s.tip_multiple;
+        }
+        let part = if own < 1.0 { (own * COLD_HERD).min(1.0) } else { own.fract() };
+        let place = lot(&engine.id.0, 0);
         let number = f64::from(s.node) / f64::from(s.nodes.max(1));
         let turn = (now as f64 / window * part + number + place).fract() < part;
         recent < own as usize + usize::from(turn)
@@ -336,15 +339,7 @@
         self.popular.values_mut().for_each(|seen| *seen *= RATE_FADE);
         self.popular.retain(|_, seen| *seen > 0.1);
         self.turned.retain(|_, first| now < *first + FADE_HALF);
-        if self.table.len() > 20_000 {
-            self.table.retain(|_, held| held.iter().any(|(_, _, at)| now < at + 4 * FADE_HALF));
-        }
-    }
-
-    fn keys(request: &Request) -> [Option<((bool, u64), u64)>; 2] {
-        let session = ((false, request.session), request.prompt_tokens);
-        let prefix = request.prefix.map(|p| ((true, p), request.prefix_tokens));
-        [Some(session), prefix]
+        self.table.forget_before(now.saturating_sub(4 * FADE_HALF));
     }
 
     /// Prompt tokens of the request that the engine is expected to hold: by this node's own table, and
@@ -355,8 +350,8 @@
         if home == Some(index) {
             best = (1.0 - self.few()) * request.prefix.map_or(0.0, |_| request.prefix_tokens as f64);
         }
-        for (key, most) in Self::keys(request).into_iter().flatten() {
-            for (engine, tokens, at) in self.table.get(&key).into_iter().flatten() {
+        for (key, most) in keys(request) {
+            for (engine, tokens, at) in self.table.kept(key) {
                 if *engine == index && *at >= self.engines[index].void_before {
                     let age = now.saturating_sub(*at) as f64 / FADE_HALF as f64;
                     best = best.max((*tokens).min(most) as f64 * 0.5f64.powf(age));
@@ -367,13 +362,8 @@
     }
 
     fn remember(&mut self, now: Micros, request: &Request, index: usize) {
-        for (key, tokens) in Self::keys(request).into_iter().flatten() {
-            let held = self.table.entry(key).or_default();
-            held.retain(|(engine, _, _)| *engine != index);
-            held.push((index, tokens, now));
-            if held.len() > 16 {
-                held.remove(0);
-            }
+        for (key, tokens) in keys(request) {
+            self.table.remember(key, (index, tokens, now));
         }
     }
 
@@ -395,10 +385,8 @@
         let mut ring: Vec<_> = readers.map(|(i, e)| (place(e), &e.id, i)).collect();
         ring.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
         let mut ring: Vec<usize> = ring.into_iter().map(|(_, _, i)| i).collect();
-        // Guards against beginnings too popular for one rack's writers: the first few share them. A blind
-        // node cannot tell which are: by its few counts each node would have other homes than the next.
-        let least = if self.blind() { BLIND_HOMES } else { 0 };
-        let homes = (self.worth(request).ceil() as usize).max(least).min(ring.len());
+        // Guards against beginnings too popular for one rack's writers: the first few share them.
+        let homes = (self.homes(request) as usize).min(ring.len());
         if homes > 1 {
             ring[..homes].rotate_left(request.session as usize % homes);
         }
@@ -411,6 +399,17 @@
         seen / self.gauges.arrivals.max(1.0) * self.writers()
     }
 
+    /// Homes of a request's beginning; where nodes are blind each would have others by its few counts.
+    fn homes(&self, request: &Request) -> f64 {
+        self.worth(request).ceil().max(if self.blind() { BLIND_HOMES } else { 1.0 })
+    }
+
+    /// How many even shares of all requests a home of this one's beginning gets: the less seen, the more.
+    fn crowd(&self, request: &Request) -> f64 {
+        let seen = request.prefix.and_then(|p| self.popular.get(&p)).map_or(0.0, |n| *n);
+        (seen / self.gauges.arrivals.max(1.0) * self.writers() / self.homes(request)).max(1.0)
+    }
+
     /// Listed engines that write.
     fn writers(&self) -> f64 {
         self.racks.values().map(|r| r.writers).sum()
@@ -662,7 +661,8 @@
                     Group::Zone => first.zone == engine.zone,
                     Group::Rack => first.rack == engine.rack,
                 };
-                inside && now < sent + window
+                // Guards against a repeat that is late to connect: its engine has forgotten the first by then.
+                inside && now + self.settings.connect_within < sent + window
             }
         };
         engine.serving()
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decision module keeps in mind: plain data and its bookkeeping, no decisions.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use crate::interface::*;
 use crate::rules::Router;
@@ -12,6 +12,47 @@
 
 /// An engine, how many tokens of a text it was seen to hold, and when.
 pub(crate) type Kept = (usize, u64, Micros);
+/// A session or, with `true`, a shared beginning.
+pub(crate) type TextKey = (bool, u64);
+/// The most engines that are kept for one text.
+const ENGINES_PER_TEXT: usize = 16;
+/// Texts that are kept before old ones are looked for.
+const TEXTS: usize = 20_000;
+
+/// The texts of which a prompt is made up, each with its length in tokens.
+pub(crate) fn keys(request: &Request) -> impl Iterator<Item = (TextKey, u64)> {
+    let session = ((false, request.session), request.prompt_tokens);
+    let prefix = request.prefix.map(|p| ((true, p), request.prefix_tokens));
+    std::iter::once(session).chain(prefix)
+}
+
+/// Which engines were seen to hold which texts.
+#[derive(Default)]
+pub(crate) struct Table(HashMap<TextKey, Vec<Kept>>);
+
+impl Table {
+    /// Takes in that an engine holds a text now.
+    pub(crate) fn remember(&mut self, key: TextKey, kept: Kept) {
+        let held = self.0.entry(key).or_default();
+        held.retain(|(engine, _, _)| *engine != kept.0);
+        held.push(kept);
+        if held.len() > ENGINES_PER_TEXT {
+            held.remove(0);
+        }
+    }
+
+    /// The engines that were seen to hold a text.
+    pub(crate) fn kept(&self, key: TextKey) -> impl Iterator<Item = &Kept> {
+        self.0.get(&key).into_iter().flatten()
+    }
+
+    /// Forgets texts that were last seen before that time, once there are many.
+    pub(crate) fn forget_before(&mut self, time: Micros) {
+        if self.0.len() > TEXTS {
+            self.0.retain(|_, held| held.iter().any(|(_, _, at)| time < *at));
+        }
+    }
+}
 
 #[derive(Default)]
 pub(crate) struct Engine {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -52,6 +52,7 @@
         warm_after: 10 * SECOND,
         tip_multiple: 2.5,
         tip_window: 2 * SECOND,
+        connect_within: 0,
         release_within: 500 * MS,
         ask_within: 10 * SECOND,
         usual: [0.0; 3],
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -315,6 +315,21 @@
     }
 }
 
+/// Guards against a repeat that is sent inside the window and comes to its engine behind it, as its connection
+/// took its time.
+#[test]
+fn a_keyed_repeat_leaves_its_connection_time_before_the_window_ends() {
+    for (connect_within, repeated) in [(0, true), (250 * MS, false)] {
+        let members = vec![member("m1", "near", 1), member("m2", "near", 1)];
+        let mut node = Node::new(Settings { connect_within, ..settings() }, members);
+        node.arrive(request("k", 2, 1));
+        // The window is 2 s, counted from the first send.
+        node.now += 1_800 * MS;
+        node.end("k", Outcome::Broken);
+        assert_eq!(node.has_out(&id("k")), repeated, "{connect_within} us to connect");
+    }
+}
+
 #[test]
 fn attempts_end_at_the_cap() {
     let mut node = Node::new(Settings { max_attempts: 3, ..settings() }, fleet());
