--- a/crates/pintally-cli/tests/platform/stand.rs
+++ b/crates/pintally-cli/tests/platform/stand.rs
@@ -31,6 +31,8 @@
     SaysAndEnds(Vec<u8>),
     /// The first, and the second when the test lets it go on.
     SaysThen(Vec<u8>, Vec<u8>),
+    /// Each of these when the test lets it go on.
+    SaysInSteps(Vec<Vec<u8>>),
     /// The first, and a reset of the connection when the test lets it go on.
     SaysThenResets(Vec<u8>),
     /// These bytes, each in a packet of its own.
@@ -184,6 +186,13 @@
                             let _ = stream.write_all(&second);
                             seen.wrote();
                         }
+                        Does::SaysInSteps(steps) => {
+                            for step in steps {
+                                seen.wait_to_go_on();
+                                let _ = stream.write_all(&step);
+                                seen.wrote();
+                            }
+                        }
                         Does::SaysThenResets(first) => {
                             let _ = stream.write_all(&first);
                             seen.wait_to_go_on();
