A request behind another on its connection counts its wait, and is refused at an end

Cause: Node::work took X-Remaining-Ms as if the request had come when its turn came; what a client sends while its connection is busy was not read before. And Node::answered closed the connection of a node that was told to stop although whole requests had been read behind the one that was answered: they got no answer. Change: up to 64 KiB are read behind a request that is held, and a request's time runs from when its last byte came (arrivals.rs); at the end of a node each request that was read is refused before its connection is closed. Tests, through the built program, both fail without the change: a_request_that_waited_behind_another_tells_what_is_left_of_its_time, requests_read_behind_a_stream_when_the_node_is_told_to_stop_are_refused.

--- a/crates/pintally-cli/tests/platform/ends.rs
+++ b/crates/pintally-cli/tests/platform/ends.rs
@@ -82,6 +82,27 @@
     assert!(posts(&stand, "a").is_empty());
 }
 
+/// Requests that were read behind a stream when the node is told to stop are each refused, not dropped.
+#[test]
+fn requests_read_behind_a_stream_when_the_node_is_told_to_stop_are_refused() {
+    let mut stand = Stand::new(&["r0", "w0"], 256);
+    let rest = stream(&[TOKEN, DONE])[begun(&[TOKEN]).len()..].to_vec();
+    stand.seen.let_do("w0", &[Does::SaysThen(begun(&[TOKEN]), rest)]);
+    let mut client = Client::new(&stand);
+    client.send(&[asked("safe", "a"), asked("safe", "b"), asked("once", "c")].concat());
+    client.until_begun(TOKEN);
+    stand.signal("-TERM");
+    let mut other = Client::new(&stand);
+    other.ask("safe", "d");
+    assert_eq!(other.answer().0, 503);
+    stand.seen.go_on_and_write();
+    assert!(client.answer().2);
+    assert_eq!((client.answer().0, client.answer().0), (503, 503));
+    assert!(client.closed());
+    assert!(stand.ended().success());
+    assert!(posts(&stand, "b").is_empty() && posts(&stand, "c").is_empty());
+}
+
 /// A request that comes behind the last answer of a connection, as the node has ended its sending there, is
 /// dropped: its client sends it again elsewhere.
 #[test]
@@ -344,3 +365,27 @@
     drop(idle);
     stand.until_believed("they have gone", |b| b["clients"] == 1 && b["held"] == 0);
 }
+
+// ---- many commands at once ----
+
+/// Guards against a request that waited behind another on its connection and is given the time that it had when
+/// it was sent.
+#[test]
+fn a_request_that_waited_behind_another_tells_what_is_left_of_its_time() {
+    let stand = Stand::new(&["r0", "w0"], 256);
+    stand.seen.let_do("w0", &[Does::SaysThen(Vec::new(), stream(&[TOKEN, DONE])), Does::streams()]);
+    let mut client = Client::new(&stand);
+    client.send(&[asked("once", "a"), asked("once", "b"), asked_within("once", "c", 300)].concat());
+    stand.seen.until("the write", |came| at(came, "a").contains(&("w0", "POST")));
+    let came = Instant::now();
+    let waits = Duration::from_millis(400);
+    std::thread::sleep(waits);
+    stand.seen.go_on_and_write();
+    assert!(client.answer().2 && client.answer().2);
+    let told = stand.seen.remaining("w0", "b").expect("it was written");
+    println!("{told} ms told of 6000 after {:?}", came.elapsed());
+    assert!(told <= 6_000 - waits.as_millis() as u64, "{told} ms told");
+    // The time of the last one was over before its turn came.
+    assert_eq!(client.answer().0, 503);
+    assert!(posts(&stand, "c").is_empty());
+}
--- a/crates/pintally-cli/tests/platform/stand.rs
+++ b/crates/pintally-cli/tests/platform/stand.rs
@@ -80,6 +80,8 @@
     going: Mutex<u32>,
     go: Condvar,
     word: Condvar,
+    /// What attempts told their engines to be left, by engine, id and in milliseconds.
+    remaining: Mutex<Vec<(String, String, u64)>>,
     /// Answers that were let go on and have been written since.
     written: Mutex<u32>,
 }
@@ -102,6 +104,12 @@
         came.0.clone()
     }
 
+    /// What an attempt for a request told an engine to be left, in milliseconds.
+    pub fn remaining(&self, engine: &str, id: &str) -> Option<u64> {
+        let all = self.remaining.lock().unwrap();
+        all.iter().find(|(to, of, _)| to == engine && of == id).map(|(_, _, ms)| *ms)
+    }
+
     /// Lets one engine that waits go on, and waits until what it says then is written.
     pub fn go_on_and_write(&self) {
         let before = *self.written.lock().unwrap();
@@ -148,6 +156,10 @@
         };
         came.0.push((engine.into(), request.method.clone(), request.target.clone(), id));
         self.word.notify_all();
+        if let Some(ms) = request.headers.get("x-remaining-ms").and_then(|ms| ms.trim().parse().ok()) {
+            let id = request.headers.get("x-txn").unwrap_or("").to_string();
+            self.remaining.lock().unwrap().push((engine.into(), id, ms));
+        }
         let releases = request.method == "DELETE";
         let plan_of = if releases { format!("{engine} releases") } else { engine.to_string() };
         let plan = came.1.entry(plan_of).or_default();
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -35,11 +35,11 @@
         if client.has_left(flags) {
             return self.client_gone(key);
         }
-        let busy = matches!(client.stage, Stage::Busy(_));
+        let reads = client.reads();
         if flags.contains(Flags::OUT) {
             self.dirty.push(key);
         }
-        if flags.intersects(Flags::IN | Flags::RDHUP) && !busy {
+        if flags.intersects(Flags::IN | Flags::RDHUP) && reads {
             self.client_reads(key);
         }
     }
@@ -61,6 +61,7 @@
             client.since = now;
         }
         client.reader.push(&self.buffer[..n]);
+        client.arrivals.push(now, n);
         self.requests(key);
     }
 
@@ -116,7 +117,7 @@
     fn client_waits(&mut self, key: Key) {
         let Some(client) = self.client(key) else { return };
         let mut flags = Flags::RDHUP;
-        if !matches!(client.stage, Stage::Busy(_)) {
+        if client.reads() {
             flags |= Flags::IN;
         }
         if client.gone < client.out.len() {
@@ -142,7 +143,9 @@
         }
     }
 
-    fn work(&mut self, key: Key, ticket: Ticket, ask: Ask) {
+    fn work(&mut self, key: Key, ticket: Ticket, mut ask: Ask) {
+        let waited = self.waited(key);
+        ask.arrival.patience = ask.arrival.patience.map(|patience| patience.saturating_sub(waited));
         if ask.arrival.name.as_ref().is_some_and(|name| self.host.knows(name)) {
             return self.reject(key, Rejected { status: 409, why: "this id is in use" });
         }
@@ -170,6 +173,14 @@
         self.feed(Input::Arrived(ask.arrival));
     }
 
+    /// For how long the request that was read last has waited on its connection, behind others.
+    fn waited(&mut self, key: Key) -> Micros {
+        let now = self.clock.now();
+        let Some(client) = self.client(key) else { return 0 };
+        let behind = client.reader.held_bytes();
+        client.arrivals.last_before(behind).map_or(0, |came| now.saturating_sub(came))
+    }
+
     /// An answer that no engine has a part in.
     fn answer_whole(&mut self, key: Key, bytes: Vec<u8>) {
         let Some(client) = self.client(key) else { return };
@@ -190,14 +201,21 @@
         }
     }
 
+    /// Whether a connection ends behind the answer that is given now. A node that is about to end still answers
+    /// what it has read behind that: a request that was read and gets no answer would be lost.
+    fn ends_behind_answer(&mut self, key: Key) -> bool {
+        let stopping = self.stopping.is_some();
+        self.client(key).is_some_and(|client| client.last || stopping && !client.reader.is_partial())
+    }
+
     /// The answer to a connection's request is written in full.
     fn answered(&mut self, key: Key) {
-        let (now, stopping) = (self.clock.now(), self.stopping.is_some());
+        let (now, ends) = (self.clock.now(), self.ends_behind_answer(key));
         let Some(client) = self.client(key) else { return };
         client.streaming = false;
         client.used = now;
         client.since = now;
-        client.stage = match client.last || stopping {
+        client.stage = match ends {
             true => Stage::Closing,
             false => Stage::Open,
         };
@@ -208,10 +226,10 @@
     /// The final answer of a request.
     pub(crate) fn final_answer(&mut self, ticket: Ticket, answer: Final) {
         let Some(key) = self.jobs.get_mut(&ticket).and_then(|job| job.client.take()) else { return };
-        let stopping = self.stopping.is_some();
+        let ends = self.ends_behind_answer(key);
         let Some(client) = self.client(key).filter(|c| c.stage == Stage::Busy(ticket)) else { return };
         tracing::debug!(ticket, ?answer, "a final answer");
-        let close: &[(&str, &str)] = if client.last || stopping { &[("connection", "close")] } else { &[] };
+        let close: &[(&str, &str)] = if ends { &[("connection", "close")] } else { &[] };
         match answer {
             Final::Served => client.out.extend_from_slice(LAST_CHUNK),
             Final::Refused(after) => {
@@ -235,11 +253,12 @@
     /// Passes on events of the engine's stream, if there is a client; whether it is slow to take them.
     pub(crate) fn pass_on(&mut self, ticket: Ticket, events: &[u8]) -> Option<bool> {
         let key = self.jobs.get(&ticket)?.client?;
-        let stopping = self.stopping.is_some();
+        let ends = self.ends_behind_answer(key);
         let client = self.client(key)?;
         if !std::mem::replace(&mut client.streaming, true) {
+            client.last |= ends;
             let mut headers = vec![("content-type", "text/event-stream")];
-            headers.extend((client.last || stopping).then_some(("connection", "close")));
+            headers.extend(ends.then_some(("connection", "close")));
             client.out.extend_from_slice(&response_head(200, &headers));
         }
         client.out.extend_from_slice(&chunk(events));
--- a/crates/pintally-platform-node/src/conn.rs
+++ b/crates/pintally-platform-node/src/conn.rs
@@ -9,6 +9,7 @@
 use pintally_http::RequestReader;
 use pintally_platform::{AnswerReader, Phase};
 
+use crate::arrivals::Arrivals;
 use crate::poll::Flags;
 
 slotmap::new_key_type! {
@@ -37,6 +38,7 @@
 pub(crate) struct Client {
     pub(crate) stream: TcpStream,
     pub(crate) reader: RequestReader,
+    pub(crate) arrivals: Arrivals,
     pub(crate) out: Vec<u8>,
     /// How much of `out` has gone.
     pub(crate) gone: usize,
@@ -59,7 +61,16 @@
     pub(crate) flags: Flags,
 }
 
+/// Bytes that are read behind a request that is held.
+const READ_AHEAD: usize = 64 << 10;
+
 impl Client {
+    /// Whether more is read: always for the next request, and within bounds behind one that is held, so that
+    /// it is known when that came.
+    pub(crate) fn reads(&self) -> bool {
+        !matches!(self.stage, Stage::Busy(_)) || self.reader.held_bytes() < READ_AHEAD
+    }
+
     /// Whether an event says that the client has gone. Its end of sending is taken for its going (a
     /// half-closed connection is not served), also where bytes before it have not been read: a request
     /// among them must not begin, as nobody waits for it. Only the end of an answer is still written out.
--- a/crates/pintally-platform-node/src/door.rs
+++ b/crates/pintally-platform-node/src/door.rs
@@ -6,6 +6,7 @@
 use pintally_http::RequestReader;
 use pintally_platform::{BODY_MOST, HEAD_MOST};
 
+use crate::arrivals::Arrivals;
 use crate::conn::{Client, Conn, Key, Stage};
 use crate::node::{Node, OWN_DESCRIPTORS};
 use crate::poll::Flags;
@@ -55,6 +56,7 @@
         let client = Client {
             stream,
             reader: RequestReader::new(HEAD_MOST, BODY_MOST),
+            arrivals: Arrivals::default(),
             out: Vec::new(),
             gone: 0,
             stage: Stage::Open,
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -5,6 +5,7 @@
 //! socket. What an event makes the core decide is on its way in the same turn. A stream costs two
 //! descriptors: its client's and its engine's.
 
+mod arrivals;
 mod attempts;
 mod clients;
 mod clock;
