--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,7 +36,7 @@
 const RATE_AFTER: f64 = 5.0;
 /// This part of the budget is given out where demand is estimated, and what nodes in turn may make of it
 /// if all want one engine.
-const COLD_SPREAD: f64 = 0.6;
+const COLD_SPREAD: f64 = 0.8;
 const COLD_HERD: f64 = 0.75;
 /// Share of a cold engine's budget in use: a warm engine answers less on the mean than it could.
 const COLD_SHARE: f64 = 1.2;
