--- a/src/rules.rs
+++ b/src/rules.rs
@@ -661,7 +661,7 @@
                     Group::Zone => first.zone == engine.zone,
                     Group::Rack => first.rack == engine.rack,
                 };
-                // Guards against a repeat that is late to connect: its engine has forgotten the first by then.
+                // Guards against a repeat that connects so late that its engine has forgotten the first.
                 inside && now + self.settings.connect_within < sent + window
             }
         };
