--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,10 +34,10 @@
 const RATE_FADE: f64 = 0.97;
 /// Rates are taken as low until engines have been seen for about this many seconds each.
 const RATE_AFTER: f64 = 5.0;
-/// This part of the budget is given out where demand is estimated, and what nodes in turn may make of it
-/// if all want one engine.
+/// Part of the budget given out by estimate; of it where all want one engine, as where MOST begin alike.
 const COLD_SPREAD: f64 = 0.8;
 const COLD_HERD: f64 = 0.75;
+const MOST: f64 = 0.5;
 /// Share of a cold engine's budget in use: a warm engine answers less on the mean than it could.
 const COLD_SHARE: f64 = 1.2;
 /// A report of this occupancy, or a mark of fullness younger than this, counts as full.
@@ -191,9 +191,8 @@
     /// Whether one more send keeps a cold engine's budget. The budget is all nodes' together and no
     /// capacity is told: what a warm engine of the pool answers on the mean, this node's part times
     /// the nodes, stands for it. Each node may use an even part of the budget in a window. Where that
-    /// is no whole send, its own rate is too low to tell. Reads are spread evenly then: of an even share,
-    /// no more than a warm engine can do, each node admits the same part by lot, so that the sum is the
-    /// budget's part whatever the nodes' number. All else herds: nodes take turns by their numbers.
+    /// is no whole send, its own rate is too low to tell. Reads are spread then: of an even share each node
+    /// admits the same part by lot, which sums to the budget's part. All else herds: nodes take turns.
     fn within_cold_budget(&self, now: Micros, live: &Live, index: usize) -> bool {
         let engine = &self.engines[index];
         if now >= engine.cold_until {
@@ -407,7 +406,8 @@
     /// How many even shares of all requests a home of this one's beginning gets: the less seen, the more.
     fn crowd(&self, request: &Request) -> f64 {
         let seen = request.prefix.and_then(|p| self.popular.get(&p)).map_or(0.0, |n| *n);
-        (seen / self.gauges.arrivals.max(1.0) * self.writers() / self.homes(request)).max(1.0)
+        let part = seen / self.gauges.arrivals.max(1.0);
+        (part * self.writers() / self.homes(request)).max(if part > MOST { 1.0 / COLD_HERD } else { 1.0 })
     }
 
     /// Listed engines that write.
