The end of the watch is not taken for the end of a client's connection

Change: one reading of tokens (Source::of) for both places that need it. Test: the_end_of_a_watch_ends_no_clients_connection, through the built program; it fails without the change (client 1 of 4 is closed).

--- a/crates/pintally-cli/tests/platform/ends.rs
+++ b/crates/pintally-cli/tests/platform/ends.rs
@@ -277,6 +277,23 @@
     }
 }
 
+/// Guards against the end of the watch being taken for the end of a client: what is waited on goes by numbers,
+/// and those of the listener, signals and the watch are like those of a node's first connections.
+#[test]
+fn the_end_of_a_watch_ends_no_clients_connection() {
+    let mut stand = Stand::new(&["r0", "w0"], 256);
+    stand.discovery.until_watched(1);
+    let mut first = stand.restart_with_first_clients(4);
+    stand.discovery.until_watched(2);
+    stand.until_believed("all are there", |b| b["clients"] == 5);
+    stand.discovery.reset_watches();
+    stand.discovery.until_watched(3);
+    for (n, client) in first.iter_mut().enumerate() {
+        client.ask("safe", &format!("a{n}"));
+        assert!(client.answer().2, "client {n}");
+    }
+}
+
 /// A whole list that does not name an engine, byte by byte: it is gone, and gets nothing from then on.
 #[test]
 fn an_engine_that_a_whole_list_leaves_out_gets_nothing_more() {
--- a/crates/pintally-cli/tests/platform/stand.rs
+++ b/crates/pintally-cli/tests/platform/stand.rs
@@ -426,6 +426,23 @@
         self.until_ready();
     }
 
+    /// Kills the node and starts it again; these clients' connections are the first that it takes.
+    pub fn restart_with_first_clients(&mut self, many: usize) -> Vec<Client> {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = start_node(&self.file, self.node);
+        let end = Instant::now() + LONG;
+        let mut clients = Vec::new();
+        while clients.len() < many {
+            assert!(Instant::now() < end, "the node never listened");
+            match TcpStream::connect(self.node) {
+                Ok(stream) => clients.push(Client::over(stream)),
+                Err(_) => std::thread::sleep(Duration::from_millis(1)),
+            }
+        }
+        clients
+    }
+
     /// Stops the node's process until [`Stand::wake`]: what happens meanwhile comes to it all at once.
     pub fn pause(&self) {
         self.signal("-STOP");
@@ -539,7 +556,10 @@
 
 impl Client {
     pub fn new(stand: &Stand) -> Client {
-        let stream = TcpStream::connect(stand.node).expect("the node listens");
+        Client::over(TcpStream::connect(stand.node).expect("the node listens"))
+    }
+
+    fn over(stream: TcpStream) -> Client {
         stream.set_read_timeout(Some(LONG)).unwrap();
         Client { stream, left: Vec::new() }
     }
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -11,7 +11,7 @@
 use pintally_config::NodeSettings;
 use pintally_host::{Command, Host, Input, Scope, Ticket};
 use pintally_platform::Configuration;
-use slotmap::SlotMap;
+use slotmap::{KeyData, SlotMap};
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::clock::Clock;
@@ -27,6 +27,28 @@
 pub(crate) const SIGNALS: u64 = 1;
 pub(crate) const WATCH: u64 = 2;
 
+/// What something has happened to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    Listener,
+    Signals,
+    Watch,
+    Connection(Key),
+}
+
+impl Source {
+    /// The only reading of a token. Guards against a reserved one being taken for a key: slotmap reads any
+    /// number as some key, and these as a node's first connections.
+    pub(crate) fn of(token: u64) -> Source {
+        match token {
+            LISTENER => Source::Listener,
+            SIGNALS => Source::Signals,
+            WATCH => Source::Watch,
+            key => Source::Connection(KeyData::from_ffi(key).into()),
+        }
+    }
+}
+
 /// Descriptors that are neither clients nor engines: standard ones, epoll, listener, signals, watch,
 /// and a few for files.
 pub(crate) const OWN_DESCRIPTORS: usize = 20;
--- a/crates/pintally-platform-node/src/turn.rs
+++ b/crates/pintally-platform-node/src/turn.rs
@@ -6,10 +6,10 @@
 
 use pintally::interface::Micros;
 use pintally_host::{Command, Host, Input};
-use slotmap::{Key as _, KeyData};
+use slotmap::Key as _;
 
 use crate::conn::{Conn, Key};
-use crate::node::{Node, LISTENER, SIGNALS, WATCH};
+use crate::node::{Node, Source};
 use crate::poll::{Flags, Happened};
 
 /// Nothing is waited for longer than this.
@@ -50,7 +50,7 @@
     /// for a client whose connection had ended by then.
     fn clients_that_left(&mut self, happened: &[Happened]) {
         for one in happened {
-            let key: Key = KeyData::from_ffi(one.token).into();
+            let Source::Connection(key) = Source::of(one.token) else { continue };
             if self.client(key).is_some_and(|client| client.has_left(one.flags)) {
                 self.client_gone(key);
             }
@@ -58,18 +58,15 @@
     }
 
     fn happened(&mut self, one: Happened) {
-        match one.token {
-            LISTENER => self.accept(),
-            SIGNALS => self.signalled(),
-            WATCH => self.watch_event(one.flags),
-            token => {
-                let key: Key = KeyData::from_ffi(token).into();
-                match self.conns.get(key) {
-                    Some(Conn::Client(_)) => self.client_event(key, one.flags),
-                    Some(Conn::Engine(_)) => self.engine_event(key, one.flags),
-                    None => {}
-                }
-            }
+        match Source::of(one.token) {
+            Source::Listener => self.accept(),
+            Source::Signals => self.signalled(),
+            Source::Watch => self.watch_event(one.flags),
+            Source::Connection(key) => match self.conns.get(key) {
+                Some(Conn::Client(_)) => self.client_event(key, one.flags),
+                Some(Conn::Engine(_)) => self.engine_event(key, one.flags),
+                None => {}
+            },
         }
     }
 
