--- a/crates/pintally-cli/tests/platform/clients_leaving.rs
+++ b/crates/pintally-cli/tests/platform/clients_leaving.rs
@@ -5,8 +5,8 @@
 
 use std::net::Shutdown;
 
-use crate::at;
 use crate::stand::*;
+use crate::{at, posts};
 
 /// Requests are served again, in order behind all that had come to the node before.
 fn serve_another(stand: &Stand, id: &str) {
@@ -23,11 +23,6 @@
     stand
 }
 
-fn posts(stand: &Stand, id: &str) -> Vec<String> {
-    let came = stand.seen.came();
-    at(&came, id).iter().filter(|c| c.1 == "POST").map(|c| c.0.to_string()).collect()
-}
-
 /// Guards against an attempt for a client whose end stands unread behind its request. A client that ends its
 /// sending has left, whether or not it still reads: `docs/platform.md`.
 #[test]
@@ -57,8 +52,7 @@
 #[test]
 fn a_client_that_leaves_between_the_stages_gets_no_write() {
     let stand = stand_with_kept_connections();
-    let read = pintally_http::response(202, &[], b"{\"cached_tokens\":16}");
-    stand.seen.let_do("r0", &[Does::SaysThen(Vec::new(), read), Does::reads()]);
+    stand.seen.let_do("r0", &[Does::SaysThen(Vec::new(), read_answer()), Does::reads()]);
     let mut client = Client::new(&stand);
     client.ask("safe", "a");
     stand.seen.until("the read", |came| at(came, "a").contains(&("r0", "POST")));
@@ -78,10 +72,7 @@
     stand.discovery.until_watched(1);
     let phase = |phase: &str, listing: &str| {
         stand.discovery.change(member("r0", stand.engines["r0"], phase));
-        stand.until_believed(phase, |b| {
-            let all = b["engines"].as_array().expect("engines");
-            all.iter().any(|e| e["engine"] == "r0" && e["believed"]["listing"] == listing)
-        });
+        stand.until_believed(phase, |b| is_listed(b, "r0", listing));
     };
     // No engine reads: requests wait for one.
     phase("draining", "Draining");
@@ -121,8 +112,7 @@
 fn many_clients_that_leave_in_one_iteration_get_no_write() {
     const MANY: usize = 12;
     let stand = stand_with_kept_connections();
-    let read = pintally_http::response(202, &[], b"{\"cached_tokens\":16}");
-    let plan: Vec<Does> = (0..MANY).map(|_| Does::SaysThen(Vec::new(), read.clone())).collect();
+    let plan: Vec<Does> = (0..MANY).map(|_| Does::SaysThen(Vec::new(), read_answer())).collect();
     stand.seen.let_do("r0", &[plan, vec![Does::reads()]].concat());
     let mut clients: Vec<Client> = (0..MANY).map(|_| Client::new(&stand)).collect();
     for (n, client) in clients.iter_mut().enumerate() {
--- a/crates/pintally-cli/tests/platform/ends.rs
+++ b/crates/pintally-cli/tests/platform/ends.rs
@@ -5,28 +5,14 @@
 use pintally_http::response;
 use serde_json::{json, Value};
 
-use crate::at;
 use crate::stand::*;
+use crate::{at, posts};
 
 /// A change counts as told so long after discovery had it.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 /// Sooner than a watch that has merely gone silent is opened anew.
 const SOON: Duration = Duration::from_secs(3);
 
-fn posts(stand: &Stand, id: &str) -> Vec<String> {
-    let came = stand.seen.came();
-    at(&came, id).iter().filter(|c| c.1 == "POST").map(|c| c.0.to_string()).collect()
-}
-
-fn is_listed(beliefs: &Value, id: &str, listing: &str) -> bool {
-    let all = beliefs["engines"].as_array().expect("engines");
-    all.iter().any(|e| e["engine"] == id && e["believed"]["listing"] == listing)
-}
-
-fn read_answer() -> Vec<u8> {
-    response(202, &[], b"{\"cached_tokens\":16}")
-}
-
 // ---- SIGTERM ----
 
 #[test]
@@ -54,11 +40,7 @@
     let mut client = Client::new(&stand);
     client.ask("safe", "a");
     client.until_begun(TOKEN);
-    stand.signal("-TERM");
-    // Once it refuses, it knows.
-    let mut other = Client::new(&stand);
-    other.ask("safe", "b");
-    assert_eq!(other.answer().0, 503);
+    stand.tell_to_stop("b");
     stand.seen.go_on_and_write();
     assert_eq!(client.answer(), (200, [TOKEN, DONE].concat(), true));
     assert!(stand.ended().success());
@@ -73,10 +55,7 @@
     client.send(&whole[..whole.len() / 2]);
     let clients = |stand: &Stand| stand.beliefs()["clients"].as_u64();
     assert_eq!(clients(&stand), Some(2));
-    stand.signal("-TERM");
-    let mut other = Client::new(&stand);
-    other.ask("safe", "b");
-    assert_eq!(other.answer().0, 503);
+    stand.tell_to_stop("b");
     client.send(&whole[whole.len() / 2..]);
     assert_eq!(client.answer().0, 503);
     assert!(client.closed());
@@ -93,10 +72,7 @@
     let mut client = Client::new(&stand);
     client.send(&[asked("safe", "a"), asked("safe", "b"), asked("once", "c")].concat());
     client.until_begun(TOKEN);
-    stand.signal("-TERM");
-    let mut other = Client::new(&stand);
-    other.ask("safe", "d");
-    assert_eq!(other.answer().0, 503);
+    stand.tell_to_stop("d");
     stand.seen.go_on_and_write();
     assert!(client.answer().2);
     assert_eq!((client.answer().0, client.answer().0), (503, 503));
@@ -115,10 +91,7 @@
     let mut client = Client::new(&stand);
     client.ask("safe", "a");
     client.until_begun(TOKEN);
-    stand.signal("-TERM");
-    let mut other = Client::new(&stand);
-    other.ask("safe", "b");
-    assert_eq!(other.answer().0, 503);
+    stand.tell_to_stop("b");
     // The stream's end and the next request come in the same iteration, and one more behind the shutdown.
     stand.pause();
     stand.seen.go_on_and_write();
@@ -241,10 +214,7 @@
     let mut stand = Stand::new(&["r0", "w0", "w1"], 256);
     stand.discovery.until_watched(1);
     stand.discovery.be_silent(true);
-    let mut config = stand.config.clone();
-    config["discovery"] = json!(stand.discovery.serve());
-    std::fs::write(&stand.file, config.to_string()).unwrap();
-    stand.signal("-HUP");
+    stand.move_discovery();
     stand.discovery.until_unanswered(1);
     // What is asked for while nobody answers is served by the list that holds.
     let mut client = Client::new(&stand);
@@ -345,10 +315,7 @@
     drop(client);
     stand.seen.until("a release", |came| at(came, "a").iter().any(|c| c.1 == "DELETE"));
     stand.discovery.be_silent(true);
-    let mut config = stand.config.clone();
-    config["discovery"] = json!(stand.discovery.serve());
-    std::fs::write(&stand.file, config.to_string()).unwrap();
-    stand.signal("-HUP");
+    stand.move_discovery();
     stand.discovery.until_unanswered(1);
     stand.seen.until("more calls", |came| at(came, "a").iter().filter(|c| c.1 == "DELETE").count() >= 2);
     stand.discovery.change_unheard(member("w1", stand.engines["w1"], "draining"));
--- a/crates/pintally-cli/tests/platform/engines_failing.rs
+++ b/crates/pintally-cli/tests/platform/engines_failing.rs
@@ -4,24 +4,18 @@
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
-use pintally_http::{chunk, response};
+use pintally_http::chunk;
 
-use crate::at;
 use crate::held::{Books, Engine};
 use crate::stand::*;
-
-fn posts(stand: &Stand, id: &str) -> Vec<String> {
-    let came = stand.seen.came();
-    at(&came, id).iter().filter(|c| c.1 == "POST").map(|c| c.0.to_string()).collect()
-}
+use crate::{at, posts};
 
 /// Guards against a second answer that comes some milliseconds late and is taken for the answer to the next
 /// request on that connection.
 #[test]
 fn a_second_answer_that_comes_late_is_no_answer_to_the_next_request() {
     let stand = Stand::new(&["r0", "w0"], 256);
-    let read = response(202, &[], b"{\"cached_tokens\":16}");
-    stand.seen.let_do("r0", &[Does::SaysInSteps(vec![read.clone(), read.clone()]), Does::reads()]);
+    stand.seen.let_do("r0", &[Does::SaysInSteps(vec![read_answer(), read_answer()]), Does::reads()]);
     let (mut one, mut two) = (Client::new(&stand), Client::new(&stand));
     one.ask("once", "a");
     stand.seen.until("the read", |came| !at(came, "a").is_empty());
@@ -149,11 +143,10 @@
     let stand = Stand::new(&["r0", "w0"], 256);
     let folded = b"HTTP/1.1 202 Accepted\r\ncontent-LENGTH:  20 \r\nX-pressure:\t x0=0.5,x1=1\r\n\r\n{\"cached_tokens\":16}";
     let parts = [
-        b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.0 200\r\n".as_slice(),
+        b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200\r\n".as_slice(),
         b"Transfer-Encoding: Chunked\r\nContent-Type: text/event-stream\r\n\r\n",
     ];
     let mut answer = parts.concat();
-    answer[b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.".len()] = b'1';
     for event in [TOKEN, DONE] {
         answer.extend(format!("{:04X};part=1\r\n", event.len()).bytes());
         answer.extend(event);
--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -20,6 +20,12 @@
     came.iter().filter(|c| c.3 == id).map(|c| (c.0.as_str(), c.1.as_str())).collect()
 }
 
+/// The engines that attempts for a request came to, in order.
+fn posts(stand: &Stand, id: &str) -> Vec<String> {
+    let came = stand.seen.came();
+    at(&came, id).iter().filter(|c| c.1 == "POST").map(|c| c.0.to_string()).collect()
+}
+
 #[test]
 fn a_calm_service_reads_then_writes_and_keeps_its_connections() {
     let stand = Stand::new(&["r0", "w0"], 256);
@@ -170,10 +176,7 @@
     let stand = Stand::new(&["r0", "w0", "w1"], 256);
     stand.discovery.until_watched(1);
     stand.discovery.change(member("w1", stand.engines["w1"], "draining"));
-    stand.until_believed("the drain", |b| {
-        let all = b["engines"].as_array().expect("engines");
-        all.iter().any(|e| e["engine"] == "w1" && e["believed"]["listing"] == "Draining")
-    });
+    stand.until_believed("the drain", |b| is_listed(b, "w1", "Draining"));
     // An older list, an empty one, and a line that cannot be read: what held before still holds.
     stand.discovery.say("{\"revision\":0,\"complete\":true,\"members\":[]}\n");
     stand.discovery.say("{\"revision\":99,\"complete\":true,\"members\":[]}\n");
@@ -319,16 +322,10 @@
     let mut client = Client::new(&stand);
     client.ask("safe", "a");
     assert!(client.answer().2);
-    let mut config = stand.config.clone();
-    config["discovery"] = json!(stand.discovery.serve());
-    std::fs::write(&stand.file, config.to_string()).unwrap();
-    stand.signal("-HUP");
+    stand.move_discovery();
     stand.discovery.until_watched(2);
     stand.discovery.change(member("w0", stand.engines["w0"], "draining"));
-    stand.until_believed("the drain", |b| {
-        let all = b["engines"].as_array().expect("engines");
-        all.iter().any(|e| e["engine"] == "w0" && e["believed"]["listing"] == "Draining")
-    });
+    stand.until_believed("the drain", |b| is_listed(b, "w0", "Draining"));
 }
 
 /// Guards against a state that nobody lets go because a new configuration moves discovery to a whole list in
@@ -339,21 +336,14 @@
     for other in ["r1", "w1"] {
         stand.discovery.change(member(other, stand.engines[other], "draining"));
     }
-    let listed = |b: &serde_json::Value, id: &str, listing: &str| {
-        let all = b["engines"].as_array().expect("engines");
-        all.iter().any(|e| e["engine"] == id && e["believed"]["listing"] == listing)
-    };
-    stand.until_believed("two drain", |b| ["r1", "w1"].iter().all(|id| listed(b, id, "Draining")));
+    stand.until_believed("two drain", |b| ["r1", "w1"].iter().all(|id| is_listed(b, id, "Draining")));
     stand.seen.let_do("w0", &[Does::Hangs]);
     let mut client = Client::new(&stand);
     client.ask("safe", "a");
     stand.seen.until("the write", |came| at(came, "a").contains(&("w0", "POST")));
     ["r0", "w0"].iter().for_each(|id| stand.discovery.forget(id));
-    let mut config = stand.config.clone();
-    config["discovery"] = json!(stand.discovery.serve());
-    std::fs::write(&stand.file, config.to_string()).unwrap();
-    stand.signal("-HUP");
-    stand.until_believed("they are gone", |b| ["r0", "w0"].iter().all(|id| listed(b, id, "Gone")));
+    stand.move_discovery();
+    stand.until_believed("they are gone", |b| ["r0", "w0"].iter().all(|id| is_listed(b, id, "Gone")));
     drop(client);
     stand.seen.until("the release", |came| at(came, "a").iter().any(|c| c.1 == "DELETE"));
     stand.until_believed("nothing is held", |b| b["held"] == 0);
--- a/crates/pintally-cli/tests/platform/stand.rs
+++ b/crates/pintally-cli/tests/platform/stand.rs
@@ -41,9 +41,20 @@
     Hangs,
 }
 
+/// The answer to a read.
+pub fn read_answer() -> Vec<u8> {
+    response(202, &[], b"{\"cached_tokens\":16}")
+}
+
+/// Whether a node believes that an engine is listed so.
+pub fn is_listed(beliefs: &Value, id: &str, listing: &str) -> bool {
+    let all = beliefs["engines"].as_array().expect("engines");
+    all.iter().any(|e| e["engine"] == id && e["believed"]["listing"] == listing)
+}
+
 impl Does {
     pub fn reads() -> Does {
-        Does::Says(response(202, &[], b"{\"cached_tokens\":16}"))
+        Does::Says(read_answer())
     }
 
     pub fn turns_away(status: u16) -> Does {
@@ -443,6 +454,22 @@
         clients
     }
 
+    /// Tells the node to stop; it knows once it refuses a request, here one of that id.
+    pub fn tell_to_stop(&self, id: &str) {
+        self.signal("-TERM");
+        let mut other = Client::new(self);
+        other.ask("safe", id);
+        assert_eq!(other.answer().0, 503);
+    }
+
+    /// Moves discovery to a new address, by a new configuration.
+    pub fn move_discovery(&self) {
+        let mut config = self.config.clone();
+        config["discovery"] = json!(self.discovery.serve());
+        std::fs::write(&self.file, config.to_string()).unwrap();
+        self.signal("-HUP");
+    }
+
     /// Stops the node's process until [`Stand::wake`]: what happens meanwhile comes to it all at once.
     pub fn pause(&self) {
         self.signal("-STOP");
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -30,11 +30,9 @@
         }
     }
 
+    /// Something has happened to a client that has not left, as [`Node::clients_that_left`] has seen.
     pub(crate) fn client_event(&mut self, key: Key, flags: Flags) {
         let Some(client) = self.client(key) else { return };
-        if client.has_left(flags) {
-            return self.client_gone(key);
-        }
         let reads = client.reads();
         if flags.contains(Flags::OUT) {
             self.dirty.push(key);
--- a/tests/cold_admission.rs
+++ b/tests/cold_admission.rs
@@ -38,8 +38,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Scenario {
     nodes: u32,
-    /// How many times the usual traffic comes once the engines have started.
-    burst: f64,
     /// The part of the nodes that restart at that moment.
     restarted: f64,
     /// The part of the requests that share one and the same beginning.
@@ -97,7 +95,7 @@
             }
             node.members(ListForm::Change, engines(WARM_ENGINES, WARM_ENGINES + COLD_ENGINES, Some(start)));
         }
-        let wanted = rate * if told { scenario.burst } else { 1.0 } * STEP as f64 / 1e6;
+        let wanted = rate * if told { BURST } else { 1.0 } * STEP as f64 / 1e6;
         let whole = wanted.floor() as usize;
         let many = whole + usize::from(dice.random_range(0.0..1.0) < wanted - whole as f64);
         let fresh = (told && scenario.unseen).then_some(1_000 + seed);
@@ -172,7 +170,7 @@
     for nodes in [1, 3, 30, 300] {
         for popular in [0.0, 0.5, 0.95] {
             for (restarted, unseen) in [(0.0, false), (1.0, false), (0.0, true), (1.0, true)] {
-                let scenario = Scenario { nodes, burst: BURST, restarted, popular, unseen };
+                let scenario = Scenario { nodes, restarted, popular, unseen };
                 let results: Vec<_> = SEEDS.map(|seed| most_and_all(scenario, seed)).collect();
                 let most = results.iter().map(|(most, _)| *most).max().unwrap_or(0);
                 let all: usize = results.iter().map(|(_, all)| *all).sum();
