One place says what may be sent, repeated, refused, started and closed: pintally-permits

Host::send and Host::answer ask it, deny what it denies, count that by kind and log it with the request's id; a denied refusal becomes a failure. Behaviour is the same where nothing is denied.

--- a/crates/pintally-host/src/cellular.rs
+++ b/crates/pintally-host/src/cellular.rs
@@ -79,6 +79,8 @@
                 role: core.kinds[kind].role,
                 slots: self.settings.slots.get(kind).copied().unwrap_or(0),
                 listing: member.listing,
+                zone: member.zone.as_str().into(),
+                rack: member.rack,
             };
             self.places.insert(member.engine.clone(), place);
             self.members.insert(member.engine.clone(), one.clone());
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 
 use pintally::interface::{
-    Action, Attempt, Ended, EngineId, Event, Listing, Load, Micros, Outcome, Request, RequestId, Role,
+    Action, Attempt, Effect, Ended, EngineId, Event, Listing, Load, Micros, Outcome, Request, RequestId, Role,
 };
 use pintally::Router;
 use pintally_cells::{CellName, Cells};
 use pintally_config::NodeSettings;
 use pintally_engine::Step;
+use pintally_permits::{may_refuse, may_send, may_start, Denial, Denials, EngineFacts, MayHaveRun};
 use serde_json::Value;
 
 use crate::input::{Arrival, Command, Final, Input, Listed, Order, Scope, Ticket};
@@ -31,6 +32,14 @@
     pub(crate) role: Role,
     pub(crate) slots: u64,
     pub(crate) listing: Listing,
+    pub(crate) zone: Arc<str>,
+    pub(crate) rack: u64,
+}
+
+impl Place {
+    fn facts(&self) -> EngineFacts<'_> {
+        EngineFacts { listing: self.listing, role: self.role, zone: &self.zone, rack: self.rack }
+    }
 }
 
 /// Owns a router, and answers for what its actions become.
@@ -81,6 +90,7 @@
     /// The list that holds has come from its source in this life.
     pub(crate) list_fresh: bool,
     pub(crate) counters: Counters,
+    denials: Denials,
 }
 
 impl Host {
@@ -117,6 +127,7 @@
             left_before: Vec::new(),
             list_fresh: false,
             counters: Counters::default(),
+            denials: Denials::default(),
         }
     }
 
@@ -136,6 +147,29 @@
         Counters { led_far: self.led_far(), ..self.counters }
     }
 
+    /// What cores wanted and the rules did not permit: each is an error of ours.
+    pub fn denials(&self) -> &Denials {
+        &self.denials
+    }
+
+    /// Whether the attempt of a request that is out may still start now, as when its connection has come up
+    /// late; a denial is counted.
+    pub fn may_start(&mut self, now: Micros, ticket: Ticket) -> Result<(), Denial> {
+        let entry = self.entries.get(&ticket);
+        let out = entry.and_then(|e| e.out.as_ref().map(|out| (e, out)));
+        let Some((entry, out)) = out else { return Err(Denial::RequestOver) };
+        let place = self.places.get(&out.engine).ok_or(Denial::EngineNotServing);
+        let most = self.settings.core.max_attempts;
+        let permit = place.and_then(|place| may_start(now, &entry.facts(most), &place.facts()));
+        permit.inspect_err(|denial| self.denials.add(*denial))
+    }
+
+    /// Counts and tells what the rules did not permit.
+    fn deny(&mut self, id: &RequestId, what: &str, denial: Denial, out: &mut Vec<Command>) {
+        self.denials.add(denial);
+        out.push(Command::Log(format!("request {}: {what} is not permitted: {denial}", id.0)));
+    }
+
     /// Requests whose answer or last attempt is outstanding.
     pub fn held(&self) -> usize {
         self.entries.len()
@@ -369,6 +403,9 @@
             id: id.clone(),
             cell: cell.clone(),
             tenant: arrival.tenant,
+            // A class that nobody named must not run twice.
+            effect: aims.map_or(Effect::Unsafe, |class| class.effect),
+            may_have_run: None,
             bytes: arrival.bytes,
             aim: now.saturating_add(aim),
             heard: false,
@@ -422,7 +459,19 @@
             return;
         };
         let attempt = entry.attempts;
+        let most = self.settings.core.max_attempts;
+        let place = self.places.get(&engine);
+        let permit = match place {
+            Some(place) => may_send(now, &entry.facts(most), &place.facts()),
+            None => Err(Denial::EngineNotServing),
+        };
         entry.attempts += 1;
+        if let Err(denial) = permit {
+            self.counters.never_sent += 1;
+            self.deny(&id, "an attempt", denial, out);
+            self.owed.push_back((cell.clone(), never_sent(id, attempt)));
+            return;
+        }
         let (again, tenant) = (entry.failed, entry.tenant);
         if again && !self.may_retry(now, tenant) {
             self.counters.never_sent += 1;
@@ -431,7 +480,6 @@
             return;
         }
         let Some(entry) = self.entries.get_mut(&ticket) else { return };
-        let most = self.settings.core.max_attempts;
         let left = entry.deadline.saturating_sub(now);
         let place = self.places.get(&engine);
         let lost = entry.lost && place.is_some_and(|p| p.role == Role::Writer);
@@ -441,12 +489,7 @@
             _ if usable.is_some() => Step::Fetch,
             _ => Step::Both,
         };
-        let place = place.filter(|_| !entry.over && entry.out.is_none() && attempt < most && left > 0);
-        let Some(place) = place else {
-            self.counters.never_sent += 1;
-            self.owed.push_back((cell.clone(), never_sent(id, attempt)));
-            return;
-        };
+        let Some(place) = place else { return };
         if lost {
             // Guards against an attempt that is spent on a state which has been let go: the core hears
             // what the writer would say, and has the prompt read again.
@@ -461,6 +504,7 @@
             attempt,
             engine: engine.clone(),
             step,
+            sent: MayHaveRun { sent: now, zone: place.zone.to_string(), rack: place.rack },
             started: false,
             probes_left: FIRST_PROBES,
             arrived: false,
@@ -553,6 +597,7 @@
         if outcome == Outcome::Served {
             entry.held.retain(|h| h.state.is_none());
         }
+        entry.note_effect(&ended, outcome);
         entry.failed |= !matches!(outcome, Outcome::Read | Outcome::Served | Outcome::NeverSent);
         let over = entry.over;
         if fresh {
@@ -599,8 +644,18 @@
     /// The one place in which a final answer is given: the first one counts, there is no second.
     pub(crate) fn answer(&mut self, id: &RequestId, answer: Final, out: &mut Vec<Command>) {
         let Some(&ticket) = self.by_id.get(id) else { return };
+        let most = self.settings.core.max_attempts;
         let Some(entry) = self.entries.get_mut(&ticket).filter(|e| !e.over) else { return };
+        let permit = match answer {
+            Final::Refused(_) => may_refuse(&entry.facts(most)),
+            _ => Ok(()),
+        };
         entry.over = true;
+        let answer = if permit.is_ok() { answer } else { Final::Failed };
+        if let Err(denial) = permit {
+            self.deny(id, "a refusal", denial, out);
+        }
+        let Some(entry) = self.entries.get_mut(&ticket) else { return };
         self.touched.push(ticket);
         self.timers.unset(entry.guard);
         if !std::mem::replace(&mut entry.heard, true) {
--- a/crates/pintally-host/src/ledger.rs
+++ b/crates/pintally-host/src/ledger.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use pintally::interface::{Attempt, EngineId, Micros, RequestId};
+use pintally::interface::{Attempt, Effect, EngineId, Micros, Outcome, RequestId};
 use pintally_cells::CellName;
 use pintally_engine::Step;
+use pintally_permits::{MayHaveRun, RequestFacts};
 use pintally_shares::LimitId;
 use serde_json::Value;
 
@@ -18,6 +19,8 @@
     pub(crate) attempt: Attempt,
     pub(crate) engine: EngineId,
     pub(crate) step: Step,
+    /// When it was sent, and the zone and rack of its engine.
+    pub(crate) sent: MayHaveRun,
     pub(crate) started: bool,
     /// Connection probes that may still go out before what it may be waiting for is let go.
     pub(crate) probes_left: u8,
@@ -40,6 +43,10 @@
     /// The cell in which it lives, from its arrival to its end.
     pub(crate) cell: CellName,
     pub(crate) tenant: Option<usize>,
+    /// What running it twice would do.
+    pub(crate) effect: Effect,
+    /// Its first attempt that may have run.
+    pub(crate) may_have_run: Option<MayHaveRun>,
     /// Bytes that it holds.
     pub(crate) bytes: usize,
     /// Its answer begins in time if it begins by then.
@@ -77,6 +84,30 @@
         self.held.iter().rev().find(|h| h.state.is_some())
     }
 
+    /// What permits go by.
+    pub(crate) fn facts(&self, max_attempts: u32) -> RequestFacts<'_> {
+        RequestFacts {
+            effect: self.effect,
+            over: self.over,
+            attempt_out: self.out.is_some(),
+            attempts: self.attempts,
+            max_attempts,
+            deadline: self.deadline,
+            may_have_run: self.may_have_run.as_ref(),
+        }
+    }
+
+    /// Takes in how an attempt has ended: whether it may have had an effect.
+    pub(crate) fn note_effect(&mut self, out: &Out, outcome: Outcome) {
+        let never_ran = matches!(
+            outcome,
+            Outcome::Read | Outcome::Full | Outcome::NoState | Outcome::Unreachable | Outcome::NeverSent
+        );
+        if !never_ran && out.step != Step::Read && self.may_have_run.is_none() {
+            self.may_have_run = Some(out.sent.clone());
+        }
+    }
+
     /// Whether this attempt is out.
     pub(crate) fn has_out(&self, attempt: Attempt) -> bool {
         self.out.as_ref().is_some_and(|out| out.attempt == attempt)
--- /dev/null
+++ b/crates/pintally-permits/tests/permits.rs
@@ -0,0 +1,123 @@
+//! The rules, each by a case that must be denied and its neighbour that must not.
+
+use pintally::interface::{Effect, Group, Listing, Micros, Role};
+use pintally_permits::{
+    may_close, may_refuse, may_send, may_start, CloseReason, ConnectionFacts, Denial, Denials, EngineFacts,
+    MayHaveRun, RequestFacts,
+};
+use proptest::prelude::*;
+
+const WINDOW: Micros = 500_000;
+const DEADLINE: Micros = 5_000_000;
+const NOW: Micros = 1_000_000;
+
+fn request(effect: Effect, may_have_run: Option<&MayHaveRun>) -> RequestFacts<'_> {
+    RequestFacts {
+        effect,
+        over: false,
+        attempt_out: false,
+        attempts: 1,
+        max_attempts: 6,
+        deadline: DEADLINE,
+        may_have_run,
+    }
+}
+
+fn engine(role: Role) -> EngineFacts<'static> {
+    EngineFacts { listing: Listing::Serving, role, zone: "a", rack: 1 }
+}
+
+fn ran(sent: Micros, zone: &str, rack: u64) -> MayHaveRun {
+    MayHaveRun { sent, zone: zone.into(), rack }
+}
+
+#[test]
+fn a_send_needs_an_open_request_and_an_engine_that_serves() {
+    let good = request(Effect::Unsafe, None);
+    let writer = engine(Role::Writer);
+    assert_eq!(may_send(NOW, &good, &writer), Ok(()));
+    let over = RequestFacts { over: true, ..good };
+    assert_eq!(may_send(NOW, &over, &writer), Err(Denial::RequestOver));
+    assert_eq!(may_start(NOW, &over, &writer), Err(Denial::RequestOver));
+    let out = RequestFacts { attempt_out: true, ..good };
+    assert_eq!(may_send(NOW, &out, &writer), Err(Denial::AttemptOut));
+    assert_eq!(may_start(NOW, &out, &writer), Ok(()), "it is the one that is out");
+    let spent = RequestFacts { attempts: 6, ..good };
+    assert_eq!(may_send(NOW, &spent, &writer), Err(Denial::AttemptsSpent));
+    assert_eq!(may_send(DEADLINE - 1, &good, &writer), Ok(()));
+    assert_eq!(may_send(DEADLINE, &good, &writer), Err(Denial::NoTimeLeft));
+    for listing in [Listing::Draining, Listing::Gone] {
+        for role in [Role::Reader, Role::Writer, Role::Mixed] {
+            let gone = EngineFacts { listing, ..engine(role) };
+            assert_eq!(may_send(NOW, &good, &gone), Err(Denial::EngineNotServing));
+            assert_eq!(may_start(NOW, &good, &gone), Err(Denial::EngineNotServing));
+        }
+    }
+}
+
+#[test]
+fn what_may_have_run_is_repeated_only_where_that_does_no_harm() {
+    let (writer, first) = (engine(Role::Writer), ran(NOW, "a", 1));
+    assert_eq!(may_send(NOW, &request(Effect::Safe, Some(&first)), &writer), Ok(()));
+    assert_eq!(may_send(NOW, &request(Effect::Unsafe, Some(&first)), &writer), Err(Denial::MayRunTwice));
+    let mixed = engine(Role::Mixed);
+    assert_eq!(may_send(NOW, &request(Effect::Unsafe, Some(&first)), &mixed), Err(Denial::MayRunTwice));
+    assert_eq!(may_send(NOW, &request(Effect::Unsafe, Some(&first)), &engine(Role::Reader)), Ok(()));
+    for (group, zone, rack, inside) in [
+        (Group::All, "b", 2, true),
+        (Group::Zone, "a", 2, true),
+        (Group::Zone, "b", 1, false),
+        (Group::Rack, "b", 1, true),
+        (Group::Rack, "a", 2, false),
+    ] {
+        let first = ran(NOW, zone, rack);
+        let keyed = request(Effect::Keyed(group, WINDOW), Some(&first));
+        let expected = if inside { Ok(()) } else { Err(Denial::OutsideGroup) };
+        assert_eq!(may_send(NOW + WINDOW - 1, &keyed, &writer), expected);
+        let expected = if inside { Err(Denial::WindowOver) } else { expected };
+        assert_eq!(may_send(NOW + WINDOW, &keyed, &writer), expected);
+        assert_eq!(may_start(NOW + WINDOW, &keyed, &writer), expected);
+    }
+}
+
+#[test]
+fn a_refusal_promises_that_nothing_has_run() {
+    let first = ran(NOW, "a", 1);
+    for (effect, after_effect) in [
+        (Effect::Safe, true),
+        (Effect::Keyed(Group::All, WINDOW), true),
+        (Effect::Keyed(Group::Zone, WINDOW), false),
+        (Effect::Keyed(Group::Rack, WINDOW), false),
+        (Effect::Unsafe, false),
+    ] {
+        assert_eq!(may_refuse(&request(effect, None)), Ok(()));
+        let expected = if after_effect { Ok(()) } else { Err(Denial::RefusalAfterEffect) };
+        assert_eq!(may_refuse(&request(effect, Some(&first))), expected);
+    }
+}
+
+#[test]
+fn denials_are_counted_by_kind() {
+    let mut denials = Denials::default();
+    denials.add(Denial::WindowOver);
+    denials.add(Denial::WindowOver);
+    denials.add(Denial::AnswerOwed);
+    assert_eq!((denials.of(Denial::WindowOver), denials.of(Denial::NoTimeLeft), denials.total()), (2, 0, 3));
+    let named: Vec<_> = denials.by_name().collect();
+    assert_eq!(named, [("window_over", 2), ("answer_owed", 1)]);
+}
+
+proptest! {
+    /// No reason of the node's own closes a connection on which anything is owed; the client's reasons always do.
+    #[test]
+    fn a_connection_is_closed_by_the_node_only_when_nothing_is_owed_on_it(
+        answer_owed: bool, unwritten in 0usize..3, unread: bool, reason in 0usize..CloseReason::ALL.len()
+    ) {
+        use CloseReason::{Broken, ClientLeft, StreamCut, Stuck};
+        let facts = ConnectionFacts { answer_owed, unwritten, unread };
+        let reason = CloseReason::ALL[reason];
+        let ends = [ClientLeft, Broken, Stuck, StreamCut].contains(&reason);
+        let clean = facts == ConnectionFacts::default();
+        prop_assert_eq!(may_close(&facts, reason).is_ok(), ends || clean);
+    }
+}
