--- /dev/null
+++ b/crates/pintally-cli/tests/platform/closing.rs
@@ -0,0 +1,123 @@
+//! Clients that are slow to take their answers, or never take them, while their connections come to be closed.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::stand::*;
+
+/// One event of a long stream.
+const EVENT_BYTES: usize = 4 << 10;
+/// A stream that no system's buffers hold.
+const ENDLESS: usize = 24 << 20;
+/// Streams differ by so much in length, from less than the buffers hold on: some end with their last part still
+/// in the node, which holds 64 KiB.
+const STEP: usize = 8 << 10;
+const SHORTER: usize = 48 << 10;
+/// Longer than a connection whose last answer is written is kept for its client to read it.
+const UNREAD_FOR: Duration = Duration::from_millis(1_500);
+
+/// A client that takes little at once.
+fn narrow_client(node: SocketAddr) -> Client {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    socket.connect(&node.into()).unwrap();
+    Client::over(socket.into())
+}
+
+/// A stream of about so many bytes of events.
+fn long_stream(bytes: usize) -> Does {
+    let event = format!("data: {{\"pad\":\"{}\"}}\n\n", "x".repeat(EVENT_BYTES));
+    let parts: Vec<&[u8]> = (0..bytes / EVENT_BYTES).map(|_| event.as_bytes()).collect();
+    Does::Says(stream(&parts))
+}
+
+/// How many bytes the system holds between the node and a client that reads nothing: what waits on both sides of
+/// such a connection once that does not grow any more.
+fn held_by_system(stand: &Stand) -> usize {
+    stand.seen.let_do("w0", &[long_stream(ENDLESS)]);
+    let mut client = narrow_client(stand.node);
+    client.ask("safe", "probe");
+    let ports = [stand.node.port(), client.stream.local_addr().unwrap().port()];
+    let (mut held, mut since) = (0, Instant::now());
+    while held == 0 || since.elapsed() < Duration::from_millis(200) {
+        let now = waiting_bytes(ports[0], ports[1]) + waiting_bytes(ports[1], ports[0]);
+        if now != held {
+            (held, since) = (now, Instant::now());
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    held
+}
+
+/// Bytes that wait to be acknowledged or to be read on one side of a connection on loopback.
+fn waiting_bytes(from: u16, to: u16) -> usize {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let line = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>()).find(|fields| {
+        fields[1].ends_with(&format!(":{from:04X}")) && fields[2].ends_with(&format!(":{to:04X}"))
+    });
+    let queues =
+        line.and_then(|fields| fields[4].split_once(':').map(|(tx, rx)| (tx.to_owned(), rx.to_owned())));
+    let number = |hex: String| usize::from_str_radix(&hex, 16).unwrap_or(0);
+    queues.map_or(0, |(tx, rx)| number(tx) + number(rx))
+}
+
+/// Clients with streams of growing lengths, none of which is read yet; `close` if they ask for the end of
+/// their connections.
+fn unread_streams(stand: &Stand, many: usize, close: bool) -> Vec<Client> {
+    let shortest = held_by_system(stand).saturating_sub(SHORTER);
+    println!("streams from {} KiB on", shortest >> 10);
+    let streams: Vec<Does> = (0..=many).map(|n| long_stream(shortest + n * STEP)).collect();
+    stand.seen.let_do("w0", &streams);
+    let line = if close { "Connection: close\r\nX-Txn: " } else { "X-Txn: " };
+    let mut clients: Vec<Client> = (0..many).map(|_| narrow_client(stand.node)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        let asked = String::from_utf8(asked("safe", &format!("a{n}"))).unwrap();
+        client.send(asked.replacen("X-Txn: ", line, 1).as_bytes());
+    }
+    stand.seen.until("all writes", |came| {
+        came.iter().filter(|c| c.0 == "w0" && c.1 == "POST" && c.3 != "probe").count() >= many
+    });
+    clients
+}
+
+fn all_are_whole(clients: Vec<Client>) {
+    let whole: Vec<bool> = clients.into_iter().map(|mut client| client.answer().2).collect();
+    assert!(whole.iter().all(|whole| *whole), "streams that were cut off: {whole:?}");
+}
+
+/// Guards against a stream that is cut off by the end of its connection while its last part waits in the node for a
+/// slow client.
+#[test]
+fn the_last_part_of_an_answer_is_written_however_slow_its_client_is() {
+    let stand = Stand::new(&["r0", "w0"], 256);
+    let clients = unread_streams(&stand, 24, true);
+    std::thread::sleep(UNREAD_FOR);
+    all_are_whole(clients);
+}
+
+/// The same on connections that would have stayed open, when the node is told to stop.
+#[test]
+fn a_node_that_stops_writes_the_last_part_of_each_answer() {
+    let mut stand = Stand::new(&["r0", "w0"], 256);
+    let clients = unread_streams(&stand, 24, false);
+    std::thread::sleep(UNREAD_FOR / 3);
+    stand.signal("-TERM");
+    std::thread::sleep(UNREAD_FOR);
+    all_are_whole(clients);
+    assert!(stand.ended().success());
+}
+
+/// Guards against an answer that is dropped half written because its connection is taken for one that ends anyway
+/// when others need a descriptor.
+#[test]
+fn no_answer_is_dropped_for_a_descriptor() {
+    let stand = Stand::new(&["r0", "w0"], 64);
+    let clients = unread_streams(&stand, 10, true);
+    std::thread::sleep(UNREAD_FOR / 10);
+    let idle: Vec<Client> = (0..60).map(|_| Client::new(&stand)).collect();
+    std::thread::sleep(UNREAD_FOR / 10);
+    all_are_whole(clients);
+    drop(idle);
+}
--- a/crates/pintally-cli/tests/platform/stand.rs
+++ b/crates/pintally-cli/tests/platform/stand.rs
@@ -586,7 +586,8 @@
         Client::over(TcpStream::connect(stand.node).expect("the node listens"))
     }
 
-    fn over(stream: TcpStream) -> Client {
+    /// A client on a connection that is there already.
+    pub fn over(stream: TcpStream) -> Client {
         stream.set_read_timeout(Some(LONG)).unwrap();
         Client { stream, left: Vec::new() }
     }
