A client's connection is closed in one place, never over an answer that is not written

Change: Node::close_client asks pintally-permits whether anything is owed (an answer, its unwritten part, a request unread), counts and logs what is denied, and logs and counts each close by reason; /pintally/beliefs shows both. A connection that ends is kept until its answer is written, or its client has taken nothing for the time of a slow one (10 s). Evictions take what nothing is owed on, half requests last. door.rs is acceptor.rs.

--- a/crates/pintally-platform-node/src/door.rs
+++ b/crates/pintally-platform-node/src/acceptor.rs
@@ -1,9 +1,10 @@
-//! The door: connections as they come, who is let in, and who goes when descriptors run low.
+//! Clients' connections as they come, who is let in, and who goes when descriptors run low.
 
 use std::net::TcpStream;
 
 use pintally::interface::Micros;
 use pintally_http::RequestReader;
+use pintally_permits::CloseReason;
 use pintally_platform::{BODY_MOST, HEAD_MOST};
 
 use crate::arrivals::Arrivals;
@@ -22,6 +23,37 @@
 /// After a signal to stop connections come for so long.
 pub(crate) const STILL_COME: Micros = 500_000;
 
+/// How much a client's connection would be missed, the least first; with each kind the oldest first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Missed {
+    /// All of its last answer is written.
+    Ended(Micros),
+    /// It never brought a request.
+    Silent(Micros),
+    /// It has rested for a while.
+    Quiet(Micros),
+    /// Its first request has not come whole.
+    Partial(Micros),
+}
+
+impl Missed {
+    /// None if it is in use.
+    fn of(client: &Client, now: Micros) -> Option<Missed> {
+        if client.unwritten() > 0 {
+            return None;
+        }
+        let partial = client.reader.is_partial();
+        match client.stage {
+            Stage::Busy(_) => None,
+            Stage::Closing => Some(Missed::Ended(client.used)),
+            Stage::Open if client.served == 0 && !partial => Some(Missed::Silent(client.since)),
+            Stage::Open if client.served == 0 => Some(Missed::Partial(client.since)),
+            Stage::Open if now >= client.used + QUIET && !partial => Some(Missed::Quiet(client.used)),
+            Stage::Open => None,
+        }
+    }
+}
+
 impl Node {
     pub(crate) fn accept(&mut self) {
         for _ in 0..ACCEPT_MOST {
@@ -75,27 +107,19 @@
         }
     }
 
-    /// Closes the client's connection that is missed least: one that ends anyway, one that has never
-    /// brought a request, oldest first, or one that has been quiet for longest. Whether any was.
+    /// Closes the client's connection that is missed least, of those on which nothing is owed; whether any was.
     pub(crate) fn evict(&mut self) -> bool {
         let now = self.clock.now();
-        let mut least: Option<((u8, Micros), Key)> = None;
-        for (key, conn) in &self.conns {
-            let Conn::Client(c) = conn else { continue };
-            let rank = match c.stage {
-                Stage::Busy(_) => continue,
-                Stage::Closing => (0, c.used),
-                Stage::Open if c.served == 0 => (1, c.since),
-                Stage::Open if now >= c.used + QUIET && !c.reader.is_partial() => (2, c.used),
-                Stage::Open => continue,
-            };
-            if least.is_none_or(|(other, _)| rank < other) {
-                least = Some((rank, key));
-            }
-        }
-        let Some((_, key)) = least else { return false };
-        self.close_client(key);
-        true
+        let mut spare: Vec<(Missed, Key)> = self
+            .conns
+            .iter()
+            .filter_map(|(key, conn)| match conn {
+                Conn::Client(client) => Missed::of(client, now).map(|missed| (missed, key)),
+                Conn::Engine(_) => None,
+            })
+            .collect();
+        spare.sort_unstable();
+        spare.into_iter().any(|(_, key)| self.close_client(key, CloseReason::Evicted))
     }
 
     /// Whether the limit leaves a descriptor for one more connection of a client or an attempt.
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -7,6 +7,7 @@
 use pintally::interface::Micros;
 use pintally_host::{Final, Input, Ticket};
 use pintally_http::{chunk, response, response_head, LAST_CHUNK};
+use pintally_permits::CloseReason;
 use pintally_platform::{call, Ask, Call, Rejected};
 
 use crate::conn::{Client, Conn, Key, Stage};
@@ -46,10 +47,10 @@
         let now = self.clock.now();
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
         let n = match client.stream.read(&mut self.buffer) {
-            Ok(0) => return self.client_gone(key),
+            Ok(0) => return self.client_gone(key, CloseReason::ClientLeft),
             Ok(n) => n,
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
-            Err(_) => return self.client_gone(key),
+            Err(_) => return self.client_gone(key, CloseReason::Broken),
         };
         // What comes behind the end is dropped: the client shall read its answer before a reset.
         if client.stage == Stage::Closing {
@@ -244,7 +245,7 @@
         self.answered(key);
         if cut {
             self.flush(key);
-            self.close_client(key);
+            self.close_client(key, CloseReason::StreamCut);
         }
     }
 
@@ -284,7 +285,7 @@
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => return self.client_gone(key),
+                Err(_) => return self.client_gone(key, CloseReason::Broken),
             }
         }
         let left = client.out.len() - client.gone;
@@ -315,12 +316,12 @@
     }
 
     /// The client has left, or cannot be written to.
-    pub(crate) fn client_gone(&mut self, key: Key) {
+    pub(crate) fn client_gone(&mut self, key: Key, reason: CloseReason) {
         let busy = match self.client(key).map(|c| c.stage) {
             Some(Stage::Busy(ticket)) => Some(ticket),
             _ => None,
         };
-        self.close_client(key);
+        self.close_client(key, reason);
         let Some(ticket) = busy else { return };
         if let Some(job) = self.jobs.get_mut(&ticket) {
             job.client = None;
@@ -329,11 +330,4 @@
         self.call_off(ticket);
         self.work_off();
     }
-
-    pub(crate) fn close_client(&mut self, key: Key) {
-        if let Some(Conn::Client(client)) = self.conns.remove(key) {
-            self.clients -= 1;
-            self.bytes -= client.counted;
-        }
-    }
 }
--- a/crates/pintally-platform-node/src/engines.rs
+++ b/crates/pintally-platform-node/src/engines.rs
@@ -4,6 +4,7 @@
 
 use pintally::interface::{Attempt, Micros, Outcome};
 use pintally_host::{Input, Ticket};
+use pintally_permits::CloseReason;
 use pintally_platform::{attempt_head, of_transport, Progress};
 
 use crate::conn::{Conn, Engine, Key, Work};
@@ -271,7 +272,7 @@
                     let (ticket, paused) = (*ticket, conn.paused);
                     // A stream that waits for its client is ended as the client's, not as the engine's.
                     match self.jobs.get(&ticket).and_then(|j| j.client).filter(|_| paused) {
-                        Some(client) => self.client_gone(client),
+                        Some(client) => self.client_gone(client, CloseReason::Stuck),
                         None => self.give_up(key, Outcome::Broken),
                     }
                 }
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -5,12 +5,13 @@
 //! socket. What an event makes the core decide is on its way in the same turn. A stream costs two
 //! descriptors: its client's and its engine's.
 
+mod acceptor;
 mod arrivals;
 mod attempts;
 mod clients;
 mod clock;
+mod closing;
 mod conn;
-mod door;
 mod engines;
 mod list;
 mod log;
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -10,6 +10,7 @@
 use pintally::interface::{Attempt, EngineId, Micros};
 use pintally_config::NodeSettings;
 use pintally_host::{Command, Host, Input, Scope, Ticket};
+use pintally_permits::{CloseReason, Counts, Denials};
 use pintally_platform::Configuration;
 use slotmap::{KeyData, SlotMap};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -119,6 +120,9 @@
     pub(crate) buffer: Vec<u8>,
     pub(crate) tallies: HashMap<EngineId, Tally>,
     pub(crate) quota: Quota,
+    /// Clients' connections that were closed, by reason, and closes that were not permitted.
+    pub(crate) closes: Counts<CloseReason>,
+    pub(crate) denied_closes: Denials,
     pub(crate) swept: Micros,
     /// When it was told to stop, and whether the host has ended all it held.
     pub(crate) stopping: Option<Micros>,
@@ -173,6 +177,8 @@
         buffer: vec![0; 64 << 10],
         tallies: HashMap::new(),
         quota: Quota::default(),
+        closes: Counts::default(),
+        denied_closes: Denials::default(),
         swept: now,
         stopping: None,
         stopped: false,
--- a/crates/pintally-platform-node/src/sweep.rs
+++ b/crates/pintally-platform-node/src/sweep.rs
@@ -1,10 +1,11 @@
 //! What is looked at ten times a second: clients that say nothing, the watch, the end.
 
 use pintally::interface::{EngineId, Micros};
+use pintally_permits::CloseReason;
 
-use crate::clients::LINGER;
-use crate::conn::{Conn, Key, Stage};
-use crate::door::STILL_COME;
+use crate::acceptor::STILL_COME;
+use crate::closing::ClientTimes;
+use crate::conn::{Conn, Key};
 use crate::node::{Node, Tally};
 
 /// How often.
@@ -26,39 +27,18 @@
             tracing::info!("no more connections are taken");
         }
         let limits = &self.settings.limits;
-        let (receive, idle, write) = (limits.receive, limits.idle, limits.write);
-        let mut over: Vec<Key> = Vec::new();
-        for (key, conn) in &self.conns {
-            let Conn::Client(c) = conn else { continue };
-            let stuck = c.stuck.is_some_and(|at| now >= at + write);
-            let ends = match c.stage {
-                Stage::Busy(_) => stuck,
-                Stage::Closing => stuck || now >= c.used + LINGER,
-                Stage::Open if c.reader.is_partial() || c.served == 0 => now >= c.since + receive,
-                Stage::Open => late || now >= c.used + idle,
-            };
-            if ends {
-                over.push(key);
-            }
-        }
-        for key in over {
-            self.end_client(key);
-        }
-    }
-
-    /// Ends a client's connection whose time has run out, unless a request is waiting on it unread.
-    fn end_client(&mut self, key: Key) {
-        let Some(client) = self.client(key) else { return };
-        match client.stage {
-            Stage::Busy(_) => self.client_gone(key),
-            Stage::Open if client.reader.is_partial() => {
-                self.reject(
-                    key,
-                    pintally_platform::Rejected { status: 408, why: "the request did not come in time" },
-                );
-            }
-            Stage::Open if matches!(client.stream.peek(&mut [0; 1]), Ok(n) if n > 0) => {}
-            _ => self.close_client(key),
+        let times =
+            ClientTimes { receive: limits.receive, idle: limits.idle, write: limits.write, stopping: late };
+        let over: Vec<(Key, CloseReason)> = self
+            .conns
+            .iter()
+            .filter_map(|(key, conn)| match conn {
+                Conn::Client(client) => client.runs_out(now, &times).map(|reason| (key, reason)),
+                Conn::Engine(_) => None,
+            })
+            .collect();
+        for (key, reason) in over {
+            self.end_client(key, reason);
         }
     }
 
@@ -109,9 +89,17 @@
             })
             .collect();
         let counters = format!("{:?}", self.host.counters());
+        let by_name = |counts: Vec<(&'static str, u64)>| {
+            serde_json::Map::from_iter(
+                counts.into_iter().map(|(name, count)| (name.to_string(), count.into())),
+            )
+        };
+        let closes = by_name(self.closes.by_name().collect());
+        let denied = by_name(self.host.denials().by_name().chain(self.denied_closes.by_name()).collect());
         serde_json::json!({
             "held": self.host.held(), "clients": self.clients, "connections": self.conns.len(),
-            "bytes": self.bytes, "pace": format!("{:?}", self.host.paces()), "counters": counters, "engines": engines,
+            "bytes": self.bytes, "pace": format!("{:?}", self.host.paces()), "counters": counters,
+            "closes": closes, "denied": denied, "engines": engines,
         })
     }
 }
--- a/crates/pintally-platform-node/src/turn.rs
+++ b/crates/pintally-platform-node/src/turn.rs
@@ -6,6 +6,7 @@
 
 use pintally::interface::Micros;
 use pintally_host::{Command, Host, Input};
+use pintally_permits::CloseReason;
 use slotmap::Key as _;
 
 use crate::conn::{Conn, Key};
@@ -52,7 +53,7 @@
         for one in happened {
             let Source::Connection(key) = Source::of(one.token) else { continue };
             if self.client(key).is_some_and(|client| client.has_left(one.flags)) {
-                self.client_gone(key);
+                self.client_gone(key, CloseReason::ClientLeft);
             }
         }
     }
