--- a/crates/pintally-cli/tests/platform/closing.rs
+++ b/crates/pintally-cli/tests/platform/closing.rs
@@ -121,3 +121,42 @@
     all_are_whole(clients);
     drop(idle);
 }
+/// The most memory that a process has had, in bytes.
+fn peak_memory(pid: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("the system tells it");
+    let kilobytes: usize = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+    kilobytes << 10
+}
+
+/// Guards against a node that runs out of memory by one client: thousands of requests at once, each with a long
+/// answer, of which it reads nothing for a while.
+#[test]
+fn answers_that_nobody_reads_take_no_more_memory_than_some() {
+    const REQUESTS: usize = 4_000;
+    let stand = Stand::new(&["r0", "w0"], 256);
+    stand.discovery.until_watched(1);
+    for n in 0..40 {
+        stand.discovery.change(member(&format!("w1{n}"), stand.engines["w0"], "up"));
+    }
+    stand.until_believed("all are listed", |b| b["engines"].as_array().is_some_and(|e| e.len() >= 42));
+    let mut client = narrow_client(stand.node);
+    let mut writer = client.stream.try_clone().unwrap();
+    let sends = std::thread::spawn(move || {
+        let all = b"GET /pintally/beliefs HTTP/1.1\r\n\r\n".repeat(REQUESTS);
+        std::io::Write::write_all(&mut writer, &all).expect("the node reads all in the end");
+    });
+    let until = Instant::now() + UNREAD_FOR;
+    while Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let peak = peak_memory(stand.pid());
+    println!("{} MB at most while nothing was read", peak >> 20);
+    assert!(peak < 16 << 20, "{} MB at most, of 32 that the node may have", peak >> 20);
+    for n in 0..REQUESTS {
+        let (status, page, whole) = client.answer();
+        assert!(status == 200 && whole && page.len() > 1_000, "answer {n}");
+    }
+    sends.join().expect("all was sent");
+    assert!(peak_memory(stand.pid()) < 16 << 20);
+}
--- a/crates/pintally-cli/tests/platform/ends.rs
+++ b/crates/pintally-cli/tests/platform/ends.rs
@@ -300,6 +300,28 @@
     assert!(came.iter().all(|c| c.0 != "w1"), "{came:?}");
 }
 
+/// Guards against a new configuration that is lost because it cannot be read in the moment of the signal: the file is
+/// missing, or half written, and whole a little later.
+#[test]
+fn a_configuration_that_cannot_be_read_for_a_moment_is_read_soon() {
+    let stand = Stand::new(&["r0", "w0"], 256);
+    stand.discovery.until_watched(1);
+    let old = std::fs::read_to_string(&stand.file).unwrap();
+    for broken in [None, Some(&old[..old.len() / 2])] {
+        match broken {
+            None => std::fs::remove_file(&stand.file).unwrap(),
+            Some(half) => std::fs::write(&stand.file, half).unwrap(),
+        }
+        stand.signal("-HUP");
+        std::thread::sleep(Duration::from_millis(300));
+        let moved_to = std::sync::Arc::new(Discovery::default());
+        let mut config = stand.config.clone();
+        config["discovery"] = json!(moved_to.serve());
+        std::fs::write(&stand.file, config.to_string()).unwrap();
+        moved_to.until_watched(1);
+    }
+}
+
 #[test]
 fn a_reload_with_a_release_and_a_watch_outstanding_loses_neither() {
     let stand = Stand::new(&["r0", "w0", "w1"], 256);
--- a/crates/pintally-cli/tests/platform/engines_failing.rs
+++ b/crates/pintally-cli/tests/platform/engines_failing.rs
@@ -109,6 +109,23 @@
     }
 }
 
+/// Guards against a stream that is kept open by bytes that never make an event: its client may wait for 5 s behind
+/// the last one.
+#[test]
+fn a_stream_that_trickles_without_an_event_is_cut_in_time() {
+    let stand = Stand::new(&["r0", "w0"], 256);
+    let open = [begun(&[TOKEN]), b"ffff\r\ndata: {\"pad\":\"".to_vec()].concat();
+    stand.seen.let_do("w0", &[Does::SaysThenTrickles(open)]);
+    let mut client = Client::new(&stand);
+    client.ask("safe", "a");
+    client.until_begun(TOKEN);
+    let since = Instant::now();
+    assert_eq!(client.answer(), (200, TOKEN.to_vec(), false));
+    // The last second is for a machine that stands still meanwhile.
+    assert!(since.elapsed() < Duration::from_secs(5 + 1), "{:?}", since.elapsed());
+    stand.until_believed("nothing is held", |b| b["held"] == 0);
+}
+
 /// A connection that is reset long after its engine began: the stream is cut, and nothing is sent again.
 #[test]
 fn a_reset_long_after_the_first_event_cuts_the_stream_once() {
--- a/crates/pintally-cli/tests/platform/stand.rs
+++ b/crates/pintally-cli/tests/platform/stand.rs
@@ -19,6 +19,9 @@
 /// Nothing is waited for longer than this: a test that gets here has failed.
 pub const LONG: Duration = Duration::from_secs(20);
 
+/// Between the bytes of an engine whose answer trickles in.
+pub const TRICKLE_EVERY: Duration = Duration::from_millis(200);
+
 pub const TOKEN: &[u8] = b"data: {\"choices\":[{\"index\":0}]}\n\n";
 pub const DONE: &[u8] = b"data: [DONE]\n\n";
 
@@ -35,6 +38,8 @@
     SaysInSteps(Vec<Vec<u8>>),
     /// The first, and a reset of the connection when the test lets it go on.
     SaysThenResets(Vec<u8>),
+    /// The first, and then byte after byte, [`TRICKLE_EVERY`] apart, until the connection ends.
+    SaysThenTrickles(Vec<u8>),
     /// These bytes, each in a packet of its own.
     SaysByBytes(Vec<u8>),
     /// Nothing.
@@ -223,6 +228,13 @@
                             drop(stream);
                             return seen.wrote();
                         }
+                        Does::SaysThenTrickles(first) => {
+                            let _ = stream.write_all(&first);
+                            while stream.write_all(b"x").is_ok() {
+                                std::thread::sleep(TRICKLE_EVERY);
+                            }
+                            return;
+                        }
                         Does::SaysByBytes(bytes) => {
                             let _ = stream.set_nodelay(true);
                             bytes.iter().for_each(|byte| drop(stream.write_all(&[*byte])));
