Unread answers, trickling streams and reloads that fail for a moment are bounded

Causes: Node::requests answered on whatever stood unwritten, and Client::reads read on without bound while requests were answered at once; runs_out took any byte for a sign of a stream; Node::reload gave up at the first failure. Change: above 64 KiB of unwritten answers a connection's next request waits, and no more than 64 KiB stand read and not looked at; a connection stands once among those to be looked at (it was pushed for each answer, eight times as many in each iteration).

--- a/crates/pintally-cli/tests/platform/closing.rs
+++ b/crates/pintally-cli/tests/platform/closing.rs
@@ -17,6 +17,8 @@
 const SHORTER: usize = 48 << 10;
 /// Longer than a connection whose last answer is written is kept for its client to read it.
 const UNREAD_FOR: Duration = Duration::from_millis(1_500);
+/// Longer than a request may take to come.
+const SLOW_FOR: Duration = Duration::from_millis(3_200);
 
 /// A client that takes little at once.
 fn narrow_client(node: SocketAddr) -> Client {
@@ -146,7 +148,7 @@
         let all = b"GET /pintally/beliefs HTTP/1.1\r\n\r\n".repeat(REQUESTS);
         std::io::Write::write_all(&mut writer, &all).expect("the node reads all in the end");
     });
-    let until = Instant::now() + UNREAD_FOR;
+    let until = Instant::now() + SLOW_FOR;
     while Instant::now() < until {
         std::thread::sleep(Duration::from_millis(20));
     }
--- a/crates/pintally-http/src/request.rs
+++ b/crates/pintally-http/src/request.rs
@@ -50,6 +50,11 @@
         self.buffer.len() + self.open.as_ref().map_or(0, |(request, _)| request.body.len())
     }
 
+    /// Bytes that have come and have not been looked at.
+    pub fn unparsed_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the client waits for `100 Continue`; told once for each request.
     pub fn wants_continue(&mut self) -> bool {
         std::mem::take(&mut self.expects)
--- a/crates/pintally-platform-node/src/acceptor.rs
+++ b/crates/pintally-platform-node/src/acceptor.rs
@@ -95,6 +95,7 @@
             streaming: false,
             last: false,
             shut: false,
+            ready: false,
             served: 0,
             since: now,
             used: now,
--- a/crates/pintally-platform-node/src/attempts.rs
+++ b/crates/pintally-platform-node/src/attempts.rs
@@ -205,6 +205,7 @@
             idle: None,
             last: now,
             paused: false,
+            progressed: now,
             flags,
             due: Micros::MAX,
         };
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -10,16 +10,12 @@
 use pintally_permits::CloseReason;
 use pintally_platform::{call, Ask, Call, Rejected};
 
-use crate::conn::{Client, Conn, Key, Stage};
+use crate::conn::{Client, Conn, Key, Stage, SLOW, SLOW_NO_MORE};
 use crate::node::{Job, Node};
 use crate::poll::Flags;
 
 /// Requests of one connection that are looked at in one turn.
 const REQUESTS_MOST: usize = 8;
-/// Written and not taken by a slow client: above the first nothing more is read for it, below the
-/// second it goes on.
-const SLOW: usize = 64 << 10;
-const SLOW_NO_MORE: usize = 16 << 10;
 /// A connection whose end has been written is read and dropped for so long.
 pub(crate) const LINGER: Micros = 400_000;
 
@@ -77,7 +73,8 @@
     /// Looks at the requests that are there, until one is held.
     pub(crate) fn requests(&mut self, key: Key) {
         for _ in 0..REQUESTS_MOST {
-            let Some(client) = self.client(key).filter(|c| c.stage == Stage::Open) else { break };
+            let open = |c: &&mut Client| c.stage == Stage::Open && c.takes_answers();
+            let Some(client) = self.client(key).filter(open) else { break };
             match client.reader.next_request() {
                 Ok(Some(request)) => {
                     client.last |= !request.keep_alive;
@@ -105,13 +102,20 @@
                 }
             }
         }
-        if self.client(key).is_some_and(|c| c.stage == Stage::Open) {
-            self.ready.push(key);
-        }
+        self.look_again(key);
         self.count(key);
         self.client_waits(key);
     }
 
+    /// The next requests of a connection are looked at in the next iteration, if it may go on.
+    fn look_again(&mut self, key: Key) {
+        let Some(client) = self.client(key) else { return };
+        let waits = client.stage == Stage::Open && client.takes_answers();
+        if waits && !std::mem::replace(&mut client.ready, true) {
+            self.ready.push(key);
+        }
+    }
+
     /// What the connection is waited on for, by its stage.
     fn client_waits(&mut self, key: Key) {
         let Some(client) = self.client(key) else { return };
@@ -219,7 +223,7 @@
             false => Stage::Open,
         };
         self.dirty.push(key);
-        self.ready.push(key);
+        self.look_again(key);
     }
 
     /// The final answer of a request.
@@ -305,12 +309,11 @@
                 client.gone = 0;
             }
         }
-        let ticket = match client.stage {
-            Stage::Busy(ticket) if left < SLOW_NO_MORE => Some(ticket),
-            _ => None,
-        };
-        if let Some(ticket) = ticket {
-            self.resume(ticket);
+        let (stage, partial) = (client.stage, client.reader.is_partial());
+        match stage {
+            Stage::Busy(ticket) if left < SLOW_NO_MORE => self.resume(ticket),
+            Stage::Open if left < SLOW_NO_MORE && partial => self.look_again(key),
+            _ => {}
         }
         self.client_waits(key);
     }
--- a/crates/pintally-platform-node/src/closing.rs
+++ b/crates/pintally-platform-node/src/closing.rs
@@ -44,6 +44,8 @@
         let (over, reason) = match self.stage {
             Stage::Busy(_) => return None,
             Stage::Closing => (self.shut && now >= self.used + LINGER, CloseReason::Answered),
+            // Its next requests wait until it takes the answers before them.
+            Stage::Open if !self.takes_answers() => return None,
             Stage::Open if self.reader.is_partial() => {
                 (now >= self.since + limits.receive, CloseReason::Silent)
             }
--- a/crates/pintally-platform-node/src/conn.rs
+++ b/crates/pintally-platform-node/src/conn.rs
@@ -49,6 +49,8 @@
     pub(crate) last: bool,
     /// Nothing more is written; what comes is dropped until the client closes.
     pub(crate) shut: bool,
+    /// It stands among those that may have a request ready.
+    pub(crate) ready: bool,
     /// Good requests that it has brought.
     pub(crate) served: u64,
     /// When it connected, when the request that comes in began, when it was last of use, and since
@@ -61,14 +63,24 @@
     pub(crate) flags: Flags,
 }
 
-/// Bytes that are read behind a request that is held.
+/// Bytes that are read ahead of what is looked at.
 const READ_AHEAD: usize = 64 << 10;
+/// Written and not taken by a slow client: above the first nothing more is read for it, and none of its further
+/// requests is looked at; below the second both go on.
+pub(crate) const SLOW: usize = 64 << 10;
+pub(crate) const SLOW_NO_MORE: usize = 16 << 10;
 
 impl Client {
-    /// Whether more is read: always for the next request, and within bounds behind one that is held, so that
-    /// it is known when that came.
+    /// Whether more is read: behind a request that is held too, so that it is known when that came. Guards against
+    /// one client that fills the memory with what it sends at full speed.
     pub(crate) fn reads(&self) -> bool {
-        !matches!(self.stage, Stage::Busy(_)) || self.reader.held_bytes() < READ_AHEAD
+        self.stage == Stage::Closing || self.reader.unparsed_bytes() < READ_AHEAD
+    }
+
+    /// Whether its next request may be looked at. Guards against one client that fills the memory with answers
+    /// that it does not read.
+    pub(crate) fn takes_answers(&self) -> bool {
+        self.unwritten() <= SLOW
     }
 
     /// Whether an event says that the client has gone. Its end of sending is taken for its going (a
@@ -123,6 +135,8 @@
     pub(crate) last: Micros,
     /// Its client is slow: nothing is read for now.
     pub(crate) paused: bool,
+    /// When its stream last came forward by an event, or could not for its client.
+    pub(crate) progressed: Micros,
     pub(crate) flags: Flags,
     /// When the loop looks at it, if nothing happens before.
     pub(crate) due: Micros,
--- a/crates/pintally-platform-node/src/engines.rs
+++ b/crates/pintally-platform-node/src/engines.rs
@@ -129,6 +129,7 @@
     }
 
     fn progress(&mut self, key: Key, progress: Progress) {
+        let now = self.clock.now();
         let Some(conn) = self.engine(key) else { return };
         match progress {
             Progress::Over { outcome, kept, load, reusable } => {
@@ -147,6 +148,7 @@
             Progress::Events(events) => {
                 let Some(Work::Attempt { ticket, attempt, begun, .. }) = &mut conn.work else { return };
                 let (ticket, attempt) = (*ticket, *attempt);
+                conn.progressed = now;
                 if !std::mem::replace(begun, true) {
                     let engine = conn.engine.clone();
                     self.tallies.entry(engine).or_default().begun += 1;
@@ -179,6 +181,7 @@
         let Some(conn) = self.engine(key).filter(|c| c.paused) else { return };
         conn.paused = false;
         conn.last = now;
+        conn.progressed = now;
         self.engine_waits(key);
     }
 
@@ -297,7 +300,7 @@
         None => conn.last + idle,
         Some(Work::Release { until, .. }) => *until,
         Some(Work::ConnectionProbe { .. }) => conn.connect_by,
-        Some(Work::Attempt { begun: true, .. }) => conn.last + stall,
+        Some(Work::Attempt { begun: true, .. }) => conn.progressed + stall,
         Some(Work::Attempt { timeout_at, .. }) if conn.up => *timeout_at,
         Some(Work::Attempt { timeout_at, .. }) => conn.connect_by.min(*timeout_at),
     }
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -18,6 +18,7 @@
 mod node;
 mod poll;
 mod pool;
+mod reload;
 mod signals;
 mod sweep;
 mod turn;
--- a/crates/pintally-platform-node/src/list.rs
+++ b/crates/pintally-platform-node/src/list.rs
@@ -6,7 +6,7 @@
 use pintally::interface::{ListForm, Listing, Micros, Outcome};
 use pintally_host::{Input, Listed};
 use pintally_http::{Part, ResponseReader};
-use pintally_platform::{watch, Configuration, Follower, Lines, List, Taken, HEAD_MOST};
+use pintally_platform::{watch, Follower, Lines, List, Taken, HEAD_MOST};
 
 use crate::conn::{Conn, Key, Work};
 use crate::node::{Node, WATCH};
@@ -68,7 +68,7 @@
         }
     }
 
-    fn say(&mut self, now: Micros, what: &str) {
+    pub(crate) fn say(&mut self, now: Micros, what: &str) {
         if self.quota.allows(now) {
             tracing::warn!("{what}");
         }
@@ -214,28 +214,22 @@
         Ok(())
     }
 
-    /// Reads the configuration again: discovery may have moved. An unsound one changes nothing.
-    pub(crate) fn reload(&mut self) {
-        let now = self.clock.now();
-        let text = std::fs::read_to_string(&self.config_file).map_err(|e| e.to_string());
-        let config = match text.and_then(|text| Configuration::parse(&text)) {
-            Ok(config) => config,
-            Err(why) => return self.say(now, &format!("the new configuration does not hold: {why}")),
-        };
-        tracing::info!(discovery = %config.discovery, "the configuration was read again");
-        let moved = config.discovery != self.watch.address;
-        self.watch.address = config.discovery;
-        if moved {
-            self.watch.open = None;
-            self.watch.again = now;
-            self.watch.pause = PAUSE_FIRST;
+    /// Follows discovery at an address, which may be the one that it follows already.
+    pub(crate) fn follow(&mut self, address: SocketAddr, now: Micros) {
+        if address == self.watch.address {
+            return;
         }
-        // A list that is newer than what holds is taken; an older one changes nothing.
-        if let Some(known) = config.known.filter(|k| Some(k.revision) > self.watch.follower.revision()) {
+        self.watch.address = address;
+        self.watch.open = None;
+        self.watch.again = now;
+        self.watch.pause = PAUSE_FIRST;
+        self.look_after_watch(now);
+    }
+
+    /// Takes a whole list that came with a configuration, if it is newer than what holds.
+    pub(crate) fn take_known(&mut self, known: List) {
+        if Some(known.revision) > self.watch.follower.revision() {
             self.take_list(List { complete: true, ..known });
         }
-        if moved {
-            self.look_after_watch(now);
-        }
     }
 }
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -21,6 +21,7 @@
 use crate::log::Quota;
 use crate::poll::{Flags, Poll};
 use crate::pool::{Keep, Pool};
+use crate::reload::Reload;
 use crate::signals::Signals;
 
 /// Tokens of what is no connection; keys of connections are above them.
@@ -124,6 +125,9 @@
     pub(crate) closes: Counts<CloseReason>,
     pub(crate) denied_closes: Denials,
     pub(crate) swept: Micros,
+    /// A new configuration that has not been read yet, and how many have been.
+    pub(crate) reloading: Option<Reload>,
+    pub(crate) reloads: u64,
     /// When it was told to stop, and whether the host has ended all it held.
     pub(crate) stopping: Option<Micros>,
     pub(crate) stopped: bool,
@@ -180,6 +184,8 @@
         closes: Counts::default(),
         denied_closes: Denials::default(),
         swept: now,
+        reloading: None,
+        reloads: 0,
         stopping: None,
         stopped: false,
     };
