pintally soak: dozens of real node processes under troubles that overlap, judged by invariants

A small library, built by cc and loaded before the C library, makes calls on sockets fail or do part of their work.

--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod serve;
 mod sim;
+mod soak;
 mod standin;
 mod told;
 
@@ -71,6 +72,8 @@
     Lab(lab::Args),
     /// Seeded days of failures that overlap, in virtual time, checked after every step.
     Sim(sim::Args),
+    /// Dozens of real processes on loopback under troubles that overlap, judged by invariants.
+    Soak(soak::Args),
     /// Measure a node beside its baseline, against simulated engines.
     Measure(measure::Args),
     /// Check the five rules over a record.
@@ -116,6 +119,7 @@
         Command::Standin(args) => standin::run(&args),
         Command::Lab(args) => lab::run(&args),
         Command::Sim(args) => sim::execute(&args),
+        Command::Soak(args) => soak::run(&args),
         Command::Measure(args) => measure::run(&args),
         Command::Audit(args) => audit::run(&args),
     };
--- /dev/null
+++ b/crates/pintally-soak/src/fault_layer.c
@@ -0,0 +1,94 @@
+/* Loaded before the C library into a process under test: system calls on sockets fail for a moment or do part
+ * of their work, each with a stated probability. PINTALLY_FAULTS is "seed permille". */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+static uint64_t state;
+static unsigned permille;
+
+static void begin(void) {
+    if (state != 0) return;
+    unsigned long seed = 1;
+    const char *told = getenv("PINTALLY_FAULTS");
+    if (told != NULL) sscanf(told, "%lu %u", &seed, &permille);
+    state = seed * 0x9e3779b97f4a7c15u | 1;
+}
+
+static uint32_t draw(uint32_t below) {
+    begin();
+    state ^= state << 13;
+    state ^= state >> 7;
+    state ^= state << 17;
+    return (uint32_t)(state >> 32) % below;
+}
+
+static int fails(void) { return draw(1000) < permille; }
+
+static int fail_with(const int *errors, unsigned count) {
+    errno = errors[draw(count)];
+    return -1;
+}
+
+#define REAL(type, name, ...) \
+    static type (*real)(__VA_ARGS__); \
+    if (real == NULL) real = (type (*)(__VA_ARGS__))dlsym(RTLD_NEXT, #name)
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
+    static const int errors[] = {ECONNABORTED, ENFILE, ENOBUFS, EINTR, EMFILE, EPROTO, ENOMEM};
+    REAL(int, accept4, int, struct sockaddr *, socklen_t *, int);
+    if (fails()) return fail_with(errors, sizeof errors / sizeof *errors);
+    return real(fd, address, length, flags);
+}
+
+int socket(int domain, int type, int protocol) {
+    static const int errors[] = {ENFILE, ENOBUFS, EMFILE, ENOMEM};
+    REAL(int, socket, int, int, int);
+    if (domain == AF_INET && fails()) return fail_with(errors, sizeof errors / sizeof *errors);
+    return real(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    static const int errors[] = {ENETUNREACH, EADDRNOTAVAIL, EHOSTUNREACH, ENOBUFS};
+    REAL(int, connect, int, const struct sockaddr *, socklen_t);
+    if (fails()) return fail_with(errors, sizeof errors / sizeof *errors);
+    return real(fd, address, length);
+}
+
+ssize_t recv(int fd, void *buffer, size_t length, int flags) {
+    REAL(ssize_t, recv, int, void *, size_t, int);
+    if (fails()) {
+        errno = EINTR;
+        return -1;
+    }
+    if (length > 1 && fails()) length = 1 + draw(length < 64 ? (uint32_t)length : 64);
+    return real(fd, buffer, length, flags);
+}
+
+ssize_t send(int fd, const void *buffer, size_t length, int flags) {
+    REAL(ssize_t, send, int, const void *, size_t, int);
+    if (fails()) {
+        errno = EINTR;
+        return -1;
+    }
+    if (length > 1 && fails()) length = 1 + draw((uint32_t)length);
+    return real(fd, buffer, length, flags);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count) {
+    REAL(ssize_t, writev, int, const struct iovec *, int);
+    if (fails()) {
+        errno = EINTR;
+        return -1;
+    }
+    if (count > 0 && parts[0].iov_len > 1 && fails()) {
+        struct iovec part = {parts[0].iov_base, 1 + draw((uint32_t)parts[0].iov_len)};
+        return real(fd, &part, 1);
+    }
+    return real(fd, parts, count);
+}
--- /dev/null
+++ b/crates/pintally-soak/src/fault_layer.rs
@@ -0,0 +1,16 @@
+//! The library that makes system calls of a node fail for a moment: built once for each run, loaded before the
+//! C library.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+const SOURCE: &str = include_str!("fault_layer.c");
+
+/// Builds the library in a folder; none if this machine has no compiler for C.
+pub(crate) fn build(folder: &Path) -> Option<PathBuf> {
+    let (source, library) = (folder.join("fault_layer.c"), folder.join("fault_layer.so"));
+    std::fs::write(&source, SOURCE).ok()?;
+    let mut compiler = Command::new("cc");
+    compiler.args(["-shared", "-fPIC", "-O1", "-o"]).arg(&library).arg(&source).arg("-ldl");
+    compiler.status().ok()?.success().then_some(library)
+}
