Two failing tests: an accept that fails for a moment, and a start when a call does

Cause in the code: acceptor.rs turns a client out for any error of accept, the silent one that came first; node.rs start() gives up at the first error. The tests make each accept, and each socket, fail for 0.6 s: the first of 20 silent clients was turned out, the node never was ready. The tool measured a process between fork and exec as the node (65 MB, 1,049 descriptors): processes are looked at 0.5 s after their start.

--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod guard;
 mod held;
 mod stand;
+mod system_calls;
 
 use std::time::Instant;
 
--- a/crates/pintally-soak/src/fault_layer.c
+++ b/crates/pintally-soak/src/fault_layer.c
@@ -1,13 +1,16 @@
 /* Loaded before the C library into a process under test: system calls on sockets fail for a moment or do part
- * of their work, each with a stated probability. PINTALLY_FAULTS is "seed permille". */
+ * of their work, each with a stated probability. PINTALLY_FAULTS is "seed permille"; PINTALLY_FAULTS_ONLY names the
+ * one call that fails, if not all do; PINTALLY_FAULTS_WHILE names a file, without which nothing fails. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
+#include <unistd.h>
 
 static uint64_t state;
 static unsigned permille;
@@ -28,7 +31,13 @@
     return (uint32_t)(state >> 32) % below;
 }
 
-static int fails(void) { return draw(1000) < permille; }
+static int fails(const char *call) {
+    const char *only = getenv("PINTALLY_FAULTS_ONLY");
+    if (only != NULL && strcmp(only, call) != 0) return 0;
+    if (draw(1000) >= permille) return 0;
+    const char *file = getenv("PINTALLY_FAULTS_WHILE");
+    return file == NULL || access(file, F_OK) == 0;
+}
 
 static int fail_with(const int *errors, unsigned count) {
     errno = errors[draw(count)];
@@ -42,51 +51,51 @@
 int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
     static const int errors[] = {ECONNABORTED, ENFILE, ENOBUFS, EINTR, EMFILE, EPROTO, ENOMEM};
     REAL(int, accept4, int, struct sockaddr *, socklen_t *, int);
-    if (fails()) return fail_with(errors, sizeof errors / sizeof *errors);
+    if (fails("accept4")) return fail_with(errors, sizeof errors / sizeof *errors);
     return real(fd, address, length, flags);
 }
 
 int socket(int domain, int type, int protocol) {
     static const int errors[] = {ENFILE, ENOBUFS, EMFILE, ENOMEM};
     REAL(int, socket, int, int, int);
-    if (domain == AF_INET && fails()) return fail_with(errors, sizeof errors / sizeof *errors);
+    if (domain == AF_INET && fails("socket")) return fail_with(errors, sizeof errors / sizeof *errors);
     return real(domain, type, protocol);
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
     static const int errors[] = {ENETUNREACH, EADDRNOTAVAIL, EHOSTUNREACH, ENOBUFS};
     REAL(int, connect, int, const struct sockaddr *, socklen_t);
-    if (fails()) return fail_with(errors, sizeof errors / sizeof *errors);
+    if (fails("connect")) return fail_with(errors, sizeof errors / sizeof *errors);
     return real(fd, address, length);
 }
 
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
     REAL(ssize_t, recv, int, void *, size_t, int);
-    if (fails()) {
+    if (fails("recv")) {
         errno = EINTR;
         return -1;
     }
-    if (length > 1 && fails()) length = 1 + draw(length < 64 ? (uint32_t)length : 64);
+    if (length > 1 && fails("recv")) length = 1 + draw(length < 64 ? (uint32_t)length : 64);
     return real(fd, buffer, length, flags);
 }
 
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
     REAL(ssize_t, send, int, const void *, size_t, int);
-    if (fails()) {
+    if (fails("send")) {
         errno = EINTR;
         return -1;
     }
-    if (length > 1 && fails()) length = 1 + draw((uint32_t)length);
+    if (length > 1 && fails("send")) length = 1 + draw((uint32_t)length);
     return real(fd, buffer, length, flags);
 }
 
 ssize_t writev(int fd, const struct iovec *parts, int count) {
     REAL(ssize_t, writev, int, const struct iovec *, int);
-    if (fails()) {
+    if (fails("writev")) {
         errno = EINTR;
         return -1;
     }
-    if (count > 0 && parts[0].iov_len > 1 && fails()) {
+    if (count > 0 && parts[0].iov_len > 1 && fails("writev")) {
         struct iovec part = {parts[0].iov_base, 1 + draw((uint32_t)parts[0].iov_len)};
         return real(fd, &part, 1);
     }
--- a/crates/pintally-soak/src/fault_layer.rs
+++ b/crates/pintally-soak/src/fault_layer.rs
@@ -7,7 +7,7 @@
 const SOURCE: &str = include_str!("fault_layer.c");
 
 /// Builds the library in a folder; none if this machine has no compiler for C.
-pub(crate) fn build(folder: &Path) -> Option<PathBuf> {
+pub fn build(folder: &Path) -> Option<PathBuf> {
     let (source, library) = (folder.join("fault_layer.c"), folder.join("fault_layer.so"));
     std::fs::write(&source, SOURCE).ok()?;
     let mut compiler = Command::new("cc");
--- a/crates/pintally-soak/src/lib.rs
+++ b/crates/pintally-soak/src/lib.rs
@@ -8,7 +8,7 @@
 mod client;
 mod discovery;
 mod engine;
-mod fault_layer;
+pub mod fault_layer;
 mod judge;
 mod node;
 mod record;
--- a/crates/pintally-soak/src/node.rs
+++ b/crates/pintally-soak/src/node.rs
@@ -17,6 +17,8 @@
 
 /// A node has to be ready by then.
 const READY_WITHIN: Duration = Duration::from_secs(10);
+/// A process has become the program by then.
+const STARTED_AFTER: Duration = Duration::from_millis(500);
 const POLL_EVERY: Duration = Duration::from_millis(10);
 const CALL_WITHIN: Duration = Duration::from_secs(2);
 pub(crate) const MEMORY_MB: u64 = 32;
@@ -190,6 +192,13 @@
     pub(crate) fn inspect(&self) {
         let mut process = self.lock();
         let Some(child) = process.as_mut().filter(|_| !self.stopping.load(Ordering::SeqCst)) else { return };
+        // A process that is being started still has its parent's memory and descriptors.
+        let started = self
+            .record
+            .with(|books| books.incarnations.iter().rfind(|i| i.node == self.number).map(|i| i.started));
+        if started.is_none_or(|at| self.record.now() < at + STARTED_AFTER) {
+            return;
+        }
         if let Ok(Some(status)) = child.try_wait() {
             *process = None;
             drop(process);
