A failed accept turns nobody out, and a start tries again what may pass

Change: system.rs says what each error of accept means; only a want of descriptors makes room: an idle connection to an engine first, a client's only if the node's own count is at its limit or nothing could be accepted for 1 s. The loop rests 5 ms then instead of spinning. Signals, configuration, listener and epoll are tried again for 4 s at the start where the error may pass. What waits is accepted before the listener closes at the end. Failures of accept by error number and reloads stand on /pintally/beliefs.

--- a/crates/pintally-platform-node/src/acceptor.rs
+++ b/crates/pintally-platform-node/src/acceptor.rs
@@ -1,5 +1,6 @@
 //! Clients' connections as they come, who is let in, and who goes when descriptors run low.
 
+use std::collections::BTreeMap;
 use std::net::TcpStream;
 
 use pintally::interface::Micros;
@@ -9,11 +10,16 @@
 
 use crate::arrivals::Arrivals;
 use crate::conn::{Client, Conn, Key, Stage};
-use crate::node::{Node, OWN_DESCRIPTORS};
+use crate::node::{Node, LISTENER, OWN_DESCRIPTORS};
 use crate::poll::Flags;
+use crate::system::{accept_failure, AcceptFailure};
 
-/// Connections taken in one turn.
-const ACCEPT_MOST: usize = 64;
+/// Connections accepted in one iteration.
+const ACCEPT_MAX: usize = 64;
+/// When connections cannot be accepted, the next one is tried after this time.
+const ACCEPT_PAUSE: Micros = 5_000;
+/// Failures that last so long are no moment's any more: a client makes room.
+const FAILING_LONG: Micros = 1_000_000;
 /// A connection that has served may be closed after so long without a request.
 const QUIET: Micros = 2_000_000;
 /// Descriptors that calls which let go can have when clients and attempts have all others: this part of
@@ -23,6 +29,17 @@
 /// After a signal to stop connections come for so long.
 pub(crate) const STILL_COME: Micros = 500_000;
 
+/// How accepting goes.
+#[derive(Default)]
+pub(crate) struct Accepting {
+    /// When it goes on, if it pauses.
+    pub(crate) again: Option<Micros>,
+    /// Since when every connection has failed to be accepted.
+    failing_since: Option<Micros>,
+    /// How often it has failed, by error number.
+    pub(crate) failures: BTreeMap<i32, u64>,
+}
+
 /// How much a client's connection would be missed, the least first; with each kind the oldest first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Missed {
@@ -56,21 +73,76 @@
 
 impl Node {
     pub(crate) fn accept(&mut self) {
-        for _ in 0..ACCEPT_MOST {
+        for _ in 0..ACCEPT_MAX {
             let Some(listener) = &self.listener else { return };
             match listener.accept() {
-                Ok((stream, _)) => self.welcome(stream),
-                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
-                // Out of descriptors, or a connection that is gone already.
-                Err(_) => {
-                    self.evict();
-                    return;
+                Ok((stream, _)) => {
+                    self.accepting.failing_since = None;
+                    self.welcome(stream);
                 }
+                Err(e) => match accept_failure(&e) {
+                    AcceptFailure::NobodyWaits => return,
+                    AcceptFailure::TryNext => self.note_accept_failure(&e),
+                    AcceptFailure::OutOfDescriptors => {
+                        self.note_accept_failure(&e);
+                        self.make_room();
+                        return self.pause_accepting();
+                    }
+                    AcceptFailure::TryLater => {
+                        self.note_accept_failure(&e);
+                        return self.pause_accepting();
+                    }
+                },
             }
         }
     }
 
+    fn note_accept_failure(&mut self, error: &std::io::Error) {
+        let now = self.clock.now();
+        let since = *self.accepting.failing_since.get_or_insert(now);
+        *self.accepting.failures.entry(error.raw_os_error().unwrap_or(0)).or_default() += 1;
+        if self.quota.allows(now) {
+            tracing::warn!(%error, for_ms = (now - since) / 1000, "a connection cannot be accepted");
+        }
+    }
+
+    /// Descriptors have run out: an idle connection to an engine goes, or else a client's. Guards against clients that
+    /// are turned out for a failure that passes by itself: by the node's own count there are descriptors.
+    fn make_room(&mut self) {
+        let now = self.clock.now();
+        let lasts = self.accepting.failing_since.is_some_and(|since| now >= since + FAILING_LONG);
+        if !self.close_spare() && (lasts || !self.has_descriptor()) {
+            self.evict();
+        }
+    }
+
+    /// Nobody is accepted for a moment. Guards against a loop that spins on connections that cannot be accepted.
+    fn pause_accepting(&mut self) {
+        let Some(listener) = &self.listener else { return };
+        if self.poll.modify(listener, LISTENER, Flags::empty()).is_ok() {
+            self.accepting.again = Some(self.clock.now() + ACCEPT_PAUSE);
+        }
+    }
+
+    /// Goes on accepting when the pause is over.
+    pub(crate) fn resume_accepting(&mut self, now: Micros) {
+        if self.accepting.again.is_none_or(|at| now < at) {
+            return;
+        }
+        let Some(listener) = &self.listener else { return self.accepting.again = None };
+        match self.poll.modify(listener, LISTENER, Flags::IN) {
+            Ok(()) => self.accepting.again = None,
+            Err(_) => self.accepting.again = Some(now + ACCEPT_PAUSE),
+        }
+    }
+
+    /// No connection is accepted any more; those that wait to be are taken before.
+    pub(crate) fn stop_accepting(&mut self) {
+        self.accept();
+        self.accepting.again = None;
+        self.listener = None;
+    }
+
     fn welcome(&mut self, stream: TcpStream) {
         let now = self.clock.now();
         // An idle connection to an engine is missed less than a client.
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -13,6 +13,7 @@
 use crate::conn::{Client, Conn, Key, Stage, SLOW, SLOW_NO_MORE};
 use crate::node::{Job, Node};
 use crate::poll::Flags;
+use crate::system::is_not_yet;
 
 /// Requests of one connection that are looked at in one turn.
 const REQUESTS_MOST: usize = 8;
@@ -45,7 +46,7 @@
         let n = match client.stream.read(&mut self.buffer) {
             Ok(0) => return self.client_gone(key, CloseReason::ClientLeft),
             Ok(n) => n,
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
+            Err(e) if is_not_yet(&e) => return,
             Err(_) => return self.client_gone(key, CloseReason::Broken),
         };
         // What comes behind the end is dropped: the client shall read its answer before a reset.
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod reload;
 mod signals;
 mod sweep;
+mod system;
 mod turn;
 
 pub use node::{start, StartError};
--- a/crates/pintally-platform-node/src/list.rs
+++ b/crates/pintally-platform-node/src/list.rs
@@ -1,6 +1,6 @@
 //! The list of engines: as it was last known, then by a watch of discovery.
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
 use pintally::interface::{ListForm, Listing, Micros, Outcome};
@@ -11,6 +11,7 @@
 use crate::conn::{Conn, Key, Work};
 use crate::node::{Node, WATCH};
 use crate::poll::{self, Flags};
+use crate::system::is_not_yet;
 
 /// A watch that tells nothing, not even that nothing has changed, for so long is opened anew.
 const SILENT: Micros = 3_100_000;
@@ -178,7 +179,7 @@
         let n = match open.stream.read(&mut self.buffer) {
             Ok(0) => return self.watch_failed(now),
             Ok(n) => n,
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
+            Err(e) if is_not_yet(&e) => return,
             Err(_) => return self.watch_failed(now),
         };
         open.heard = now;
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::fmt;
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsFd;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use slotmap::{KeyData, SlotMap};
 use socket2::{Domain, Protocol, Socket, Type};
 
+use crate::acceptor::Accepting;
 use crate::clock::Clock;
 use crate::conn::{Conn, Key};
 use crate::list::Watch;
@@ -23,6 +25,7 @@
 use crate::pool::{Keep, Pool};
 use crate::reload::Reload;
 use crate::signals::Signals;
+use crate::system::at_start;
 
 /// Tokens of what is no connection; keys of connections are above them.
 pub(crate) const LISTENER: u64 = 0;
@@ -100,6 +103,7 @@
     pub(crate) settings: Arc<NodeSettings>,
     pub(crate) host: Host,
     pub(crate) listener: Option<TcpListener>,
+    pub(crate) accepting: Accepting,
     pub(crate) signals: Signals,
     pub(crate) watch: Watch,
     pub(crate) conns: SlotMap<Key, Conn>,
@@ -137,17 +141,21 @@
 pub fn start(config_file: PathBuf, listen: Option<SocketAddr>) -> Result<(), StartError> {
     let failed = |what: &str, e: &dyn fmt::Display| StartError(format!("{what}: {e}"));
     let name = config_file.display().to_string();
-    let text = std::fs::read_to_string(&config_file).map_err(|e| failed(&name, &e))?;
+    // Before anything can be taken that a signal to stop would lose.
+    let signals = at_start("setting up signals", Signals::new).map_err(|e| failed("signals", &e))?;
+    let read = || std::fs::read_to_string(&config_file);
+    let text = at_start("reading the configuration", read).map_err(|e| failed(&name, &e))?;
     let config = Configuration::parse(&text).map_err(|e| failed(&name, &e))?;
     let address = listen.unwrap_or(config.listen);
-    let listener = listen_at(address).map_err(|e| failed(&format!("cannot listen on {address}"), &e))?;
-    let poll = Poll::new().map_err(|e| failed("epoll", &e))?;
-    let signals = Signals::new().map_err(|e| failed("signals", &e))?;
+    let listener = at_start("listening", || listen_at(address))
+        .map_err(|e| failed(&format!("cannot listen on {address}"), &e))?;
+    let poll = at_start("epoll", Poll::new).map_err(|e| failed("epoll", &e))?;
     let waits = Flags::IN;
-    poll.add(&listener, LISTENER, waits)
-        .and_then(|()| poll.add(signals.stop_fd(), SIGNALS, waits))
-        .and_then(|()| poll.add(signals.reload_fd(), SIGNALS, waits))
-        .map_err(|e| failed("epoll", &e))?;
+    for (what, token) in
+        [(listener.as_fd(), LISTENER), (signals.stop_fd(), SIGNALS), (signals.reload_fd(), SIGNALS)]
+    {
+        at_start("epoll", || poll.add(what, token, waits)).map_err(|e| failed("epoll", &e))?;
+    }
     let settings = Arc::new(config.node());
     let clock = Clock::new();
     let now = clock.now();
@@ -164,6 +172,7 @@
         settings,
         host,
         listener: Some(listener),
+        accepting: Accepting::default(),
         signals,
         conns: SlotMap::with_key(),
         clients: 0,
--- a/crates/pintally-platform-node/src/sweep.rs
+++ b/crates/pintally-platform-node/src/sweep.rs
@@ -23,7 +23,8 @@
         }
         self.look_after_watch(now);
         let late = self.stopping.is_some_and(|at| now >= at + STILL_COME);
-        if late && self.listener.take().is_some() {
+        if late && self.listener.is_some() {
+            self.stop_accepting();
             tracing::info!("no more connections are taken");
         }
         let limits = &self.settings.limits;
@@ -95,11 +96,17 @@
             )
         };
         let closes = by_name(self.closes.by_name().collect());
+        let accept_failures: serde_json::Map<String, serde_json::Value> = self
+            .accepting
+            .failures
+            .iter()
+            .map(|(errno, count)| (errno.to_string(), (*count).into()))
+            .collect();
         let denied = by_name(self.host.denials().by_name().chain(self.denied_closes.by_name()).collect());
         serde_json::json!({
             "held": self.host.held(), "clients": self.clients, "connections": self.conns.len(),
             "bytes": self.bytes, "pace": format!("{:?}", self.host.paces()), "counters": counters,
-            "closes": closes, "denied": denied, "engines": engines,
+            "closes": closes, "denied": denied, "accept_failures": accept_failures, "reloads": self.reloads, "engines": engines,
         })
     }
 }
--- a/crates/pintally-platform-node/src/turn.rs
+++ b/crates/pintally-platform-node/src/turn.rs
@@ -23,7 +23,13 @@
         loop {
             let now = self.clock.now();
             let given_up = self.given_up.front().map(|(at, _)| *at);
-            let wakes = [self.host.next_wake(), self.due.first().map(|d| d.0), given_up, self.reload_due()];
+            let wakes = [
+                self.host.next_wake(),
+                self.due.first().map(|d| d.0),
+                given_up,
+                self.reload_due(),
+                self.accepting.again,
+            ];
             let next = wakes.into_iter().flatten().min().unwrap_or(u64::MAX);
             let most = match self.ready.is_empty() {
                 true => next.saturating_sub(now).min(TURN_MOST),
@@ -119,6 +125,7 @@
         self.expire(now);
         self.hear_of_given_up(now);
         self.retry_reload(now);
+        self.resume_accepting(now);
         self.sweep(now);
     }
 
