--- a/crates/pintally-cli/tests/platform/ends.rs
+++ b/crates/pintally-cli/tests/platform/ends.rs
@@ -249,6 +249,38 @@
 
 /// Guards against the end of the watch being taken for the end of a client: what is waited on goes by numbers,
 /// and those of the listener, signals and the watch are like those of a node's first connections.
+/// Guards against a drain that is heard too late because the watch is opened at growing distances: what discovery has
+/// at its return counts as told at once, and sends have to stop within the settings' grace of that.
+#[test]
+fn a_watch_that_was_refused_is_open_soon_after_discovery_is_back() {
+    const GRACE_MS: u64 = 250;
+    let discovery = std::sync::Arc::new(Discovery::default());
+    let stand = Stand::configured(&[], 256, discovery.clone(), |config| {
+        config["settings"]["rules"]["stop_sending_within"] = json!(GRACE_MS as f64 / 1e3);
+        config["known"] = json!({"revision": 1, "complete": true,
+            "members": [member("r0", "127.0.0.1:9".parse().unwrap(), "up")]});
+    });
+    stand.discovery.until_watched(1);
+    // Where discovery is from now on nobody listens, for a while.
+    let held = pintally_standin::Port::hold().unwrap();
+    let address = held.address().unwrap();
+    let mut config = stand.config.clone();
+    config["discovery"] = json!(address);
+    std::fs::write(&stand.file, config.to_string()).unwrap();
+    stand.signal("-HUP");
+    let mut latest = Duration::ZERO;
+    for _ in 0..4 {
+        std::thread::sleep(Duration::from_millis(2_300));
+        let listener = std::net::TcpListener::bind(address).unwrap();
+        let back = Instant::now();
+        drop(listener.accept().unwrap());
+        latest = latest.max(back.elapsed());
+        drop(listener);
+    }
+    println!("a watch came {latest:?} after discovery was back at the latest");
+    assert!(latest < Duration::from_millis(GRACE_MS), "{latest:?}");
+}
+
 #[test]
 fn the_end_of_a_watch_ends_no_clients_connection() {
     let mut stand = Stand::new(&["r0", "w0"], 256);
--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod closing;
 mod ends;
 mod engines_failing;
+mod given_up;
 mod guard;
 mod held;
 mod stand;
--- a/crates/pintally-cli/tests/platform/system_calls.rs
+++ b/crates/pintally-cli/tests/platform/system_calls.rs
@@ -51,6 +51,14 @@
     assert!(client.answer().2);
 }
 
+/// Guards against a node that never hears of the list of engines where its requests go out in pieces.
+#[test]
+fn a_watch_whose_request_is_written_in_pieces_is_opened() {
+    let stand = Stand::under_faults(&["r0", "w0"], "send:short", true);
+    stand.until_ready();
+    stand.discovery.until_watched(1);
+}
+
 /// Calls of one kind are interrupted for a moment, each time, and what is served is served whole and once.
 #[test]
 fn calls_that_are_interrupted_lose_nothing() {
--- a/crates/pintally-soak/src/fault_layer.c
+++ b/crates/pintally-soak/src/fault_layer.c
@@ -1,6 +1,6 @@
 /* Loaded before the C library into a process under test: system calls on sockets fail for a moment or do part
  * of their work, each with a stated probability. PINTALLY_FAULTS is "seed permille"; PINTALLY_FAULTS_ONLY names the
- * one call that fails, if not all do; PINTALLY_FAULTS_WHILE names a file, without which nothing fails. */
+ * one call that fails, or does a part of its work as "call:short", if not all do; PINTALLY_FAULTS_WHILE names a file, without which nothing fails. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -75,7 +75,7 @@
         errno = EINTR;
         return -1;
     }
-    if (length > 1 && fails("recv")) length = 1 + draw(length < 64 ? (uint32_t)length : 64);
+    if (length > 1 && fails("recv:short")) length = 1 + draw(length < 64 ? (uint32_t)length : 64);
     return real(fd, buffer, length, flags);
 }
 
@@ -85,7 +85,7 @@
         errno = EINTR;
         return -1;
     }
-    if (length > 1 && fails("send")) length = 1 + draw((uint32_t)length);
+    if (length > 1 && fails("send:short")) length = 1 + draw((uint32_t)length);
     return real(fd, buffer, length, flags);
 }
 
@@ -95,7 +95,7 @@
         errno = EINTR;
         return -1;
     }
-    if (count > 0 && parts[0].iov_len > 1 && fails("writev")) {
+    if (count > 0 && parts[0].iov_len > 1 && fails("writev:short")) {
         struct iovec part = {parts[0].iov_base, 1 + draw((uint32_t)parts[0].iov_len)};
         return real(fd, &part, 1);
     }
