What is given up never arrives later; a watch is opened in time for drains

Change: a connection whose attempt or release was given up or taken back ends with a reset (SO_LINGER of 0), so that the system drops what it still holds; an attempt whose connection comes up late asks pintally-permits whether it may still start (Host::may_start), and is counted as withheld if not. The watch writes its request in as many parts as it takes; its time to come up and its pauses follow the settings' grace of drains (stop_sending_within; a half and a quarter), and it is looked after when it is due, not ten times a second. /pintally/beliefs tells watches and withheld. Harm that a reset may do: an engine that would read on what was given up gets an error instead of an end.

--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -91,6 +91,7 @@
     pub(crate) list_fresh: bool,
     pub(crate) counters: Counters,
     denials: Denials,
+    withheld: Denials,
 }
 
 impl Host {
@@ -128,6 +129,7 @@
             list_fresh: false,
             counters: Counters::default(),
             denials: Denials::default(),
+            withheld: Denials::default(),
         }
     }
 
@@ -152,8 +154,14 @@
         &self.denials
     }
 
+    /// Attempts that were sent and not started, as the rules did not permit it any more when their connections
+    /// came up. That is no error.
+    pub fn withheld(&self) -> &Denials {
+        &self.withheld
+    }
+
     /// Whether the attempt of a request that is out may still start now, as when its connection has come up
-    /// late; a denial is counted.
+    /// late; a denial is counted as withheld.
     pub fn may_start(&mut self, now: Micros, ticket: Ticket) -> Result<(), Denial> {
         let entry = self.entries.get(&ticket);
         let out = entry.and_then(|e| e.out.as_ref().map(|out| (e, out)));
@@ -161,7 +169,7 @@
         let place = self.places.get(&out.engine).ok_or(Denial::EngineNotServing);
         let most = self.settings.core.max_attempts;
         let permit = place.and_then(|place| may_start(now, &entry.facts(most), &place.facts()));
-        permit.inspect_err(|denial| self.denials.add(*denial))
+        permit.inspect_err(|denial| self.withheld.add(*denial))
     }
 
     /// Counts and tells what the rules did not permit.
--- a/crates/pintally-platform-node/src/attempts.rs
+++ b/crates/pintally-platform-node/src/attempts.rs
@@ -133,7 +133,7 @@
         };
         let keys: Vec<Key> = self.conns.iter().filter(|(_, c)| calls(c)).map(|(key, _)| key).collect();
         for key in keys {
-            self.close_engine(key);
+            self.abort_engine(key);
         }
     }
 
@@ -264,7 +264,12 @@
             }
             Work::ConnectionProbe { .. } => {}
         }
-        self.done_with(key, reusable);
+        match outcome {
+            Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled | Outcome::Unreachable => {
+                self.abort_engine(key);
+            }
+            _ => self.done_with(key, reusable),
+        }
     }
 
     fn count_end(&mut self, engine: &EngineId, outcome: Outcome) {
--- a/crates/pintally-platform-node/src/engines.rs
+++ b/crates/pintally-platform-node/src/engines.rs
@@ -2,10 +2,13 @@
 
 use std::io::{ErrorKind, IoSlice, Read, Write};
 
+use std::time::Duration;
+
 use pintally::interface::{Attempt, Micros, Outcome};
 use pintally_host::{Input, Ticket};
 use pintally_permits::CloseReason;
 use pintally_platform::{attempt_head, of_transport, Progress};
+use socket2::SockRef;
 
 use crate::conn::{Conn, Engine, Key, Work};
 use crate::node::Node;
@@ -37,6 +40,9 @@
                 self.connection_probe_answered(key, ticket, attempt);
                 return self.work_off();
             }
+            if !self.may_still_start(key) {
+                return self.work_off();
+            }
             self.tell_what_is_left(key);
             self.watch_over(key);
             self.engine_writes(key);
@@ -51,6 +57,19 @@
         self.work_off();
     }
 
+    /// A connection has come up, perhaps late: whether the attempt that it was opened for may still start. One that may
+    /// not is given up, and was never sent.
+    fn may_still_start(&mut self, key: Key) -> bool {
+        let now = self.clock.now();
+        let Some(Conn::Engine(conn)) = self.conns.get(key) else { return false };
+        let Some(Work::Attempt { ticket, attempt, .. }) = conn.work else { return true };
+        let Err(denial) = self.host.may_start(now, ticket) else { return true };
+        tracing::debug!(ticket, attempt, engine = %conn.engine.0, %denial,
+            "an attempt whose connection came up late is not sent");
+        self.give_up(key, Outcome::Unreachable);
+        false
+    }
+
     /// A connection that was opened for an attempt has come up, perhaps late: the engine is told what is
     /// left to the client now, not what was left when the connection was begun.
     fn tell_what_is_left(&mut self, key: Key) {
@@ -235,6 +254,17 @@
         self.engine_waits(key);
     }
 
+    /// Ends a connection whose work was given up, with a reset. Guards against bytes that wait in the system for an engine
+    /// that is cut off or does not read: behind an ordinary close they would still arrive, and the attempt or the
+    /// release would begin when nobody counts on it any more.
+    pub(crate) fn abort_engine(&mut self, key: Key) {
+        if let Some(Conn::Engine(conn)) = self.conns.get(key) {
+            // Where the system cannot, the ordinary close is what is left.
+            let _ = SockRef::from(&conn.stream).set_linger(Some(Duration::ZERO));
+        }
+        self.close_engine(key);
+    }
+
     pub(crate) fn close_engine(&mut self, key: Key) {
         if let Some(Conn::Engine(conn)) = self.conns.remove(key) {
             self.pool.remove(conn.address, key);
--- a/crates/pintally-platform-node/src/list.rs
+++ b/crates/pintally-platform-node/src/list.rs
@@ -1,6 +1,6 @@
 //! The list of engines: as it was last known, then by a watch of discovery.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
 use pintally::interface::{ListForm, Listing, Micros, Outcome};
@@ -15,11 +15,14 @@
 
 /// A watch that tells nothing, not even that nothing has changed, for so long is opened anew.
 const SILENT: Micros = 3_100_000;
-/// A watch that is not up by then has failed.
-const CONNECT: Micros = 500_000;
-/// The first and the longest pause before a failed watch is opened again.
-const PAUSE_FIRST: Micros = 100_000;
-const PAUSE_MOST: Micros = 1_000_000;
+/// A watch that is not up by then has failed: half of the grace of drains, within these bounds.
+const CONNECT_MIN: Micros = 100_000;
+const CONNECT_MAX: Micros = 500_000;
+/// The longest pause before a failed watch is opened again is a quarter of the grace of drains, within these bounds,
+/// and the first one a quarter of that. Guards against a drain that is heard too late: what discovery has when it
+/// is back counts as told at once.
+const PAUSE_MIN: Micros = 20_000;
+const PAUSE_MAX: Micros = 1_000_000;
 
 /// The watch of discovery.
 pub(crate) struct Watch {
@@ -29,6 +32,12 @@
     /// When it is opened again, and the pause before that.
     again: Micros,
     pause: Micros,
+    /// How long it may take to come up, and the longest pause.
+    connect_within: Micros,
+    pause_max: Micros,
+    /// How often it was opened, and how often it has failed.
+    pub(crate) opened: u64,
+    pub(crate) failed: u64,
 }
 
 struct Open {
@@ -42,8 +51,29 @@
 }
 
 impl Watch {
-    pub(crate) fn new(address: SocketAddr, now: Micros) -> Watch {
-        Watch { address, follower: Follower::default(), open: None, again: now, pause: PAUSE_FIRST }
+    /// A watch that is to be opened now, where sends have to stop within that grace of a drain.
+    pub(crate) fn new(address: SocketAddr, now: Micros, drain_grace: Micros) -> Watch {
+        let pause_max = (drain_grace / 4).clamp(PAUSE_MIN, PAUSE_MAX);
+        Watch {
+            address,
+            follower: Follower::default(),
+            open: None,
+            again: now,
+            pause: pause_max / 4,
+            connect_within: (drain_grace / 2).clamp(CONNECT_MIN, CONNECT_MAX),
+            pause_max,
+            opened: 0,
+            failed: 0,
+        }
+    }
+
+    /// When it is to be looked after.
+    pub(crate) fn due(&self) -> Micros {
+        match &self.open {
+            Some(open) if open.up => open.heard.saturating_add(SILENT),
+            Some(open) => open.heard.saturating_add(self.connect_within),
+            None => self.again,
+        }
     }
 }
 
@@ -115,21 +145,20 @@
 
     /// Opens the watch when it is time, and ends one that has gone silent.
     pub(crate) fn look_after_watch(&mut self, now: Micros) {
+        if now < self.watch.due() {
+            return;
+        }
         if let Some(open) = &self.watch.open {
-            let patience = if open.up { SILENT } else { CONNECT };
-            if now < open.heard + patience {
-                return;
-            }
             let what = if open.up { "discovery has gone silent" } else { "discovery cannot be reached" };
             self.say(now, what);
             self.watch_failed(now);
             self.watch.again = now;
         }
-        if now < self.watch.again {
-            return;
-        }
         match self.open_watch(now) {
-            Ok(open) => self.watch.open = Some(open),
+            Ok(open) => {
+                self.watch.opened += 1;
+                self.watch.open = Some(open);
+            }
             Err(_) => self.watch_failed(now),
         }
     }
@@ -153,9 +182,10 @@
 
     /// The watch is down: the list holds, and it is opened again after a pause.
     fn watch_failed(&mut self, now: Micros) {
+        self.watch.failed += 1;
         self.watch.open = None;
         self.watch.again = now + self.watch.pause;
-        self.watch.pause = (self.watch.pause * 2).min(PAUSE_MOST);
+        self.watch.pause = (self.watch.pause * 2).min(self.watch.pause_max);
     }
 
     pub(crate) fn watch_event(&mut self, flags: Flags) {
@@ -165,16 +195,11 @@
             if !matches!(open.stream.take_error(), Ok(None)) || flags.intersects(Flags::ERR | Flags::HUP) {
                 return self.watch_failed(now);
             }
-            // A request of a line fits into any socket.
-            if !matches!(open.stream.write(&open.out), Ok(n) if n == open.out.len()) {
-                return self.watch_failed(now);
-            }
             open.up = true;
             open.heard = now;
-            if self.poll.modify(&open.stream, WATCH, Flags::IN | Flags::RDHUP).is_err() {
-                self.watch_failed(now);
-            }
-            return;
+        }
+        if !open.out.is_empty() {
+            return self.watch_writes(now);
         }
         let n = match open.stream.read(&mut self.buffer) {
             Ok(0) => return self.watch_failed(now),
@@ -190,6 +215,23 @@
         }
     }
 
+    /// Writes what is left of the watch's request; then its answer is awaited.
+    fn watch_writes(&mut self, now: Micros) {
+        let Some(open) = &mut self.watch.open else { return };
+        while !open.out.is_empty() {
+            match open.stream.write(&open.out) {
+                Ok(0) => return self.watch_failed(now),
+                Ok(written) => drop(open.out.drain(..written)),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => return self.watch_failed(now),
+            }
+        }
+        if self.poll.modify(&open.stream, WATCH, Flags::IN | Flags::RDHUP).is_err() {
+            self.watch_failed(now);
+        }
+    }
+
     fn watch_reads(&mut self) -> Result<(), String> {
         loop {
             let Some(open) = &mut self.watch.open else { return Ok(()) };
@@ -209,7 +251,7 @@
     fn watch_lines(&mut self) -> Result<(), String> {
         while let Some(line) = self.watch.open.as_mut().and_then(|open| open.lines.next_line()) {
             let list = List::parse(&line)?;
-            self.watch.pause = PAUSE_FIRST;
+            self.watch.pause = self.watch.pause_max / 4;
             self.take_list(list);
         }
         Ok(())
@@ -223,7 +265,7 @@
         self.watch.address = address;
         self.watch.open = None;
         self.watch.again = now;
-        self.watch.pause = PAUSE_FIRST;
+        self.watch.pause = self.watch.pause_max / 4;
         self.look_after_watch(now);
     }
 
--- a/crates/pintally-platform-node/src/sweep.rs
+++ b/crates/pintally-platform-node/src/sweep.rs
@@ -21,7 +21,6 @@
         if second && tracing::enabled!(tracing::Level::DEBUG) {
             self.tell_beliefs(now);
         }
-        self.look_after_watch(now);
         let late = self.stopping.is_some_and(|at| now >= at + STILL_COME);
         if late && self.listener.is_some() {
             self.stop_accepting();
@@ -102,11 +101,13 @@
             .iter()
             .map(|(errno, count)| (errno.to_string(), (*count).into()))
             .collect();
+        let withheld = by_name(self.host.withheld().by_name().collect());
         let denied = by_name(self.host.denials().by_name().chain(self.denied_closes.by_name()).collect());
         serde_json::json!({
             "held": self.host.held(), "clients": self.clients, "connections": self.conns.len(),
             "bytes": self.bytes, "pace": format!("{:?}", self.host.paces()), "counters": counters,
-            "closes": closes, "denied": denied, "accept_failures": accept_failures, "reloads": self.reloads, "engines": engines,
+            "closes": closes, "denied": denied, "accept_failures": accept_failures, "reloads": self.reloads,
+            "withheld": withheld, "watches": {"opened": self.watch.opened, "failed": self.watch.failed}, "engines": engines,
         })
     }
 }
--- a/crates/pintally-platform-node/src/turn.rs
+++ b/crates/pintally-platform-node/src/turn.rs
@@ -29,6 +29,7 @@
                 given_up,
                 self.reload_due(),
                 self.accepting.again,
+                Some(self.watch.due()),
             ];
             let next = wakes.into_iter().flatten().min().unwrap_or(u64::MAX);
             let most = match self.ready.is_empty() {
@@ -126,6 +127,7 @@
         self.hear_of_given_up(now);
         self.retry_reload(now);
         self.resume_accepting(now);
+        self.look_after_watch(now);
         self.sweep(now);
     }
 
--- a/crates/pintally-wire/src/settings.rs
+++ b/crates/pintally-wire/src/settings.rs
@@ -30,6 +30,8 @@
     pub connect_timeout: Micros,
     /// Engines close connections that have been idle for so long.
     pub keep_alive: Micros,
+    /// Sends to an engine stop within this time of word that it drains or is gone.
+    pub drain_grace: Micros,
     /// Requests that one node may hold at once; 0 if not told.
     pub max_open: u64,
 }
@@ -130,6 +132,8 @@
     #[serde(default)]
     ask_within: f64,
     cold_from: f64,
+    #[serde(default = "drain_grace")]
+    stop_sending_within: f64,
     overload_for: f64,
     tip_multiple: f64,
     warm_after: f64,
@@ -139,6 +143,10 @@
     0.25
 }
 
+fn drain_grace() -> f64 {
+    1.0
+}
+
 fn keep_alive() -> f64 {
     15.0
 }
@@ -192,6 +200,7 @@
         deadlines: conf.profiles.iter().map(|p| micros(p.deadline)).collect(),
         connect_timeout: micros(conf.permissions.connect_timeout),
         keep_alive: micros(conf.permissions.keepalive),
+        drain_grace: micros(conf.rules.stop_sending_within),
         max_open: count(Some(conf.permissions.max_open)),
     };
     let names = Names::new(
