Starts of engines are aged in real time, whatever the wall clock says

Change: starts.rs puts told starts into the node's own time. A start in the future shows a clock that is behind, one that is told anew while the list is followed and is older than the word before by over 15 s one that is ahead: either sets a correction and counts as just now. A list that was kept (the configuration's known) may tell starts of any age. Not to be known: what started before a process's first list by a clock that is ahead. Harm: an engine that is listed long after it started counts as cold once for the settings' time.

--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -20,6 +20,7 @@
 mod pool;
 mod reload;
 mod signals;
+mod starts;
 mod sweep;
 mod system;
 mod turn;
--- a/crates/pintally-platform-node/src/list.rs
+++ b/crates/pintally-platform-node/src/list.rs
@@ -11,6 +11,7 @@
 use crate::conn::{Conn, Key, Work};
 use crate::node::{Node, WATCH};
 use crate::poll::{self, Flags};
+use crate::starts::Starts;
 use crate::system::is_not_yet;
 
 /// A watch that tells nothing, not even that nothing has changed, for so long is opened anew.
@@ -35,6 +36,9 @@
     /// How long it may take to come up, and the longest pause.
     connect_within: Micros,
     pause_max: Micros,
+    /// When discovery was last heard in this process.
+    word: Option<Micros>,
+    pub(crate) starts: Starts,
     /// How often it was opened, and how often it has failed.
     pub(crate) opened: u64,
     pub(crate) failed: u64,
@@ -62,6 +66,8 @@
             pause: pause_max / 4,
             connect_within: (drain_grace / 2).clamp(CONNECT_MIN, CONNECT_MAX),
             pause_max,
+            word: None,
+            starts: Starts::default(),
             opened: 0,
             failed: 0,
         }
@@ -81,11 +87,13 @@
     /// Takes in the list as it was last known.
     pub(crate) fn known(&mut self) {
         if let Some(known) = self.config.known.clone() {
-            self.take_list(List { complete: true, ..known });
+            self.take_list(List { complete: true, ..known }, None);
         }
     }
 
-    fn take_list(&mut self, list: List) {
+    /// Takes in a list. `word_before` is when discovery was last heard before it, if it comes from there: a list
+    /// that was kept elsewhere may tell of starts of any age.
+    fn take_list(&mut self, list: List, word_before: Option<Micros>) {
         let (now, revision) = (self.clock.now(), list.revision);
         match self.watch.follower.take(list) {
             Taken::Same => {}
@@ -95,7 +103,12 @@
             Taken::Unsound(why) => {
                 self.say(now, &format!("revision {revision} of the list does not hold: {why}"))
             }
-            Taken::Holds(form, members) => self.list(form, members),
+            Taken::Holds(form, mut members) => {
+                self.watch.starts.take(now, word_before, &mut members);
+                self.list(form, members);
+                let host = &self.host;
+                self.watch.starts.retain(|engine| host.listing(engine).is_some());
+            }
         }
     }
 
@@ -209,9 +222,14 @@
         };
         open.heard = now;
         open.reader.push(&self.buffer[..n]);
-        if let Err(why) = self.watch_reads() {
-            self.say(now, &format!("discovery cannot be understood: {why}"));
-            self.watch_failed(now);
+        match self.watch_reads() {
+            // Up to now it is known that nothing else has changed, once a list has been told.
+            Ok(()) if self.watch.follower.revision().is_some() => self.watch.word = Some(now),
+            Ok(()) => {}
+            Err(why) => {
+                self.say(now, &format!("discovery cannot be understood: {why}"));
+                self.watch_failed(now);
+            }
         }
     }
 
@@ -252,7 +270,7 @@
         while let Some(line) = self.watch.open.as_mut().and_then(|open| open.lines.next_line()) {
             let list = List::parse(&line)?;
             self.watch.pause = self.watch.pause_max / 4;
-            self.take_list(list);
+            self.take_list(list, self.watch.word);
         }
         Ok(())
     }
@@ -272,7 +290,7 @@
     /// Takes a whole list that came with a configuration, if it is newer than what holds.
     pub(crate) fn take_known(&mut self, known: List) {
         if Some(known.revision) > self.watch.follower.revision() {
-            self.take_list(List { complete: true, ..known });
+            self.take_list(List { complete: true, ..known }, None);
         }
     }
 }
--- a/crates/pintally-platform-node/src/sweep.rs
+++ b/crates/pintally-platform-node/src/sweep.rs
@@ -107,7 +107,8 @@
             "held": self.host.held(), "clients": self.clients, "connections": self.conns.len(),
             "bytes": self.bytes, "pace": format!("{:?}", self.host.paces()), "counters": counters,
             "closes": closes, "denied": denied, "accept_failures": accept_failures, "reloads": self.reloads,
-            "withheld": withheld, "watches": {"opened": self.watch.opened, "failed": self.watch.failed}, "engines": engines,
+            "withheld": withheld, "watches": {"opened": self.watch.opened, "failed": self.watch.failed},
+            "clock_corrections": self.watch.starts.corrections, "engines": engines,
         })
     }
 }
--- a/crates/pintally-soak/src/engine.rs
+++ b/crates/pintally-soak/src/engine.rs
@@ -160,11 +160,17 @@
     }
 
     fn accept(self: Arc<Engine>, listeners: Vec<TcpListener>) {
+        let mut was_gone = false;
         while !self.dead.load(Ordering::SeqCst) {
             if self.vanished.load(Ordering::SeqCst) {
+                was_gone = true;
                 std::thread::sleep(LOOK_EVERY);
                 continue;
             }
+            // What came up at a machine that was not there never came up.
+            if std::mem::take(&mut was_gone) {
+                while listeners.iter().any(|listener| listener.accept().is_ok_and(|new| reset(&new.0))) {}
+            }
             let mut polled: Vec<PollFd<'_>> =
                 listeners.iter().map(|listener| PollFd::new(listener, PollFlags::IN)).collect();
             let _ = poll(&mut polled, Some(&ACCEPT_FOR));
@@ -216,10 +222,7 @@
     /// Resets all connections that are open.
     pub(crate) fn reset_connections(&self) {
         self.resets.fetch_add(1, Ordering::SeqCst);
-        for stream in Self::lock(&self.open).drain(..) {
-            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        Self::lock(&self.open).drain(..).for_each(|stream| drop(reset(&stream)));
     }
 
     /// Its process ends: connections break and new ones are refused.
@@ -510,6 +513,13 @@
     Ok(socket.into())
 }
 
+/// Ends a connection with a reset; that it did.
+fn reset(stream: &TcpStream) -> bool {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Both);
+    true
+}
+
 /// Byte after byte of an event that never ends.
 fn trickle(mut stream: &TcpStream) -> bool {
     let _ = stream.write_all(b"ffff\r\ndata: {\"pad\":\"");
