--- a/crates/pintally-soak/src/client.rs
+++ b/crates/pintally-soak/src/client.rs
@@ -11,8 +11,6 @@
 
 use crate::record::{Ask, AskEnd, BadClient, Class, Record};
 
-/// How long a client waits for its first token.
-const PATIENCE: Duration = Duration::from_millis(2_500);
 /// So much longer it keeps its connection, to see what comes late.
 const BEYOND: Duration = Duration::from_millis(1_500);
 /// A stream that has begun ends within this time.
@@ -66,6 +64,8 @@
     pub(crate) seed: u64,
     pub(crate) record: Arc<Record>,
     pub(crate) until: Instant,
+    /// How long it waits for a first token.
+    pub(crate) patience: Duration,
 }
 
 /// A connection and how many requests it has carried.
@@ -124,7 +124,7 @@
         let class = Class::ALL[[0, 0, 1, 2][dice.random_range(0..4)]];
         let patience = match self.manner {
             Manner::Hurries => Duration::from_millis(dice.random_range(1..220)),
-            _ => PATIENCE,
+            _ => self.patience,
         };
         let bytes = request(id, class, patience, dice.random_range(0..40) == 0);
         let sent = self.send(&mut open.stream, &bytes, dice);
@@ -301,7 +301,7 @@
 
     /// Something that is no request, or part of one; it is owed an error or an end.
     fn misbehaves(&self, dice: &mut ChaCha8Rng) {
-        let whole = request("bad", Class::Safe, PATIENCE, false);
+        let whole = request(&format!("{}-bad", self.name), Class::Safe, self.patience, false);
         let up = b"GET /up HTTP/1.1\r\n\r\n";
         let (bytes, goes) = match dice.random_range(0..7) {
             0 => (whole[..dice.random_range(1..whole.len())].to_vec(), false),
--- a/crates/pintally-soak/src/discovery.rs
+++ b/crates/pintally-soak/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -54,6 +54,7 @@
     record: Arc<Record>,
     told: Mutex<Told>,
     listeners: AtomicU64,
+    refuses: AtomicBool,
 }
 
 impl Agent {
@@ -64,6 +65,7 @@
             record: record.clone(),
             told: Mutex::new(told),
             listeners: AtomicU64::new(0),
+            refuses: AtomicBool::new(false),
         });
         let own = agent.clone();
         spawn(move || {
@@ -90,6 +92,7 @@
             let _ = listener.set_nonblocking(true);
             while !own.record.is_over() && own.lock().current == number {
                 match listener.accept() {
+                    Ok(_) if own.refuses.load(Ordering::SeqCst) => {}
                     Ok((stream, _)) => {
                         let own = own.clone();
                         spawn(move || own.watch(stream, number));
@@ -166,6 +169,14 @@
         self.record.with(|books| books.told.extend(gone.map(|(id, _)| (self.node, id, at))));
     }
 
+    /// From now on, or no more, connections are ended as they come.
+    pub(crate) fn set_refusing(&self, refusing: bool) {
+        self.refuses.store(refusing, Ordering::SeqCst);
+        if refusing {
+            self.reset();
+        }
+    }
+
     /// Watches are answered so late from now on.
     pub(crate) fn set_slow(&self, slow: Duration) {
         self.lock().slow = slow;
--- a/crates/pintally-soak/src/engine.rs
+++ b/crates/pintally-soak/src/engine.rs
@@ -222,7 +222,9 @@
     /// Resets all connections that are open.
     pub(crate) fn reset_connections(&self) {
         self.resets.fetch_add(1, Ordering::SeqCst);
-        Self::lock(&self.open).drain(..).for_each(|stream| drop(reset(&stream)));
+        for stream in Self::lock(&self.open).drain(..) {
+            reset(&stream);
+        }
     }
 
     /// Its process ends: connections break and new ones are refused.
--- a/crates/pintally-soak/src/judge.rs
+++ b/crates/pintally-soak/src/judge.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::record::{Ask, AskEnd, At, Begun, Books, Class, Incarnation};
+use crate::timing::Timing;
 
 /// A request has its final answer so long after its time at the latest.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
@@ -11,12 +12,10 @@
 const LEFT_SLACK: Duration = Duration::from_millis(100);
 /// And tell so much more than is left.
 const TOLD_SLACK: Duration = Duration::from_millis(150);
-/// Nothing goes to an engine so long after it was told to drain or to be gone.
-const DRAIN_GRACE: Duration = Duration::from_millis(1_000 + 50);
-/// What is held is fetched or let go within this time.
-const HELD_WITHIN: Duration = Duration::from_millis(500 + 300);
-/// Repeats of a keyed request are dropped for so long.
-const KEYED_WINDOW: Duration = Duration::from_millis(1_200 + 150);
+/// What the platform allows beside the settings' grace of drains, time of what is held, and window of repeats.
+const DRAIN_SLACK: Duration = Duration::from_millis(50);
+const HELD_SLACK: Duration = Duration::from_millis(300);
+const WINDOW_SLACK: Duration = Duration::from_millis(150);
 /// What came so long after the signal to stop is owed an answer up to the kill.
 const STOPPED_FROM: Duration = Duration::from_millis(700);
 /// New connections come for so long after it.
@@ -78,6 +77,7 @@
 pub(crate) struct Judge<'a> {
     pub(crate) books: &'a Books,
     pub(crate) late: Duration,
+    pub(crate) timing: Timing,
 }
 
 impl Judge<'_> {
@@ -187,7 +187,7 @@
         let twice = match ask.class {
             Class::Safe => false,
             Class::Once => effects.len() > 1,
-            Class::Keyed => *last > *first + KEYED_WINDOW + self.late,
+            Class::Keyed => *last > *first + self.timing.keyed_window + WINDOW_SLACK + self.late,
         };
         if twice {
             found.push(violation(Kind::Duplicate, id.into(), format!("{:?}: {begun:?}", ask.class)));
@@ -219,7 +219,9 @@
             let counts = told.map(|(_, _, at)| *at).min();
             let started = self.incarnation(attempt.node, attempt.head).map_or(At::ZERO, |i| i.started);
             let could_ask = self.discovery_back(started);
-            if counts.is_some_and(|at| attempt.head > at.max(could_ask) + DRAIN_GRACE + self.late) {
+            if counts.is_some_and(|at| {
+                attempt.head > at.max(could_ask) + self.timing.drain_grace + DRAIN_SLACK + self.late
+            }) {
                 found.push(violation(Kind::Drain, id.into(), format!("told at {counts:?}: {attempt:?}")));
             }
         }
@@ -238,7 +240,9 @@
             // What a process held when it ended is no duty of its next one.
             let from = ask.sent;
             let to = from + ask.patience + Duration::from_secs(10);
-            if held.longest > HELD_WITHIN + self.late && !self.node_ended(ask.node, from, to) {
+            if held.longest > self.timing.release + HELD_SLACK + self.late
+                && !self.node_ended(ask.node, from, to)
+            {
                 let seen = format!("for {:?}: {ask:?}; {:?}", held.longest, self.books.begun.get(id));
                 found.push(violation(Kind::Pinned, id.clone(), seen));
             }
--- a/crates/pintally-soak/src/judge/tests.rs
+++ b/crates/pintally-soak/src/judge/tests.rs
@@ -49,7 +49,11 @@
 }
 
 fn kinds(books: &Books) -> Vec<Kind> {
-    Judge { books, late: Duration::ZERO }.verdict().into_iter().map(|v| v.kind).collect()
+    Judge { books, late: Duration::ZERO, timing: Timing::usual() }
+        .verdict()
+        .into_iter()
+        .map(|v| v.kind)
+        .collect()
 }
 
 #[test]
--- a/crates/pintally-soak/src/lib.rs
+++ b/crates/pintally-soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod node;
 mod record;
 mod run;
+mod timing;
 mod trouble;
 
 pub use judge::{Kind, Violation};
--- a/crates/pintally-soak/src/node.rs
+++ b/crates/pintally-soak/src/node.rs
@@ -14,6 +14,7 @@
 use serde_json::{json, Value};
 
 use crate::record::{Incarnation, Record};
+use crate::timing::Timing;
 
 /// A node has to be ready by then.
 const READY_WITHIN: Duration = Duration::from_secs(10);
@@ -31,6 +32,9 @@
     /// The library that makes system calls fail, and how many of a thousand.
     pub(crate) faults: Option<(PathBuf, u32)>,
     pub(crate) log_level: String,
+    pub(crate) timing: Timing,
+    /// The wall clock of some nodes is off by so many seconds, where the library can be built.
+    pub(crate) clock_shift: i64,
 }
 
 /// A node.
@@ -82,7 +86,7 @@
         discovery: SocketAddr,
         known: &Value,
     ) -> std::io::Result<()> {
-        let config = configuration(self.number, nodes, self.address, discovery, known);
+        let config = configuration(self.number, nodes, self.address, discovery, known, &self.launch.timing);
         std::fs::write(self.config_file(), config.to_string())
     }
 
@@ -98,10 +102,13 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log);
-        // One half of the nodes has system calls that fail.
-        if let Some((library, permille)) = self.launch.faults.as_ref().filter(|_| self.number % 2 == 1) {
-            let seed = self.seed ^ self.number as u64;
+        // One half of the nodes has system calls that fail, and a third a wall clock that is off.
+        if let Some((library, permille)) = self.launch.faults.as_ref() {
+            let (seed, permille) = (self.seed ^ self.number as u64, permille * (self.number as u32 % 2));
             command.env("LD_PRELOAD", library).env("PINTALLY_FAULTS", format!("{seed} {permille}"));
+            if self.number.is_multiple_of(3) {
+                command.env("PINTALLY_CLOCK_SHIFT", self.launch.clock_shift.to_string());
+            }
         }
         let child = command.spawn()?;
         let started = self.record.now();
@@ -286,10 +293,11 @@
     listen: SocketAddr,
     discovery: SocketAddr,
     known: &Value,
+    timing: &Timing,
 ) -> Value {
     let class = |name: &str, effect: Value| {
-        let mut class =
-            json!({"name": name, "deadline": 2.5, "gain": 1.0, "objective": 1.5, "late_value": 0.2});
+        let mut class = json!({"name": name, "deadline": timing.patience.as_secs_f64(), "gain": 1.0,
+            "objective": timing.patience.as_secs_f64() * 0.6, "late_value": 0.2});
         for (key, value) in effect.as_object().into_iter().flatten() {
             class[key] = value.clone();
         }
@@ -300,15 +308,15 @@
         "limits": {"cores": 0.5, "memory_mb": MEMORY_MB, "sockets": SOCKETS}, "known": known,
         "settings": {
             "balancers": nodes, "me": number, "zone": "a", "discovery": "pushed", "weight_kind": "nominal",
-            "family_info": {"duty_by_kind": ["read", "write"], "let_go_by": 0.5, "memory_tokens": [200_000, 200_000]},
+            "family_info": {"duty_by_kind": ["read", "write"], "let_go_by": timing.release.as_secs_f64(), "memory_tokens": [200_000, 200_000]},
             "feedback": {"fields": ["x0", "x1"], "source": "inline"}, "machine_types": ["m1", "m2"],
-            "permissions": {"attempts_cap": 6, "may_cancel": true, "connect_timeout": 0.25, "keepalive": 15.0},
+            "permissions": {"attempts_cap": 6, "may_cancel": true, "connect_timeout": timing.connect.as_secs_f64(), "keepalive": 15.0},
             "profiles": [
                 class("safe", json!({"effect": "repeatable"})),
                 class("once", json!({"effect": "once"})),
-                class("keyed", json!({"effect": "by_key", "group": "all", "dedup_window": 1.2})),
+                class("keyed", json!({"effect": "by_key", "group": "all", "dedup_window": timing.keyed_window.as_secs_f64()})),
             ],
-            "rules": {"cold_from": 0.3, "overload_for": 1.5, "tip_multiple": 2.5, "warm_after": 14.0},
+            "rules": {"stop_sending_within": timing.drain_grace.as_secs_f64(), "cold_from": 0.3, "overload_for": 1.5, "tip_multiple": 2.5, "warm_after": 14.0},
         },
     })
 }
--- a/crates/pintally-soak/src/run.rs
+++ b/crates/pintally-soak/src/run.rs
@@ -18,8 +18,11 @@
 use crate::judge::{Judge, Violation};
 use crate::node::{keep_logs, Launch, Node};
 use crate::record::{AskEnd, Record};
+use crate::timing::Timing;
 use crate::trouble::{draw, Trouble, What};
 
+/// A wall clock may be off by so many seconds.
+const HOUR: i64 = 3_600;
 /// Threads of a run do little: a small stack is enough for hundreds of them.
 const STACK: usize = 256 << 10;
 /// Between SIGTERM and SIGKILL: the longest deadline, counted as 3 s at the most, and 0.7 s.
@@ -122,6 +125,8 @@
         program: options.program.clone(),
         folder: folder.path().into(),
         faults,
+        timing: Timing::draw(options.seed),
+        clock_shift: [0, HOUR, -HOUR, 7, -7][options.seed as usize % 5],
         log_level: if options.logs.is_some() { "debug" } else { "info" }.into(),
     });
     let (mut nodes, mut agents) = (Vec::new(), Vec::new());
@@ -161,13 +166,13 @@
         keep_logs(folder.path(), to)?;
     }
     lock(&stage.engines).values().for_each(|engine| engine.die());
-    Ok(report(&stage, late))
+    Ok(report(&stage, late, launch.timing))
 }
 
-fn report(stage: &Stage, late: Duration) -> Report {
+fn report(stage: &Stage, late: Duration, timing: Timing) -> Report {
     let books = stage.record.take_books();
     // Threads of nodes are woken as late as those here.
-    let violations = Judge { books: &books, late: late * 2 + LATE_LEAST }.verdict();
+    let violations = Judge { books: &books, late: late * 2 + LATE_LEAST, timing }.verdict();
     let asked = books.asks.values().filter(|ask| ask.end != AskEnd::Unsent).count();
     let whole = |end: &AskEnd| matches!(end, AskEnd::Answered { status: 200, whole: true, .. });
     Report {
@@ -221,6 +226,7 @@
                 seed: options.seed << 24 | (node.number as u64) << 8 | at as u64,
                 record: stage.record.clone(),
                 until,
+                patience: Timing::draw(options.seed).patience,
             };
             clients.push(spawn(move || client.run()));
         }
@@ -301,6 +307,16 @@
                 std::thread::sleep(span);
                 self.agents.iter().for_each(|agent| agent.set_slow(Duration::ZERO));
             }
+            What::DiscoveryRefuses { span } => {
+                let from = self.record.now();
+                self.agents.iter().for_each(|agent| agent.set_down(true));
+                self.agents.iter().for_each(|agent| agent.set_refusing(true));
+                std::thread::sleep(span);
+                self.agents.iter().for_each(|agent| agent.set_refusing(false));
+                self.agents.iter().for_each(|agent| agent.set_down(false));
+                let to = self.record.now();
+                self.record.with(|books| books.discovery_down.push((from, to)));
+            }
             What::WatchesSilent => self.agents.iter().for_each(|agent| agent.silence()),
             What::WatchesReset => self.agents.iter().for_each(|agent| agent.reset()),
             What::Replace { engine, after } => self.replace(engine, after, seed),
--- a/crates/pintally-soak/src/trouble.rs
+++ b/crates/pintally-soak/src/trouble.rs
@@ -29,6 +29,8 @@
     DiscoveryDown { span: Duration },
     /// Discovery answers late.
     DiscoverySlow { span: Duration, late: Duration },
+    /// Discovery refuses connections, and watches that are open are reset.
+    DiscoveryRefuses { span: Duration },
     /// All open watches fall silent.
     WatchesSilent,
     /// All open watches are reset.
@@ -72,7 +74,7 @@
     let span = Duration::from_millis(dice.random_range(300..3_000));
     let many = dice.random_range(1..5);
     let engines: Vec<usize> = (0..many).map(|n| engine + n).collect();
-    match dice.random_range(0..17) {
+    match dice.random_range(0..18) {
         0..3 => What::Stop { node },
         3 => What::Kill { node, down: span / 4 },
         4 => What::Pause { node, span: Duration::from_millis(dice.random_range(50..150)) },
@@ -87,6 +89,7 @@
         13 => What::Hang { engines, span },
         14 => What::Vanish { engines, span },
         15 => What::Reset { engine },
+        16 => What::DiscoveryRefuses { span: span / 2 },
         _ => What::Crowd { node, connections: dice.random_range(50..300), span },
     }
 }
