A stream's connection ends as its head told, also at a stop; slow clients take less memory

Change: a connection whose stream's head did not tell its end rests behind the last chunk when the node stops, and what comes on it is refused with the end told; it is closed unread like all that rest. An engine is read 16 KiB at a time, no further while its client is slow, and a client is slow from 32 KiB unwritten on (64 before).

--- a/crates/pintally-cli/tests/platform/closing.rs
+++ b/crates/pintally-cli/tests/platform/closing.rs
@@ -12,7 +12,7 @@
 /// A stream that no system's buffers hold.
 const ENDLESS: usize = 24 << 20;
 /// Streams differ by so much in length, from less than the buffers hold on: some end with their last part still
-/// in the node, which holds 64 KiB.
+/// in the node, which holds 32 KiB and what one read brings.
 const STEP: usize = 8 << 10;
 const SHORTER: usize = 48 << 10;
 /// Longer than a connection whose last answer is written is kept for its client to read it.
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -206,10 +206,12 @@
     }
 
     /// Whether a connection ends behind the answer that is given now. A node that is about to end still answers
-    /// what it has read behind that: a request that was read and gets no answer would be lost.
+    /// what it has read behind that: a request that was read and gets no answer would be lost. So would one
+    /// that comes behind a stream whose head has not told that the connection ends: it rests until it is closed unread.
     fn ends_behind_answer(&mut self, key: Key) -> bool {
         let stopping = self.stopping.is_some();
-        self.client(key).is_some_and(|client| client.last || stopping && !client.reader.is_partial())
+        let may_tell = |client: &Client| !client.streaming && !client.reader.is_partial();
+        self.client(key).is_some_and(|client| client.last || stopping && may_tell(client))
     }
 
     /// The answer to a connection's request is written in full.
--- a/crates/pintally-platform-node/src/conn.rs
+++ b/crates/pintally-platform-node/src/conn.rs
@@ -67,8 +67,8 @@
 const READ_AHEAD: usize = 64 << 10;
 /// Written and not taken by a slow client: above the first nothing more is read for it, and none of its further
 /// requests is looked at; below the second both go on.
-pub(crate) const SLOW: usize = 64 << 10;
-pub(crate) const SLOW_NO_MORE: usize = 16 << 10;
+pub(crate) const SLOW: usize = 32 << 10;
+pub(crate) const SLOW_NO_MORE: usize = 8 << 10;
 
 impl Client {
     /// Whether more is read: behind a request that is held too, so that it is known when that came. Guards against
--- a/crates/pintally-platform-node/src/engines.rs
+++ b/crates/pintally-platform-node/src/engines.rs
@@ -18,6 +18,8 @@
 const AT_ONCE: Micros = 30_000;
 /// Reads of one connection in one turn.
 const READS_MOST: usize = 4;
+/// Bytes of one read: what a slow client's connection may hold beyond its bound.
+const READ_BYTES: usize = 16 << 10;
 
 impl Node {
     fn engine(&mut self, key: Key) -> Option<&mut Engine> {
@@ -121,7 +123,8 @@
                 // What comes of a connection that is not in use is no answer to anything.
                 return self.close_engine(key);
             }
-            let full = match conn.stream.read(&mut self.buffer) {
+            let buffer = &mut self.buffer[..READ_BYTES];
+            let full = match conn.stream.read(buffer) {
                 Ok(0) => {
                     if let Some(idle) = stale(conn, now) {
                         self.keep.ended(now, idle);
@@ -131,8 +134,8 @@
                 }
                 Ok(n) => {
                     conn.last = now;
-                    conn.reader.push(&self.buffer[..n], names, &mut told);
-                    n == self.buffer.len()
+                    conn.reader.push(&buffer[..n], names, &mut told);
+                    n == buffer.len()
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => true,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -141,7 +144,9 @@
             for progress in told.drain(..) {
                 self.progress(key, progress);
             }
-            if !full {
+            // Guards against memory that fills with what a slow client has yet to take.
+            let paused = self.engine(key).is_none_or(|conn| conn.paused);
+            if !full || paused {
                 return;
             }
         }
