Refusals are counted by reason; tests of what the host asks the permits

Tests: an attempt whose connection comes up late may start only while its engine serves, its client is there and time is left; refusals by reason.

--- a/crates/pintally-host/src/cellular.rs
+++ b/crates/pintally-host/src/cellular.rs
@@ -6,6 +6,7 @@
 
 use crate::host::{Host, Place};
 use crate::input::{Arrival, Command, Final, Listed, Ticket};
+use crate::refusal::RefusalReason;
 use crate::timers::Due;
 
 /// Whoever comes before any file of cells is known is told to come back after this time.
@@ -188,7 +189,7 @@
                 let told = core.retry_advice && core.max_retry_after > 0;
                 self.counters.no_zone += 1;
                 let after = told.then(|| after.min(core.max_retry_after));
-                self.turn_away(arrival.ticket, after, out);
+                self.turn_away(arrival.ticket, RefusalReason::NoPlace, after, out);
                 return None;
             }
             None => {}
@@ -201,7 +202,7 @@
         let tenant = arrival.tenant.and_then(|t| self.settings.core.tenants.get(t)).map(|t| t.name.as_str());
         let Some(cells) = &mut self.cells else {
             // Without the file nobody knows whose engine is whose: better nobody than everybody.
-            self.turn_away(arrival.ticket, Some(UNKNOWN), out);
+            self.turn_away(arrival.ticket, RefusalReason::NoPlace, Some(UNKNOWN), out);
             return None;
         };
         let ask = Ask { tenant, session, class: arrival.class, bytes: arrival.bytes };
@@ -213,7 +214,7 @@
             }
             Verdict::Refused(_, after_ms, _) => {
                 self.counters.at_the_edge += 1;
-                self.turn_away(arrival.ticket, Some(after_ms * 1000), out);
+                self.turn_away(arrival.ticket, RefusalReason::NoPlace, Some(after_ms * 1000), out);
                 None
             }
         }
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -21,6 +21,7 @@
 use crate::letting::Letting;
 use crate::limits::Limiting;
 use crate::recover::Recovering;
+use crate::refusal::{RefusalReason, Refusals};
 use crate::regional::Regional;
 use crate::releases::Releases;
 use crate::timers::{Due, Timers};
@@ -92,6 +93,7 @@
     pub(crate) counters: Counters,
     denials: Denials,
     withheld: Denials,
+    refusals: Refusals,
 }
 
 impl Host {
@@ -130,6 +132,7 @@
             counters: Counters::default(),
             denials: Denials::default(),
             withheld: Denials::default(),
+            refusals: Refusals::default(),
         }
     }
 
@@ -154,6 +157,11 @@
         &self.denials
     }
 
+    /// Refusals, by reason.
+    pub fn refusals(&self) -> &Refusals {
+        &self.refusals
+    }
+
     /// Attempts that were sent and not started, as the rules did not permit it any more when their connections
     /// came up. That is no error.
     pub fn withheld(&self) -> &Denials {
@@ -373,8 +381,14 @@
         let patience = arrival.patience.map_or(usual, |own| own.min(usual));
         let left = patience.saturating_sub(limits.answer_margin);
         let full = self.cells.is_none() && self.entries.len() >= limits.held;
-        if self.stopping || left == 0 || full {
-            return self.turn_away(arrival.ticket, None, out);
+        let reason = match (self.stopping, left, full) {
+            (true, ..) => Some(RefusalReason::Stopping),
+            (_, 0, _) => Some(RefusalReason::NoTimeLeft),
+            (.., true) => Some(RefusalReason::TooManyHeld),
+            _ => None,
+        };
+        if let Some(reason) = reason {
+            return self.turn_away(arrival.ticket, reason, None, out);
         }
         if self.entries.contains_key(&arrival.ticket) {
             self.counters.stray += 1;
@@ -383,13 +397,13 @@
         let margin = limits.answer_margin;
         if let Some(after) = self.kept_out(now, &arrival) {
             self.counters.kept_out += 1;
-            return self.turn_away(arrival.ticket, after, out);
+            return self.turn_away(arrival.ticket, RefusalReason::Recovering, after, out);
         }
         let costs = match self.costs(now, &arrival, max_tokens) {
             Ok(costs) => costs,
             Err(after) => {
                 self.counters.limited += 1;
-                return self.turn_away(arrival.ticket, after, out);
+                return self.turn_away(arrival.ticket, RefusalReason::OverLimit, after, out);
             }
         };
         let session = arrival.session.unwrap_or(arrival.ticket | 1 << 52);
@@ -399,7 +413,7 @@
         // Guards against two requests of one name: the first would never be ended.
         if self.by_id.contains_key(&id) {
             self.counters.stray += 1;
-            return self.turn_away(arrival.ticket, None, out);
+            return self.turn_away(arrival.ticket, RefusalReason::NameInUse, None, out);
         }
         let counted = self.charge(now, &costs);
         // The core answers by the deadline; the guard stands behind it, before the client gives up.
@@ -664,6 +678,7 @@
             self.deny(id, "a refusal", denial, out);
         }
         let Some(entry) = self.entries.get_mut(&ticket) else { return };
+        let attempts = entry.attempts;
         self.touched.push(ticket);
         self.timers.unset(entry.guard);
         if !std::mem::replace(&mut entry.heard, true) {
@@ -672,7 +687,13 @@
         }
         match answer {
             Final::Served => self.counters.served += 1,
-            Final::Refused(_) => self.counters.refused += 1,
+            Final::Refused(_) => {
+                self.counters.refused += 1;
+                self.refusals.add(match attempts {
+                    0 => RefusalReason::Unsent,
+                    _ => RefusalReason::AfterAttempts,
+                });
+            }
             Final::Failed => self.counters.failed += 1,
             Final::Cut => self.counters.cut += 1,
         }
@@ -688,7 +709,14 @@
     }
 
     /// Turns a request away before any core sees it.
-    pub(crate) fn turn_away(&mut self, ticket: Ticket, after: Option<Micros>, out: &mut Vec<Command>) {
+    pub(crate) fn turn_away(
+        &mut self,
+        ticket: Ticket,
+        reason: RefusalReason,
+        after: Option<Micros>,
+        out: &mut Vec<Command>,
+    ) {
+        self.refusals.add(reason);
         self.counters.turned_away += 1;
         self.counters.refused += 1;
         out.push(Command::Answer(ticket, Final::Refused(after)));
--- /dev/null
+++ b/crates/pintally-host/tests/permits.rs
@@ -0,0 +1,91 @@
+//! What the host asks pintally-permits: late starts, and why requests are refused.
+
+use std::sync::Arc;
+
+use pintally::interface::*;
+use pintally_config::NodeSettings;
+use pintally_host::{Arrival, Command, Final, Host, Input, Listed, RefusalReason, Ticket};
+use pintally_permits::Denial;
+
+const SETTINGS: &str = r#"
+(pintally
+  (node (name "t") (engines "unused"))
+  (limits (held 2) (connections 64) (answer-margin-ms 20) (stop-ms 4000))
+  (rules (attempts 5) (warm-after-ms 0) (tip-window-ms 1))
+  (class "once" (effect unsafe) (aim-ms 500) (patience-ms 1500))
+  (kind "r" (role reader)) (kind "w" (role writer) (slots 4)))"#;
+
+const START: Micros = 1_000_000;
+
+fn listed(id: &str, kind: &str, listing: Listing) -> Listed {
+    Listed {
+        member: Member {
+            engine: EngineId(id.into()),
+            zone: "a".into(),
+            kind: kind.into(),
+            rack: 0,
+            listing,
+            weight: 1.0,
+            started: None,
+        },
+        address: ([127, 0, 0, 1], 9).into(),
+        cell: None,
+        started_unix_ms: None,
+    }
+}
+
+fn host() -> Host {
+    let settings = Arc::new(NodeSettings::parse("test", SETTINGS).expect("they are sound"));
+    let mut host = Host::new(settings, 7);
+    let all = vec![listed("r0", "r", Listing::Serving), listed("w0", "w", Listing::Serving)];
+    host.handle(START, Input::List(ListForm::Full, all), &mut Vec::new());
+    host
+}
+
+fn arrives(host: &mut Host, ticket: Ticket, patience: Micros) -> Vec<Command> {
+    let arrival =
+        Arrival { ticket, class: Some(0), patience: Some(patience), streamed: true, ..Arrival::default() };
+    let mut out = Vec::new();
+    host.handle(START, Input::Arrived(arrival), &mut out);
+    out
+}
+
+fn is_sent(out: &[Command]) -> bool {
+    out.iter().any(|command| matches!(command, Command::Attempt(_)))
+}
+
+/// Guards against an attempt that starts on a connection which came up after its engine's drain, its client's
+/// leaving or its time.
+#[test]
+fn an_attempt_starts_late_only_while_it_may() {
+    let mut sent = host();
+    assert!(is_sent(&arrives(&mut sent, 1, 1_000_000)));
+    assert_eq!(sent.may_start(START + 1, 1), Ok(()));
+    assert_eq!(sent.may_start(START + 1_000_000, 1), Err(Denial::NoTimeLeft));
+    assert_eq!(sent.may_start(START, 2), Err(Denial::RequestOver), "nobody knows it");
+    let drained = vec![listed("r0", "r", Listing::Draining)];
+    sent.handle(START + 2, Input::List(ListForm::Change, drained), &mut Vec::new());
+    assert_eq!(sent.may_start(START + 3, 1), Err(Denial::EngineNotServing));
+    assert_eq!((sent.withheld().total(), sent.denials().total()), (2, 0));
+
+    let mut left = host();
+    arrives(&mut left, 1, 1_000_000);
+    left.handle(START + 1, Input::Left(1), &mut Vec::new());
+    assert_eq!(left.may_start(START + 2, 1), Err(Denial::RequestOver));
+}
+
+#[test]
+fn refusals_are_counted_by_reason() {
+    let mut host = host();
+    let refused =
+        |out: &[Command]| out.iter().any(|command| matches!(command, Command::Answer(_, Final::Refused(_))));
+    assert!(refused(&arrives(&mut host, 1, 20_000)), "its time is the margin");
+    assert!(is_sent(&arrives(&mut host, 2, 1_000_000)));
+    arrives(&mut host, 3, 1_000_000);
+    assert!(refused(&arrives(&mut host, 4, 1_000_000)), "two are held");
+    host.handle(START, Input::Stop, &mut Vec::new());
+    assert!(refused(&arrives(&mut host, 5, 1_000_000)));
+    let counts: Vec<_> = host.refusals().by_name().collect();
+    assert_eq!(counts, [("stopping", 1), ("no_time_left", 1), ("too_many_held", 1)]);
+    assert_eq!(host.refusals().of(RefusalReason::Stopping), 1);
+}
--- a/crates/pintally-platform-node/src/sweep.rs
+++ b/crates/pintally-platform-node/src/sweep.rs
@@ -102,11 +102,12 @@
             .map(|(errno, count)| (errno.to_string(), (*count).into()))
             .collect();
         let withheld = by_name(self.host.withheld().by_name().collect());
+        let refusals = by_name(self.host.refusals().by_name().collect());
         let denied = by_name(self.host.denials().by_name().chain(self.denied_closes.by_name()).collect());
         serde_json::json!({
             "held": self.host.held(), "clients": self.clients, "connections": self.conns.len(),
             "bytes": self.bytes, "pace": format!("{:?}", self.host.paces()), "counters": counters,
-            "closes": closes, "denied": denied, "accept_failures": accept_failures, "reloads": self.reloads,
+            "closes": closes, "refusals": refusals, "denied": denied, "accept_failures": accept_failures, "reloads": self.reloads,
             "withheld": withheld, "watches": {"opened": self.watch.opened, "failed": self.watch.failed},
             "clock_corrections": self.watch.starts.corrections, "engines": engines,
         })
