--- a/crates/pintally-soak/src/judge.rs
+++ b/crates/pintally-soak/src/judge.rs
@@ -151,7 +151,9 @@
                         ));
                     }
                 }
-                let cut = begun.iter().any(|b| b.cut_by_node.is_some() && b.effect.is_some());
+                // The client's stream is that of the last attempt that took effect; earlier ones were given up.
+                let own = begun.iter().filter(|b| b.effect.is_some()).max_by_key(|b| b.begun);
+                let cut = own.is_some_and(|b| b.cut_by_node.is_some());
                 if cut && !whole && ask.left.is_none() && ask.prompt_reader && !self.excused_by_end(ask, at) {
                     found.push(violation(
                         Kind::StreamCut,
--- a/crates/pintally-soak/src/judge/tests.rs
+++ b/crates/pintally-soak/src/judge/tests.rs
@@ -132,6 +132,12 @@
     assert_eq!(kinds(&books(ask(Class::Safe, cut), vec![finished])), [Kind::StreamCut]);
     let writes = Begun { cut_by_node: Some(ms(1_400)), ..begun(1_100) };
     assert_eq!(kinds(&books(ask(Class::Safe, cut), vec![writes])), [Kind::StreamCut]);
+    let given_up = Begun { cut_by_node: Some(ms(1_400)), ..begun(1_100) };
+    let last = begun(1_300);
+    assert!(
+        kinds(&books(ask(Class::Safe, cut), vec![given_up, last])).is_empty(),
+        "the last one's engine broke off"
+    );
     let slow = Ask { most_held_back: ms(301), ..ask(Class::Safe, answered(200, true, 1_500)) };
     assert_eq!(kinds(&books(slow, vec![begun(1_100)])), [Kind::HeldBack]);
 }
