--- a/crates/pintally-soak/src/trouble.rs
+++ b/crates/pintally-soak/src/trouble.rs
@@ -74,7 +74,7 @@
     let span = Duration::from_millis(dice.random_range(300..3_000));
     let many = dice.random_range(1..5);
     let engines: Vec<usize> = (0..many).map(|n| engine + n).collect();
-    match dice.random_range(0..18) {
+    match dice.random_range(0..20) {
         0..3 => What::Stop { node },
         3 => What::Kill { node, down: span / 4 },
         4 => What::Pause { node, span: Duration::from_millis(dice.random_range(50..150)) },
@@ -85,11 +85,11 @@
         9 => What::DiscoverySlow { span, late: Duration::from_millis(dice.random_range(100..900)) },
         10 => What::WatchesSilent,
         11 => What::WatchesReset,
-        12 => What::Replace { engine, after: span },
-        13 => What::Hang { engines, span },
-        14 => What::Vanish { engines, span },
-        15 => What::Reset { engine },
-        16 => What::DiscoveryRefuses { span: span / 2 },
+        12..15 => What::Replace { engine, after: span },
+        15 => What::Hang { engines, span },
+        16 => What::Vanish { engines, span },
+        17 => What::Reset { engine },
+        18 => What::DiscoveryRefuses { span: span / 2 },
         _ => What::Crowd { node, connections: dice.random_range(50..300), span },
     }
 }
