--- a/crates/pintally-cli/tests/platform/ends.rs
+++ b/crates/pintally-cli/tests/platform/ends.rs
@@ -305,6 +305,20 @@
     assert!(latest < Duration::from_millis(GRACE_MS), "{latest:?}");
 }
 
+/// Guards against a node that never hears of the list because discovery takes longer to answer a watch than the node
+/// waits for word on one that is open.
+#[test]
+fn a_watch_that_is_answered_late_is_heard() {
+    let stand = Stand::new(&["r0", "w0", "w1"], 256);
+    stand.discovery.until_watched(1);
+    stand.discovery.answer_after(Duration::from_secs(4));
+    stand.discovery.reset_watches();
+    stand.discovery.change_unheard(member("w1", stand.engines["w1"], "draining"));
+    let since = Instant::now();
+    stand.until_believed("the drain", |b| is_listed(b, "w1", "Draining"));
+    println!("heard after {:?}", since.elapsed());
+}
+
 #[test]
 fn the_end_of_a_watch_ends_no_clients_connection() {
     let mut stand = Stand::new(&["r0", "w0"], 256);
--- a/crates/pintally-cli/tests/platform/stand.rs
+++ b/crates/pintally-cli/tests/platform/stand.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -262,6 +262,8 @@
     unanswered: Mutex<Vec<TcpStream>>,
     /// Bytes of the whole list are written one by one.
     by_bytes: AtomicBool,
+    /// Watches are answered after so many milliseconds.
+    answers_after_ms: AtomicU64,
 }
 
 impl Discovery {
@@ -270,7 +272,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let (address, discovery) = (listener.local_addr().unwrap(), self.clone());
         std::thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
+            for stream in listener.incoming().flatten() {
                 let mut line = String::new();
                 let _ = BufReader::new(&stream).read_line(&mut line);
                 if line.is_empty() {
@@ -282,22 +284,41 @@
                     discovery.word.notify_all();
                     continue;
                 }
-                let mut inner = discovery.inner.lock().unwrap();
-                let whole = json!({"revision": inner.0, "complete": true, "members": inner.1});
-                let answer = [response_head(200, &[]), chunk(format!("{whole}\n").as_bytes())].concat();
-                if discovery.by_bytes.load(Ordering::SeqCst) {
-                    let _ = stream.set_nodelay(true);
-                    answer.iter().for_each(|byte| drop(stream.write_all(&[*byte])));
-                } else {
-                    let _ = stream.write_all(&answer);
+                let slow = discovery.answers_after_ms.load(Ordering::SeqCst);
+                if slow > 0 {
+                    let discovery = discovery.clone();
+                    std::thread::spawn(move || {
+                        std::thread::sleep(Duration::from_millis(slow));
+                        discovery.answer(stream);
+                    });
+                    continue;
                 }
-                inner.2.push(stream);
-                discovery.word.notify_all();
+                discovery.answer(stream);
             }
         });
         address
     }
 
+    /// Answers a watch with the whole list.
+    fn answer(&self, mut stream: TcpStream) {
+        let mut inner = self.inner.lock().unwrap();
+        let whole = json!({"revision": inner.0, "complete": true, "members": inner.1});
+        let answer = [response_head(200, &[]), chunk(format!("{whole}\n").as_bytes())].concat();
+        if self.by_bytes.load(Ordering::SeqCst) {
+            let _ = stream.set_nodelay(true);
+            answer.iter().for_each(|byte| drop(stream.write_all(&[*byte])));
+        } else {
+            let _ = stream.write_all(&answer);
+        }
+        inner.2.push(stream);
+        self.word.notify_all();
+    }
+
+    /// Watches that are opened from now on are answered after this time.
+    pub fn answer_after(&self, time: Duration) {
+        self.answers_after_ms.store(time.as_millis() as u64, Ordering::SeqCst);
+    }
+
     /// Changes one entry and tells all watches.
     pub fn change(&self, member: Value) {
         let mut inner = self.inner.lock().unwrap();
