A new watch is given 5 s for its first word, and then longer

Change: silence of a watch that has told something counts 3.1 s as before; one that was never answered is given 5 s, before the 6 s after which what it misses counts as told, then 10 and 20 s, until any watch is answered. Harm: a watch that is lost from its start is opened anew 1.9 s later than before, still inside the 6 s.

--- a/crates/pintally-platform-node/src/list.rs
+++ b/crates/pintally-platform-node/src/list.rs
@@ -14,8 +14,12 @@
 use crate::starts::Starts;
 use crate::system::is_not_yet;
 
-/// A watch that tells nothing, not even that nothing has changed, for so long is opened anew.
+/// A watch that tells nothing any more, not even that nothing has changed, for so long is opened anew.
 const SILENT: Micros = 3_100_000;
+/// One that has never told anything is given more: discovery may be slow. Guards against a node that opens one watch
+/// after another and hears none; the next one gets twice as long, up to a bound.
+const FIRST_WORD: Micros = 5_000_000;
+const FIRST_WORD_MAX: Micros = 20_000_000;
 /// A watch that is not up by then has failed: half of the grace of drains, within these bounds.
 const CONNECT_MIN: Micros = 100_000;
 const CONNECT_MAX: Micros = 500_000;
@@ -36,6 +40,8 @@
     /// How long it may take to come up, and the longest pause.
     connect_within: Micros,
     pause_max: Micros,
+    /// How long the first word of a watch may take.
+    first_word: Micros,
     /// When discovery was last heard in this process.
     word: Option<Micros>,
     pub(crate) starts: Starts,
@@ -52,6 +58,8 @@
     lines: Lines,
     status: u16,
     heard: Micros,
+    /// Something of its answer has come.
+    answered: bool,
 }
 
 impl Watch {
@@ -66,6 +74,7 @@
             pause: pause_max / 4,
             connect_within: (drain_grace / 2).clamp(CONNECT_MIN, CONNECT_MAX),
             pause_max,
+            first_word: FIRST_WORD,
             word: None,
             starts: Starts::default(),
             opened: 0,
@@ -76,7 +85,8 @@
     /// When it is to be looked after.
     pub(crate) fn due(&self) -> Micros {
         match &self.open {
-            Some(open) if open.up => open.heard.saturating_add(SILENT),
+            Some(open) if open.answered => open.heard.saturating_add(SILENT),
+            Some(open) if open.up => open.heard.saturating_add(self.first_word),
             Some(open) => open.heard.saturating_add(self.connect_within),
             None => self.again,
         }
@@ -162,7 +172,14 @@
             return;
         }
         if let Some(open) = &self.watch.open {
-            let what = if open.up { "discovery has gone silent" } else { "discovery cannot be reached" };
+            let what = match (open.answered, open.up) {
+                (true, _) => "discovery has gone silent",
+                (_, true) => "discovery does not answer",
+                _ => "discovery cannot be reached",
+            };
+            if open.up && !open.answered {
+                self.watch.first_word = (self.watch.first_word * 2).min(FIRST_WORD_MAX);
+            }
             self.say(now, what);
             self.watch_failed(now);
             self.watch.again = now;
@@ -190,6 +207,7 @@
             lines: Lines::default(),
             status: 0,
             heard: now,
+            answered: false,
         })
     }
 
@@ -221,6 +239,8 @@
             Err(_) => return self.watch_failed(now),
         };
         open.heard = now;
+        open.answered = true;
+        self.watch.first_word = FIRST_WORD;
         open.reader.push(&self.buffer[..n]);
         match self.watch_reads() {
             // Up to now it is known that nothing else has changed, once a list has been told.
