A node that starts is ready when discovery was heard, or after 3 s

Change: GET /up is 200 only when a watch has told a list in this process, or 3 s have passed without (Node::is_ready). Harm: where discovery is down longer a node that starts gets no clients for 3 s.

--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -134,7 +134,7 @@
         let ticket = self.next_ticket;
         match call(&self.config.told.names, ticket, request) {
             Ok(Call::Ready) => {
-                let status = if self.stopping.is_none() && self.host.serving() > 0 { 200 } else { 503 };
+                let status = if self.is_ready() { 200 } else { 503 };
                 self.answer_whole(key, response(status, &[], b""));
             }
             Ok(Call::Beliefs) => {
--- a/crates/pintally-platform-node/src/list.rs
+++ b/crates/pintally-platform-node/src/list.rs
@@ -20,6 +20,8 @@
 /// after another and hears none; the next one gets twice as long, up to a bound.
 const FIRST_WORD: Micros = 5_000_000;
 const FIRST_WORD_MAX: Micros = 20_000_000;
+/// A process that has heard nothing of discovery for so long is ready by the list that it was given.
+const FIRST_LIST_WITHIN: Micros = 3_000_000;
 /// A watch that is not up by then has failed: half of the grace of drains, within these bounds.
 const CONNECT_MIN: Micros = 100_000;
 const CONNECT_MAX: Micros = 500_000;
@@ -159,6 +161,13 @@
         self.tallies.retain(|engine, tally| tally.out > 0 || host.listing(engine).is_some());
     }
 
+    /// Whether clients may come. Guards against sends by a list that is out of date: the one that a process was given does
+    /// for clients only when discovery has had some time to tell its own.
+    pub(crate) fn is_ready(&self) -> bool {
+        let heard = self.watch.word.is_some() || self.clock.now() >= self.started + FIRST_LIST_WITHIN;
+        self.stopping.is_none() && self.host.serving() > 0 && heard
+    }
+
     /// The core wants to hear of the list: a watch that is down is opened at once.
     pub(crate) fn watch_again(&mut self) {
         if self.watch.open.is_none() {
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -128,6 +128,8 @@
     /// Clients' connections that were closed, by reason, and closes that were not permitted.
     pub(crate) closes: Counts<CloseReason>,
     pub(crate) denied_closes: Denials,
+    /// When the process started.
+    pub(crate) started: Micros,
     pub(crate) swept: Micros,
     /// A new configuration that has not been read yet, and how many have been.
     pub(crate) reloading: Option<Reload>,
@@ -192,6 +194,7 @@
         quota: Quota::default(),
         closes: Counts::default(),
         denied_closes: Denials::default(),
+        started: now,
         swept: now,
         reloading: None,
         reloads: 0,
