A stream that ends at a stop closes its connection unread; only a watch's body is word

And GET /up took the head of a watch's answer for word. Change: such a connection is closed as soon as its stream is written and nothing has come on it; what crosses the close has not been read, so that its client sends it elsewhere. Word of discovery is a part of the body.

--- a/crates/pintally-platform-node/src/acceptor.rs
+++ b/crates/pintally-platform-node/src/acceptor.rs
@@ -167,6 +167,7 @@
             streaming: false,
             last: false,
             shut: false,
+            ends_at_rest: false,
             ready: false,
             served: 0,
             since: now,
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -207,7 +207,7 @@
 
     /// Whether a connection ends behind the answer that is given now. A node that is about to end still answers
     /// what it has read behind that: a request that was read and gets no answer would be lost. So would one
-    /// that comes behind a stream whose head has not told that the connection ends: it rests until it is closed unread.
+    /// that comes behind a stream whose head has not told that the connection ends: that is closed unread.
     fn ends_behind_answer(&mut self, key: Key) -> bool {
         let stopping = self.stopping.is_some();
         let may_tell = |client: &Client| !client.streaming && !client.reader.is_partial();
@@ -217,7 +217,9 @@
     /// The answer to a connection's request is written in full.
     fn answered(&mut self, key: Key) {
         let (now, ends) = (self.clock.now(), self.ends_behind_answer(key));
+        let stopping = self.stopping.is_some();
         let Some(client) = self.client(key) else { return };
+        client.ends_at_rest = stopping && !ends;
         client.streaming = false;
         client.used = now;
         client.since = now;
@@ -313,9 +315,12 @@
             }
         }
         let (stage, partial) = (client.stage, client.reader.is_partial());
+        let at_rest = client.ends_at_rest && !partial;
         match stage {
             Stage::Busy(ticket) if left < SLOW_NO_MORE => self.resume(ticket),
             Stage::Open if left < SLOW_NO_MORE && partial => self.look_again(key),
+            // Closed unread, its client sends what crosses the close once more, elsewhere.
+            Stage::Open if left == 0 && at_rest && self.close_client(key, CloseReason::Stopping) => return,
             _ => {}
         }
         self.client_waits(key);
--- a/crates/pintally-platform-node/src/conn.rs
+++ b/crates/pintally-platform-node/src/conn.rs
@@ -49,6 +49,8 @@
     pub(crate) last: bool,
     /// Nothing more is written; what comes is dropped until the client closes.
     pub(crate) shut: bool,
+    /// It is closed as soon as nothing is owed on it and nothing has come.
+    pub(crate) ends_at_rest: bool,
     /// It stands among those that may have a request ready.
     pub(crate) ready: bool,
     /// Good requests that it has brought.
--- a/crates/pintally-platform-node/src/list.rs
+++ b/crates/pintally-platform-node/src/list.rs
@@ -252,9 +252,9 @@
         self.watch.first_word = FIRST_WORD;
         open.reader.push(&self.buffer[..n]);
         match self.watch_reads() {
-            // Up to now it is known that nothing else has changed, once a list has been told.
-            Ok(()) if self.watch.follower.revision().is_some() => self.watch.word = Some(now),
-            Ok(()) => {}
+            // Up to now it is known that nothing else has changed; the head of an answer does not tell that.
+            Ok(true) if self.watch.follower.revision().is_some() => self.watch.word = Some(now),
+            Ok(_) => {}
             Err(why) => {
                 self.say(now, &format!("discovery cannot be understood: {why}"));
                 self.watch_failed(now);
@@ -279,15 +279,18 @@
         }
     }
 
-    fn watch_reads(&mut self) -> Result<(), String> {
+    /// Takes in what has come of the watch's answer; whether any of it was its body.
+    fn watch_reads(&mut self) -> Result<bool, String> {
+        let mut any = false;
         loop {
-            let Some(open) = &mut self.watch.open else { return Ok(()) };
+            let Some(open) = &mut self.watch.open else { return Ok(any) };
             match open.reader.next_part().map_err(|e| e.to_string())? {
-                None => return Ok(()),
+                None => return Ok(any),
                 Some(Part::Head(status, _)) => open.status = status,
                 Some(Part::End(_)) => return Err(format!("the watch ended with status {}", open.status)),
                 Some(Part::Body(_)) if open.status != 200 => {}
                 Some(Part::Body(bytes)) => {
+                    any = true;
                     open.lines.push(&bytes)?;
                     self.watch_lines()?;
                 }
