--- a/crates/pintally-soak/src/discovery.rs
+++ b/crates/pintally-soak/src/discovery.rs
@@ -30,7 +30,8 @@
     members: Vec<Value>,
     /// Changes that have not been told yet, while the agent is down.
     pending: Vec<(String, bool)>,
-    down: bool,
+    /// Troubles under which it is down; they may overlap.
+    down: u32,
     watches: Vec<Watch>,
     /// What is told before then counts as told then.
     counts_from: At,
@@ -116,7 +117,7 @@
         std::thread::sleep(slow);
         let mut told = self.lock();
         let mut watch = Watch { stream, answered: false, silent: false, listener };
-        if !told.down {
+        if told.down == 0 {
             watch.tell_whole(&told.whole());
         }
         told.watches.push(watch);
@@ -124,7 +125,7 @@
 
     fn tell(&self, line: &str) {
         let mut told = self.lock();
-        if !told.down {
+        if told.down == 0 {
             let line = chunk(line.as_bytes());
             told.watches.retain_mut(|w| w.tell(&line));
         }
@@ -139,7 +140,7 @@
         if member["phase"] != "removed" {
             told.members.push(member.clone());
         }
-        if told.down {
+        if told.down > 0 {
             told.pending.push((id, gone));
             return;
         }
@@ -156,8 +157,8 @@
     /// Discovery is down, or back: what it has counts as told at once then.
     pub(crate) fn set_down(&self, down: bool) {
         let mut told = self.lock();
-        told.down = down;
-        if down {
+        told.down = if down { told.down + 1 } else { told.down.saturating_sub(1) };
+        if told.down > 0 {
             return;
         }
         let whole = told.whole();
