--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -4,19 +4,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use pintally::interface::{
-    Action, Attempt, Effect, Ended, EngineId, Event, Listing, Load, Micros, Outcome, Request, RequestId, Role,
-};
+use pintally::interface::{Action, Effect, EngineId, Event, Listing, Micros, Request, RequestId, Role};
 use pintally::Router;
 use pintally_cells::{CellName, Cells};
 use pintally_config::NodeSettings;
-use pintally_engine::Step;
-use pintally_permits::{may_refuse, may_send, may_start, Denial, Denials, EngineFacts, MayHaveRun};
-use serde_json::Value;
+use pintally_permits::{may_start, Denial, Denials, EngineFacts};
 
-use crate::input::{Arrival, Command, Final, Input, Listed, Order, Scope, Ticket};
+use crate::input::{Arrival, Command, Final, Input, Listed, Scope, Ticket};
 use crate::judged::Judging;
-use crate::ledger::{Entry, Out, FIRST_PROBES};
+use crate::ledger::Entry;
 use crate::left::Left;
 use crate::letting::Letting;
 use crate::limits::Limiting;
@@ -25,7 +21,7 @@
 use crate::regional::Regional;
 use crate::releases::Releases;
 use crate::timers::{Due, Timers};
-use crate::{states, Counters};
+use crate::Counters;
 
 /// What the host knows of an engine.
 pub(crate) struct Place {
@@ -38,7 +34,7 @@
 }
 
 impl Place {
-    fn facts(&self) -> EngineFacts<'_> {
+    pub(crate) fn facts(&self) -> EngineFacts<'_> {
         EngineFacts { listing: self.listing, role: self.role, zone: &self.zone, rack: self.rack }
     }
 }
@@ -72,12 +68,12 @@
     pub(crate) scope: Scope,
     pub(crate) timers: Timers,
     /// Events that the host itself owes the core.
-    owed: VecDeque<(CellName, Event)>,
+    pub(crate) owed: VecDeque<(CellName, Event)>,
     /// Requests that the current input has touched.
     pub(crate) touched: Vec<Ticket>,
     actions: Vec<Action>,
     stopping: bool,
-    stopped: bool,
+    pub(crate) stopped: bool,
     /// The way back to service after a start, if there is one.
     pub(crate) recovering: Option<Recovering>,
     /// Limits of the whole fleet, if there are any.
@@ -93,7 +89,7 @@
     pub(crate) counters: Counters,
     denials: Denials,
     withheld: Denials,
-    refusals: Refusals,
+    pub(crate) refusals: Refusals,
 }
 
 impl Host {
@@ -181,7 +177,7 @@
     }
 
     /// Counts and tells what the rules did not permit.
-    fn deny(&mut self, id: &RequestId, what: &str, denial: Denial, out: &mut Vec<Command>) {
+    pub(crate) fn deny(&mut self, id: &RequestId, what: &str, denial: Denial, out: &mut Vec<Command>) {
         self.denials.add(denial);
         out.push(Command::Log(format!("request {}: {what} is not permitted: {denial}", id.0)));
     }
@@ -464,192 +460,6 @@
         self.event(now, &cell, Event::Arrived(request), out);
     }
 
-    fn send(
-        &mut self,
-        now: Micros,
-        cell: &CellName,
-        id: RequestId,
-        engine: EngineId,
-        timeout: Micros,
-        out: &mut Vec<Command>,
-    ) {
-        let ticket = self.by_id.get(&id).copied();
-        let Some((ticket, entry)) = ticket.and_then(|t| self.entries.get_mut(&t).map(|e| (t, e))) else {
-            // The core still counts on an end.
-            self.counters.never_sent += 1;
-            self.owed.push_back((cell.clone(), never_sent(id, 0)));
-            return;
-        };
-        let attempt = entry.attempts;
-        let most = self.settings.core.max_attempts;
-        let place = self.places.get(&engine);
-        let permit = match place {
-            Some(place) => may_send(now, &entry.facts(most), &place.facts()),
-            None => Err(Denial::EngineNotServing),
-        };
-        entry.attempts += 1;
-        if let Err(denial) = permit {
-            self.counters.never_sent += 1;
-            self.deny(&id, "an attempt", denial, out);
-            self.owed.push_back((cell.clone(), never_sent(id, attempt)));
-            return;
-        }
-        let (again, tenant) = (entry.failed, entry.tenant);
-        if again && !self.may_retry(now, tenant) {
-            self.counters.never_sent += 1;
-            self.counters.retries_limited += 1;
-            self.owed.push_back((cell.clone(), never_sent(id, attempt)));
-            return;
-        }
-        let Some(entry) = self.entries.get_mut(&ticket) else { return };
-        let left = entry.deadline.saturating_sub(now);
-        let place = self.places.get(&engine);
-        let lost = entry.lost && place.is_some_and(|p| p.role == Role::Writer);
-        let usable = entry.usable().filter(|_| !entry.lost).and_then(|h| h.state.clone());
-        let step = match place.map(|p| p.role) {
-            Some(Role::Reader) => Step::Read,
-            _ if usable.is_some() => Step::Fetch,
-            _ => Step::Both,
-        };
-        let Some(place) = place else { return };
-        if lost {
-            // Guards against an attempt that is spent on a state which has been let go: the core hears
-            // what the writer would say, and has the prompt read again.
-            self.counters.never_sent += 1;
-            let event = Ended { id, attempt, outcome: Outcome::NoState, last: false, kept: 0, load: None };
-            self.owed.push_back((cell.clone(), Event::Ended(event)));
-            return;
-        }
-        self.counters.attempts += 1;
-        self.touched.push(ticket);
-        entry.out = Some(Out {
-            attempt,
-            engine: engine.clone(),
-            step,
-            sent: MayHaveRun { sent: now, zone: place.zone.to_string(), rack: place.rack },
-            started: false,
-            probes_left: FIRST_PROBES,
-            arrived: false,
-        });
-        let timeout = if timeout == 0 { left } else { timeout.min(left) };
-        out.push(Command::Attempt(Order {
-            ticket,
-            request: id,
-            attempt,
-            cell: cell.clone(),
-            address: place.address,
-            slots: place.slots,
-            engine,
-            step,
-            state: usable.filter(|_| step == Step::Fetch),
-            max_tokens: entry.max_tokens,
-            timeout,
-            whole: (!entry.streamed && step != Step::Read).then_some(left),
-        }));
-    }
-
-    fn first_token(&mut self, now: Micros, ticket: Ticket, attempt: Attempt, out: &mut Vec<Command>) {
-        let entry = self.entries.get_mut(&ticket).filter(|e| !e.over);
-        let Some((entry, step)) = entry.and_then(|e| {
-            let o = e.out.as_mut().filter(|o| o.attempt == attempt && !o.started)?;
-            o.started = true;
-            let step = o.step;
-            Some((e, step))
-        }) else {
-            self.counters.stray += 1;
-            return;
-        };
-        // A state that was fetched is not held any more; where releases are the request's, a first
-        // token frees the rest as well.
-        let freed = self.scope == Scope::Request && step != Step::Read;
-        entry.held.retain(|h| !(freed || step == Step::Fetch && h.state.is_some()));
-        // What streams has no deadline from here on.
-        if entry.streamed {
-            self.timers.unset(entry.guard);
-        }
-        let (id, cell, late) = (entry.id.clone(), entry.cell.clone(), now > entry.aim);
-        let engine = entry.out.as_ref().map(|o| o.engine.clone());
-        let first = !std::mem::replace(&mut entry.heard, true);
-        self.touched.push(ticket);
-        if first {
-            self.hear(now, &cell, late);
-        }
-        if freed {
-            self.taken_back(&id, 0, out);
-        }
-        if let Some(engine) = engine {
-            self.saw(&engine, true);
-            self.heard_engine(now, &engine, true, out);
-        }
-        self.event(now, &cell, Event::FirstToken(id, attempt), out);
-    }
-
-    fn ended(
-        &mut self,
-        now: Micros,
-        ticket: Ticket,
-        attempt: Attempt,
-        outcome: Outcome,
-        told: (u64, Option<Load>, Option<Arc<Value>>),
-        out: &mut Vec<Command>,
-    ) {
-        let (kept, load, state) = told;
-        let entry = self.entries.get_mut(&ticket);
-        let Some((entry, ended)) =
-            entry.and_then(|e| e.out.take_if(|o| o.attempt == attempt).map(|o| (e, o)))
-        else {
-            self.counters.stray += 1;
-            return;
-        };
-        self.touched.push(ticket);
-        let (id, cell) = (entry.id.clone(), entry.cell.clone());
-        if let Some(cells) = &mut self.cells {
-            cells.ended(now, &ended.engine, entry.tenant, outcome, load.as_ref());
-            self.uneasy |= !matches!(outcome, Outcome::Served | Outcome::Read);
-        }
-        let fresh = states::ended(entry, now, &ended, outcome, state);
-        let mut outcome = outcome;
-        if ended.step == Step::Read && outcome == Outcome::Served
-            || ended.step != Step::Read && outcome == Outcome::Read
-        {
-            // Who was to read and says that it has served, or was to answer and says that it has read,
-            // has not done its work either.
-            outcome = Outcome::Error;
-        }
-        if outcome == Outcome::Served {
-            entry.held.retain(|h| h.state.is_none());
-        }
-        entry.note_effect(&ended, outcome);
-        entry.failed |= !matches!(outcome, Outcome::Read | Outcome::Served | Outcome::NeverSent);
-        let over = entry.over;
-        if fresh {
-            // Guards against a call for older states that lets go of the one that has just been read.
-            self.taken_back(&id, 0, out);
-        }
-        match outcome {
-            Outcome::Cancelled | Outcome::NeverSent => {}
-            Outcome::Unreachable | Outcome::TimedOut | Outcome::Broken => self.saw(&ended.engine, false),
-            _ => self.saw(&ended.engine, true),
-        }
-        self.witnessed(now, &ended.engine, outcome);
-        self.zone_saw(now, &cell, outcome);
-        match outcome {
-            Outcome::Read | Outcome::Served => self.heard_engine(now, &ended.engine, true, out),
-            Outcome::Unreachable => self.heard_engine(now, &ended.engine, false, out),
-            _ => {}
-        }
-        if outcome == Outcome::Served && !over {
-            self.answer(&id, Final::Served, out);
-        } else if ended.started && !over {
-            // What had begun cannot begin again: nobody could tell the two beginnings apart.
-            self.answer(&id, Final::Cut, out);
-        }
-        let last = over || ended.started || outcome == Outcome::Served;
-        let event = Ended { id: id.clone(), attempt, outcome, last, kept, load };
-        self.event(now, &cell, Event::Ended(event), out);
-        self.release_unsure(&id, out);
-    }
-
     fn left(&mut self, now: Micros, ticket: Ticket, out: &mut Vec<Command>) {
         let Some(entry) = self.entries.get_mut(&ticket).filter(|e| !e.over) else {
             self.counters.stray += 1;
@@ -663,91 +473,6 @@
         self.event(now, &cell, Event::Withdrawn(id), out);
     }
 
-    /// The one place in which a final answer is given: the first one counts, there is no second.
-    pub(crate) fn answer(&mut self, id: &RequestId, answer: Final, out: &mut Vec<Command>) {
-        let Some(&ticket) = self.by_id.get(id) else { return };
-        let most = self.settings.core.max_attempts;
-        let Some(entry) = self.entries.get_mut(&ticket).filter(|e| !e.over) else { return };
-        let permit = match answer {
-            Final::Refused(_) => may_refuse(&entry.facts(most)),
-            _ => Ok(()),
-        };
-        entry.over = true;
-        let answer = if permit.is_ok() { answer } else { Final::Failed };
-        if let Err(denial) = permit {
-            self.deny(id, "a refusal", denial, out);
-        }
-        let Some(entry) = self.entries.get_mut(&ticket) else { return };
-        let attempts = entry.attempts;
-        self.touched.push(ticket);
-        self.timers.unset(entry.guard);
-        if !std::mem::replace(&mut entry.heard, true) {
-            let (cell, late) = (entry.cell.clone(), answer != Final::Served || self.now > entry.aim);
-            self.hear(self.now, &cell, late);
-        }
-        match answer {
-            Final::Served => self.counters.served += 1,
-            Final::Refused(_) => {
-                self.counters.refused += 1;
-                self.refusals.add(match attempts {
-                    0 => RefusalReason::Unsent,
-                    _ => RefusalReason::AfterAttempts,
-                });
-            }
-            Final::Failed => self.counters.failed += 1,
-            Final::Cut => self.counters.cut += 1,
-        }
-        out.push(Command::Answer(ticket, answer));
-    }
-
-    /// The core owed an answer and gave none: guards the first rule against whatever kept it.
-    fn overdue(&mut self, now: Micros, ticket: Ticket, out: &mut Vec<Command>) {
-        let Some(entry) = self.entries.get(&ticket).filter(|e| !e.over) else { return };
-        self.counters.overdue += 1;
-        out.push(Command::Log(format!("request {} is overdue: ended by the host", entry.id.0)));
-        self.end_by_host(now, ticket, out);
-    }
-
-    /// Turns a request away before any core sees it.
-    pub(crate) fn turn_away(
-        &mut self,
-        ticket: Ticket,
-        reason: RefusalReason,
-        after: Option<Micros>,
-        out: &mut Vec<Command>,
-    ) {
-        self.refusals.add(reason);
-        self.counters.turned_away += 1;
-        self.counters.refused += 1;
-        out.push(Command::Answer(ticket, Final::Refused(after)));
-        out.push(Command::Over(ticket));
-    }
-
-    /// Ends a request in the core's place; its attempt is called off.
-    fn end_by_host(&mut self, now: Micros, ticket: Ticket, out: &mut Vec<Command>) {
-        let Some(entry) = self.entries.get(&ticket) else { return };
-        let (id, cell) = (entry.id.clone(), entry.cell.clone());
-        let open = entry.out.as_ref().map(|o| (o.attempt, o.started));
-        let started = open.is_some_and(|o| o.1);
-        self.answer(&id, if started { Final::Cut } else { Final::Failed }, out);
-        let before = out.len();
-        self.event(now, &cell, Event::Withdrawn(id), out);
-        let cancelled = |c: &Command| matches!(c, Command::Cancel(t, _) if *t == ticket);
-        if let Some((attempt, _)) = open.filter(|_| !out[before..].iter().any(cancelled)) {
-            out.push(Command::Cancel(ticket, attempt));
-        }
-    }
-
-    fn give_up_all(&mut self, now: Micros, out: &mut Vec<Command>) {
-        let open: Vec<Ticket> = self.entries.iter().filter(|(_, e)| !e.over).map(|(t, _)| *t).collect();
-        for ticket in open {
-            self.end_by_host(now, ticket, out);
-        }
-        if !std::mem::replace(&mut self.stopped, true) {
-            out.push(Command::Stopped);
-        }
-    }
-
     // ---- bookkeeping ----
 
     /// Drops what is finished, and sees to it that nothing of it is left pinned.
@@ -777,8 +502,3 @@
         }
     }
 }
-
-fn never_sent(id: RequestId, attempt: Attempt) -> Event {
-    let outcome = Outcome::NeverSent;
-    Event::Ended(Ended { id, attempt, outcome, last: false, kept: 0, load: None })
-}
--- a/crates/pintally-host/src/lib.rs
+++ b/crates/pintally-host/src/lib.rs
@@ -9,6 +9,8 @@
 //! - each read state that may wait at an engine is fetched or let go, and letting go is repeated
 //!   until the engine has heard it.
 
+mod answers;
+mod attempts;
 mod cellular;
 mod counters;
 mod host;
