Failing test: a signal is lost when the call that wakes the loop fails

Cause: signals.rs knows of a signal only by a byte that the handler sends to a socket, and a failed send is dropped.

--- a/crates/pintally-cli/tests/platform/system_calls.rs
+++ b/crates/pintally-cli/tests/platform/system_calls.rs
@@ -59,6 +59,18 @@
     stand.discovery.until_watched(1);
 }
 
+/// Guards against a signal that is lost because the call that wakes the loop for it fails in that moment.
+#[test]
+fn a_signal_is_heard_although_the_call_that_wakes_the_loop_fails() {
+    let mut stand = Stand::under_faults(&["r0", "w0"], "send", false);
+    stand.discovery.until_watched(1);
+    std::fs::write(&stand.faults, "").unwrap();
+    stand.signal("-TERM");
+    std::thread::sleep(FAILING_FOR / 3);
+    std::fs::remove_file(&stand.faults).unwrap();
+    assert!(stand.ended().success());
+}
+
 /// Calls of one kind are interrupted for a moment, each time, and what is served is served whole and once.
 #[test]
 fn calls_that_are_interrupted_lose_nothing() {
