A signal is a flag; the byte on a socket only wakes the loop for it

Change: the handler sets a flag for stop and reload, which the loop looks at in each iteration, a tenth of a second apart at the most; the byte wakes it.

--- a/crates/pintally-platform-node/src/turn.rs
+++ b/crates/pintally-platform-node/src/turn.rs
@@ -39,6 +39,9 @@
             happened.clear();
             self.poll.wait(Duration::from_micros(most), &mut happened)?;
             self.clients_that_left(&happened);
+            if self.signals.have_come() {
+                self.signalled();
+            }
             for one in &happened {
                 self.happened(*one);
             }
