--- a/crates/pintally-soak/src/judge.rs
+++ b/crates/pintally-soak/src/judge.rs
@@ -186,7 +186,8 @@
                 format!("a second copy: {second:?}; {begun:?}"),
             ));
         }
-        let effects: Vec<At> = begun.iter().filter_map(|b| b.effect).collect();
+        // A repeat counts by when it began: its engine may hang before the effect.
+        let effects: Vec<At> = begun.iter().filter(|b| b.effect.is_some()).map(|b| b.begun).collect();
         let (Some(first), Some(last)) = (effects.iter().min(), effects.iter().max()) else { return };
         let twice = match ask.class {
             Class::Safe => false,
