--- a/crates/pintally-cli/tests/platform/ends.rs
+++ b/crates/pintally-cli/tests/platform/ends.rs
@@ -32,14 +32,20 @@
     assert!(stand.ended().success());
 }
 
-#[test]
-fn a_stream_under_way_when_the_node_is_told_to_stop_is_passed_on_to_its_end() {
-    let mut stand = Stand::new(&["r0", "w0"], 256);
+/// A client whose request `a` is answered up to its first event; the rest comes when the test lets it go on.
+fn stream_under_way(stand: &Stand) -> Client {
     let rest = stream(&[TOKEN, DONE])[begun(&[TOKEN]).len()..].to_vec();
     stand.seen.let_do("w0", &[Does::SaysThen(begun(&[TOKEN]), rest)]);
-    let mut client = Client::new(&stand);
+    let mut client = Client::new(stand);
     client.ask("safe", "a");
     client.until_begun(TOKEN);
+    client
+}
+
+#[test]
+fn a_stream_under_way_when_the_node_is_told_to_stop_is_passed_on_to_its_end() {
+    let mut stand = Stand::new(&["r0", "w0"], 256);
+    let mut client = stream_under_way(&stand);
     stand.tell_to_stop("b");
     stand.seen.go_on_and_write();
     assert_eq!(client.answer(), (200, [TOKEN, DONE].concat(), true));
@@ -110,11 +116,7 @@
 #[test]
 fn a_request_behind_a_stream_that_was_to_keep_its_connection_is_refused_or_never_read() {
     let mut stand = Stand::new(&["r0", "w0"], 256);
-    let rest = stream(&[TOKEN, DONE])[begun(&[TOKEN]).len()..].to_vec();
-    stand.seen.let_do("w0", &[Does::SaysThen(begun(&[TOKEN]), rest)]);
-    let mut client = Client::new(&stand);
-    client.ask("safe", "a");
-    client.until_begun(TOKEN);
+    let mut client = stream_under_way(&stand);
     stand.tell_to_stop("b");
     stand.seen.go_on_and_write();
     assert!(client.answer().2);
