--- a/crates/pintally-host/src/attempts.rs
+++ b/crates/pintally-host/src/attempts.rs
@@ -53,15 +53,14 @@
         }
         let Some(entry) = self.entries.get_mut(&ticket) else { return };
         let left = entry.deadline.saturating_sub(now);
-        let place = self.places.get(&engine);
-        let lost = entry.lost && place.is_some_and(|p| p.role == Role::Writer);
+        let Some(place) = self.places.get(&engine) else { return };
+        let lost = entry.lost && place.role == Role::Writer;
         let usable = entry.usable().filter(|_| !entry.lost).and_then(|h| h.state.clone());
-        let step = match place.map(|p| p.role) {
-            Some(Role::Reader) => Step::Read,
+        let step = match place.role {
+            Role::Reader => Step::Read,
             _ if usable.is_some() => Step::Fetch,
             _ => Step::Both,
         };
-        let Some(place) = place else { return };
         if lost {
             // Guards against an attempt that is spent on a state which has been let go: the core hears
             // what the writer would say, and has the prompt read again.
--- a/crates/pintally-platform-node/src/engines.rs
+++ b/crates/pintally-platform-node/src/engines.rs
@@ -1,7 +1,6 @@
 //! Connections to engines: requests out, answers in, and the times by which things have to happen.
 
 use std::io::{ErrorKind, IoSlice, Read, Write};
-
 use std::time::Duration;
 
 use pintally::interface::{Attempt, Micros, Outcome};
--- a/crates/pintally-platform-node/src/list.rs
+++ b/crates/pintally-platform-node/src/list.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// The next pause is the first one again.
+    fn begin_pauses_anew(&mut self) {
+        self.pause = self.pause_max / 4;
+    }
+
     /// When it is to be looked after.
     pub(crate) fn due(&self) -> Micros {
         match &self.open {
@@ -301,7 +306,7 @@
     fn watch_lines(&mut self) -> Result<(), String> {
         while let Some(line) = self.watch.open.as_mut().and_then(|open| open.lines.next_line()) {
             let list = List::parse(&line)?;
-            self.watch.pause = self.watch.pause_max / 4;
+            self.watch.begin_pauses_anew();
             self.take_list(list, self.watch.word);
         }
         Ok(())
@@ -315,7 +320,7 @@
         self.watch.address = address;
         self.watch.open = None;
         self.watch.again = now;
-        self.watch.pause = self.watch.pause_max / 4;
+        self.watch.begin_pauses_anew();
         self.look_after_watch(now);
     }
 
--- a/crates/pintally-soak/src/client.rs
+++ b/crates/pintally-soak/src/client.rs
@@ -93,7 +93,7 @@
             };
             number += 1;
             let id = format!("{}-{number}", self.name);
-            connection = self.asks(open, &id, &mut dice, false);
+            connection = self.asks(open, &id, &mut dice);
             match self.manner {
                 Manner::Fresh | Manner::Leaves => connection = None,
                 // About as long as the node keeps a resting connection, or has one when it is told to stop.
@@ -114,13 +114,7 @@
     }
 
     /// Sends a request and takes in its answer; the connection, if it can carry another one.
-    fn asks(
-        &self,
-        mut open: Connection,
-        id: &str,
-        dice: &mut ChaCha8Rng,
-        resent: bool,
-    ) -> Option<Connection> {
+    fn asks(&self, mut open: Connection, id: &str, dice: &mut ChaCha8Rng) -> Option<Connection> {
         let class = Class::ALL[[0, 0, 1, 2][dice.random_range(0..4)]];
         let patience = match self.manner {
             Manner::Hurries => Duration::from_millis(dice.random_range(1..220)),
@@ -134,7 +128,7 @@
             sent: self.record.now(),
             patience,
             on_new_connection: open.carried == 0,
-            resent,
+            resent: false,
             left: None,
             end: if sent { AskEnd::Open } else { AskEnd::Unsent },
             prompt_reader: self.manner != Manner::ReadsSlowly,
@@ -150,11 +144,9 @@
         open.carried += 1;
         let end = self.record.with(|books| books.asks.get(id).map(|ask| ask.end));
         // A request that has crossed the end of a resting connection is sent once more, on a new one.
-        if matches!(end, Some(AskEnd::Dropped { .. })) && open.carried > 1 && !resent && leaves.is_none() {
+        if matches!(end, Some(AskEnd::Dropped { .. })) && open.carried > 1 && leaves.is_none() {
             drop(open);
-            return self
-                .connect()
-                .and_then(|again| self.asks_again(again, id, &bytes, class, patience, dice));
+            return self.connect().and_then(|again| self.asks_again(again, id, &bytes, patience, dice));
         }
         keeps.then_some(open)
     }
@@ -165,14 +157,12 @@
         mut open: Connection,
         id: &str,
         bytes: &[u8],
-        class: Class,
         patience: Duration,
         dice: &mut ChaCha8Rng,
     ) -> Option<Connection> {
         let sent = open.stream.write_all(bytes).is_ok();
         self.record.with(|books| {
             if let Some(ask) = books.asks.get_mut(id) {
-                ask.class = class;
                 ask.resent = true;
                 ask.on_new_connection = true;
                 ask.sent = self.record.now();
--- a/crates/pintally-soak/src/engine.rs
+++ b/crates/pintally-soak/src/engine.rs
@@ -363,16 +363,33 @@
         stream.write_all(bytes).is_ok()
     }
 
-    fn reads(&self, mut stream: &TcpStream, work: &Work<'_>, dice: &mut ChaCha8Rng) -> bool {
-        std::thread::sleep(Duration::from_millis(dice.random_range(1..15)));
+    /// Takes up an attempt after less than so many milliseconds: its manner, or, if nothing comes of it, whether the
+    /// connection stays.
+    fn takes_up(
+        &self,
+        stream: &TcpStream,
+        work: &Work<'_>,
+        within_ms: u64,
+        dice: &mut ChaCha8Rng,
+    ) -> Result<Manner, bool> {
+        std::thread::sleep(Duration::from_millis(dice.random_range(1..within_ms)));
         if !self.goes_on(stream, work.incarnation) {
             silent(stream);
-            return false;
+            return Err(false);
         }
-        let manner = Manner::draw(dice);
-        if manner == Manner::TurnsAway {
-            return self.answers(stream, work, &response(503, &[("X-Turned-Away", "1")], b""));
+        match Manner::draw(dice) {
+            Manner::TurnsAway => {
+                Err(self.answers(stream, work, &response(503, &[("X-Turned-Away", "1")], b"")))
+            }
+            manner => Ok(manner),
         }
+    }
+
+    fn reads(&self, mut stream: &TcpStream, work: &Work<'_>, dice: &mut ChaCha8Rng) -> bool {
+        let manner = match self.takes_up(stream, work, 15, dice) {
+            Ok(manner) => manner,
+            Err(stays) => return stays,
+        };
         // A read that was given up while it went on is dropped with its state.
         if has_ended(stream) {
             return false;
@@ -408,15 +425,10 @@
     }
 
     fn writes(&self, stream: &TcpStream, work: &Work<'_>, dice: &mut ChaCha8Rng) -> bool {
-        std::thread::sleep(Duration::from_millis(dice.random_range(1..10)));
-        if !self.goes_on(stream, work.incarnation) {
-            silent(stream);
-            return false;
-        }
-        let manner = Manner::draw(dice);
-        if manner == Manner::TurnsAway {
-            return self.answers(stream, work, &response(503, &[("X-Turned-Away", "1")], b""));
-        }
+        let manner = match self.takes_up(stream, work, 10, dice) {
+            Ok(manner) => manner,
+            Err(stays) => return stays,
+        };
         if !self.record.has_state(work.id) {
             return self.answers(stream, work, &response(410, &[("X-Turned-Away", "1")], b""));
         }
--- a/crates/pintally-soak/src/node.rs
+++ b/crates/pintally-soak/src/node.rs
@@ -229,12 +229,7 @@
 
     /// What it counted as not permitted, and whether it holds anything still.
     pub(crate) fn audit(&self) {
-        let Some(page) =
-            self.get("/pintally/beliefs").and_then(|(_, page)| serde_json::from_slice(&page).ok())
-        else {
-            return;
-        };
-        let page: Value = page;
+        let Some(page) = self.beliefs() else { return };
         let denied = page["denied"].as_object().into_iter().flatten();
         let denied: Vec<String> = denied.map(|(kind, count)| format!("{kind} {count}")).collect();
         self.record.with(|books| books.denied.extend(denied.into_iter().map(|d| (self.number, d))));
@@ -242,9 +237,13 @@
 
     /// How many requests it holds.
     pub(crate) fn holds(&self) -> Option<u64> {
+        self.beliefs()?["held"].as_u64()
+    }
+
+    /// Its status page.
+    fn beliefs(&self) -> Option<Value> {
         let (_, page) = self.get("/pintally/beliefs")?;
-        let page: Value = serde_json::from_slice(&page).ok()?;
-        page["held"].as_u64()
+        serde_json::from_slice(&page).ok()
     }
 
     fn get(&self, target: &str) -> Option<(u16, Vec<u8>)> {
