Open further watches of discovery while earlier ones wait for their first response

Cause: the node had one watch at a time, and kept one without a response for 5 s, then 10 s, then 20 s (`EndpointWatch::deadline`, `expire_watch`). A call of the outage that stays silent cannot be told from one that is answered late, so the wait after an outage grew with its length.

Evidence: discovery's record has calls at 7.10, 12.10 and 22.10 s and its return at 13.06; the log of both nodes has `gone silent`, then `does not respond` 5 s and 10 s later. Ruled out: a list that came and was not applied (no call between 12.10 and 22.10), connections that failed.

Change: while none is established, a watch is opened every half of the drain grace (0.2 to 0.5 s). Up to five wait for their first response, spread by age (`PendingWatches`), the first for 20 s, so that a late response finds its call open. Events carry the watch's id.

--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod cancelled_attempts;
 mod client_disconnects;
 mod clock;
+mod discovery_outages;
 mod engine_failures;
 mod golden;
 mod harness;
--- a/crates/pintally-platform-node/src/event_loop.rs
+++ b/crates/pintally-platform-node/src/event_loop.rs
@@ -75,7 +75,7 @@
         match EventSource::from_token(event.token) {
             EventSource::Listener => self.accept_clients(),
             EventSource::Signals => self.handle_signals(),
-            EventSource::EndpointWatch => self.handle_watch_event(event.flags),
+            EventSource::EndpointWatch(id) => self.handle_watch_event(id, event.flags),
             EventSource::Connection(key) => match self.connections.get(key) {
                 Some(Connection::Client(_)) => self.handle_client_event(key, event.flags),
                 Some(Connection::Engine(_)) => self.handle_engine_event(key, event.flags),
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -35,6 +35,7 @@
 mod listener;
 mod log_limiter;
 mod node;
+mod pending_watches;
 mod poller;
 mod pool;
 mod reload;
@@ -45,5 +46,6 @@
 mod status;
 mod syscall;
 mod watch_connection;
+mod watch_events;
 
 pub use node::{start, StartError};
--- a/crates/pintally-platform-node/src/status.rs
+++ b/crates/pintally-platform-node/src/status.rs
@@ -34,12 +34,22 @@
             "accept_failures": self.accept_failures(),
             "reloads": self.reload.completed,
             "withheld": counts_by_name(self.host.withheld().by_name()),
-            "watches": {"opened": self.watch.opened, "failed": self.watch.failed},
+            "watches": self.watch_status(),
             "clock_corrections": self.watch.start_times.corrections,
             "engines": engines,
         })
     }
 
+    fn watch_status(&self) -> Value {
+        let now = self.clock.now();
+        json!({
+            "opened": self.watch.opened,
+            "failed": self.watch.failed,
+            "pending": self.watch.pending_count(),
+            "last_message_age_ms": self.watch.last_message.map(|at| now.saturating_sub(at) / 1000),
+        })
+    }
+
     fn accept_failures(&self) -> Map<String, Value> {
         let failures = self.acceptor.failures.iter();
         failures.map(|(errno, count)| (errno.to_string(), (*count).into())).collect()
--- a/crates/pintally-platform-node/src/watch_connection.rs
+++ b/crates/pintally-platform-node/src/watch_connection.rs
@@ -1,47 +1,31 @@
-//! The connection of the endpoint watch.
+//! A connection on which discovery is watched: its request and the framing of its response.
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-use pintally::interface::Micros;
 use pintally_http::{HttpError, Part, ResponseReader};
 use pintally_platform::{
     encode_watch, EndpointList, EndpointListError, ObjectTooLong, WatchDecoder, MAX_HEAD_BYTES,
 };
 use thiserror::Error;
 
-use crate::event_source::EventSource;
-use crate::node::Node;
+use crate::event_source::{EventSource, WatchId};
 use crate::poller::{self, EventFlags, Poller};
 use crate::syscall::is_retryable;
 
-/// The state of an open watch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum WatchState {
-    /// The connection is being established.
-    Connecting,
-    /// The connection is established; no byte of the response has been received.
-    Connected,
-    /// Part of the response has been received.
-    Responding,
+/// A message from discovery.
+pub(crate) enum WatchMessage {
+    /// A list, complete or with changes only.
+    List(EndpointList),
+    /// A line without a list: nothing has changed.
+    Heartbeat,
 }
 
-/// An open watch.
-pub(crate) struct WatchConnection {
-    stream: TcpStream,
-    pub(crate) state: WatchState,
-    /// The part of the request that has not been written.
-    output: Vec<u8>,
-    reader: ResponseReader,
-    decoder: WatchDecoder,
-    status: u16,
-    /// When the watch was opened, connected, or last received bytes.
-    pub(crate) last_active: Micros,
-}
-
-/// Why a watch's response is invalid.
+/// Why a watch has failed.
 #[derive(Debug, Error)]
-enum WatchError {
+pub(crate) enum WatchError {
+    #[error("the connection failed: {0}")]
+    Connection(#[from] io::Error),
     #[error("the response is malformed: {0}")]
     Http(#[from] HttpError),
     #[error("the watch ended with status {0}")]
@@ -52,36 +36,83 @@
     List(#[from] EndpointListError),
 }
 
-/// The parts of a watch's response that a read has received.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum WatchProgress {
-    HeadOnly,
-    Body,
+/// An open watch.
+pub(crate) struct WatchConnection {
+    id: WatchId,
+    stream: TcpStream,
+    is_connected: bool,
+    /// The part of the request that has not been written.
+    output: Vec<u8>,
+    reader: ResponseReader,
+    decoder: WatchDecoder,
+    status: u16,
+    is_responding: bool,
 }
 
 impl WatchConnection {
     /// Opens a watch that resumes after `revision`.
     pub(crate) fn open(
         poller: &Poller,
+        id: WatchId,
         address: SocketAddr,
         revision: Option<u64>,
-        now: Micros,
     ) -> io::Result<WatchConnection> {
         let socket = poller::socket(address)?;
         poller::connect(&socket, address)?;
         let stream: TcpStream = socket.into();
-        poller.add(&stream, EventSource::EndpointWatch.token(), EventFlags::OUT)?;
+        poller.add(&stream, EventSource::EndpointWatch(id).token(), EventFlags::OUT)?;
         Ok(WatchConnection {
+            id,
             stream,
-            state: WatchState::Connecting,
+            is_connected: false,
             output: encode_watch(revision),
             reader: ResponseReader::new(MAX_HEAD_BYTES),
             decoder: WatchDecoder::default(),
             status: 0,
-            last_active: now,
+            is_responding: false,
         })
     }
 
+    pub(crate) fn id(&self) -> WatchId {
+        self.id
+    }
+
+    pub(crate) fn is_connected(&self) -> bool {
+        self.is_connected
+    }
+
+    /// Whether part of the response has been received.
+    pub(crate) fn is_responding(&self) -> bool {
+        self.is_responding
+    }
+
+    /// Handles a readiness event: writes the request, then reads the response into the buffer.
+    pub(crate) fn handle_event(
+        &mut self,
+        poller: &Poller,
+        events: EventFlags,
+        buffer: &mut [u8],
+    ) -> Result<(), WatchError> {
+        if !self.is_connected {
+            self.check_connected(events)?;
+        }
+        if self.output.is_empty() {
+            return self.read_response(buffer);
+        }
+        Ok(self.write_request(poller)?)
+    }
+
+    fn check_connected(&mut self, events: EventFlags) -> io::Result<()> {
+        if let Some(error) = self.stream.take_error()? {
+            return Err(error);
+        }
+        if events.intersects(EventFlags::ERR | EventFlags::HUP) {
+            return Err(ErrorKind::ConnectionReset.into());
+        }
+        self.is_connected = true;
+        Ok(())
+    }
+
     /// Writes the rest of the request; once all of it is written, waits for the response.
     fn write_request(&mut self, poller: &Poller) -> io::Result<()> {
         while !self.output.is_empty() {
@@ -93,82 +124,39 @@
                 Err(e) => return Err(e),
             }
         }
-        poller.modify(&self.stream, EventSource::EndpointWatch.token(), EventFlags::IN | EventFlags::RDHUP)
+        let token = EventSource::EndpointWatch(self.id).token();
+        poller.modify(&self.stream, token, EventFlags::IN | EventFlags::RDHUP)
     }
-}
 
-impl Node {
-    pub(crate) fn handle_watch_event(&mut self, events: EventFlags) {
-        let now = self.clock.now();
-        let Some(connection) = &mut self.watch.connection else { return };
-        if connection.state == WatchState::Connecting {
-            let has_failed = !matches!(connection.stream.take_error(), Ok(None));
-            if has_failed || events.intersects(EventFlags::ERR | EventFlags::HUP) {
-                return self.watch.fail(now);
+    fn read_response(&mut self, buffer: &mut [u8]) -> Result<(), WatchError> {
+        match self.stream.read(buffer) {
+            Ok(0) => Err(io::Error::from(ErrorKind::UnexpectedEof).into()),
+            Ok(count) => {
+                self.is_responding = true;
+                self.reader.push(&buffer[..count]);
+                Ok(())
             }
-            connection.state = WatchState::Connected;
-            connection.last_active = now;
-        }
-        if connection.output.is_empty() {
-            return self.read_watch(now);
-        }
-        if connection.write_request(&self.poller).is_err() {
-            self.watch.fail(now);
+            Err(e) if is_retryable(&e) => Ok(()),
+            Err(e) => Err(e.into()),
         }
     }
 
-    fn read_watch(&mut self, now: Micros) {
-        let Some(connection) = &mut self.watch.connection else { return };
-        let count = match connection.stream.read(&mut self.read_buffer) {
-            Ok(0) => return self.watch.fail(now),
-            Ok(count) => count,
-            Err(e) if is_retryable(&e) => return,
-            Err(_) => return self.watch.fail(now),
-        };
-        connection.last_active = now;
-        connection.state = WatchState::Responding;
-        connection.reader.push(&self.read_buffer[..count]);
-        self.watch.reset_first_response_timeout();
-        match self.handle_watch_parts() {
-            // A message confirms that the list is current up to now; the head of a response alone does not.
-            Ok(WatchProgress::Body) if self.watch.list.revision().is_some() => {
-                self.watch.last_message = Some(now);
+    /// The next message in the bytes that were read.
+    pub(crate) fn next_message(&mut self) -> Result<Option<WatchMessage>, WatchError> {
+        loop {
+            if let Some(object) = self.decoder.next_object() {
+                return Ok(Some(WatchMessage::List(EndpointList::parse(&object)?)));
             }
-            Ok(_) => {}
-            Err(error) => {
-                if self.log_limiter.allows(now) {
-                    tracing::warn!(reason = %error, address = %self.watch.address, "endpoint watch failed");
-                }
-                self.watch.fail(now);
+            if self.decoder.take_heartbeat() {
+                return Ok(Some(WatchMessage::Heartbeat));
             }
-        }
-    }
-
-    /// Handles the received parts of the response.
-    fn handle_watch_parts(&mut self) -> Result<WatchProgress, WatchError> {
-        let mut progress = WatchProgress::HeadOnly;
-        loop {
-            let Some(connection) = &mut self.watch.connection else { return Ok(progress) };
-            match connection.reader.next_part()? {
-                None => return Ok(progress),
-                Some(Part::Head(status, _)) => connection.status = status,
-                Some(Part::End(_)) => return Err(WatchError::Ended(connection.status)),
-                Some(Part::Body(_)) if connection.status != 200 => {}
-                Some(Part::Body(bytes)) => {
-                    progress = WatchProgress::Body;
-                    connection.decoder.push(&bytes)?;
-                    self.apply_watch_objects()?;
-                }
+            match self.reader.next_part()? {
+                None => return Ok(None),
+                Some(Part::Head(status, _)) => self.status = status,
+                Some(Part::End(_)) => return Err(WatchError::Ended(self.status)),
+                Some(Part::Body(_)) if self.status != 200 => {}
+                Some(Part::Body(bytes)) => self.decoder.push(&bytes)?,
             }
         }
     }
-
-    fn apply_watch_objects(&mut self) -> Result<(), WatchError> {
-        while let Some(object) = self.watch.connection.as_mut().and_then(|open| open.decoder.next_object()) {
-            let list = EndpointList::parse(&object)?;
-            self.watch.reset_backoff();
-            self.apply_list(list, self.watch.last_message);
-        }
-        Ok(())
-    }
 }
--- a/crates/pintally-platform/src/endpoint_watch.rs
+++ b/crates/pintally-platform/src/endpoint_watch.rs
@@ -22,6 +22,7 @@
     depth: u32,
     in_string: bool,
     after_backslash: bool,
+    has_heartbeat: bool,
 }
 
 impl WatchDecoder {
@@ -51,6 +52,12 @@
         None
     }
 
+    /// Whether a blank line outside objects was scanned since the last call. Discovery sends blank lines as
+    /// heartbeats, and one after each object.
+    pub fn take_heartbeat(&mut self) -> bool {
+        std::mem::take(&mut self.has_heartbeat)
+    }
+
     /// Advances the scanner by one byte; whether an object or a line that is not an object ends here.
     fn ends_object(&mut self, byte: u8) -> bool {
         if std::mem::take(&mut self.after_backslash) {
@@ -78,6 +85,10 @@
     fn split_scanned(&mut self) -> Option<Vec<u8>> {
         let scanned: Vec<u8> = self.buffer.drain(..std::mem::take(&mut self.scanned)).collect();
         let object = scanned.trim_ascii();
-        (!object.is_empty()).then(|| object.to_vec())
+        if object.is_empty() {
+            self.has_heartbeat = true;
+            return None;
+        }
+        Some(object.to_vec())
     }
 }
--- a/crates/pintally-platform/tests/codec.rs
+++ b/crates/pintally-platform/tests/codec.rs
@@ -323,6 +323,28 @@
     assert_eq!(decoder.next_object(), None);
 }
 
+/// Guards against part of an object, or an HTTP chunk without a complete line, being taken for a heartbeat.
+#[test]
+fn watch_decoder_heartbeats() {
+    let heartbeats = |pieces: &[&[u8]]| {
+        let mut decoder = WatchDecoder::default();
+        pieces
+            .iter()
+            .filter(|piece| {
+                decoder.push(piece).expect("short");
+                while decoder.next_object().is_some() {}
+                decoder.take_heartbeat()
+            })
+            .count()
+    };
+    assert_eq!(heartbeats(&[b"\n", b"\r\n", b" \n"]), 3);
+    assert_eq!(heartbeats(&[b"\r", b"\n"]), 1);
+    assert_eq!(heartbeats(&[b" ", b" ", b"\t"]), 0);
+    assert_eq!(heartbeats(&[b"{\n", b"\n", b"\"a\":\n1"]), 0, "inside an object");
+    assert_eq!(heartbeats(&[b"text", b"\n"]), 0, "a line that is not blank");
+    assert_eq!(heartbeats(&[b"{}\n"]), 1, "the line break behind an object");
+}
+
 /// Guards against the list of a large fleet that exceeds the size limit or, if it is indented, is split at a
 /// line break: 1,024 and 4,096 engines, on one line and indented, at once and in pieces of a few bytes.
 #[test]
