Establish a watch by its first message instead of its first bytes

Seen: discovery that sends the head of its response at once and the list 5 s later is never heard (after 20 s, 8 watches opened and 7 failed), and an object that comes byte by byte and never ends hides a drain behind it (not applied after 6 s). Found on paths related to the unanswered watches; both are tests through the program that failed before.

Cause: `Node::read_watch` took any bytes for a sign of life; they replaced the patience of a first response by the 3.1 s of an established watch, and each further byte extended these. Ruled out: the decoder, which reads the same bytes without the pause.

Change: a watch is established by its first message, a list or a line without one, and silent when no message has come for 3.1 s. Until then it waits beside the others. Part of a list no longer confirms that the list is current.

--- a/crates/pintally-cli/tests/platform/discovery_outages.rs
+++ b/crates/pintally-cli/tests/platform/discovery_outages.rs
@@ -96,3 +96,33 @@
         assert!(applied_after < delay + DRAIN_GRACE, "{applied_after:?}");
     }
 }
+
+/// Guards against a list that never arrives because discovery sends the head of its response at once and the list
+/// later than the node waits for a message on an established watch.
+#[test]
+fn applies_list_sent_long_after_response_head() {
+    let harness = node_with_watch();
+    harness.discovery.delay_lists(Duration::from_secs(5));
+    drain_unannounced(&harness);
+    let reset = Instant::now();
+    harness.discovery.reset_watches();
+    let applied_after = wait_for_drain(&harness, reset);
+    println!("applied after {applied_after:?}");
+    assert!(applied_after < NOTIFIED_AFTER, "{applied_after:?}");
+}
+
+/// Guards against a node that takes bytes for messages: an object on the watch arrives byte by byte and never ends, and
+/// changes behind it would never be received.
+#[test]
+fn reopens_watch_whose_object_never_ends() {
+    let harness = node_with_watch();
+    harness.discovery.send_to_watches("{\"revision\":2,");
+    let unfinished_since = Instant::now();
+    drain_unannounced(&harness);
+    while !is_listed(&harness.status(), "w1", "Draining") {
+        assert!(unfinished_since.elapsed() < NOTIFIED_AFTER, "the drain was not applied");
+        harness.discovery.send_to_watches(" ");
+        std::thread::sleep(TRICKLE_EVERY);
+    }
+    println!("applied after {:?}", unfinished_since.elapsed());
+}
--- a/crates/pintally-cli/tests/platform/harness.rs
+++ b/crates/pintally-cli/tests/platform/harness.rs
@@ -265,6 +265,8 @@
     byte_by_byte: AtomicBool,
     /// Milliseconds until a watch gets its response.
     answer_delay_ms: AtomicU64,
+    /// Milliseconds between the head of a response and its list.
+    list_delay_ms: AtomicU64,
 }
 
 impl Discovery {
@@ -285,26 +287,41 @@
                     discovery.changed.notify_all();
                     continue;
                 }
-                let delay_ms = discovery.answer_delay_ms.load(Ordering::SeqCst);
-                if delay_ms > 0 {
-                    let discovery = discovery.clone();
-                    std::thread::spawn(move || {
-                        std::thread::sleep(Duration::from_millis(delay_ms));
-                        discovery.answer_watch(stream);
-                    });
+                let load_delay = |ms: &AtomicU64| Duration::from_millis(ms.load(Ordering::SeqCst));
+                let answer_delay = load_delay(&discovery.answer_delay_ms);
+                let list_delay = load_delay(&discovery.list_delay_ms);
+                if answer_delay + list_delay == Duration::ZERO {
+                    discovery.answer_watch(stream);
                     continue;
                 }
-                discovery.answer_watch(stream);
+                let discovery = discovery.clone();
+                std::thread::spawn(move || discovery.answer_watch_late(stream, answer_delay, list_delay));
             }
         });
         address
     }
 
     /// Answers a watch with the complete list.
-    fn answer_watch(&self, mut stream: TcpStream) {
+    fn answer_watch(&self, stream: TcpStream) {
+        self.send_list(stream, response_head(200, &[]));
+    }
+
+    /// Answers a watch after a delay, and sends the list after a further delay.
+    fn answer_watch_late(&self, mut stream: TcpStream, answer_delay: Duration, list_delay: Duration) {
+        std::thread::sleep(answer_delay);
+        if list_delay == Duration::ZERO {
+            return self.answer_watch(stream);
+        }
+        let _ = stream.write_all(&response_head(200, &[]));
+        std::thread::sleep(list_delay);
+        self.send_list(stream, Vec::new());
+    }
+
+    /// Sends the complete list after a response head, which is empty if it has been sent before.
+    fn send_list(&self, mut stream: TcpStream, head: Vec<u8>) {
         let mut inner = self.inner.lock().unwrap();
         let whole = json!({"revision": inner.0, "complete": true, "members": inner.1});
-        let answer = [response_head(200, &[]), chunk(format!("{whole}\n").as_bytes())].concat();
+        let answer = [head, chunk(format!("{whole}\n").as_bytes())].concat();
         if self.byte_by_byte.load(Ordering::SeqCst) {
             let _ = stream.set_nodelay(true);
             answer.iter().for_each(|byte| drop(stream.write_all(&[*byte])));
@@ -320,6 +337,11 @@
         self.answer_delay_ms.store(time.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// Delays the list behind the head of the response to new watches.
+    pub fn delay_lists(&self, time: Duration) {
+        self.list_delay_ms.store(time.as_millis() as u64, Ordering::SeqCst);
+    }
+
     /// Changes one entry and sends it to all open watches.
     pub fn change(&self, member: Value) {
         let mut inner = self.inner.lock().unwrap();
--- a/crates/pintally-platform-node/src/endpoint_watch.rs
+++ b/crates/pintally-platform-node/src/endpoint_watch.rs
@@ -1,7 +1,7 @@
 //! The endpoint watch at discovery: opening, timeouts, backoff after failures, and change of address.
 //!
-//! A watch is established by the first bytes of its response. While none is established, a new one is
-//! opened at a fixed interval beside those that are still pending, and the first one that receives a response
+//! A watch is established by its first message, a list or a heartbeat. While none is established, a new one is
+//! opened at a fixed interval beside those that are still pending, and the first one that receives a message
 //! replaces all others.
 
 use std::fmt::Display;
@@ -16,7 +16,7 @@
 use crate::start_times::StartTimes;
 use crate::watch_connection::WatchConnection;
 
-/// An established watch that receives nothing for this time, not even a heartbeat, is reopened.
+/// An established watch that receives no message for this time, not even a heartbeat, is reopened.
 const SILENCE_TIMEOUT: Micros = 3_100_000;
 /// Bounds of the interval at which watches are opened while none is established, which is half of the drain
 /// grace. Guards against a late reaction to a drain that discovery has when it returns from an outage: a watch
@@ -102,19 +102,16 @@
         self.pending.iter_mut().chain(self.established.as_mut()).find(|connection| connection.id() == id)
     }
 
-    /// Records that a watch has received part of its response, which establishes it: all others are closed.
-    pub(crate) fn record_response(&mut self, id: WatchId, now: Micros) {
+    /// Records a message on a watch, which establishes it: all others are closed.
+    pub(crate) fn record_message(&mut self, id: WatchId, now: Micros) {
         self.last_heard = now;
+        self.backoff = self.max_backoff / 4;
         if let Some(connection) = self.pending.remove(|connection| connection.id() == id) {
             self.established = Some(connection);
             self.pending.clear();
             self.open_at = Micros::MAX;
         }
-    }
-
-    /// Records a message, which confirms that the list is current if there is one.
-    pub(crate) fn record_message(&mut self, now: Micros) {
-        self.backoff = self.max_backoff / 4;
+        // A heartbeat says that a list is current, and means nothing without one.
         if self.list.revision().is_some() {
             self.last_message = Some(now);
         }
--- a/crates/pintally-platform-node/src/watch_connection.rs
+++ b/crates/pintally-platform-node/src/watch_connection.rs
@@ -46,7 +46,6 @@
     reader: ResponseReader,
     decoder: WatchDecoder,
     status: u16,
-    is_responding: bool,
 }
 
 impl WatchConnection {
@@ -69,7 +68,6 @@
             reader: ResponseReader::new(MAX_HEAD_BYTES),
             decoder: WatchDecoder::default(),
             status: 0,
-            is_responding: false,
         })
     }
 
@@ -81,11 +79,6 @@
         self.is_connected
     }
 
-    /// Whether part of the response has been received.
-    pub(crate) fn is_responding(&self) -> bool {
-        self.is_responding
-    }
-
     /// Handles a readiness event: writes the request, then reads the response into the buffer.
     pub(crate) fn handle_event(
         &mut self,
@@ -132,7 +125,6 @@
         match self.stream.read(buffer) {
             Ok(0) => Err(io::Error::from(ErrorKind::UnexpectedEof).into()),
             Ok(count) => {
-                self.is_responding = true;
                 self.reader.push(&buffer[..count]);
                 Ok(())
             }
--- a/crates/pintally-platform-node/src/watch_events.rs
+++ b/crates/pintally-platform-node/src/watch_events.rs
@@ -14,27 +14,24 @@
         if let Err(error) = connection.handle_event(&self.poller, events, &mut self.read_buffer) {
             return self.fail_watch(id, now, &error);
         }
-        if connection.is_responding() {
-            self.watch.record_response(id, now);
-        }
         self.handle_watch_messages(id, now);
     }
 
     fn handle_watch_messages(&mut self, id: WatchId, now: Micros) {
         while let Some(connection) = self.watch.connection_mut(id) {
             match connection.next_message() {
-                Ok(Some(message)) => self.handle_watch_message(now, message),
+                Ok(Some(message)) => self.handle_watch_message(id, now, message),
                 Ok(None) => return,
                 Err(error) => return self.fail_watch(id, now, &error),
             }
         }
     }
 
-    fn handle_watch_message(&mut self, now: Micros, message: WatchMessage) {
+    fn handle_watch_message(&mut self, id: WatchId, now: Micros, message: WatchMessage) {
         if let WatchMessage::List(list) = message {
             self.apply_list(list, self.watch.last_message);
         }
-        self.watch.record_message(now);
+        self.watch.record_message(id, now);
     }
 
     fn fail_watch(&mut self, id: WatchId, now: Micros, error: &WatchError) {
