Soak: long outages of discovery whose calls are never answered

The mock discovery service of the soak runs answered, at its return, every call of an outage, and its outages lasted 3 s at most: it could not find the unanswered watches. In two of three runs of at least 7.5 s discovery is now down for 3.5 s or more, and the watches of that time stay silent. The outage is drawn from a stream of its own, so that the other faults of a seed are what they were.

--- a/crates/pintally-soak/src/discovery.rs
+++ b/crates/pintally-soak/src/discovery.rs
@@ -172,6 +172,11 @@
         self.record.with(|record| record.notified.extend(gone.map(|(id, _)| (self.node, id, at))));
     }
 
+    /// Never sends anything more on the watches that are open, answered or not.
+    pub(crate) fn lose_watches(&self) {
+        self.lock().watches.iter_mut().for_each(|w| w.silent = true);
+    }
+
     /// Starts or stops closing each new connection at once.
     pub(crate) fn set_refusing(&self, refusing: bool) {
         self.refusing.store(refusing, Ordering::SeqCst);
--- a/crates/pintally-soak/src/injected_faults.rs
+++ b/crates/pintally-soak/src/injected_faults.rs
@@ -28,6 +28,8 @@
     ReloadMany { nodes: usize, times: usize },
     /// Discovery of all nodes is down.
     DiscoveryDown { span: Duration },
+    /// Discovery of all nodes is down for a long time, and never answers the watches that were opened until its return.
+    DiscoveryOutage { span: Duration },
     /// Discovery answers with a delay.
     DiscoverySlow { span: Duration, late: Duration },
     /// Discovery refuses connections, and watches that are open are reset.
@@ -53,6 +55,23 @@
 /// No fault starts in this time after the start and before the end of the clients.
 const QUIET_PERIOD: Duration = Duration::from_millis(900);
 
+/// A long outage lasts at least this long: nodes have noticed by then that their watches are silent.
+const MIN_LONG_OUTAGE: Duration = Duration::from_millis(3_500);
+/// Clients go on for at least this long after a long outage.
+const MIN_TIME_AFTER_LONG_OUTAGE: Duration = Duration::from_secs(3);
+
+/// Draws a long outage of discovery, in a run that is long enough for one. Two of three seeds have one.
+pub(crate) fn draw_long_outage(rng: &mut ChaCha8Rng, run: Duration) -> Option<InjectedFault> {
+    let latest_end = run.checked_sub(MIN_TIME_AFTER_LONG_OUTAGE)?;
+    let latest_start = latest_end.checked_sub(MIN_LONG_OUTAGE)?;
+    if latest_start <= QUIET_PERIOD || rng.random_range(0..3) == 0 {
+        return None;
+    }
+    let at = rng.random_range(QUIET_PERIOD..latest_start);
+    let span = rng.random_range(MIN_LONG_OUTAGE..=latest_end - at);
+    Some(InjectedFault { at, action: FaultAction::DiscoveryOutage { span } })
+}
+
 /// Draws the faults of a run, ordered by time.
 pub(crate) fn draw_faults(rng: &mut ChaCha8Rng, span: Duration) -> Vec<InjectedFault> {
     let mut faults = Vec::new();
--- a/crates/pintally-soak/src/run.rs
+++ b/crates/pintally-soak/src/run.rs
@@ -14,7 +14,7 @@
 use crate::client::{Client, ClientBehavior};
 use crate::discovery::Agent;
 use crate::fault_layer;
-use crate::injected_faults::{draw_faults, FaultAction, InjectedFault};
+use crate::injected_faults::{draw_faults, draw_long_outage, FaultAction, InjectedFault};
 use crate::invariants::{InvariantChecker, Violation};
 use crate::mock_engine::{Engine, OpenAttempts};
 use crate::node::{keep_logs, Launch, Node};
@@ -34,6 +34,9 @@
 /// How often each node's process is inspected.
 const INSPECT_INTERVAL: Duration = Duration::from_millis(150);
 
+/// The stream of random numbers from which a run's long outage is drawn, so that its other faults are independent of it.
+const OUTAGE_STREAM: u64 = 1;
+
 /// The parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -241,8 +244,13 @@
 /// Injects the faults, each in its own thread, and waits until the last one is over.
 fn inject_faults(run: &Arc<RunState>, options: &Options, from: Instant) {
     let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut outage_rng = rng.clone();
+    outage_rng.set_stream(OUTAGE_STREAM);
+    let mut faults = draw_faults(&mut rng, options.client_duration);
+    faults.extend(draw_long_outage(&mut outage_rng, options.client_duration));
+    faults.sort_by_key(|fault| fault.at);
     let mut threads = Vec::new();
-    for InjectedFault { at, action } in draw_faults(&mut rng, options.client_duration) {
+    for InjectedFault { at, action } in faults {
         std::thread::sleep((from + at).saturating_duration_since(Instant::now()));
         let now = run.record.now();
         run.record.with(|record| record.faults.push((now, format!("{action:?}"))));
@@ -300,13 +308,9 @@
                     std::thread::sleep(Duration::from_millis(60));
                 }
             }
-            FaultAction::DiscoveryDown { span } => {
-                let from = self.record.now();
-                self.agents.iter().for_each(|agent| agent.set_down(true));
-                std::thread::sleep(span);
-                self.agents.iter().for_each(|agent| agent.set_down(false));
-                let to = self.record.now();
-                self.record.with(|record| record.discovery_down.push((from, to)));
+            FaultAction::DiscoveryDown { span } => self.take_discovery_down(span, |_| {}, |_| {}),
+            FaultAction::DiscoveryOutage { span } => {
+                self.take_discovery_down(span, |_| {}, Agent::lose_watches);
             }
             FaultAction::DiscoverySlow { span, late } => {
                 self.agents.iter().for_each(|agent| agent.set_answer_delay(late));
@@ -314,14 +318,11 @@
                 self.agents.iter().for_each(|agent| agent.set_answer_delay(Duration::ZERO));
             }
             FaultAction::DiscoveryRefuses { span } => {
-                let from = self.record.now();
-                self.agents.iter().for_each(|agent| agent.set_down(true));
-                self.agents.iter().for_each(|agent| agent.set_refusing(true));
-                std::thread::sleep(span);
-                self.agents.iter().for_each(|agent| agent.set_refusing(false));
-                self.agents.iter().for_each(|agent| agent.set_down(false));
-                let to = self.record.now();
-                self.record.with(|record| record.discovery_down.push((from, to)));
+                self.take_discovery_down(
+                    span,
+                    |agent| agent.set_refusing(true),
+                    |agent| agent.set_refusing(false),
+                );
             }
             FaultAction::WatchesSilent => self.agents.iter().for_each(|agent| agent.silence_watches()),
             FaultAction::WatchesReset => self.agents.iter().for_each(|agent| agent.reset_watches()),
@@ -371,6 +372,19 @@
         }
     }
 
+    /// Takes the agents down for a time; the actions are applied to each of them at the start, and just before the
+    /// return.
+    fn take_discovery_down(&self, span: Duration, at_start: impl Fn(&Agent), before_return: impl Fn(&Agent)) {
+        let from = self.record.now();
+        self.agents.iter().for_each(|agent| agent.set_down(true));
+        self.agents.iter().for_each(|agent| at_start(agent));
+        std::thread::sleep(span);
+        self.agents.iter().for_each(|agent| before_return(agent));
+        self.agents.iter().for_each(|agent| agent.set_down(false));
+        let to = self.record.now();
+        self.record.with(|record| record.discovery_down.push((from, to)));
+    }
+
     /// Reloads a node with a configuration that names a new discovery address. If `half_written`, the node gets the
     /// signal while the file is still incomplete.
     fn reload(&self, node: usize, half_written: bool) {
