Platform tests: discovery apart from shutdown, and its mock service in a file of its own

The mock discovery service leaves the harness, and its list, revision and watches have names in place of a tuple.

--- a/crates/pintally-cli/tests/platform/harness.rs
+++ b/crates/pintally-cli/tests/platform/harness.rs
@@ -1,12 +1,11 @@
-//! A small mock of the platform on loopback: scripted engines, a discovery service with a list that tests can change,
-//! and the node itself as a process.
+//! A small mock of the platform on loopback: scripted engines, clients, and the node itself as a process. The discovery
+//! service is in `discovery_service.rs`.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,6 +15,8 @@
 use pintally_mock_engine::Port;
 use serde_json::{json, Value};
 
+pub use crate::discovery_service::{member, Discovery};
+
 /// The longest wait for any condition: a test that waits longer fails.
 pub const LONG: Duration = Duration::from_secs(20);
 
@@ -251,177 +252,6 @@
     }
 }
 
-/// The discovery service: the list of engines and the open watches.
-#[derive(Default)]
-pub struct Discovery {
-    /// The revision, the list entries, and the connections of open watches.
-    inner: Mutex<(u64, Vec<Value>, Vec<TcpStream>)>,
-    changed: Condvar,
-    /// New watches get no response, as if discovery were down.
-    silent: AtomicBool,
-    /// Watches that were opened while discovery was silent.
-    unanswered: Mutex<Vec<TcpStream>>,
-    /// Whether the complete list is written in single bytes.
-    byte_by_byte: AtomicBool,
-    /// Milliseconds until a watch gets its response.
-    answer_delay_ms: AtomicU64,
-    /// Milliseconds between the head of a response and its list.
-    list_delay_ms: AtomicU64,
-}
-
-impl Discovery {
-    /// Starts to serve at a new address and returns the address.
-    pub fn serve(self: &Arc<Self>) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let (address, discovery) = (listener.local_addr().unwrap(), self.clone());
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let mut line = String::new();
-                let _ = BufReader::new(&stream).read_line(&mut line);
-                if line.is_empty() {
-                    continue;
-                }
-                assert!(line.starts_with("GET /discovery/hosts?stream=1"), "{line}");
-                if discovery.silent.load(Ordering::SeqCst) {
-                    discovery.unanswered.lock().unwrap().push(stream);
-                    discovery.changed.notify_all();
-                    continue;
-                }
-                let load_delay = |ms: &AtomicU64| Duration::from_millis(ms.load(Ordering::SeqCst));
-                let answer_delay = load_delay(&discovery.answer_delay_ms);
-                let list_delay = load_delay(&discovery.list_delay_ms);
-                if answer_delay + list_delay == Duration::ZERO {
-                    discovery.answer_watch(stream);
-                    continue;
-                }
-                let discovery = discovery.clone();
-                std::thread::spawn(move || discovery.answer_watch_late(stream, answer_delay, list_delay));
-            }
-        });
-        address
-    }
-
-    /// Answers a watch with the complete list.
-    fn answer_watch(&self, stream: TcpStream) {
-        self.send_list(stream, response_head(200, &[]));
-    }
-
-    /// Answers a watch after a delay, and sends the list after a further delay.
-    fn answer_watch_late(&self, mut stream: TcpStream, answer_delay: Duration, list_delay: Duration) {
-        std::thread::sleep(answer_delay);
-        if list_delay == Duration::ZERO {
-            return self.answer_watch(stream);
-        }
-        let _ = stream.write_all(&response_head(200, &[]));
-        std::thread::sleep(list_delay);
-        self.send_list(stream, Vec::new());
-    }
-
-    /// Sends the complete list after a response head, which is empty if it has been sent before.
-    fn send_list(&self, mut stream: TcpStream, head: Vec<u8>) {
-        let mut inner = self.inner.lock().unwrap();
-        let whole = json!({"revision": inner.0, "complete": true, "members": inner.1});
-        let answer = [head, chunk(format!("{whole}\n").as_bytes())].concat();
-        if self.byte_by_byte.load(Ordering::SeqCst) {
-            let _ = stream.set_nodelay(true);
-            answer.iter().for_each(|byte| drop(stream.write_all(&[*byte])));
-        } else {
-            let _ = stream.write_all(&answer);
-        }
-        inner.2.push(stream);
-        self.changed.notify_all();
-    }
-
-    /// Delays the response to new watches.
-    pub fn delay_answers(&self, time: Duration) {
-        self.answer_delay_ms.store(time.as_millis() as u64, Ordering::SeqCst);
-    }
-
-    /// Delays the list behind the head of the response to new watches.
-    pub fn delay_lists(&self, time: Duration) {
-        self.list_delay_ms.store(time.as_millis() as u64, Ordering::SeqCst);
-    }
-
-    /// Changes one entry and sends it to all open watches.
-    pub fn change(&self, member: Value) {
-        let mut inner = self.inner.lock().unwrap();
-        inner.0 += 1;
-        inner.1.retain(|m| m["id"] != member["id"]);
-        let line = json!({"revision": inner.0, "complete": false, "members": [member]});
-        inner.1.push(member);
-        self.write_to_watches(&mut inner.2, &format!("{line}\n"));
-    }
-
-    /// Removes an entry without sending an update: later complete lists do not contain it.
-    pub fn remove_unannounced(&self, id: &str) {
-        let mut inner = self.inner.lock().unwrap();
-        inner.0 += 1;
-        inner.1.retain(|m| m["id"] != id);
-    }
-
-    /// Sets whether new watches get no response.
-    pub fn set_silent(&self, silent: bool) {
-        self.silent.store(silent, Ordering::SeqCst);
-    }
-
-    /// Writes complete lists in single bytes from now on.
-    pub fn write_byte_by_byte(&self) {
-        self.byte_by_byte.store(true, Ordering::SeqCst);
-    }
-
-    /// Resets the connections of all open watches.
-    pub fn reset_watches(&self) {
-        for watch in &self.inner.lock().unwrap().2 {
-            let _ = socket2::SockRef::from(watch).set_linger(Some(Duration::ZERO));
-            let _ = watch.shutdown(std::net::Shutdown::Both);
-        }
-    }
-
-    /// Changes one entry without sending it to the open watches.
-    pub fn change_unannounced(&self, member: Value) {
-        let mut inner = self.inner.lock().unwrap();
-        inner.0 += 1;
-        inner.1.retain(|m| m["id"] != member["id"]);
-        inner.1.push(member);
-    }
-
-    /// Waits until this many watches in total have been opened while discovery was silent.
-    pub fn wait_for_unanswered_watches(&self, times: usize) {
-        let end = Instant::now() + LONG;
-        while self.unanswered.lock().unwrap().len() < times {
-            assert!(Instant::now() < end, "no watch was opened");
-            std::thread::sleep(Duration::from_millis(2));
-        }
-    }
-
-    /// Sends a line to all open watches.
-    pub fn send_to_watches(&self, line: &str) {
-        self.write_to_watches(&mut self.inner.lock().unwrap().2, line);
-    }
-
-    fn write_to_watches(&self, watches: &mut Vec<TcpStream>, line: &str) {
-        watches.retain_mut(|w| w.write_all(&chunk(line.as_bytes())).is_ok());
-    }
-
-    /// Waits until this many watches in total have been answered.
-    pub fn wait_for_watches(&self, times: usize) {
-        let end = Instant::now() + LONG;
-        let mut inner = self.inner.lock().unwrap();
-        while inner.2.len() < times {
-            let left = end.saturating_duration_since(Instant::now());
-            assert!(!left.is_zero(), "no watch was opened");
-            inner = self.changed.wait_timeout(inner, left).unwrap().0;
-        }
-    }
-}
-
-/// An entry of the list of engines.
-pub fn member(id: &str, address: SocketAddr, phase: &str) -> Value {
-    let flavor = if id.starts_with('r') { "m1" } else { "m2" };
-    json!({"id": id, "host_port": address, "locality": "a", "flavor": flavor, "cell": 1, "phase": phase,
-           "size": 1.0, "up_since_ms": 0})
-}
-
 /// Starts mock engines; those with names that begin with `r` are readers.
 pub fn serve_engines<'a>(engines: &[&'a str]) -> (Arc<MockEngines>, Vec<(&'a str, SocketAddr)>) {
     let mock_engines = Arc::new(MockEngines::default());
@@ -503,8 +333,7 @@
         from_start: bool,
     ) -> Harness {
         let mock_engines = Arc::new(MockEngines::default());
-        *discovery.inner.lock().unwrap() =
-            (1, engines.iter().map(|(name, address)| member(name, *address, "up")).collect(), Vec::new());
+        discovery.set_members(engines.iter().map(|(name, address)| member(name, *address, "up")).collect());
         let addresses = engines.iter().map(|(name, address)| (name.to_string(), *address)).collect();
         let at = discovery.serve();
         // The port stays reserved while the node runs: another test could be given a port that is only free.
--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -3,12 +3,14 @@
 mod cancelled_attempts;
 mod client_disconnects;
 mod clock;
+mod discovery;
 mod discovery_outages;
+mod discovery_service;
 mod engine_failures;
 mod golden;
 mod harness;
 mod resource_guard;
-mod shutdown_and_discovery;
+mod shutdown;
 mod slow_clients;
 mod state_release;
 mod syscall_failures;
