--- a/crates/pintally-platform-node/src/endpoint_watch.rs
+++ b/crates/pintally-platform-node/src/endpoint_watch.rs
@@ -83,6 +83,10 @@
         }
     }
 
+    fn reset_backoff(&mut self) {
+        self.backoff = self.max_backoff / 4;
+    }
+
     /// When the next watch has to be opened, or the established one has been silent for too long.
     pub(crate) fn deadline(&self) -> Micros {
         if self.established.is_some() {
@@ -105,7 +109,7 @@
     /// Records a message on a watch, which establishes it: all others are closed.
     pub(crate) fn record_message(&mut self, id: WatchId, now: Micros) {
         self.last_heard = now;
-        self.backoff = self.max_backoff / 4;
+        self.reset_backoff();
         if let Some(connection) = self.pending.remove(|connection| connection.id() == id) {
             self.established = Some(connection);
             self.pending.clear();
@@ -196,7 +200,7 @@
         self.watch.established = None;
         self.watch.pending.clear();
         self.watch.open_at = now;
-        self.watch.backoff = self.watch.max_backoff / 4;
+        self.watch.reset_backoff();
         self.maintain_watch(now);
     }
 }
