Platform tests: clients disconnect at once, whatever processes other tests start

Each failed only in whole runs, never alone, and always for a client that was dropped, never for one that had shut down its stream.

Ruled out: late delivery by the system. 600,000 closes on loopback beside four busy processes and the suite: the other end knew each of them when close() had returned.

Cause, in the tests: while another test starts a process, that process holds a copy of all descriptors until it executes its program. The node gets the events of the resume before the disconnect, and is allowed to start the attempt.

Change: Client shuts down its stream when dropped. Checks and bounds are as they were.

--- a/crates/pintally-cli/tests/platform/harness.rs
+++ b/crates/pintally-cli/tests/platform/harness.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
@@ -530,6 +530,14 @@
     unread: Vec<u8>,
 }
 
+/// Disconnects at once. Dropping the stream is not enough: a process that another test is starting holds a copy of it
+/// until it executes its program, and the end of the stream would reach the node only after that.
+impl Drop for Client {
+    fn drop(&mut self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
 impl Client {
     pub fn new(harness: &Harness) -> Client {
         Client::from_stream(TcpStream::connect(harness.node_address).expect("the node listens"))
