One memory budget for client input; read on behind requests in flight

Cause: a connection was read 64 KiB ahead and no further while a request was in flight. What lay behind was stamped when it was read, and the end of the stream was not seen. process_requests ignored what account_buffered_bytes said, so the read-ahead of all connections had no bound.

Change: nodes read on while the budget lasts (memory_budget.rs: heads, bodies, input not parsed, output not written; a quarter of the memory limit). Half of it is for requests; each optional buffer may grow to what is free of the other half, after which its reading pauses. Bytes of a pause count as arrived at its start, until 0.1 s after all that had arrived was read; no request begins on a connection before that. The class's time limit counts from the arrival too. RequestReader consumes in constant time and frees large buffers.

Failed tries: a pause that ends when one read leaves nothing (a request counted as new once in a whole run: the rest was in the client's system); a test that connected 1,000 clients before it sent (closed after the 2.5 s for a first request, beside load).

--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod engine_failures;
 mod golden;
 mod harness;
+mod pipelined_requests;
 mod resource_guard;
 mod shutdown;
 mod slow_clients;
--- a/crates/pintally-http/src/lib.rs
+++ b/crates/pintally-http/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 
 mod framing;
+mod receive_buffer;
 mod request;
 mod response;
 mod sse;
--- a/crates/pintally-http/src/request.rs
+++ b/crates/pintally-http/src/request.rs
@@ -1,6 +1,7 @@
 //! Parsing of requests by a server, with size limits.
 
 use crate::framing::Framing;
+use crate::receive_buffer::ReceiveBuffer;
 use crate::{Headers, HttpError, MAX_HEADERS};
 
 /// A complete request.
@@ -22,7 +23,7 @@
 pub struct RequestReader {
     max_head_bytes: usize,
     max_body_bytes: usize,
-    buffer: Vec<u8>,
+    buffer: ReceiveBuffer,
     /// The request whose body is being received.
     incoming: Option<(Request, Framing)>,
     /// The client waits for `100 Continue`, which [`RequestReader::take_expects_continue`] has not reported yet.
@@ -35,7 +36,7 @@
         RequestReader {
             max_head_bytes,
             max_body_bytes,
-            buffer: Vec::new(),
+            buffer: ReceiveBuffer::default(),
             incoming: None,
             expects_continue: false,
         }
@@ -43,7 +44,7 @@
 
     /// Adds received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        self.buffer.push(bytes);
     }
 
     /// Whether part of a request has been received.
@@ -56,11 +57,6 @@
         self.buffer.len() + self.incoming.as_ref().map_or(0, |(request, _)| request.body.len())
     }
 
-    /// The number of received bytes that have not been parsed.
-    pub fn unparsed_bytes(&self) -> usize {
-        self.buffer.len()
-    }
-
     /// Whether the client waits for `100 Continue`; returns true at most once for each request.
     pub fn take_expects_continue(&mut self) -> bool {
         std::mem::take(&mut self.expects_continue)
@@ -78,7 +74,7 @@
         }
         let Some((request, framing)) = &mut self.incoming else { return Ok(None) };
         let consumed = framing.decode(&self.buffer, &mut request.body, self.max_body_bytes)?;
-        self.buffer.drain(..consumed);
+        self.buffer.consume(consumed);
         match framing {
             Framing::Done => Ok(self.incoming.take().map(|(request, _)| request)),
             _ => Ok(None),
@@ -112,7 +108,7 @@
         }
         self.expects_continue =
             request.headers.has_token("expect", "100-continue") && !matches!(framing, Framing::Done);
-        self.buffer.drain(..length);
+        self.buffer.consume(length);
         self.incoming = Some((request, framing));
         Ok(true)
     }
--- a/crates/pintally-platform-node/src/arrival_times.rs
+++ b/crates/pintally-platform-node/src/arrival_times.rs
@@ -10,6 +10,9 @@
 /// Bytes that arrive within this time share the arrival time of the first one. This bounds the memory for a
 /// client that sends byte by byte.
 const COALESCE_WITHIN: Micros = 5_000;
+/// When reading continues after a pause, bytes that the client has sent long ago may still be in its system's buffer.
+/// They follow each other more closely than this.
+const BACKLOG_GAP: Micros = 100_000;
 
 /// The segments of received bytes, oldest first.
 #[derive(Default)]
@@ -17,6 +20,31 @@
     /// Number of bytes received.
     received: u64,
     segments: VecDeque<Segment>,
+    pause: Option<Pause>,
+}
+
+/// A pause of reading, until all bytes that the client sent during the pause are read.
+#[derive(Clone, Copy)]
+struct Pause {
+    since: Micros,
+    progress: Progress,
+}
+
+/// How far the bytes that were sent during a pause are read.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// Nothing has been read since the pause began.
+    Stopped,
+    /// Some have been read, and more are unread.
+    Reading,
+    /// At this time, all that had arrived was read.
+    Drained(Micros),
+}
+
+impl Pause {
+    fn is_over(&self, now: Micros) -> bool {
+        matches!(self.progress, Progress::Drained(at) if now >= at.saturating_add(BACKLOG_GAP))
+    }
 }
 
 /// Bytes with the same arrival time.
@@ -27,13 +55,39 @@
 }
 
 impl ArrivalTimes {
-    /// Records that bytes were received.
-    pub(crate) fn push(&mut self, now: Micros, bytes: usize) {
+    /// Records that reading is paused. The time at which bytes arrive during the pause is not known, so the start
+    /// of the pause counts. Guards against requests that are served after the client's timeout.
+    pub(crate) fn pause(&mut self, now: Micros) {
+        match self.pause.as_mut().filter(|pause| !pause.is_over(now)) {
+            Some(Pause { progress: Progress::Stopped, .. }) => {}
+            Some(pause) => pause.progress = Progress::Reading,
+            None => self.pause = Some(Pause { since: now, progress: Progress::Stopped }),
+        }
+    }
+
+    /// Records that reading is resumed and that no unread bytes have arrived. This ends a pause during which the client
+    /// has sent nothing.
+    pub(crate) fn resume(&mut self) {
+        self.pause.take_if(|pause| pause.progress == Progress::Stopped);
+    }
+
+    /// Whether reading is paused, or bytes that were sent during the pause may be unread.
+    pub(crate) fn is_paused(&self, now: Micros) -> bool {
+        self.pause.is_some_and(|pause| !pause.is_over(now))
+    }
+
+    /// Records that bytes were read. `has_more` tells whether further bytes may have arrived before `now`.
+    pub(crate) fn push(&mut self, now: Micros, bytes: usize, has_more: bool) {
+        self.pause.take_if(|pause| pause.is_over(now));
+        let arrived = self.pause.map_or(now, |pause| pause.since);
+        if let Some(pause) = &mut self.pause {
+            pause.progress = if has_more { Progress::Reading } else { Progress::Drained(now) };
+        }
         self.received += bytes as u64;
-        match self.segments.back_mut().filter(|segment| now < segment.arrived.saturating_add(COALESCE_WITHIN))
-        {
-            Some(segment) => segment.end = self.received,
-            None => self.segments.push_back(Segment { end: self.received, arrived: now }),
+        let end = self.received;
+        match self.segments.back_mut() {
+            Some(segment) if arrived < segment.arrived.saturating_add(COALESCE_WITHIN) => segment.end = end,
+            _ => self.segments.push_back(Segment { end, arrived }),
         }
     }
 
@@ -45,6 +99,11 @@
         }
         self.segments.front().map(|segment| segment.arrived)
     }
+
+    /// The memory of the segments behind the first one.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.segments.len().saturating_sub(1) * size_of::<Segment>()
+    }
 }
 
 #[cfg(test)]
--- a/crates/pintally-platform-node/src/cleanup.rs
+++ b/crates/pintally-platform-node/src/cleanup.rs
@@ -29,6 +29,7 @@
             tracing::info!(clients = self.clients.count, "draining: listener closed");
         }
         self.expire_clients(now, listener_expired);
+        self.resume_paused_reads();
     }
 
     /// Closes client connections whose timeouts have expired, and idle ones if `close_idle`.
--- a/crates/pintally-platform-node/src/client_close.rs
+++ b/crates/pintally-platform-node/src/client_close.rs
@@ -28,7 +28,7 @@
             "client connection closed");
         if let Some(Connection::Client(client)) = self.connections.remove(key) {
             self.clients.count -= 1;
-            self.requests.account_buffered(client.accounted_bytes, 0);
+            self.clients.held_bytes -= client.held_bytes;
         }
         true
     }
--- a/crates/pintally-platform-node/src/client_connection.rs
+++ b/crates/pintally-platform-node/src/client_connection.rs
@@ -12,8 +12,6 @@
 use crate::arrival_times::ArrivalTimes;
 use crate::poller::EventFlags;
 
-/// Maximum number of bytes that are read beyond the request in flight.
-const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 /// Limit of the output that a slow client has not read: above it, reading of the stream from the engine
 /// pauses, and no further requests of the client are parsed.
 pub(crate) const MAX_OUTPUT_BYTES: usize = 32 << 10;
@@ -60,8 +58,8 @@
     pub(crate) last_active: Micros,
     /// Since when the client has not read any output.
     pub(crate) write_blocked_since: Option<Micros>,
-    /// Number of buffered input bytes that the node's total includes.
-    pub(crate) accounted_bytes: usize,
+    /// Number of bytes of this connection that the node's memory budget includes.
+    pub(crate) held_bytes: usize,
     pub(crate) interest: EventFlags,
 }
 
@@ -95,15 +93,34 @@
             receiving_since: now,
             last_active: now,
             write_blocked_since: None,
-            accounted_bytes: 0,
+            held_bytes: 0,
             interest: EventFlags::IN | EventFlags::RDHUP,
         }
     }
 
-    /// Whether more input is read. Input is also read while a request is in flight, so that the arrival time
-    /// of the next request is known. The limit guards against a client that fills the memory by sending fast.
-    pub(crate) fn wants_input(&self) -> bool {
-        self.state == ClientState::Closing || self.reader.unparsed_bytes() < MAX_READ_AHEAD_BYTES
+    /// Whether the rest of the output is being written, after which the connection ends.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.state == ClientState::Closing
+    }
+
+    /// The memory for input that has not been parsed, its arrival times, and output that has not been written.
+    pub(crate) fn count_held_bytes(&mut self) -> usize {
+        let buffered = self.reader.buffered_bytes();
+        self.arrivals.last_before(buffered);
+        buffered + self.arrivals.held_bytes() + self.unwritten_bytes()
+    }
+
+    /// Records the end of a pause of reading during which nothing has arrived.
+    pub(crate) fn resume_reading(&mut self, now: Micros) {
+        if self.arrivals.is_paused(now) && !has_unread_bytes(&self.stream) {
+            self.arrivals.resume();
+        }
+    }
+
+    /// Frees the input of a connection that handles no further requests.
+    pub(crate) fn discard_input(&mut self) {
+        self.reader = RequestReader::new(MAX_HEAD_BYTES, MAX_BODY_BYTES);
+        self.arrivals = ArrivalTimes::default();
     }
 
     /// Whether the output has room for another response. Guards against a client that fills the memory with
--- a/crates/pintally-platform-node/src/client_read.rs
+++ b/crates/pintally-platform-node/src/client_read.rs
@@ -19,20 +19,25 @@
     /// Handles an event of a client that has not disconnected, as [`Node::handle_disconnected_clients`] has
     /// checked.
     pub(crate) fn handle_client_event(&mut self, key: ConnectionKey, events: EventFlags) {
-        let Some(client) = self.client_mut(key) else { return };
-        let wants_input = client.wants_input();
+        if self.client_mut(key).is_none() {
+            return;
+        }
         if events.contains(EventFlags::OUT) {
             self.clients.queue_write(key);
         }
-        if events.intersects(EventFlags::IN | EventFlags::RDHUP) && wants_input {
+        if events.intersects(EventFlags::IN | EventFlags::RDHUP) {
             self.read_client(key);
         }
     }
 
     fn read_client(&mut self, key: ConnectionKey) {
+        let max_bytes = self.max_read_bytes(key);
+        if max_bytes == 0 {
+            return self.update_client_interest(key);
+        }
         let now = self.clock.now();
         let Some(Connection::Client(client)) = self.connections.get_mut(key) else { return };
-        let count = match client.stream.read(&mut self.read_buffer) {
+        let count = match client.stream.read(&mut self.read_buffer[..max_bytes]) {
             Ok(0) => return self.client_disconnected(key, CloseReason::ClientLeft),
             Ok(count) => count,
             Err(e) if is_retryable(&e) => return,
@@ -47,7 +52,7 @@
             client.receiving_since = now;
         }
         client.reader.push(&self.read_buffer[..count]);
-        client.arrivals.push(now, count);
+        client.arrivals.push(now, count, count == max_bytes);
         self.process_requests(key);
     }
 
@@ -58,6 +63,7 @@
             match client.reader.next_request() {
                 Ok(Some(request)) => {
                     client.close_after_response |= !request.keep_alive;
+                    self.update_held_bytes(key);
                     self.handle_request(key, request);
                 }
                 Ok(None) => return self.await_rest_of_request(key),
@@ -68,7 +74,7 @@
             }
         }
         self.queue_requests(key);
-        self.account_buffered_bytes(key);
+        self.update_held_bytes(key);
         self.update_client_interest(key);
     }
 
@@ -80,22 +86,13 @@
             client.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
             self.clients.queue_write(key);
         }
-        if !self.account_buffered_bytes(key) {
+        self.update_held_bytes(key);
+        if !self.has_memory_for(0) {
             self.reject(key, RequestError { status: 503, message: "no room for the body" });
         }
         self.update_client_interest(key);
     }
 
-    /// Updates the total with the connection's buffered bytes; returns whether the total is within the limit.
-    fn account_buffered_bytes(&mut self, key: ConnectionKey) -> bool {
-        let limit = self.config.max_total_body_bytes();
-        let Some(Connection::Client(client)) = self.connections.get_mut(key) else { return true };
-        let buffered = client.reader.buffered_bytes();
-        self.requests.account_buffered(client.accounted_bytes, buffered);
-        client.accounted_bytes = buffered;
-        self.requests.body_bytes() <= limit
-    }
-
     /// Schedules the parsing of the connection's next requests, if they may be parsed.
     pub(crate) fn queue_requests(&mut self, key: ConnectionKey) {
         let Some(client) = self.client_mut(key).filter(|client| client.accepts_requests()) else { return };
@@ -114,12 +111,17 @@
         }
     }
 
-    /// Registers the connection for the events that its state needs.
+    /// Registers the connection for the events that its state needs. Input is also read while a request is in
+    /// flight, so that the arrival time of the next request and the end of the stream are known.
     pub(crate) fn update_client_interest(&mut self, key: ConnectionKey) {
+        let (now, is_read) = (self.clock.now(), self.max_read_bytes(key) > 0);
         let Some(client) = self.client_mut(key) else { return };
         let mut interest = EventFlags::RDHUP;
-        if client.wants_input() {
+        if is_read {
             interest |= EventFlags::IN;
+            client.resume_reading(now);
+        } else {
+            client.arrivals.pause(now);
         }
         if client.unwritten_bytes() > 0 {
             interest |= EventFlags::OUT;
--- a/crates/pintally-platform-node/src/client_requests.rs
+++ b/crates/pintally-platform-node/src/client_requests.rs
@@ -31,11 +31,12 @@
     fn start_request(&mut self, key: ConnectionKey, number: RequestNumber, request: InferenceRequest) {
         let queueing_time = self.queueing_time(key);
         let InferenceRequest { mut arrival, head, body } = request;
-        arrival.client_timeout = arrival.client_timeout.map(|timeout| timeout.saturating_sub(queueing_time));
+        arrival.client_timeout =
+            self.client_timeout(&arrival).map(|timeout| timeout.saturating_sub(queueing_time));
         if arrival.name.as_ref().is_some_and(|name| self.host.is_request_open(name)) {
             return self.reject(key, RequestError { status: 409, message: "this id is in use" });
         }
-        if self.requests.body_bytes() + body.len() > self.config.max_total_body_bytes() {
+        if !self.has_memory_for(head.len() + body.len()) || self.has_unread_input(key) {
             return self.respond(key, response(503, &[], b"no room\n"));
         }
         self.requests.insert(key, head, body);
@@ -47,6 +48,21 @@
         self.handle_input(Input::RequestArrived(arrival));
     }
 
+    /// Whether input of the connection is unread because the budget had no room for it. Guards against an attempt for
+    /// a client whose disconnect is behind that input: requests are rejected until the node has read all of it.
+    fn has_unread_input(&mut self, key: ConnectionKey) -> bool {
+        let now = self.clock.now();
+        self.client_mut(key).is_some_and(|client| client.arrivals.is_paused(now))
+    }
+
+    /// The timeout that the client states, or the one of its class if that is shorter or none is stated. Guards against
+    /// a request whose wait behind other requests is not counted because the class's timeout applies to it.
+    fn client_timeout(&self, arrival: &IncomingRequest) -> Option<Micros> {
+        let class = arrival.class.and_then(|class| self.settings.classes.get(class));
+        let class_timeout = class.map(|class| class.default_client_timeout);
+        [arrival.client_timeout, class_timeout].into_iter().flatten().min()
+    }
+
     /// How long the request that was parsed last has waited on its connection behind other requests.
     fn queueing_time(&mut self, key: ConnectionKey) -> Micros {
         let now = self.clock.now();
--- a/crates/pintally-platform-node/src/client_response.rs
+++ b/crates/pintally-platform-node/src/client_response.rs
@@ -67,6 +67,12 @@
         client.last_active = now;
         client.receiving_since = now;
         client.state = if closes { ClientState::Closing } else { ClientState::Receiving };
+        if closes {
+            client.discard_input();
+        } else {
+            // Before the response is written: the client may send its next request at once.
+            client.resume_reading(now);
+        }
         self.clients.queue_write(key);
         self.queue_requests(key);
     }
@@ -107,7 +113,10 @@
             client.output.extend_from_slice(&response_head(200, &headers));
         }
         client.output.extend_from_slice(&chunk(events));
-        let is_slow = client.unwritten_bytes() > MAX_OUTPUT_BYTES;
+        let unwritten = client.unwritten_bytes();
+        self.update_held_bytes(key);
+        let max_unwritten = self.max_optional_bytes().clamp(RESUME_OUTPUT_BYTES, MAX_OUTPUT_BYTES);
+        let is_slow = unwritten > max_unwritten;
         self.clients.queue_write(key);
         Some(if is_slow { ClientPace::Slow } else { ClientPace::KeepsUp })
     }
@@ -126,6 +135,8 @@
             return self.client_disconnected(key, CloseReason::IoError);
         }
         client.after_write(now);
+        self.update_held_bytes(key);
+        let Some(client) = self.client_mut(key) else { return };
         let unwritten = client.unwritten_bytes();
         let (state, is_partial) = (client.state, client.reader.is_partial());
         let closes_idle = client.close_when_idle && !is_partial;
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -8,6 +8,8 @@
 #[derive(Default)]
 pub(crate) struct Clients {
     pub(crate) count: usize,
+    /// Number of bytes that are held for all connections, without the requests in flight.
+    pub(crate) held_bytes: usize,
     /// Connections with output to write.
     pending_writes: Vec<ConnectionKey>,
     /// Connections that may have received another complete request.
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -34,6 +34,7 @@
 mod host_queue;
 mod listener;
 mod log_limiter;
+mod memory_budget;
 mod node;
 mod pending_watches;
 mod poller;
--- a/crates/pintally-platform-node/src/requests.rs
+++ b/crates/pintally-platform-node/src/requests.rs
@@ -1,4 +1,4 @@
-//! The requests in flight, and the memory that request bodies use.
+//! The requests in flight, and the memory that they use.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -17,13 +17,19 @@
     pub(crate) attempt: Option<(AttemptNumber, ConnectionKey)>,
 }
 
+impl ActiveRequest {
+    fn held_bytes(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+}
+
 /// The requests in flight.
 #[derive(Default)]
 pub(crate) struct Requests {
     by_number: HashMap<RequestNumber, ActiveRequest>,
     next_number: RequestNumber,
-    /// Bytes of the bodies of requests in flight, and of requests that are being received.
-    body_bytes: usize,
+    /// Number of bytes of the heads and bodies of all requests.
+    held_bytes: usize,
 }
 
 impl Requests {
@@ -32,9 +38,9 @@
         self.next_number
     }
 
-    /// Bytes of the bodies of requests in flight, and of requests that are being received.
-    pub(crate) fn body_bytes(&self) -> usize {
-        self.body_bytes
+    /// Number of bytes of the heads and bodies of all requests.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.held_bytes
     }
 
     pub(crate) fn get(&self, number: RequestNumber) -> Option<&ActiveRequest> {
@@ -52,8 +58,8 @@
 
     /// Adds a request under the next number.
     pub(crate) fn insert(&mut self, client: ConnectionKey, head: String, body: Vec<u8>) {
-        self.body_bytes += body.len();
         let request = ActiveRequest { client: Some(client), head, body: Rc::from(body), attempt: None };
+        self.held_bytes += request.held_bytes();
         self.by_number.insert(self.next_number, request);
         self.next_number += 1;
     }
@@ -61,20 +67,15 @@
     /// Removes a request that the host has ended.
     pub(crate) fn remove(&mut self, number: RequestNumber) {
         if let Some(request) = self.by_number.remove(&number) {
-            self.body_bytes -= request.body.len();
+            self.held_bytes -= request.held_bytes();
         }
     }
 
     /// Frees the body of a request that is not retried again.
     pub(crate) fn discard_body(&mut self, number: RequestNumber) {
         if let Some(request) = self.by_number.get_mut(&number) {
-            self.body_bytes -= request.body.len();
+            self.held_bytes -= request.body.len();
             request.body = Rc::from([]);
         }
     }
-
-    /// Updates the total when the number of bytes that a connection buffers changes from `before` to `after`.
-    pub(crate) fn account_buffered(&mut self, before: usize, after: usize) {
-        self.body_bytes = self.body_bytes + after - before;
-    }
 }
--- a/crates/pintally-platform/src/configuration.rs
+++ b/crates/pintally-platform/src/configuration.rs
@@ -165,8 +165,8 @@
         self.limits.sockets / 2 - 8
     }
 
-    /// Maximum size of the bodies of all requests together: a quarter of the memory, in bytes.
-    pub fn max_total_body_bytes(&self) -> usize {
+    /// Maximum memory for everything that is received and not yet answered: a quarter of the memory, in bytes.
+    pub fn memory_budget(&self) -> usize {
         (self.limits.memory_mb as usize) << 18
     }
 
@@ -210,7 +210,7 @@
             max_open_requests,
             max_head_bytes: MAX_HEAD_BYTES,
             max_body_bytes: MAX_BODY_BYTES,
-            max_total_body_bytes: self.max_total_body_bytes(),
+            max_total_body_bytes: self.memory_budget(),
             receive_timeout: RECEIVE_TIMEOUT,
             write_timeout: WRITE_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
--- a/crates/pintally-platform/tests/golden.rs
+++ b/crates/pintally-platform/tests/golden.rs
@@ -69,7 +69,7 @@
     assert_eq!(config.discovery.to_string(), "127.0.0.1:8500");
     assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
     assert_eq!((config.limits.cores, config.limits.memory_mb, config.limits.sockets), (0.5, 32, 256));
-    assert_eq!((config.max_client_connections(), config.max_total_body_bytes()), (120, 8 << 20));
+    assert_eq!((config.max_client_connections(), config.memory_budget()), (120, 8 << 20));
     let list = config.last_known_list.as_ref().expect("a list");
     assert_eq!((list.revision, list.complete, list.endpoints.len()), (4, true, 1));
     let engine = &list.endpoints[0];
