Slow start: divide answers by the mean number of warm engines that gave them

Seen (review): five of six writers replaced within 7 s, 0.33 of the limit at the first new engine, 0.85 at the last.

Cause: Pool::answers holds twelve seconds and more of answers, also of engines that left; warm_engines was the number at the last maintenance. When warm engines leave, the rate of each rises up to sixfold.

Change: warm_engine_s sums the time of warm engines, decayed as the answers are. Property test over 1, 3, 30 independent nodes, 1 to 5 of 6 engines replaced, small and large engines, bound 0.7 of the limit: 12 of 11.4 before at nine tenths of the traffic (held at 0.3 and 0.6), 6 after.

--- a/src/policy/service_rates.rs
+++ b/src/policy/service_rates.rs
@@ -2,7 +2,7 @@
 
 use super::Router;
 use crate::interface::*;
-use crate::state::AttemptKind;
+use crate::state::{AttemptKind, Pool};
 
 /// Counts of recent events decay by this factor at each maintenance, which halves them in twelve seconds.
 pub(super) const COUNT_DECAY: f64 = 0.97;
@@ -10,13 +10,25 @@
 /// many seconds.
 const RATE_WARM_UP_S: f64 = 5.0;
 
+impl Pool {
+    /// The mean number of warm engines over the time in which the answers were counted. Guards against a rate that
+    /// rises when engines leave, because their answers are still counted.
+    fn mean_warm_engines(&self) -> f64 {
+        if self.observed_s > 0.0 {
+            (self.warm_engine_s / self.observed_s).max(1.0)
+        } else {
+            1.0
+        }
+    }
+}
+
 impl Router {
     /// Answers per second of one warm engine. The rate remembered from the previous incarnation applies until
     /// this one has observed a higher one.
     pub(crate) fn service_rate(&self, kind: AttemptKind) -> f64 {
         let pool = self.pool(kind);
         let remembered = self.settings.remembered_service_rates[kind.index()];
-        (pool.answers / pool.warm_engines.max(1.0) / (pool.observed_s + RATE_WARM_UP_S)).max(remembered)
+        (pool.answers / pool.mean_warm_engines() / (pool.observed_s + RATE_WARM_UP_S)).max(remembered)
     }
 
     /// Adds the answers since the last maintenance to the pools of their engines.
@@ -35,7 +47,7 @@
         for (pool, warm_engines) in self.pools.iter_mut().zip(warm_engines) {
             pool.answers *= COUNT_DECAY;
             pool.observed_s = (pool.observed_s + elapsed_s) * COUNT_DECAY;
-            pool.warm_engines = warm_engines.max(1.0);
+            pool.warm_engine_s = (pool.warm_engine_s + elapsed_s * warm_engines.max(1.0)) * COUNT_DECAY;
         }
     }
 }
--- a/src/state/measurements.rs
+++ b/src/state/measurements.rs
@@ -50,8 +50,9 @@
     pub(crate) answers: f64,
     /// The time over which those answers were counted, in seconds, decayed alike.
     pub(crate) observed_s: f64,
-    /// The number of warm engines in the pool at the last maintenance, counted as at least 1.
-    pub(crate) warm_engines: f64,
+    /// The sum over the pool's warm engines, at least one, of the time for which they were observed, in seconds,
+    /// decayed alike.
+    pub(crate) warm_engine_s: f64,
 }
 
 /// An exponentially weighted mean and when it was last updated.
--- a/tests/slow_start_budget.rs
+++ b/tests/slow_start_budget.rs
@@ -19,7 +19,14 @@
 const NEW_ENGINES: usize = 2;
 /// Requests per second that a warm engine can do, and the utilisation of the fleet before the burst.
 const CAPACITY_PER_S: f64 = 4.0;
+const LARGE_CAPACITY_PER_S: f64 = 30.0;
 const UTILISATION: f64 = 0.6;
+/// The utilisation of a fleet whose engines are replaced: close to what it can do.
+const UTILISATION_DURING_REPLACEMENT: f64 = 0.9;
+/// The time between two replacements: five take less than seven seconds.
+const REPLACEMENT_INTERVAL: Micros = 1_300 * MS;
+/// An engine that is replaced is listed as draining for this time.
+const DRAIN_TIME: Micros = 500 * MS;
 /// The time with traffic before the engines start, and the time for which the new ones are observed.
 const TIME_BEFORE_START: Micros = 40 * SECOND;
 const OBSERVED_TIME: Micros = 8 * SECOND;
@@ -44,6 +51,55 @@
     hot_prefix: f64,
     /// Whether that prefix changes, when the engines start, to one that no node has seen.
     unseen: bool,
+    /// Requests per second that a warm engine can do.
+    capacity_per_s: f64,
+    fleet_change: FleetChange,
+}
+
+/// How engines start.
+#[derive(Clone, Copy, Debug)]
+enum FleetChange {
+    /// [`NEW_ENGINES`] are added, and a burst begins.
+    Added,
+    /// This number of engines of each role is replaced, one after the other.
+    Replaced(usize),
+}
+
+/// A change of the endpoint list.
+type ListChange = (Micros, Vec<Endpoint>);
+
+impl FleetChange {
+    /// The changes of the list, in the order of their times.
+    fn list_changes(self, start: Micros) -> Vec<ListChange> {
+        let with_state = |mut all: Vec<Endpoint>, state: EndpointState| {
+            all.iter_mut().for_each(|endpoint| endpoint.state = state);
+            all
+        };
+        let mut changes = match self {
+            FleetChange::Added => {
+                vec![(start, engines(WARM_ENGINES, WARM_ENGINES + NEW_ENGINES, Some(start)))]
+            }
+            FleetChange::Replaced(count) => (0..count)
+                .flat_map(|i| {
+                    let at = start + i as Micros * REPLACEMENT_INTERVAL;
+                    let mut replaced = with_state(engines(i, i + 1, None), EndpointState::Draining);
+                    replaced.extend(engines(WARM_ENGINES + i, WARM_ENGINES + i + 1, Some(at)));
+                    let gone = with_state(engines(i, i + 1, None), EndpointState::Gone);
+                    [(at, replaced), (at + DRAIN_TIME, gone)]
+                })
+                .collect(),
+        };
+        changes.sort_by_key(|(at, _)| *at);
+        changes
+    }
+
+    /// The traffic before or after the start, as a multiple of what the warm engines before can do.
+    fn utilisation(self, has_started: bool) -> f64 {
+        match self {
+            FleetChange::Added => UTILISATION * if has_started { BURST_FACTOR } else { 1.0 },
+            FleetChange::Replaced(_) => UTILISATION_DURING_REPLACEMENT,
+        }
+    }
 }
 
 fn engines(from: usize, to: usize, started: Option<Micros>) -> Vec<Endpoint> {
@@ -87,7 +143,8 @@
     let settings = Settings { node_index: index, node_count: scenario.nodes, ..settings() };
     let mut node = Node::new(settings.clone(), engines(0, WARM_ENGINES, None));
     let start = node.now + TIME_BEFORE_START;
-    let rate = CAPACITY_PER_S * WARM_ENGINES as f64 * UTILISATION * traffic_fraction;
+    let capacity = scenario.capacity_per_s * WARM_ENGINES as f64 * traffic_fraction;
+    let mut list_changes = std::collections::VecDeque::from(scenario.fleet_change.list_changes(start));
     let mut listed = false;
     let mut serial = 0;
     // Requests by name with the time of their next event: the end of the read, then of the answer.
@@ -103,12 +160,11 @@
                 node.now = now;
                 in_progress.clear();
             }
-            node.update_endpoints(
-                ListUpdate::Delta,
-                engines(WARM_ENGINES, WARM_ENGINES + NEW_ENGINES, Some(start)),
-            );
         }
-        let expected_arrivals = rate * if listed { BURST_FACTOR } else { 1.0 } * STEP as f64 / 1e6;
+        while let Some((_, changed)) = list_changes.pop_front_if(|(at, _)| *at <= node.now) {
+            node.update_endpoints(ListUpdate::Delta, changed);
+        }
+        let expected_arrivals = capacity * scenario.fleet_change.utilisation(listed) * STEP as f64 / 1e6;
         let whole = expected_arrivals.floor() as usize;
         let arrivals = whole + usize::from(rng.random_range(0.0..1.0) < expected_arrivals - whole as f64);
         let unseen_prefix = (listed && scenario.unseen).then_some(1_000 + seed);
@@ -187,7 +243,14 @@
     for nodes in [1, 3, 30, 300] {
         for hot_prefix in [0.0, 0.5, 0.95] {
             for (restarted, unseen) in [(0.0, false), (1.0, false), (0.0, true), (1.0, true)] {
-                let scenario = Scenario { nodes, restarted, hot_prefix, unseen };
+                let scenario = Scenario {
+                    nodes,
+                    restarted,
+                    hot_prefix,
+                    unseen,
+                    capacity_per_s: CAPACITY_PER_S,
+                    fleet_change: FleetChange::Added,
+                };
                 let results: Vec<_> = SEEDS.map(|seed| max_in_window_and_total(scenario, seed)).collect();
                 let most = results.iter().map(|(most, _)| *most).max().unwrap_or(0);
                 let all: usize = results.iter().map(|(_, all)| *all).sum();
@@ -199,3 +262,36 @@
         }
     }
 }
+
+/// Guards against a budget that grows while warm engines leave: their answers counted, and they themselves did not.
+/// 0.7 of the limit leaves room for work that is not counted in requests.
+#[test]
+fn nodes_respect_slow_start_budget_while_engines_are_replaced() {
+    const LIMIT_FRACTION: f64 = 0.7;
+    let settings = settings();
+    for (nodes, capacity_per_s) in
+        [1, 3, 30].into_iter().flat_map(|n| [(n, CAPACITY_PER_S), (n, LARGE_CAPACITY_PER_S)])
+    {
+        let budget = settings.overload_factor
+            * settings.slow_start_min_capacity
+            * capacity_per_s
+            * settings.overload_window as f64
+            / 1e6;
+        let tolerance = if budget < 30.0 { 3.0 * budget.sqrt() + 3.0 } else { 2.0 * budget.sqrt() + 2.0 };
+        let bound = LIMIT_FRACTION * (budget + tolerance);
+        for replaced in 1..WARM_ENGINES {
+            let fleet_change = FleetChange::Replaced(replaced);
+            let scenario = Scenario {
+                nodes,
+                restarted: 0.0,
+                hot_prefix: 0.0,
+                unseen: false,
+                capacity_per_s,
+                fleet_change,
+            };
+            let most = SEEDS.map(|seed| max_in_window_and_total(scenario, seed).0).max().unwrap_or(0);
+            println!("{scenario:?}, seeds {SEEDS:?}: at most {most} of {bound:.1}");
+            assert!(most as f64 <= bound, "{scenario:?}: {most} in one window, {bound:.1} at most");
+        }
+    }
+}
