Say and test what an empty complete list does on both node runtimes

The platform node ignores it (InvalidList::Empty), with a warning, and goes on with the engines before it: a discovery that has lost its data is likelier than a fleet that is gone at once. serve takes all engines off when its operator's list file, in a newer version, names none. Both were so and neither was said or tested.

--- a/crates/pintally-cli/tests/fleet/node_processes.rs
+++ b/crates/pintally-cli/tests/fleet/node_processes.rs
@@ -225,6 +225,18 @@
     wait_until("both drains hold at both nodes", 15, || (1..3).all(|n| fleet.serving_engines(n) == 2));
 }
 
+/// An operator's list with a newer version and no engine takes all engines off, unlike one from discovery of `platform`.
+#[test]
+fn empty_list_takes_all_engines_off() {
+    let mut fleet = NodeProcesses::new(3);
+    fleet.start_all();
+    wait_until("the engines serve", 15, || fleet.serving_engines(0) == 4);
+    fleet.write_engine_list(0, &engine_list(9, &[]));
+    wait_until("no engine serves", 15, || fleet.serving_engines(0) == 0);
+    fleet.write_engine_list(0, &engine_list(10, &[EndpointState::Serving; 4]));
+    wait_until("the engines serve again", 15, || fleet.serving_engines(0) == 4);
+}
+
 /// Guards against a paused process that declares all its peers dead when it continues.
 #[test]
 fn paused_process_rejoins_without_declaring_peers_dead() {
--- a/crates/pintally-cli/tests/platform/discovery.rs
+++ b/crates/pintally-cli/tests/platform/discovery.rs
@@ -147,6 +147,21 @@
     }
 }
 
+/// Guards against a fleet without engines because discovery has lost its data: a complete list without an engine is
+/// ignored, and its revision does not hide the next list.
+#[test]
+fn empty_complete_list_is_ignored() {
+    let harness = Harness::new(&["r0", "w0", "w1"], 256);
+    harness.discovery.wait_for_watches(1);
+    harness.discovery.send_to_watches("{\"revision\":1000,\"complete\":true,\"members\":[]}");
+    harness.discovery.change(member("w1", harness.engines["w1"], "draining"));
+    harness.wait_until_status("the list after it is applied", |b| is_listed(b, "w1", "Draining"));
+    let mut client = Client::new(&harness);
+    client.send_request("safe", "a");
+    assert!(client.receive_response().2);
+    assert_eq!(attempted_engines(&harness, "a"), ["r0", "w0"]);
+}
+
 /// A drain that is notified in the same iteration in which requests arrive: attempts that the node sends afterwards go
 /// to other engines.
 #[test]
