Release calls without a descriptor count neither as calls nor as failures

Cause, by the log of a failed play: the release goes to w4, w0, w5, (nothing), w1, w2, w3, (nothing), w0, w5 and only then to r0, the one engine that lives. The calls that are missing went to r0 and found no descriptor, since calls to vanished engines had the reserve. send_release reported them as failed calls: r0 counted as called and as failing, and all others came before it again.

Ruled out: the order of calls itself (no engine is called twice before all were), and late timers (0 to 9 ms).

Unit test of the order.

--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -225,6 +225,7 @@
             Input::Released(name, engine, acknowledged) => {
                 self.on_release_result(name, engine, acknowledged, out);
             }
+            Input::ReleaseNotSent(name, engine) => self.on_release_not_sent(name, engine, out),
             Input::Stop => self.on_stop(),
         }
     }
--- a/crates/pintally-host/src/host/releases.rs
+++ b/crates/pintally-host/src/host/releases.rs
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Handles a release call for which this node has no descriptor. This says nothing about the engine, which is
+    /// called next time. Guards against a release that calls all unreachable engines once more before the only one that
+    /// responds.
+    pub(super) fn on_release_not_sent(&mut self, name: RequestId, engine: EngineId, out: &mut Vec<Command>) {
+        match self.release_scope {
+            ReleaseScope::Request => self.release_scheduler.call_not_sent(&name, &engine),
+            ReleaseScope::Attempt => self.on_release_result(name, engine, false, out),
+        }
+    }
+
     /// Releases the reservations of a dead peer, except for names of this incarnation, which cannot be the peer's.
     pub(super) fn on_reservations_inherited(
         &mut self,
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -107,6 +107,8 @@
     /// A release, named and sent as in [`Command::Release`](crate::Command::Release), was acknowledged by that
     /// engine, or has failed.
     Released(RequestId, EngineId, bool),
+    /// A release was not sent to that engine because this node has no descriptor for a connection.
+    ReleaseNotSent(RequestId, EngineId),
     /// An input of the recovery after a start.
     Recovery(pintally_recovery::Input),
     /// The lease granter has answered a quota request.
--- a/crates/pintally-host/src/release_scheduler.rs
+++ b/crates/pintally-host/src/release_scheduler.rs
@@ -321,6 +321,14 @@
         Some(ReleaseCall { engine, new_connection, next_call_after, is_call_limit_reached })
     }
 
+    /// Records that the last call of a request to an engine was not sent.
+    pub(crate) fn call_not_sent(&mut self, id: &RequestId, engine: &EngineId) {
+        let Some(release) = self.pending.get_mut(id) else { return };
+        if let Some(calls) = release.calls_by_engine.get_mut(engine) {
+            *calls = calls.saturating_sub(1);
+        }
+    }
+
     /// The time from the call that is due now to the next one. `None` if the release is not pending, or makes no call
     /// now because it waits until an engine responds.
     fn interval_after_call(&mut self, id: &RequestId) -> Option<Micros> {
--- a/crates/pintally-host/src/release_scheduler/tests.rs
+++ b/crates/pintally-host/src/release_scheduler/tests.rs
@@ -164,3 +164,25 @@
         }
     }
 }
+
+/// Guards against a release that calls all unreachable engines once more before the only one that responds, because a
+/// call to that one was not sent.
+#[test]
+fn engine_whose_call_was_not_sent_is_called_next() {
+    let mut scheduler = ReleaseScheduler::new(500_000);
+    let known = engines(7);
+    scheduler.record_response(1_000_000, &known[0]);
+    scheduler.begin(1_100_000, &id("x"), known[0].clone(), 1_000_000);
+    let mut call = |now| {
+        let engines = known.iter().map(|e| (e, EndpointState::Serving));
+        let engine =
+            scheduler.next_call(now, &id("x"), engines).and_then(|call| call.engine).expect("a call");
+        if now < 1_200_000 {
+            scheduler.call_not_sent(&id("x"), &engine);
+        }
+        engine
+    };
+    let called: Vec<EngineId> = (0..4).map(|n| call(1_100_000 + n * 50_000)).collect();
+    assert_eq!(called[..3], [known[0].clone(), known[0].clone(), known[0].clone()]);
+    assert_ne!(called[3], known[0]);
+}
--- a/crates/pintally-lab/src/baseline.rs
+++ b/crates/pintally-lab/src/baseline.rs
@@ -305,6 +305,7 @@
             | Input::FailoverPlan(_)
             | Input::DeliveryConfirmed(..)
             | Input::Released(..)
+            | Input::ReleaseNotSent(..)
             | Input::Stop => {}
         }
     }
--- a/crates/pintally-platform-node/src/background_calls.rs
+++ b/crates/pintally-platform-node/src/background_calls.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use pintally::interface::{AttemptNumber, EngineId, RequestId};
+use pintally::interface::{AttemptNumber, EngineId, Outcome, RequestId};
 use pintally_host::{Input, RequestNumber};
 use pintally_platform::encode_release;
 
@@ -31,6 +31,7 @@
                 tracing::debug!(request_id = %id.0, engine = %engine.0, "release call started");
                 self.write_engine(key);
             }
+            Err(Outcome::NeverSent) => self.host_queue.push(Input::ReleaseNotSent(id, engine)),
             Err(_) => self.host_queue.push(Input::Released(id, engine, false)),
         }
     }
