--- a/src/policy/service_rates.rs
+++ b/src/policy/service_rates.rs
@@ -11,8 +11,8 @@
 const RATE_WARM_UP_S: f64 = 5.0;
 
 impl Pool {
-    /// The mean number of warm engines over the time in which the answers were counted. Guards against a rate that
-    /// rises when engines leave, because their answers are still counted.
+    /// The mean number of warm engines over the time in which the answers were counted. Guards against a
+    /// rate that rises when engines leave, because their answers are still counted.
     fn mean_warm_engines(&self) -> f64 {
         if self.observed_s > 0.0 {
             (self.warm_engine_s / self.observed_s).max(1.0)
