--- a/crates/pintally-cli/tests/platform/pipelined_requests.rs
+++ b/crates/pintally-cli/tests/platform/pipelined_requests.rs
@@ -12,7 +12,7 @@
 const LARGE_BODY_BYTES: usize = 18_000;
 /// Later than this after the client's timeout, a request without an answer counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(500);
-/// How much the time that an engine is told may exceed the time that is left.
+/// How much the time that an attempt states may exceed the time that is left.
 const MAX_EXCESS_MS: u64 = 150;
 
 /// Sends the requests from another thread, which returns when each of them was sent.
@@ -50,7 +50,7 @@
 
 /// Guards against requests that count as new when the node reads them, long after the client has sent them.
 #[test]
-fn engines_are_told_the_time_left_of_waiting_requests() {
+fn attempts_of_waiting_requests_state_the_remaining_time() {
     const REQUESTS: usize = 30;
     const TIMEOUT_MS: u64 = 6_000;
     const WAIT_MS: u64 = 1_000;
