--- a/crates/pintally-http/src/receive_buffer.rs
+++ b/crates/pintally-http/src/receive_buffer.rs
@@ -2,8 +2,9 @@
 
 use std::ops::Deref;
 
-/// Spare capacity above this is returned to the allocator once it is no longer needed.
-const MAX_SPARE_BYTES: usize = 32 << 10;
+/// Spare capacity above this is returned to the allocator once it is no longer needed: thousands of connections may be
+/// idle.
+const MAX_SPARE_BYTES: usize = 2 << 10;
 
 /// A queue of bytes that can be read as one slice. Consuming bytes takes constant time on average, however many
 /// bytes remain, and frees the memory of large buffers.
