--- a/crates/pintally-cli/tests/platform/cancelled_attempts.rs
+++ b/crates/pintally-cli/tests/platform/cancelled_attempts.rs
@@ -5,7 +5,6 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-use serde_json::json;
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::harness::*;
@@ -43,15 +42,7 @@
     let listener = small_buffer_listener();
     let harness = Harness::with_engines(&[("r0", listener.local_addr().unwrap())], 256);
     let mut client = Client::new(&harness);
-    let body = json!({"model": "m", "pad": "x".repeat(BODY_BYTES)}).to_string();
-    client.send(
-        format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nHost: s\r\nX-Txn: a\r\nX-Lane: once\r\nX-Entity: a\r\n\
-             X-Remaining-Ms: 5000\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        )
-        .as_bytes(),
-    );
+    client.send(&large_request_bytes("once", "a", 5_000, BODY_BYTES));
     let (mut attempt, _) = listener.accept().unwrap();
     harness.wait_until_status("the attempt is written", |b| b["engines"][0]["sockets"]["out"] == 1);
     std::thread::sleep(Duration::from_millis(100));
--- a/crates/pintally-cli/tests/platform/pipelined_requests.rs
+++ b/crates/pintally-cli/tests/platform/pipelined_requests.rs
@@ -15,7 +15,7 @@
 /// How much the time that an attempt states may exceed the time that is left.
 const MAX_EXCESS_MS: u64 = 150;
 
-/// Sends the requests from another thread, which returns when each of them was sent.
+/// Sends the requests from another thread; the channel returns when each of them was sent.
 fn send_in_background(client: &Client, requests: Vec<Vec<u8>>) -> Receiver<Instant> {
     let mut stream = client.stream.try_clone().unwrap();
     let (sent, times) = std::sync::mpsc::channel();
@@ -162,7 +162,8 @@
     assert_eq!(attempts, ["r0"]);
 }
 
-/// The peak memory of a node with 32 MB while this many connections send 100 requests at once, in pieces of this size.
+/// Asserts that a node stays within its memory of 32 MB while this many connections send 100 requests at once, in pieces
+/// of this size.
 fn assert_memory_is_bounded(connections: usize, piece_bytes: usize) {
     const REQUESTS: usize = 100;
     const BODY_BYTES: usize = 2_300;
--- a/crates/pintally-http/src/receive_buffer/tests.rs
+++ b/crates/pintally-http/src/receive_buffer/tests.rs
@@ -1,3 +1,5 @@
+//! Order of the bytes, and memory that is returned.
+
 use super::*;
 
 /// Guards against bytes that are lost or repeated when the rest of the buffer is moved.
--- a/crates/pintally-platform-node/src/arrival_times.rs
+++ b/crates/pintally-platform-node/src/arrival_times.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Whether nothing has been read since reading was paused.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.pause.is_some_and(|pause| pause.progress == Progress::Stopped)
+    }
+
     /// Records that reading is resumed and that no unread bytes have arrived. This ends a pause during which the client
     /// has sent nothing.
     pub(crate) fn resume(&mut self) {
@@ -93,11 +98,16 @@
 
     /// The arrival time of the last byte before the newest `bytes_behind` ones. Earlier segments are dropped.
     pub(crate) fn last_before(&mut self, bytes_behind: usize) -> Option<Micros> {
+        self.discard_before(bytes_behind);
+        self.segments.front().map(|segment| segment.arrived)
+    }
+
+    /// Drops the segments before the one of the last byte before the newest `bytes_behind` ones.
+    pub(crate) fn discard_before(&mut self, bytes_behind: usize) {
         let end = self.received.saturating_sub(bytes_behind as u64);
         while self.segments.len() > 1 && self.segments.front().is_some_and(|segment| segment.end < end) {
             self.segments.pop_front();
         }
-        self.segments.front().map(|segment| segment.arrived)
     }
 
     /// The memory of the segments behind the first one.
--- a/crates/pintally-platform-node/src/client_connection.rs
+++ b/crates/pintally-platform-node/src/client_connection.rs
@@ -98,21 +98,16 @@
         }
     }
 
-    /// Whether the rest of the output is being written, after which the connection ends.
-    pub(crate) fn is_closing(&self) -> bool {
-        self.state == ClientState::Closing
-    }
-
     /// The memory for input that has not been parsed, its arrival times, and output that has not been written.
     pub(crate) fn count_held_bytes(&mut self) -> usize {
         let buffered = self.reader.buffered_bytes();
-        self.arrivals.last_before(buffered);
+        self.arrivals.discard_before(buffered);
         buffered + self.arrivals.held_bytes() + self.unwritten_bytes()
     }
 
     /// Records the end of a pause of reading during which nothing has arrived.
-    pub(crate) fn resume_reading(&mut self, now: Micros) {
-        if self.arrivals.is_paused(now) && !has_unread_bytes(&self.stream) {
+    pub(crate) fn resume_reading(&mut self) {
+        if self.arrivals.is_stopped() && !has_unread_bytes(&self.stream) {
             self.arrivals.resume();
         }
     }
--- a/crates/pintally-platform-node/src/client_read.rs
+++ b/crates/pintally-platform-node/src/client_read.rs
@@ -19,9 +19,6 @@
     /// Handles an event of a client that has not disconnected, as [`Node::handle_disconnected_clients`] has
     /// checked.
     pub(crate) fn handle_client_event(&mut self, key: ConnectionKey, events: EventFlags) {
-        if self.client_mut(key).is_none() {
-            return;
-        }
         if events.contains(EventFlags::OUT) {
             self.clients.queue_write(key);
         }
@@ -114,14 +111,14 @@
     /// Registers the connection for the events that its state needs. Input is also read while a request is in
     /// flight, so that the arrival time of the next request and the end of the stream are known.
     pub(crate) fn update_client_interest(&mut self, key: ConnectionKey) {
-        let (now, is_read) = (self.clock.now(), self.max_read_bytes(key) > 0);
-        let Some(client) = self.client_mut(key) else { return };
+        let is_read = self.max_read_bytes(key) > 0;
+        let Some(Connection::Client(client)) = self.connections.get_mut(key) else { return };
         let mut interest = EventFlags::RDHUP;
         if is_read {
             interest |= EventFlags::IN;
-            client.resume_reading(now);
+            client.resume_reading();
         } else {
-            client.arrivals.pause(now);
+            client.arrivals.pause(self.clock.now());
         }
         if client.unwritten_bytes() > 0 {
             interest |= EventFlags::OUT;
--- a/crates/pintally-platform-node/src/client_response.rs
+++ b/crates/pintally-platform-node/src/client_response.rs
@@ -71,7 +71,7 @@
             client.discard_input();
         } else {
             // Before the response is written: the client may send its next request at once.
-            client.resume_reading(now);
+            client.resume_reading();
         }
         self.clients.queue_write(key);
         self.queue_requests(key);
@@ -135,8 +135,6 @@
             return self.client_disconnected(key, CloseReason::IoError);
         }
         client.after_write(now);
-        self.update_held_bytes(key);
-        let Some(client) = self.client_mut(key) else { return };
         let unwritten = client.unwritten_bytes();
         let (state, is_partial) = (client.state, client.reader.is_partial());
         let closes_idle = client.close_when_idle && !is_partial;
@@ -154,6 +152,7 @@
             }
             _ => {}
         }
+        self.update_held_bytes(key);
         self.update_client_interest(key);
     }
 }
--- a/crates/pintally-platform-node/src/memory_budget.rs
+++ b/crates/pintally-platform-node/src/memory_budget.rs
@@ -5,6 +5,7 @@
 //! the request in flight, and output of streams beyond a minimum. Each such buffer may grow to the part of this half
 //! that is free. Many buffers thereby get equal shares, and the largest stop growing first.
 
+use crate::client_connection::ClientState;
 use crate::connection::{Connection, ConnectionKey};
 use crate::node::Node;
 
@@ -36,7 +37,7 @@
     pub(crate) fn max_read_bytes(&self, key: ConnectionKey) -> usize {
         let Some(Connection::Client(client)) = self.connections.get(key) else { return 0 };
         let limit = self.read_buffer.len();
-        if client.is_closing() {
+        if client.state == ClientState::Closing {
             return limit;
         }
         let optional = self.max_optional_bytes().saturating_sub(client.held_bytes);
--- a/tests/slow_start_budget.rs
+++ b/tests/slow_start_budget.rs
@@ -223,6 +223,15 @@
     (most, by_engine.values().map(Vec::len).sum())
 }
 
+/// The requests that an engine in slow start can take in one window.
+fn requests_per_window(settings: &Settings, capacity_per_s: f64) -> f64 {
+    settings.overload_factor
+        * settings.slow_start_min_capacity
+        * capacity_per_s
+        * settings.overload_window as f64
+        / 1e6
+}
+
 /// Checks that all nodes together stay within the bound for an engine in slow start, whatever their number.
 /// Each node knows only its own part of the traffic, and some see several times the mean. A burst starts
 /// together with the engines; half or nearly all of it may have one and the same prefix, which the nodes may
@@ -233,11 +242,7 @@
 fn nodes_respect_slow_start_budget_without_starvation() {
     let settings = settings();
     let windows = (OBSERVED_TIME / settings.overload_window) as f64;
-    let budget = settings.overload_factor
-        * settings.slow_start_min_capacity
-        * CAPACITY_PER_S
-        * settings.overload_window as f64
-        / 1e6;
+    let budget = requests_per_window(&settings, CAPACITY_PER_S);
     let bound = budget + 2.0 * budget.sqrt() + 2.0;
     let new_engines = (2 * NEW_ENGINES) as f64;
     for nodes in [1, 3, 30, 300] {
@@ -272,11 +277,7 @@
     for (nodes, capacity_per_s) in
         [1, 3, 30].into_iter().flat_map(|n| [(n, CAPACITY_PER_S), (n, LARGE_CAPACITY_PER_S)])
     {
-        let budget = settings.overload_factor
-            * settings.slow_start_min_capacity
-            * capacity_per_s
-            * settings.overload_window as f64
-            / 1e6;
+        let budget = requests_per_window(&settings, capacity_per_s);
         let tolerance = if budget < 30.0 { 3.0 * budget.sqrt() + 3.0 } else { 2.0 * budget.sqrt() + 2.0 };
         let bound = LIMIT_FRACTION * (budget + tolerance);
         for replaced in 1..WARM_ENGINES {
