--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod engine_failures;
 mod golden;
 mod harness;
+mod hidden_disconnects;
 mod pipelined_requests;
 mod resource_guard;
 mod shutdown;
--- a/crates/pintally-guards/src/lib.rs
+++ b/crates/pintally-guards/src/lib.rs
@@ -44,11 +44,13 @@
     AnswerUnwritten,
     /// A request on the connection has not been read.
     RequestUnread,
+    /// The client may have disconnected: the end of its connection may be behind input that has not been read.
+    ClientUnconfirmed,
 }
 
 impl Denial {
     /// All denials, in the order of their counts.
-    pub const ALL: [Denial; 12] = [
+    pub const ALL: [Denial; 13] = [
         Denial::RequestClosed,
         Denial::AttemptInFlight,
         Denial::EngineNotServing,
@@ -61,6 +63,7 @@
         Denial::AnswerPending,
         Denial::AnswerUnwritten,
         Denial::RequestUnread,
+        Denial::ClientUnconfirmed,
     ];
 
     /// The name in logs and status documents.
@@ -78,6 +81,7 @@
             Denial::AnswerPending => "answer_owed",
             Denial::AnswerUnwritten => "answer_unwritten",
             Denial::RequestUnread => "request_unread",
+            Denial::ClientUnconfirmed => "client_unconfirmed",
         }
     }
 }
--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -219,6 +219,7 @@
                 self.on_attempt_ended(number, result, out);
             }
             Input::ClientLeft(number) => self.on_client_left(number, out),
+            Input::ClientUnconfirmed(number) => self.on_client_unconfirmed(number, out),
             Input::HealthChecked(engine, answered, load) => {
                 self.on_health_checked(engine, answered, load, out);
             }
--- a/crates/pintally-host/src/host/final_answers.rs
+++ b/crates/pintally-host/src/host/final_answers.rs
@@ -2,7 +2,7 @@
 
 use pintally::interface::{Event, Micros, RequestId};
 use pintally_cells::CellName;
-use pintally_guards::may_reject;
+use pintally_guards::{may_reject, Denial};
 
 use super::{Host, Lifecycle};
 use crate::command::{Command, FinalAnswer};
@@ -107,6 +107,14 @@
         self.handle_event(&cell, Event::ClientLeft(id), out);
     }
 
+    /// Sheds a request of which no further attempt may start: the core gives its final answer.
+    pub(super) fn on_client_unconfirmed(&mut self, number: RequestNumber, out: &mut Vec<Command>) {
+        let Some(record) = self.requests.open_mut(number) else { return };
+        let (id, cell) = (record.id.clone(), record.cell.clone());
+        self.withheld.add(Denial::ClientUnconfirmed);
+        self.handle_event(&cell, Event::Shed(id), out);
+    }
+
     /// Ends a request in place of its core and cancels its attempt.
     fn end_in_place_of_core(&mut self, number: RequestNumber, out: &mut Vec<Command>) {
         let Some(record) = self.requests.get(number) else { return };
--- a/crates/pintally-host/src/input.rs
+++ b/crates/pintally-host/src/input.rs
@@ -102,6 +102,8 @@
     },
     /// The client has left.
     ClientLeft(RequestNumber),
+    /// The request must not continue, because it is not known whether its client is still connected.
+    ClientUnconfirmed(RequestNumber),
     /// The result of a health check: whether the engine has answered, and its load report.
     HealthChecked(EngineId, bool, Option<LoadReport>),
     /// A release, named and sent as in [`Command::Release`](crate::Command::Release), was acknowledged by that
--- a/crates/pintally-host/tests/guards.rs
+++ b/crates/pintally-host/tests/guards.rs
@@ -81,6 +81,43 @@
     assert_eq!(left.may_start(START + 2, 1), Err(Denial::RequestClosed));
 }
 
+/// Ends the attempt in flight of request 1 with this outcome, and returns the commands.
+fn end_attempt(host: &mut Host, attempt: u32, outcome: Outcome) -> Vec<Command> {
+    let (load, state) = (None, None);
+    let ended = Input::AttemptEnded { number: 1, attempt, outcome, cached_tokens: 0, load, state };
+    let mut out = Vec::new();
+    host.handle(START + 1, ended, &mut out);
+    out
+}
+
+/// A request whose client may have disconnected gets its final answer at once, and no further attempt.
+#[test]
+fn request_of_unconfirmed_client_is_rejected() {
+    let mut host = host();
+    assert!(is_sent(&arrive(&mut host, 1, 1_000_000)));
+    let mut out = Vec::new();
+    host.handle(START + 1, Input::ClientUnconfirmed(1), &mut out);
+    let is_rejected = |c: &Command| matches!(c, Command::Answer(1, FinalAnswer::Rejected(_)));
+    assert_eq!(out.iter().filter(|c| is_rejected(c)).count(), 1, "{out:?}");
+    let after = end_attempt(&mut host, 0, Outcome::NeverSent);
+    assert!(!is_sent(&after) && after.iter().any(|c| matches!(c, Command::RequestComplete(1))), "{after:?}");
+    assert_eq!(host.withheld().of(Denial::ClientUnconfirmed), 1);
+    assert_eq!(host.denials().total(), 0);
+}
+
+/// Guards against a rejection, which promises that a retry is harmless, of a request that may have run.
+#[test]
+fn request_of_unconfirmed_client_that_may_have_run_fails() {
+    let mut host = host();
+    arrive(&mut host, 1, 1_000_000);
+    assert!(is_sent(&end_attempt(&mut host, 0, Outcome::Read)), "the write");
+    let out = end_attempt(&mut host, 1, Outcome::Error);
+    assert!(out.iter().any(|c| matches!(c, Command::Answer(1, FinalAnswer::Failed))), "{out:?}");
+    let mut later = Vec::new();
+    host.handle(START + 2, Input::ClientUnconfirmed(1), &mut later);
+    assert!(!later.iter().any(|c| matches!(c, Command::Answer(..))), "a second answer: {later:?}");
+}
+
 #[test]
 fn rejections_are_counted_by_reason() {
     let mut host = host();
--- a/crates/pintally-lab/src/baseline.rs
+++ b/crates/pintally-lab/src/baseline.rs
@@ -306,6 +306,7 @@
             | Input::DeliveryConfirmed(..)
             | Input::Released(..)
             | Input::ReleaseNotSent(..)
+            | Input::ClientUnconfirmed(_)
             | Input::Stop => {}
         }
     }
--- a/crates/pintally-platform-node/src/arrival_times.rs
+++ b/crates/pintally-platform-node/src/arrival_times.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Whether bytes that were sent during a pause have been read, and more of them may follow.
+    pub(crate) fn has_backlog(&self, now: Micros) -> bool {
+        self.is_paused(now) && !self.is_stopped()
+    }
+
     /// Whether nothing has been read since reading was paused.
     pub(crate) fn is_stopped(&self) -> bool {
         self.pause.is_some_and(|pause| pause.progress == Progress::Stopped)
@@ -96,6 +101,13 @@
         }
     }
 
+    /// Records that all bytes that have arrived are read.
+    pub(crate) fn record_drained(&mut self, now: Micros) {
+        if let Some(pause) = self.pause.as_mut().filter(|pause| pause.progress == Progress::Reading) {
+            pause.progress = Progress::Drained(now);
+        }
+    }
+
     /// The arrival time of the last byte before the newest `bytes_behind` ones. Earlier segments are dropped.
     pub(crate) fn last_before(&mut self, bytes_behind: usize) -> Option<Micros> {
         self.discard_before(bytes_behind);
--- a/crates/pintally-platform-node/src/attempts.rs
+++ b/crates/pintally-platform-node/src/attempts.rs
@@ -39,6 +39,9 @@
         let now = self.clock.now();
         // Guards against two attempts at once: an attempt in flight is cancelled before the next one starts.
         self.cancel_attempt(order.number);
+        if !self.confirm_client(order.number) {
+            return self.fail_unsent(order.number, order.attempt, Outcome::NeverSent);
+        }
         let Some(request) = self.requests.get(order.number) else {
             return self.fail_unsent(order.number, order.attempt, Outcome::NeverSent);
         };
--- a/crates/pintally-platform-node/src/client_connection.rs
+++ b/crates/pintally-platform-node/src/client_connection.rs
@@ -31,6 +31,19 @@
     Closing,
 }
 
+/// What the receive buffer of a client's socket contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UnreadInput {
+    /// Nothing, and the connection is open.
+    None,
+    /// Bytes.
+    Bytes,
+    /// The end of the stream, and no bytes before it.
+    EndOfStream,
+    /// The connection has failed.
+    Broken,
+}
+
 /// A client connection.
 pub(crate) struct ClientConnection {
     pub(crate) stream: TcpStream,
@@ -107,7 +120,7 @@
 
     /// Records the end of a pause of reading during which nothing has arrived.
     pub(crate) fn resume_reading(&mut self) {
-        if self.arrivals.is_stopped() && !has_unread_bytes(&self.stream) {
+        if self.arrivals.is_stopped() && self.unread_input() != UnreadInput::Bytes {
             self.arrivals.resume();
         }
     }
@@ -142,13 +155,27 @@
         self.output.len() - self.written_bytes
     }
 
+    /// What the socket's receive buffer contains.
+    pub(crate) fn unread_input(&self) -> UnreadInput {
+        loop {
+            match self.stream.peek(&mut [0; 1]) {
+                Ok(0) => return UnreadInput::EndOfStream,
+                Ok(_) => return UnreadInput::Bytes,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return UnreadInput::None,
+                Err(_) => return UnreadInput::Broken,
+            }
+        }
+    }
+
     /// The facts that the close guard checks. Unread bytes count only while the node receives requests: a
     /// connection that it is closing answers none.
     pub(crate) fn facts(&self) -> ConnectionFacts {
         ConnectionFacts {
             answer_pending: matches!(self.state, ClientState::Active(_)),
             unwritten_bytes: self.unwritten_bytes(),
-            has_unread_input: self.state == ClientState::Receiving && has_unread_bytes(&self.stream),
+            has_unread_input: self.state == ClientState::Receiving
+                && self.unread_input() == UnreadInput::Bytes,
         }
     }
 
@@ -187,14 +214,3 @@
         (now >= self.last_active + timeouts.idle).then_some(CloseReason::IdleTimeout)
     }
 }
-
-/// Whether the socket's buffer has unread bytes; the end of the stream does not count.
-fn has_unread_bytes(stream: &TcpStream) -> bool {
-    loop {
-        match stream.peek(&mut [0; 1]) {
-            Ok(count) => return count > 0,
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(_) => return false,
-        }
-    }
-}
--- a/crates/pintally-platform-node/src/client_read.rs
+++ b/crates/pintally-platform-node/src/client_read.rs
@@ -15,6 +15,19 @@
 /// Maximum number of requests of one connection that are parsed in one iteration.
 const MAX_REQUESTS_PER_ITERATION: usize = 8;
 
+/// The result of one read of a client connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReceiveResult {
+    /// Bytes were received.
+    Bytes,
+    /// No bytes were available, or they belong to no request.
+    NoBytes,
+    /// The memory budget has no room for further input of this connection.
+    NoMemory,
+    /// The client has disconnected.
+    Disconnected(CloseReason),
+}
+
 impl Node {
     /// Handles an event of a client that has not disconnected, as [`Node::handle_disconnected_clients`] has
     /// checked.
@@ -28,29 +41,45 @@
     }
 
     fn read_client(&mut self, key: ConnectionKey) {
+        match self.receive_input(key) {
+            ReceiveResult::Bytes => self.process_requests(key),
+            ReceiveResult::Disconnected(reason) => self.client_disconnected(key, reason),
+            ReceiveResult::NoBytes | ReceiveResult::NoMemory => {}
+        }
+    }
+
+    /// Reads once from a client connection, as far as the memory budget has room.
+    pub(crate) fn receive_input(&mut self, key: ConnectionKey) -> ReceiveResult {
         let max_bytes = self.max_read_bytes(key);
         if max_bytes == 0 {
-            return self.update_client_interest(key);
+            self.update_client_interest(key);
+            return ReceiveResult::NoMemory;
         }
         let now = self.clock.now();
-        let Some(Connection::Client(client)) = self.connections.get_mut(key) else { return };
+        let Some(Connection::Client(client)) = self.connections.get_mut(key) else {
+            return ReceiveResult::NoBytes;
+        };
         let count = match client.stream.read(&mut self.read_buffer[..max_bytes]) {
-            Ok(0) => return self.client_disconnected(key, CloseReason::ClientLeft),
+            Ok(0) => return ReceiveResult::Disconnected(CloseReason::ClientLeft),
             Ok(count) => count,
-            Err(e) if is_retryable(&e) => return,
-            Err(_) => return self.client_disconnected(key, CloseReason::IoError),
+            Err(e) if is_retryable(&e) => {
+                client.arrivals.record_drained(now);
+                return ReceiveResult::NoBytes;
+            }
+            Err(_) => return ReceiveResult::Disconnected(CloseReason::IoError),
         };
         // Input of a closing connection is read and dropped: unread bytes at the close would cause a reset,
         // which the client could get before it has read its response.
         if client.state == ClientState::Closing {
-            return;
+            return ReceiveResult::NoBytes;
         }
         if !client.reader.is_partial() && client.request_count > 0 {
             client.receiving_since = now;
         }
         client.reader.push(&self.read_buffer[..count]);
         client.arrivals.push(now, count, count == max_bytes);
-        self.process_requests(key);
+        self.update_held_bytes(key);
+        ReceiveResult::Bytes
     }
 
     /// Parses the received requests until one of them is in flight.
--- a/crates/pintally-platform-node/src/engine_io.rs
+++ b/crates/pintally-platform-node/src/engine_io.rs
@@ -28,7 +28,7 @@
     pub(crate) fn handle_engine_event(&mut self, key: ConnectionKey, events: EventFlags) {
         let Some(connection) = self.engine_mut(key) else { return };
         if connection.is_connected {
-            if events.contains(EventFlags::OUT) {
+            if events.contains(EventFlags::OUT) && self.confirm_client_of(key) {
                 self.write_engine(key);
             }
             if events.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
@@ -51,7 +51,7 @@
         if let Some(EngineCall::ConnectionProbe { number, attempt }) = connection.call {
             return self.connection_probe_succeeded(key, number, attempt);
         }
-        if !self.check_may_still_start(key) {
+        if !self.check_may_still_start(key) || !self.confirm_client_of(key) {
             return;
         }
         self.refresh_remaining_time(key);
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod cleanup;
 mod client_close;
 mod client_connection;
+mod client_presence;
 mod client_read;
 mod client_requests;
 mod client_response;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -299,6 +299,8 @@
     AttemptEnded(AttemptEnd),
     /// The client has closed its request.
     ClientLeft(RequestId),
+    /// The host cannot continue the request.
+    Shed(RequestId),
     /// The result of a health check: whether the engine answered, and its load.
     HealthChecked(EngineId, bool, Option<LoadReport>),
     /// A timer has fired.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -104,6 +104,7 @@
             Event::FirstToken(id, attempt) => self.first_token(now, &id, attempt),
             Event::AttemptEnded(end) => self.attempt_ended(now, end, actions),
             Event::ClientLeft(id) => self.close(&id, None, actions),
+            Event::Shed(id) => self.give_up(&id, actions),
             Event::HealthChecked(id, answered, load) => self.health_checked(now, &id, answered, load),
             Event::TimerFired(Timer::DispatchPending) => self.measurements.dispatch_timer_set = false,
             Event::TimerFired(Timer::Maintenance) => self.maintain(now, actions),
