--- a/crates/pintally-cli/tests/platform/clock.rs
+++ b/crates/pintally-cli/tests/platform/clock.rs
@@ -13,6 +13,9 @@
 /// Time that a test may take in addition.
 const TEST_SLACK_MS: u64 = 3_000;
 
+/// Errors of the node's clock, in seconds: also such that are less than the warm-up time, or a little more.
+const CLOCK_SHIFTS: [i64; 12] = [0, 1, 3, 12, 13, 14, 20, HOUR, 10 * HOUR, -3, -13, -HOUR];
+
 /// A list entry of an engine that started some time ago by the real clock.
 fn member_started_ago(id: &str, address: SocketAddr, ago: Duration) -> Value {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
@@ -37,7 +40,7 @@
 fn engine_warm_up_ignores_wall_clock_shift() {
     let unused_port = pintally_mock_engine::Port::hold().unwrap();
     let address = unused_port.address().unwrap();
-    for shift in [0, HOUR, -HOUR] {
+    for shift in CLOCK_SHIFTS {
         let harness = Harness::with_clock_shift(&[("r0", address), ("w0", address)], shift);
         harness.discovery.wait_for_watches(1);
         harness.discovery.change(member_started_ago("w1", address, Duration::from_millis(500)));
@@ -72,3 +75,18 @@
     assert_eq!(cold[0], 0, "w1 started a minute before the newest engine");
     assert!(cold[1] <= WARM_AFTER_MS, "{cold:?}");
 }
+
+/// With a right clock, engines that started before the node did are as old as they are, whether or not the node has a
+/// list to compare with.
+#[test]
+fn right_clock_ages_engines_of_the_first_list() {
+    let unused_port = pintally_mock_engine::Port::hold().unwrap();
+    let address = unused_port.address().unwrap();
+    let mut harness = Harness::with_clock_shift(&[("r0", address), ("w0", address)], 0);
+    harness.discovery.change_unannounced(member_started_ago("w1", address, Duration::from_secs(60)));
+    harness.discovery.change_unannounced(member_started_ago("w2", address, Duration::from_secs(7)));
+    harness.kill_and_restart();
+    let cold = [remaining_cold_ms(&harness, "w1"), remaining_cold_ms(&harness, "w2")];
+    assert_eq!(cold[0], 0);
+    assert!((WARM_AFTER_MS - 7_000 - TEST_SLACK_MS..=WARM_AFTER_MS - 7_000).contains(&cold[1]), "{cold:?}");
+}
--- a/crates/pintally-platform-node/src/endpoint_list.rs
+++ b/crates/pintally-platform-node/src/endpoint_list.rs
@@ -27,7 +27,7 @@
     }
 
     /// Applies a list. `last_message` is the time of the message from discovery before it; none for a list
-    /// from the configuration, whose start times may be of any age.
+    /// from the configuration and for the first one from discovery.
     pub(crate) fn apply_list(&mut self, list: EndpointList, last_message: Option<Micros>) {
         let (now, revision) = (self.clock.now(), list.revision);
         match self.watch.list.advance(list) {
--- a/crates/pintally-platform-node/src/endpoint_watch.rs
+++ b/crates/pintally-platform-node/src/endpoint_watch.rs
@@ -61,8 +61,14 @@
 }
 
 impl EndpointWatch {
-    /// A watch that is due to be opened now; sends have to stop within `drain_grace` of a drain.
-    pub(crate) fn new(address: SocketAddr, now: Micros, drain_grace: Micros) -> EndpointWatch {
+    /// A watch that is due to be opened now; sends have to stop within `drain_grace` of a drain, and engines
+    /// warm up for `slow_start_duration`.
+    pub(crate) fn new(
+        address: SocketAddr,
+        now: Micros,
+        drain_grace: Micros,
+        slow_start_duration: Micros,
+    ) -> EndpointWatch {
         let max_backoff = (drain_grace / 4).clamp(MIN_BACKOFF, MAX_BACKOFF);
         EndpointWatch {
             address,
@@ -77,7 +83,7 @@
             last_heard: now,
             last_message: None,
             next_warning: now,
-            start_times: StartTimes::default(),
+            start_times: StartTimes::new(slow_start_duration),
             opened: 0,
             failed: 0,
         }
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -167,7 +167,12 @@
             host_queue: HostQueue::default(),
             acceptor: Acceptor::new(listener),
             signals,
-            watch: EndpointWatch::new(config.discovery, now, config.settings.transport.drain_grace),
+            watch: EndpointWatch::new(
+                config.discovery,
+                now,
+                config.settings.transport.drain_grace,
+                settings.core.slow_start_duration,
+            ),
             connections: SlotMap::with_key(),
             clients: Clients::default(),
             engines: Engines::new(settings.limits.keep_alive),
--- a/crates/pintally-platform-node/src/start_times.rs
+++ b/crates/pintally-platform-node/src/start_times.rs
@@ -1,16 +1,20 @@
 //! Start times of engines, corrected for an error of the machine's wall clock.
 //!
 //! Discovery sends start times in the time that all machines share; the node knows that time only from its
-//! own wall clock, which may be wrong by seconds or an hour. Two observations reveal an error:
+//! own wall clock, which may be wrong by seconds or hours. An engine that is warming up must not be taken for
+//! a warm one because the clock is ahead. The newest start time of a list shows more than the clock does:
 //!
-//! - no engine starts after it is listed: a start in the future shows that the clock is behind;
-//! - an engine that is listed for the first time while the node watches the list has started since the
-//!   previous message, give or take the delay of the list: an older start shows that the clock is ahead.
+//! - No engine starts after it is listed: a start in the future shows that the clock is behind.
+//! - A start that is hardly in the past shows that the clock is not ahead by more than that: it is confirmed.
+//! - An engine that was not in the list before may just have started. While the clock is not confirmed, the
+//!   newest of them counts as started now, and the clock is corrected by that.
+//! - Also with a confirmed clock, an engine that is listed while the node watches the list has started since
+//!   the previous message, give or take the delay of the list. An older start shows that the machines
+//!   disagree about the time.
 //!
-//! Either one sets a correction for the start times that are received from then on. A start time that reveals
-//! an error is replaced by the current time, so that an engine that is warming up is never taken for a warm
-//! one because of the clock. If the clock is ahead, engines that started shortly before the first list of
-//! this process cannot be distinguished from older ones.
+//! A corrected clock is behind the true time by the age of that newest engine at most, which makes engines
+//! warm up for longer and never for shorter. Nothing is known
+//! so far of the engines in the first list of this process.
 
 use std::collections::HashMap;
 
@@ -19,6 +23,8 @@
 
 /// Maximum delay between the start of an engine and the list that contains it.
 const MAX_LIST_DELAY: Micros = 15_000_000;
+/// A confirmed clock is ahead by at most the warm-up time divided by this.
+const CONFIRMED_ERROR_DIVISOR: Micros = 8;
 
 /// A start time as it was received, and in the node's time.
 #[derive(Clone, Copy)]
@@ -28,30 +34,44 @@
 }
 
 /// The start times of the listed engines, and the correction of the wall clock.
-#[derive(Default)]
 pub(crate) struct StartTimes {
     by_engine: HashMap<EngineId, StartTime>,
     /// Added to received times, in microseconds.
     correction: i64,
+    /// The corrected clock is not ahead of the true time by more than `max_confirmed_error`.
+    is_confirmed: bool,
+    max_confirmed_error: Micros,
     /// Number of times that the correction was changed.
     pub(crate) corrections: u64,
 }
 
 impl StartTimes {
+    /// No start times yet; engines warm up for `slow_start_duration`.
+    pub(crate) fn new(slow_start_duration: Micros) -> StartTimes {
+        StartTimes {
+            by_engine: HashMap::new(),
+            correction: 0,
+            is_confirmed: false,
+            max_confirmed_error: slow_start_duration / CONFIRMED_ERROR_DIVISOR,
+            corrections: 0,
+        }
+    }
+
     /// Converts the start times in a list to the node's time. `last_message` is the time of the message from
     /// discovery before this list, if this process has received one.
     pub(crate) fn adjust(&mut self, now: Micros, last_message: Option<Micros>, list: &mut [EngineEndpoint]) {
-        let newest = list.iter().filter_map(|listed| listed.endpoint.started).max();
-        if let Some(newest) = newest.filter(|newest| self.corrected(*newest) > now) {
-            self.set_correction(now, newest);
+        let newest = list.iter().filter(|listed| self.has_new_start(listed));
+        if let Some(newest) = newest.filter_map(|listed| listed.endpoint.started).max() {
+            self.check_clock(now, last_message, newest);
         }
-        for listed in list {
+        for listed in list.iter_mut() {
             let Some(received) = listed.endpoint.started else { continue };
             let local = match self.by_engine.get(&listed.endpoint.engine) {
                 Some(start) if start.received == received => start.local,
-                _ => self.local_time(now, last_message, received),
+                _ => self.corrected(received).min(now),
             };
-            self.by_engine.insert(listed.endpoint.engine.clone(), StartTime { received, local });
+            let start = StartTime { received, local };
+            self.by_engine.insert(listed.endpoint.engine.clone(), start);
             listed.endpoint.started = Some(local);
         }
     }
@@ -61,24 +81,41 @@
         self.by_engine.retain(|engine, _| is_listed(engine));
     }
 
-    /// Converts a start time that was not received before to the node's time.
-    fn local_time(&mut self, now: Micros, last_message: Option<Micros>, received: Micros) -> Micros {
-        let local = self.corrected(received).min(now);
-        let earliest = last_message.map_or(0, |before| before.saturating_sub(MAX_LIST_DELAY));
-        if local >= earliest {
-            return local;
+    /// Whether the engine's start time was not received before.
+    fn has_new_start(&self, listed: &EngineEndpoint) -> bool {
+        let before = self.by_engine.get(&listed.endpoint.engine).map(|start| start.received);
+        before != listed.endpoint.started
+    }
+
+    /// Compares the clock with the newest start time that was not received before.
+    fn check_clock(&mut self, now: Micros, last_message: Option<Micros>, newest: Micros) {
+        let started = self.corrected(newest);
+        if started > now || self.is_implausible(now, last_message, started) {
+            self.set_correction(now, newest);
+        } else if now - started <= self.max_confirmed_error {
+            self.is_confirmed = true;
+        }
+    }
+
+    /// Whether the newest of the engines that are listed for the first time may have started later than the
+    /// clock tells.
+    fn is_implausible(&self, now: Micros, last_message: Option<Micros>, started: Micros) -> bool {
+        let Some(before) = last_message else { return false };
+        if !self.is_confirmed {
+            return now - started > self.max_confirmed_error;
         }
-        self.set_correction(now, received);
-        now
+        started < before.saturating_sub(MAX_LIST_DELAY)
     }
 
     fn corrected(&self, received: Micros) -> Micros {
         received.saturating_add_signed(self.correction)
     }
 
-    /// Sets the correction so that the received time corresponds to the current time.
+    /// Sets the correction so that the received time corresponds to the current time. The corrected clock is
+    /// then not ahead, because the engine has not started later.
     fn set_correction(&mut self, now: Micros, received: Micros) {
         self.correction = now as i64 - received as i64;
+        self.is_confirmed = true;
         self.corrections += 1;
     }
 }
