--- a/crates/pintally-cli/tests/platform/clock.rs
+++ b/crates/pintally-cli/tests/platform/clock.rs
@@ -76,6 +76,44 @@
     assert!(cold[1] <= WARM_AFTER_MS, "{cold:?}");
 }
 
+/// Guards against a cold engine in the first list of a process that is overloaded because a clock that is ahead makes it
+/// look warm: the last known list does not contain it, or contains an earlier start of it.
+#[test]
+fn new_engine_of_the_first_list_warms_up() {
+    let unused_port = pintally_mock_engine::Port::hold().unwrap();
+    let address = unused_port.address().unwrap();
+    for shift in CLOCK_SHIFTS {
+        let mut harness = Harness::with_clock_shift(&[("r0", address), ("w0", address)], shift);
+        let warm = member_started_ago("w1", address, Duration::from_secs(60));
+        harness.discovery.change_unannounced(warm.clone());
+        for last_known in [vec![], vec![member_started_ago("w2", address, Duration::from_secs(600))]] {
+            let known =
+                [vec![member("r0", address, "up"), member("w0", address, "up"), warm.clone()], last_known];
+            let known = serde_json::json!({"revision": 1, "complete": true, "members": known.concat()});
+            let new = member_started_ago("w2", address, Duration::from_millis(500));
+            harness.discovery.change_unannounced(new);
+            let mut config = harness.config.clone();
+            config["known"] = known;
+            std::fs::write(&harness.config_file, config.to_string()).unwrap();
+            harness.kill_and_restart();
+            let cold = remaining_cold_ms(&harness, "w2");
+            println!("shift {shift} s: cold for another {cold} ms");
+            assert!(
+                (WARM_AFTER_MS - TEST_SLACK_MS..=WARM_AFTER_MS).contains(&cold),
+                "shift {shift} s: {cold} ms"
+            );
+            assert_eq!(
+                remaining_cold_ms(&harness, "w0"),
+                0,
+                "shift {shift} s: an engine that started long ago"
+            );
+            if shift >= 0 {
+                assert_eq!(remaining_cold_ms(&harness, "w1"), 0, "shift {shift} s: an engine that is warm");
+            }
+        }
+    }
+}
+
 /// With a right clock, engines that started before the node did are as old as they are, whether or not the node has a
 /// list to compare with.
 #[test]
@@ -90,3 +128,26 @@
     assert_eq!(cold[0], 0);
     assert!((WARM_AFTER_MS - 7_000 - TEST_SLACK_MS..=WARM_AFTER_MS - 7_000).contains(&cold[1]), "{cold:?}");
 }
+
+/// Guards against the same with an engine that the list of a reloaded configuration brings.
+#[test]
+fn new_engine_of_a_reload_warms_up() {
+    let unused_port = pintally_mock_engine::Port::hold().unwrap();
+    let address = unused_port.address().unwrap();
+    for shift in CLOCK_SHIFTS {
+        let harness = Harness::with_clock_shift(&[("r0", address), ("w0", address)], shift);
+        harness.discovery.wait_for_watches(1);
+        let new = member_started_ago("w1", address, Duration::from_millis(500));
+        let members = [member("r0", address, "up"), member("w0", address, "up"), new];
+        let mut config = harness.config.clone();
+        config["known"] = serde_json::json!({"revision": 5, "complete": true, "members": members});
+        std::fs::write(&harness.config_file, config.to_string()).unwrap();
+        harness.signal("-HUP");
+        let cold = remaining_cold_ms(&harness, "w1");
+        assert!(
+            (WARM_AFTER_MS - TEST_SLACK_MS..=WARM_AFTER_MS).contains(&cold),
+            "shift {shift} s: {cold} ms"
+        );
+        assert_eq!(remaining_cold_ms(&harness, "w0"), 0, "shift {shift} s: an engine that started long ago");
+    }
+}
--- a/crates/pintally-platform-node/src/start_times.rs
+++ b/crates/pintally-platform-node/src/start_times.rs
@@ -13,8 +13,8 @@
 //!   disagree about the time.
 //!
 //! A corrected clock is behind the true time by the age of that newest engine at most, which makes engines
-//! warm up for longer and never for shorter. Nothing is known
-//! so far of the engines in the first list of this process.
+//! warm up for longer and never for shorter. The first list of a process has none before it; there the clock
+//! is used as it is, until a later list shows that it is ahead.
 
 use std::collections::HashMap;
 
@@ -31,6 +31,8 @@
 struct StartTime {
     received: Micros,
     local: Micros,
+    /// The correction with which it was converted.
+    correction: i64,
 }
 
 /// The start times of the listed engines, and the correction of the wall clock.
@@ -41,6 +43,8 @@
     /// The corrected clock is not ahead of the true time by more than `max_confirmed_error`.
     is_confirmed: bool,
     max_confirmed_error: Micros,
+    /// A list was received, so that later ones show which engines are new.
+    has_list: bool,
     /// Number of times that the correction was changed.
     pub(crate) corrections: u64,
 }
@@ -53,6 +57,7 @@
             correction: 0,
             is_confirmed: false,
             max_confirmed_error: slow_start_duration / CONFIRMED_ERROR_DIVISOR,
+            has_list: false,
             corrections: 0,
         }
     }
@@ -67,13 +72,16 @@
         for listed in list.iter_mut() {
             let Some(received) = listed.endpoint.started else { continue };
             let local = match self.by_engine.get(&listed.endpoint.engine) {
-                Some(start) if start.received == received => start.local,
+                Some(start) if start.received == received && start.correction >= self.correction => {
+                    start.local
+                }
                 _ => self.corrected(received).min(now),
             };
-            let start = StartTime { received, local };
+            let start = StartTime { received, local, correction: self.correction };
             self.by_engine.insert(listed.endpoint.engine.clone(), start);
             listed.endpoint.started = Some(local);
         }
+        self.has_list |= !list.is_empty();
     }
 
     /// Removes engines that are no longer listed.
@@ -100,11 +108,13 @@
     /// Whether the newest of the engines that are listed for the first time may have started later than the
     /// clock tells.
     fn is_implausible(&self, now: Micros, last_message: Option<Micros>, started: Micros) -> bool {
-        let Some(before) = last_message else { return false };
+        if !self.has_list {
+            return false;
+        }
         if !self.is_confirmed {
             return now - started > self.max_confirmed_error;
         }
-        started < before.saturating_sub(MAX_LIST_DELAY)
+        last_message.is_some_and(|before| started < before.saturating_sub(MAX_LIST_DELAY))
     }
 
     fn corrected(&self, received: Micros) -> Micros {
--- a/crates/pintally-platform-node/src/start_times/tests.rs
+++ b/crates/pintally-platform-node/src/start_times/tests.rs
@@ -150,6 +150,27 @@
     }
 }
 
+/// Guards against the same with an engine that starts before the node does: the list in the configuration does not
+/// contain it, or contains its start before that.
+#[test]
+fn new_engines_of_the_first_list_are_never_older_than_they_are() {
+    for error_ms in CLOCK_ERRORS_MS {
+        for age in LIST_DELAYS {
+            for last_known in [[("old", 0), ("other", 0)], [("old", 0), ("new", TRUE_TIME - 100 * SECOND)]] {
+                let mut starts = StartTimes::new(SLOW_START);
+                let now = node_time(TRUE_TIME, error_ms);
+                let last_known = last_known.map(|(id, at)| (id, if at == 0 { TRUE_TIME - HOUR } else { at }));
+                ages(&mut starts, now, None, &last_known);
+                let list =
+                    [("old", TRUE_TIME - HOUR), ("earlier", TRUE_TIME - HOUR / 2), ("new", TRUE_TIME - age)];
+                let seen = exact_ages(&mut starts, now, None, &list);
+                assert!(seen[2] <= age + MAX_CONFIRMED_ERROR, "{error_ms} ms, {age}: {}", seen[2]);
+                assert!(seen[1] >= SLOW_START, "{error_ms} ms, {age}: an engine that is warm is {}", seen[1]);
+            }
+        }
+    }
+}
+
 /// With a clock that is right, engines of the first list that started long ago are warm, with and without a list in
 /// the configuration; and once a start has confirmed the clock, an outage of discovery makes no engine look new.
 #[test]
@@ -166,3 +187,15 @@
         assert_eq!(starts.corrections, 0);
     }
 }
+
+/// An engine that looked warm by a clock that was ahead is cold again once a list names it after the clock is
+/// corrected.
+#[test]
+fn correction_applies_to_engines_that_are_listed_again() {
+    let mut starts = StartTimes::new(SLOW_START);
+    let (true_time, now) = (TRUE_TIME, TRUE_TIME + HOUR);
+    let young = ("young", true_time - 2 * SECOND);
+    assert_eq!(ages(&mut starts, now, None, &[young]), [3_602]);
+    let new = ("new", true_time - SECOND);
+    assert_eq!(ages(&mut starts, now, None, &[young, new]), [1, 0]);
+}
