KServe node: no attempt for a client whose close may be behind unread input

Change: before an attempt is sent, the connection's input is read ahead, at most 64 KiB and within the limit of all bodies (client_input.rs). If that does not show whether the client is there, the host sheds the request (ClientUnconfirmed). A request that a client sends early is answered as before (early_request_does_not_end_the_one_before). BodyCapacity has a file of its own and a typed error.

The rest of a partly written attempt is not checked on this node.

--- a/crates/pintally-kserve-node/src/attempt.rs
+++ b/crates/pintally-kserve-node/src/attempt.rs
@@ -111,6 +111,10 @@
         Err(PoolError::Connect(error)) => {
             Some(AttemptEnd::from_outcome(outcome_of_transport_error(Phase::Connecting, error.kind())))
         }
+        Ok(stream) if !session.confirm_client() => {
+            shared.pool.return_connection(order.address, Some(stream));
+            Some(AttemptEnd::from_outcome(Outcome::NeverSent))
+        }
         Ok(mut stream) => {
             let end = exchange(session, order, &mut stream, timeouts);
             let reusable = end.as_ref().is_some_and(|end| end.reusable);
--- a/crates/pintally-kserve-node/src/connection.rs
+++ b/crates/pintally-kserve-node/src/connection.rs
@@ -12,6 +12,8 @@
 use pintally_kserve::{self as kserve, InferenceEndpoint, InferenceRequest, Route, DEADLINE_HEADER};
 use tracing::debug;
 
+use crate::body_capacity::{BodyCapacity, BodyCapacityExhausted};
+use crate::client_input::ClientInput;
 use crate::request_session::{self, ClientRequest, ConnectionAction};
 use crate::shared::Shared;
 use crate::status::{self, StatusResponse};
@@ -36,10 +38,6 @@
 }
 
 impl Rejection {
-    fn no_body_capacity() -> Rejection {
-        Rejection { status: 503, message: "no room for more requests' bodies".into() }
-    }
-
     fn receive_timeout() -> Rejection {
         Rejection { status: 408, message: "the request did not come in time".into() }
     }
@@ -50,33 +48,15 @@
     }
 }
 
-impl From<HttpError> for Rejection {
-    fn from(error: HttpError) -> Rejection {
-        Rejection { status: error.status(), message: error.to_string() }
-    }
-}
-
-/// Bytes that a connection's request has reserved of the limit for all bodies; returned on drop.
-struct BodyCapacity<'a> {
-    shared: &'a Shared,
-    bytes: usize,
-}
-
-impl BodyCapacity<'_> {
-    /// Reserves or returns bytes so that exactly `bytes` are reserved.
-    fn resize(&mut self, bytes: usize) -> Result<(), Rejection> {
-        if bytes > self.bytes && !self.shared.reserve_body_bytes(bytes - self.bytes) {
-            return Err(Rejection::no_body_capacity());
-        }
-        self.shared.return_body_bytes(self.bytes.saturating_sub(bytes));
-        self.bytes = bytes;
-        Ok(())
+impl From<BodyCapacityExhausted> for Rejection {
+    fn from(_: BodyCapacityExhausted) -> Rejection {
+        Rejection { status: 503, message: "no room for more requests' bodies".into() }
     }
 }
 
-impl Drop for BodyCapacity<'_> {
-    fn drop(&mut self) {
-        self.shared.return_body_bytes(self.bytes);
+impl From<HttpError> for Rejection {
+    fn from(error: HttpError) -> Rejection {
+        Rejection { status: error.status(), message: error.to_string() }
     }
 }
 
@@ -85,10 +65,11 @@
     let limits = &shared.settings.limits;
     let mut reader = RequestReader::new(limits.max_head_bytes, limits.max_body_bytes);
     loop {
-        let mut capacity = BodyCapacity { shared, bytes: 0 };
+        let mut capacity = BodyCapacity::new(shared);
         match next_request(shared, &mut stream, waker, &mut reader, &mut capacity) {
             Ok(Some(request)) => {
-                let connection = serve(shared, &mut stream, waker, &request);
+                let input = ClientInput { reader: &mut reader, capacity: &mut capacity };
+                let connection = serve(shared, &mut stream, waker, &request, input);
                 if connection == ConnectionAction::Close || !request.keep_alive {
                     return;
                 }
@@ -155,11 +136,17 @@
 }
 
 /// Serves one request.
-fn serve(shared: &Shared, stream: &mut TcpStream, waker: &Arc<Waker>, request: &Request) -> ConnectionAction {
+fn serve(
+    shared: &Shared,
+    stream: &mut TcpStream,
+    waker: &Arc<Waker>,
+    request: &Request,
+    input: ClientInput,
+) -> ConnectionAction {
     let route = kserve::route(&request.method, &request.target);
     if let Route::Inference(model, endpoint) = &route {
         if *model == shared.settings.model {
-            return infer(shared, stream, waker, *endpoint, request);
+            return infer(shared, stream, waker, *endpoint, request, input);
         }
     }
     let response = respond(shared, route);
@@ -211,6 +198,7 @@
     waker: &Arc<Waker>,
     endpoint: InferenceEndpoint,
     request: &Request,
+    input: ClientInput,
 ) -> ConnectionAction {
     let inference =
         match InferenceRequest::parse(endpoint, &request.body, request.headers.get(DEADLINE_HEADER)) {
@@ -221,7 +209,7 @@
         Ok(incoming) => {
             let model = shared.settings.model.clone();
             let client_request = ClientRequest { inference, endpoint, model, keep_alive: request.keep_alive };
-            request_session::run(shared, stream, waker, &client_request, incoming)
+            request_session::run(shared, stream, waker, &client_request, input, incoming)
         }
         Err(message) => bad_request(shared, stream, &message, request.keep_alive),
     }
--- a/crates/pintally-kserve-node/src/lib.rs
+++ b/crates/pintally-kserve-node/src/lib.rs
@@ -10,6 +10,8 @@
 
 mod attempt;
 mod background_calls;
+mod body_capacity;
+mod client_input;
 mod clock;
 mod connection;
 mod decision_thread;
--- a/crates/pintally-kserve-node/src/request_session.rs
+++ b/crates/pintally-kserve-node/src/request_session.rs
@@ -16,6 +16,7 @@
 use tracing::debug;
 
 use crate::attempt;
+use crate::client_input::{ClientInput, ClientPresence};
 use crate::shared::{DecisionMessage, RequestMailbox, RequestMessage, Shared};
 use crate::wait::{wait, ClientInterest, Waker};
 
@@ -61,9 +62,10 @@
 }
 
 /// The state of a request in its thread.
-pub(crate) struct RequestSession<'a> {
+pub(crate) struct RequestSession<'a, 'b> {
     pub(crate) shared: &'a Shared,
     pub(crate) client: &'a mut TcpStream,
+    input: ClientInput<'a, 'b>,
     pub(crate) waker: &'a Waker,
     pub(crate) messages: Receiver<RequestMessage>,
     pub(crate) request: &'a ClientRequest,
@@ -89,6 +91,7 @@
     client: &mut TcpStream,
     waker: &Arc<Waker>,
     request: &ClientRequest,
+    input: ClientInput,
     incoming: IncomingRequest,
 ) -> ConnectionAction {
     let (sender, messages) = bounded(MAX_OPEN_MESSAGES);
@@ -102,6 +105,7 @@
     let mut session = RequestSession {
         shared,
         client,
+        input,
         waker,
         messages,
         request,
@@ -128,7 +132,7 @@
     shared.decision_sender.try_send(DecisionMessage::RequestArrived(incoming, mailbox)).is_ok()
 }
 
-impl RequestSession<'_> {
+impl RequestSession<'_, '_> {
     /// Handles messages until the host has finished the request.
     fn serve(&mut self) {
         while !self.finished && !self.shared.is_dead() {
@@ -163,6 +167,19 @@
         }
     }
 
+    /// Whether the client is known to be connected, so that an attempt may be sent. If it is not, the host is
+    /// notified that the request ends.
+    pub(crate) fn confirm_client(&mut self) -> bool {
+        match self.input.read_ahead(self.client) {
+            ClientPresence::Connected => return true,
+            ClientPresence::Disconnected => self.notify_client_left(),
+            ClientPresence::Unknown => {
+                self.shared.send_input(Input::ClientUnconfirmed(self.request_number));
+            }
+        }
+        false
+    }
+
     /// The events to wait for on the client's socket while an attempt is in flight.
     pub(crate) fn client_interest(&self) -> ClientInterest {
         if self.client_left {
@@ -295,7 +312,7 @@
 
 /// Guards against a thread that ends before its request, for example by a panic: the host would wait for the
 /// request for ever.
-impl Drop for RequestSession<'_> {
+impl Drop for RequestSession<'_, '_> {
     fn drop(&mut self) {
         if self.finished || self.shared.is_dead() {
             return;
--- a/crates/pintally-scenario/tests/client_interface.rs
+++ b/crates/pintally-scenario/tests/client_interface.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use pintally::interface::Role;
-use pintally_audit::Answer;
+use pintally_audit::{Answer, AuditEvent, Step};
 use pintally_scenario::{AttemptResult, Rig};
 
 const SETTINGS: &str = r#"(pintally
@@ -201,9 +201,7 @@
     rig.engine("w0").unwrap().fault(|f| f.hang = true);
     let (client, attempt) = (rig.client.clone(), rig.new_attempt("held", "hint"));
     let waiting = std::thread::spawn(move || client.attempt(&attempt));
-    let is_fetch = |w: &pintally_audit::AuditEvent| {
-        matches!(w, pintally_audit::AuditEvent::AttemptArrived { step: pintally_audit::Step::Fetch, .. })
-    };
+    let is_fetch = |w: &AuditEvent| matches!(w, AuditEvent::AttemptArrived { step: Step::Fetch, .. });
     rig.fleet.recorder.wait_for(Duration::from_secs(10), is_fetch).expect("it was never sent");
     let begin = Instant::now();
     let report = rig.finish().unwrap();
@@ -220,8 +218,7 @@
     let mut stream = TcpStream::connect(rig.address()).unwrap();
     let body = r#"{"text_input":"x","parameters":{"class":"hint"}}"#;
     stream.write_all(&post("/v2/models/default/generate", body)).unwrap();
-    let took =
-        |w: &pintally_audit::AuditEvent| matches!(w, pintally_audit::AuditEvent::AttemptArrived { .. });
+    let took = |w: &AuditEvent| matches!(w, AuditEvent::AttemptArrived { .. });
     rig.fleet.recorder.wait_for(Duration::from_secs(10), took).expect("it was never sent");
     stream.shutdown(Shutdown::Write).unwrap();
     let deadline = Instant::now() + Duration::from_secs(10);
@@ -230,3 +227,66 @@
         std::thread::sleep(Duration::from_millis(2));
     }
 }
+
+/// Sends the same bytes again and again until the connection takes no more.
+fn fill_connection(stream: &mut TcpStream, bytes: &[u8]) {
+    stream.set_nonblocking(true).unwrap();
+    let (mut sent, mut last_sent) = (0, Instant::now());
+    while last_sent.elapsed() < Duration::from_millis(50) {
+        match stream.write(&bytes[sent % bytes.len()..]) {
+            Ok(count) => (sent, last_sent) = (sent + count, Instant::now()),
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            Err(e) => panic!("the node closed the connection: {e}"),
+        }
+    }
+}
+
+/// Guards against the write of a request whose client has disconnected behind bytes that the node has not read: its
+/// system keeps the end of the stream back, and no event reports it.
+#[test]
+fn disconnect_behind_a_full_connection_prevents_write() {
+    let rig = rig();
+    rig.engine("r0").unwrap().fault(|f| f.hang = true);
+    let mut stream = TcpStream::connect(rig.address()).unwrap();
+    let body = r#"{"text_input":"x","parameters":{"class":"hint"}}"#;
+    let request = post("/v2/models/default/generate", body);
+    stream.write_all(&request).unwrap();
+    let recorder = &rig.fleet.recorder;
+    let is_read = |event: &AuditEvent| matches!(event, AuditEvent::AttemptArrived { step: Step::Read, .. });
+    recorder.wait_for(Duration::from_secs(10), is_read).expect("the read");
+    fill_connection(&mut stream, &request.repeat(100));
+    drop(stream);
+    std::thread::sleep(Duration::from_millis(200));
+    rig.engine("r0").unwrap().fault(|f| f.hang = false);
+    let deadline = Instant::now() + Duration::from_secs(10);
+    loop {
+        let host = rig.node().unwrap().counters().host;
+        if host.rejected + host.clients_left > 0 {
+            break;
+        }
+        assert!(Instant::now() < deadline, "the request did not end: {host:?}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    let is_write = |event: &AuditEvent| matches!(event, AuditEvent::AttemptArrived { step: Step::Fetch, .. });
+    assert!(recorder.wait_for(Duration::from_millis(300), is_write).is_none(), "a write started");
+}
+
+/// A client that sends its next request early gets both answers: what it has sent is read ahead.
+#[test]
+fn early_request_does_not_end_the_one_before() {
+    let rig = rig();
+    rig.engine("r0").unwrap().fault(|f| f.hang = true);
+    let mut stream = TcpStream::connect(rig.address()).unwrap();
+    stream.write_all(&post("/v2/models/default/infer", &infer("first"))).unwrap();
+    let is_read = |event: &AuditEvent| matches!(event, AuditEvent::AttemptArrived { step: Step::Read, .. });
+    rig.fleet.recorder.wait_for(Duration::from_secs(10), is_read).expect("the read");
+    let long = format!(r#"{{"text_input":"{}","parameters":{{"max_tokens":4}}}}"#, "x ".repeat(20_000));
+    stream.write_all(&post("/v2/models/default/generate", &long)).unwrap();
+    stream.write_all(b"GET /v2/health/live HTTP/1.1\r\nconnection: close\r\n\r\n").unwrap();
+    rig.engine("r0").unwrap().fault(|f| f.hang = false);
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    assert_eq!(text.matches("HTTP/1.1 200").count(), 3, "{text}");
+}
