KServe node: start times of the list decide instead of the machine's clock

Change: StartTimes moves from the platform node to the host, and ListFollower uses it for every list file, cached, merged or new. The node knows of no messages between versions of a file, so that the bound for machines that disagree does not apply there.

--- a/crates/pintally-host/src/endpoint_list.rs
+++ b/crates/pintally-host/src/endpoint_list.rs
@@ -7,6 +7,7 @@
 use pintally_config::{ConfigError, EngineEntry, EngineList};
 
 use crate::input::EngineEndpoint;
+use crate::start_times::StartTimes;
 
 /// The changes that a version of the list makes.
 #[derive(Debug)]
@@ -22,17 +23,35 @@
 }
 
 /// The version of the list in force.
-#[derive(Default)]
 pub struct ListFollower {
     version: Option<u64>,
     entries: BTreeMap<EngineId, EngineEntry>,
+    start_times: StartTimes,
     reported_error: Option<ConfigError>,
     reported_stale: Option<u64>,
 }
 
 impl ListFollower {
-    /// Applies the content of a list file. `clock` converts Unix milliseconds to the node's time.
-    pub fn apply(&mut self, file: &str, text: &str, clock: impl Fn(u64) -> Micros) -> ListChange {
+    /// No version yet; engines warm up for `slow_start_duration`.
+    pub fn new(slow_start_duration: Micros) -> ListFollower {
+        ListFollower {
+            version: None,
+            entries: BTreeMap::new(),
+            start_times: StartTimes::new(slow_start_duration),
+            reported_error: None,
+            reported_stale: None,
+        }
+    }
+
+    /// Applies the content of a list file. `clock` converts Unix milliseconds to the node's time, with the
+    /// error of the machine's wall clock.
+    pub fn apply(
+        &mut self,
+        file: &str,
+        text: &str,
+        now: Micros,
+        clock: impl Fn(u64) -> Micros,
+    ) -> ListChange {
         let list = match EngineList::parse(file, text) {
             Ok(list) => list,
             Err(error) => return self.report_error(error),
@@ -44,7 +63,10 @@
         }
         self.reported_stale = None;
         let is_first = self.version.replace(list.version).is_none();
-        let changes = self.replace_entries(list.engines, is_first, clock);
+        let mut changes = self.replace_entries(list.engines, is_first, clock);
+        // A file has no messages that would show how long it has been without changes.
+        self.start_times.adjust(now, None, &mut changes);
+        self.start_times.retain(|engine| self.entries.contains_key(engine));
         if is_first {
             return ListChange::Changes(ListUpdate::Full, changes);
         }
--- a/crates/pintally-host/src/lib.rs
+++ b/crates/pintally-host/src/lib.rs
@@ -35,6 +35,7 @@
 mod release_scheduler;
 mod request_record;
 mod reservations;
+mod start_times;
 mod timers;
 mod zone_routing;
 
@@ -46,3 +47,4 @@
 pub use orphaned_reservations::OrphanedReservation;
 pub use rejections::{RejectionReason, Rejections};
 pub use reservations::reservation_name;
+pub use start_times::StartTimes;
--- a/crates/pintally-platform-node/src/start_times.rs
+++ b/crates/pintally-host/src/start_times.rs
@@ -18,8 +18,8 @@
 
 use std::collections::HashMap;
 
+use crate::input::EngineEndpoint;
 use pintally::interface::{EngineId, Micros};
-use pintally_host::EngineEndpoint;
 
 /// Maximum delay between the start of an engine and the list that contains it.
 const MAX_LIST_DELAY: Micros = 15_000_000;
@@ -36,7 +36,7 @@
 }
 
 /// The start times of the listed engines, and the correction of the wall clock.
-pub(crate) struct StartTimes {
+pub struct StartTimes {
     by_engine: HashMap<EngineId, StartTime>,
     /// Added to received times, in microseconds.
     correction: i64,
@@ -45,13 +45,12 @@
     max_confirmed_error: Micros,
     /// A list was received, so that later ones show which engines are new.
     has_list: bool,
-    /// Number of times that the correction was changed.
-    pub(crate) corrections: u64,
+    corrections: u64,
 }
 
 impl StartTimes {
     /// No start times yet; engines warm up for `slow_start_duration`.
-    pub(crate) fn new(slow_start_duration: Micros) -> StartTimes {
+    pub fn new(slow_start_duration: Micros) -> StartTimes {
         StartTimes {
             by_engine: HashMap::new(),
             correction: 0,
@@ -64,7 +63,7 @@
 
     /// Converts the start times in a list to the node's time. `last_message` is the time of the message from
     /// discovery before this list, if this process has received one.
-    pub(crate) fn adjust(&mut self, now: Micros, last_message: Option<Micros>, list: &mut [EngineEndpoint]) {
+    pub fn adjust(&mut self, now: Micros, last_message: Option<Micros>, list: &mut [EngineEndpoint]) {
         let newest = list.iter().filter(|listed| self.has_new_start(listed));
         if let Some(newest) = newest.filter_map(|listed| listed.endpoint.started).max() {
             self.check_clock(now, last_message, newest);
@@ -85,10 +84,15 @@
     }
 
     /// Removes engines that are no longer listed.
-    pub(crate) fn retain(&mut self, is_listed: impl Fn(&EngineId) -> bool) {
+    pub fn retain(&mut self, is_listed: impl Fn(&EngineId) -> bool) {
         self.by_engine.retain(|engine, _| is_listed(engine));
     }
 
+    /// Number of times that the correction was changed.
+    pub fn corrections(&self) -> u64 {
+        self.corrections
+    }
+
     /// Whether the engine's start time was not received before.
     fn has_new_start(&self, listed: &EngineEndpoint) -> bool {
         let before = self.by_engine.get(&listed.endpoint.engine).map(|start| start.received);
--- a/crates/pintally-platform-node/src/start_times/tests.rs
+++ b/crates/pintally-host/src/start_times/tests.rs
@@ -74,7 +74,7 @@
     // Discovery was down for a minute: a start within that minute is accepted.
     let back = later + 60 * SECOND;
     assert_eq!(ages(&mut starts, back, Some(later), &[("missed", back - 50 * SECOND)]), [50]);
-    assert_eq!(starts.corrections, 0);
+    assert_eq!(starts.corrections(), 0);
 }
 
 #[test]
@@ -90,7 +90,7 @@
     assert_eq!(ages(&mut starts, later, Some(later - SECOND), &[("next", received)]), [2]);
     // The start time of an engine that is listed again, as with a drain, is unchanged.
     assert_eq!(ages(&mut starts, later, Some(later), &[("new", TRUE_TIME)]), [29]);
-    assert_eq!(starts.corrections, 1);
+    assert_eq!(starts.corrections(), 1);
 }
 
 #[test]
@@ -184,7 +184,7 @@
         assert_eq!(ages(&mut starts, now, Some(TRUE_TIME), &[("b", TRUE_TIME)]), [1]);
         let back = now + 60 * SECOND;
         assert_eq!(ages(&mut starts, back, Some(now), &[("missed", back - 50 * SECOND)]), [50]);
-        assert_eq!(starts.corrections, 0);
+        assert_eq!(starts.corrections(), 0);
     }
 }
 
--- a/crates/pintally-kserve-node/src/watcher/endpoint_list.rs
+++ b/crates/pintally-kserve-node/src/watcher/endpoint_list.rs
@@ -16,7 +16,6 @@
 const STORED_LIST: &str = "the node's store";
 
 /// The current endpoint list.
-#[derive(Default)]
 pub(crate) struct EndpointListWatcher {
     follower: ListFollower,
 }
@@ -24,7 +23,8 @@
 impl EndpointListWatcher {
     /// Applies the lists that the previous process cached and stored, if there are any.
     pub(crate) fn restore(shared: &Shared, stored: Option<&str>) -> EndpointListWatcher {
-        let mut watcher = EndpointListWatcher::default();
+        let follower = ListFollower::new(shared.settings.core.slow_start_duration);
+        let mut watcher = EndpointListWatcher { follower };
         watcher.restore_cached(shared);
         if let Some(text) = stored {
             watcher.apply(shared, STORED_LIST, text.as_bytes());
@@ -100,7 +100,8 @@
     /// Passes the changes of a list to the host. Returns whether there were any.
     fn apply(&mut self, shared: &Shared, name: &str, text: &[u8]) -> bool {
         let text = String::from_utf8_lossy(text);
-        let change = self.follower.apply(name, &text, |ms| shared.clock.at_unix_ms(ms));
+        let clock = &shared.clock;
+        let change = self.follower.apply(name, &text, clock.now(), |ms| clock.at_unix_ms(ms));
         if matches!(change, ListChange::Invalid(_) | ListChange::Stale(_)) {
             shared.counters.lists_refused.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/pintally-platform-node/src/endpoint_watch.rs
+++ b/crates/pintally-platform-node/src/endpoint_watch.rs
@@ -8,12 +8,12 @@
 use std::net::SocketAddr;
 
 use pintally::interface::Micros;
+use pintally_host::StartTimes;
 use pintally_platform::EndpointListTracker;
 
 use crate::event_source::WatchId;
 use crate::node::Node;
 use crate::pending_watches::PendingWatches;
-use crate::start_times::StartTimes;
 use crate::watch_connection::WatchConnection;
 
 /// An established watch that receives no message for this time, not even a heartbeat, is reopened.
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -44,7 +44,6 @@
 mod requests;
 mod shutdown;
 mod signals;
-mod start_times;
 mod status;
 mod syscall;
 mod watch_connection;
--- a/crates/pintally-platform-node/src/status.rs
+++ b/crates/pintally-platform-node/src/status.rs
@@ -37,7 +37,7 @@
             "reloads": self.reload.completed,
             "withheld": counts_by_name(self.host.withheld().by_name()),
             "watches": self.watch_status(),
-            "clock_corrections": self.watch.start_times.corrections,
+            "clock_corrections": self.watch.start_times.corrections(),
             "engines": engines,
         })
     }
