--- a/crates/pintally-host/src/start_times.rs
+++ b/crates/pintally-host/src/start_times.rs
@@ -7,14 +7,14 @@
 //! - No engine starts after it is listed: a start in the future shows that the clock is behind.
 //! - A start that is hardly in the past shows that the clock is not ahead by more than that: it is confirmed.
 //! - An engine that was not in the list before may just have started. While the clock is not confirmed, the
-//!   newest of them counts as started now, and the clock is corrected by that.
-//! - Also with a confirmed clock, an engine that is listed while the node watches the list has started since
-//!   the previous message, give or take the delay of the list. An older start shows that the machines
-//!   disagree about the time.
+//!   newest of them gets the age that would have confirmed it, and the clock is corrected by that.
+//! - An engine that is listed while the node watches the list has started since the previous message, give or
+//!   take the delay of the list. An older start shows that the clock is wrong, or that machines disagree about
+//!   the time: the engine counts as started now.
 //!
-//! A corrected clock is behind the true time by the age of that newest engine at most, which makes engines
-//! warm up for longer and never for shorter. The first list of a process has none before it; there the clock
-//! is used as it is, until a later list shows that it is ahead.
+//! A corrected clock is ahead by a part of the warm-up time at most, and behind by the age of that newest
+//! engine at most. The first list of a process has none before it; there the clock is used as it is, until a
+//! later list shows that it is ahead.
 
 use std::collections::HashMap;
 
@@ -24,7 +24,7 @@
 /// Maximum delay between the start of an engine and the list that contains it.
 const MAX_LIST_DELAY: Micros = 15_000_000;
 /// A confirmed clock is ahead by at most the warm-up time divided by this.
-const CONFIRMED_ERROR_DIVISOR: Micros = 8;
+const CONFIRMED_ERROR_DIVISOR: Micros = 6;
 
 /// A start time as it was received, and in the node's time.
 #[derive(Clone, Copy)]
@@ -88,6 +88,11 @@
         self.by_engine.retain(|engine, _| is_listed(engine));
     }
 
+    /// How far the clock is estimated to be ahead, in microseconds; negative if it is behind.
+    pub fn clock_error(&self) -> i64 {
+        self.correction
+    }
+
     /// Number of times that the correction was changed.
     pub fn corrections(&self) -> u64 {
         self.corrections
@@ -102,37 +107,32 @@
     /// Compares the clock with the newest start time that was not received before.
     fn check_clock(&mut self, now: Micros, last_message: Option<Micros>, newest: Micros) {
         let started = self.corrected(newest);
-        if started > now || self.is_implausible(now, last_message, started) {
+        if started > now || is_before_watch(last_message, started) {
             self.set_correction(now, newest);
         } else if now - started <= self.max_confirmed_error {
             self.is_confirmed = true;
+        } else if self.has_list && !self.is_confirmed {
+            self.set_correction(now - self.max_confirmed_error, newest);
         }
     }
 
-    /// Whether the newest of the engines that are listed for the first time may have started later than the
-    /// clock tells.
-    fn is_implausible(&self, now: Micros, last_message: Option<Micros>, started: Micros) -> bool {
-        if !self.has_list {
-            return false;
-        }
-        if !self.is_confirmed {
-            return now - started > self.max_confirmed_error;
-        }
-        last_message.is_some_and(|before| started < before.saturating_sub(MAX_LIST_DELAY))
-    }
-
     fn corrected(&self, received: Micros) -> Micros {
         received.saturating_add_signed(self.correction)
     }
 
-    /// Sets the correction so that the received time corresponds to the current time. The corrected clock is
-    /// then not ahead, because the engine has not started later.
-    fn set_correction(&mut self, now: Micros, received: Micros) {
-        self.correction = now as i64 - received as i64;
+    /// Sets the correction so that the received time corresponds to this time, which is not long before the current
+    /// one: the corrected clock is not ahead by more than that, because the engine has started by now.
+    fn set_correction(&mut self, local: Micros, received: Micros) {
+        self.correction = local as i64 - received as i64;
         self.is_confirmed = true;
         self.corrections += 1;
     }
 }
 
+/// Whether an engine that a watch lists for the first time has started too long before the message before.
+fn is_before_watch(last_message: Option<Micros>, started: Micros) -> bool {
+    last_message.is_some_and(|before| started < before.saturating_sub(MAX_LIST_DELAY))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/pintally-platform-node/src/endpoint_list.rs
+++ b/crates/pintally-platform-node/src/endpoint_list.rs
@@ -47,7 +47,7 @@
                 }
             }
             ListChange::Apply(update, mut endpoints) => {
-                self.watch.start_times.adjust(now, last_message, &mut endpoints);
+                self.adjust_start_times(now, last_message, &mut endpoints);
                 self.update_endpoints(update, endpoints);
                 let host = &self.host;
                 self.watch.start_times.retain(|engine| host.listing(engine).is_some());
@@ -55,6 +55,25 @@
         }
     }
 
+    /// Converts the start times in a list to the node's time; logs if they show that the clock is off.
+    fn adjust_start_times(
+        &mut self,
+        now: Micros,
+        last_message: Option<Micros>,
+        endpoints: &mut [EngineEndpoint],
+    ) {
+        let start_times = &mut self.watch.start_times;
+        let before = start_times.clock_error();
+        start_times.adjust(now, last_message, endpoints);
+        let after = start_times.clock_error();
+        if after != before && self.log_limiter.allows(now) {
+            tracing::info!(
+                clock_ahead_ms = after / 1000,
+                "start times of engines show an error of the clock"
+            );
+        }
+    }
+
     fn update_endpoints(&mut self, update: ListUpdate, endpoints: Vec<EngineEndpoint>) {
         self.handle_input(Input::EndpointList(update, endpoints));
         self.abandon_unsent_to_unlisted();
