Mock engines listen again on an address that is in use for a moment

A mock engine tried once to listen again; its listener before, or a copy of it in a process that another test is starting, was still open. The engine stayed down to the scenario's end.

Change: it tries again every 5 ms for 2 s while the address is in use, and says the error.

Test: engine_starts_when_its_address_is_free_again. Nothing of the nodes changed.

--- a/crates/pintally-mock-engine/src/engine.rs
+++ b/crates/pintally-mock-engine/src/engine.rs
@@ -23,6 +23,9 @@
 const READER_STEP_US: f64 = 100.0;
 /// How often waiting threads check whether the engine still runs.
 pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How long, and how often, an engine tries to listen on its address again.
+const LISTEN_TIMEOUT: Duration = Duration::from_secs(2);
+const LISTEN_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A mock engine.
 pub struct Engine {
@@ -97,14 +100,20 @@
 
     /// Starts the engine, cold or warm; does nothing if it runs.
     pub fn start(self: &Arc<Self>, cold: bool) {
+        if self.is_up() {
+            return;
+        }
+        let listener = match listen_again(self.address) {
+            Ok(listener) => listener,
+            Err(error) => {
+                eprintln!("mock engine {}: cannot listen on {}: {error}", self.spec.id, self.address);
+                return;
+            }
+        };
         let mut state = self.lock();
         if state.up {
             return;
         }
-        let Ok(listener) = listen(self.address) else {
-            eprintln!("mock engine {}: cannot listen on {}", self.spec.id, self.address);
-            return;
-        };
         state.up = true;
         state.incarnation += 1;
         state.started = cold.then(Instant::now);
@@ -282,6 +291,20 @@
     }
 }
 
+/// Listens, with retries: a process that another thread is starting has a copy of the listener before this one until it
+/// executes its program.
+fn listen_again(address: SocketAddr) -> io::Result<TcpListener> {
+    let deadline = Instant::now() + LISTEN_TIMEOUT;
+    loop {
+        match listen(address) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < deadline => {
+                thread::sleep(LISTEN_RETRY_INTERVAL);
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Listens with `SO_REUSEADDR`, so that a restart can bind the port again.
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
--- a/crates/pintally-scenario/tests/client_interface.rs
+++ b/crates/pintally-scenario/tests/client_interface.rs
@@ -290,3 +290,26 @@
     stream.read_to_string(&mut text).unwrap();
     assert_eq!(text.matches("HTTP/1.1 200").count(), 3, "{text}");
 }
+
+/// Guards against an engine that stays down for the rest of a scenario because its address is in use for a moment when it
+/// starts again.
+#[test]
+fn engine_starts_when_its_address_is_free_again() {
+    let rig = rig();
+    let engine = rig.engine("w0").unwrap();
+    engine.crash();
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let other = loop {
+        match std::net::TcpListener::bind(engine.address) {
+            Ok(listener) => break listener,
+            Err(error) => assert!(Instant::now() < deadline, "{error}"),
+        }
+    };
+    let release = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(200));
+        drop(other);
+    });
+    engine.start(false);
+    assert!(engine.is_up());
+    release.join().unwrap();
+}
