One place for the close of a client that has left, and for what the new tests repeat

- Node::confirm_client repeated what client_disconnected does: both call close_disconnected_client.
- KServe: ClientInput owns the request's body capacity, so that the session needs one lifetime.
- ArrivalTimes::is_stopped had one caller left; update_client_interest read the clock twice.
- Tests: the fill of an accept backlog stood in two files (fill_accept_backlog; the newer one did not start to count failures anew), the write of a last known list three times, the checks of an engine that warms up three times, the ages of engines twice.

--- a/crates/pintally-cli/tests/platform/clock.rs
+++ b/crates/pintally-cli/tests/platform/clock.rs
@@ -34,6 +34,22 @@
     find(&harness.status()).expect("the engine stays listed")
 }
 
+/// Asserts that a node whose clock is wrong by `shift` seconds knows that an engine has just started, and that `w0` has
+/// started long ago.
+fn assert_warms_up(harness: &Harness, id: &str, shift: i64) {
+    let cold = remaining_cold_ms(harness, id);
+    println!("shift {shift} s: cold for another {cold} ms");
+    assert!((WARM_AFTER_MS - TEST_SLACK_MS..=WARM_AFTER_MS).contains(&cold), "shift {shift} s: {cold} ms");
+    assert_eq!(remaining_cold_ms(harness, "w0"), 0, "shift {shift} s: an engine that started long ago");
+}
+
+/// Writes a list to the configuration of a node, which reads it at its next reload or start.
+fn write_last_known_list(harness: &Harness, revision: u64, members: &[Value]) {
+    let mut config = harness.config.clone();
+    config["known"] = serde_json::json!({"revision": revision, "complete": true, "members": members});
+    std::fs::write(&harness.config_file, config.to_string()).unwrap();
+}
+
 /// Guards against a cold engine that is overloaded because a clock that is ahead makes it look warm, and against
 /// engines that look cold for an hour because a clock is behind.
 #[test]
@@ -44,13 +60,7 @@
         let harness = Harness::with_clock_shift(&[("r0", address), ("w0", address)], shift);
         harness.discovery.wait_for_watches(1);
         harness.discovery.change(member_started_ago("w1", address, Duration::from_millis(500)));
-        let cold = remaining_cold_ms(&harness, "w1");
-        println!("shift {shift} s: cold for another {cold} ms");
-        assert!(
-            (WARM_AFTER_MS - TEST_SLACK_MS..=WARM_AFTER_MS).contains(&cold),
-            "shift {shift} s: {cold} ms"
-        );
-        assert_eq!(remaining_cold_ms(&harness, "w0"), 0, "shift {shift} s: an engine that started long ago");
+        assert_warms_up(&harness, "w1", shift);
     }
 }
 
@@ -61,14 +71,12 @@
     let address = unused_port.address().unwrap();
     let harness = Harness::with_clock_shift(&[("r0", address)], -HOUR);
     harness.discovery.wait_for_watches(1);
-    let mut config = harness.config.clone();
     let members = [
         member("r0", address, "up"),
         member_started_ago("w1", address, Duration::from_secs(60)),
         member_started_ago("w2", address, Duration::from_secs(2)),
     ];
-    config["known"] = serde_json::json!({"revision": 5, "complete": true, "members": members});
-    std::fs::write(&harness.config_file, config.to_string()).unwrap();
+    write_last_known_list(&harness, 5, &members);
     harness.signal("-HUP");
     let cold = [remaining_cold_ms(&harness, "w1"), remaining_cold_ms(&harness, "w2")];
     println!("cold for another {cold:?} ms");
@@ -89,24 +97,11 @@
         for last_known in [vec![], vec![member_started_ago("w2", address, Duration::from_secs(600))]] {
             let known =
                 [vec![member("r0", address, "up"), member("w0", address, "up"), warm.clone()], last_known];
-            let known = serde_json::json!({"revision": 1, "complete": true, "members": known.concat()});
+            write_last_known_list(&harness, 1, &known.concat());
             let new = member_started_ago("w2", address, Duration::from_millis(500));
             harness.discovery.change_unannounced(new);
-            let mut config = harness.config.clone();
-            config["known"] = known;
-            std::fs::write(&harness.config_file, config.to_string()).unwrap();
             harness.kill_and_restart();
-            let cold = remaining_cold_ms(&harness, "w2");
-            println!("shift {shift} s: cold for another {cold} ms");
-            assert!(
-                (WARM_AFTER_MS - TEST_SLACK_MS..=WARM_AFTER_MS).contains(&cold),
-                "shift {shift} s: {cold} ms"
-            );
-            assert_eq!(
-                remaining_cold_ms(&harness, "w0"),
-                0,
-                "shift {shift} s: an engine that started long ago"
-            );
+            assert_warms_up(&harness, "w2", shift);
             if shift >= 0 {
                 assert_eq!(remaining_cold_ms(&harness, "w1"), 0, "shift {shift} s: an engine that is warm");
             }
@@ -139,15 +134,8 @@
         harness.discovery.wait_for_watches(1);
         let new = member_started_ago("w1", address, Duration::from_millis(500));
         let members = [member("r0", address, "up"), member("w0", address, "up"), new];
-        let mut config = harness.config.clone();
-        config["known"] = serde_json::json!({"revision": 5, "complete": true, "members": members});
-        std::fs::write(&harness.config_file, config.to_string()).unwrap();
+        write_last_known_list(&harness, 5, &members);
         harness.signal("-HUP");
-        let cold = remaining_cold_ms(&harness, "w1");
-        assert!(
-            (WARM_AFTER_MS - TEST_SLACK_MS..=WARM_AFTER_MS).contains(&cold),
-            "shift {shift} s: {cold} ms"
-        );
-        assert_eq!(remaining_cold_ms(&harness, "w0"), 0, "shift {shift} s: an engine that started long ago");
+        assert_warms_up(&harness, "w1", shift);
     }
 }
--- a/crates/pintally-cli/tests/platform/harness.rs
+++ b/crates/pintally-cli/tests/platform/harness.rs
@@ -639,6 +639,23 @@
     .into_bytes()
 }
 
+/// Opens connections to a listener that accepts none, until its backlog is full, and returns them.
+pub fn fill_accept_backlog(address: SocketAddr) -> Vec<TcpStream> {
+    let (mut connections, mut failed) = (Vec::new(), 0);
+    // A slow machine may exceed the timeout although the backlog has room: only several failures in a row show
+    // that the backlog is full.
+    while failed < 3 {
+        match TcpStream::connect_timeout(&address, Duration::from_millis(40)) {
+            Ok(stream) => {
+                failed = 0;
+                connections.push(stream);
+            }
+            Err(_) => failed += 1,
+        }
+    }
+    connections
+}
+
 /// The peak of a process's resident memory, in bytes.
 pub fn peak_memory(pid: u32) -> usize {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
--- a/crates/pintally-cli/tests/platform/hidden_disconnects.rs
+++ b/crates/pintally-cli/tests/platform/hidden_disconnects.rs
@@ -152,16 +152,9 @@
         let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         socket.listen(1).unwrap();
-        let mut engine = LateEngine { listener: socket.into(), backlog: Vec::new() };
-        // Only several failures in a row show that the backlog is full and the machine is not just slow.
-        let mut failed = 0;
-        while failed < 3 {
-            match TcpStream::connect_timeout(&engine.address(), Duration::from_millis(40)) {
-                Ok(stream) => engine.backlog.push(stream),
-                Err(_) => failed += 1,
-            }
-        }
-        engine
+        let listener: TcpListener = socket.into();
+        let backlog = fill_accept_backlog(listener.local_addr().unwrap());
+        LateEngine { listener, backlog }
     }
 
     fn address(&self) -> SocketAddr {
--- a/crates/pintally-cli/tests/platform/state_release.rs
+++ b/crates/pintally-cli/tests/platform/state_release.rs
@@ -211,18 +211,8 @@
     pub fn vanish(&self) {
         self.incarnation.fetch_add(1, Ordering::SeqCst);
         self.vanished.store(true, Ordering::SeqCst);
-        // A slow machine may exceed the timeout although the backlog has room: only several failures in a row show
-        // that the backlog is full.
-        let mut failed = 0;
-        while failed < 3 {
-            match TcpStream::connect_timeout(&self.address, Duration::from_millis(40)) {
-                Ok(stream) => {
-                    failed = 0;
-                    self.backlog_connections.lock().unwrap().push(stream);
-                }
-                Err(_) => failed += 1,
-            }
-        }
+        let connections = fill_accept_backlog(self.address);
+        self.backlog_connections.lock().unwrap().extend(connections);
     }
 
     pub fn recover(&self) {
--- a/crates/pintally-host/src/start_times.rs
+++ b/crates/pintally-host/src/start_times.rs
@@ -18,9 +18,10 @@
 
 use std::collections::HashMap;
 
-use crate::input::EngineEndpoint;
 use pintally::interface::{EngineId, Micros};
 
+use crate::input::EngineEndpoint;
+
 /// Maximum delay between the start of an engine and the list that contains it.
 const MAX_LIST_DELAY: Micros = 15_000_000;
 /// A confirmed clock is ahead by at most the warm-up time divided by this.
--- a/crates/pintally-host/src/start_times/tests.rs
+++ b/crates/pintally-host/src/start_times/tests.rs
@@ -55,11 +55,21 @@
     }
 }
 
-/// The ages of the engines in a list, in seconds, at the node time `now`.
-fn ages(starts: &mut StartTimes, now: Micros, before: Option<Micros>, list: &[(&str, Micros)]) -> Vec<u64> {
+/// The ages of the engines in a list, in microseconds, at the node time `now`.
+fn exact_ages(
+    starts: &mut StartTimes,
+    now: Micros,
+    before: Option<Micros>,
+    list: &[(&str, Micros)],
+) -> Vec<Micros> {
     let mut list: Vec<EngineEndpoint> = list.iter().map(|(id, at)| listed(id, *at)).collect();
     starts.adjust(now, before, &mut list);
-    list.iter().map(|one| (now - one.endpoint.started.expect("a start time")) / SECOND).collect()
+    list.iter().map(|one| now - one.endpoint.started.expect("a start time")).collect()
+}
+
+/// The same in seconds.
+fn ages(starts: &mut StartTimes, now: Micros, before: Option<Micros>, list: &[(&str, Micros)]) -> Vec<u64> {
+    exact_ages(starts, now, before, list).iter().map(|age| age / SECOND).collect()
 }
 
 #[test]
@@ -118,18 +128,6 @@
     true_time.saturating_add_signed(error_ms * 1_000)
 }
 
-/// The ages of the engines in a list, in microseconds, at the node time `now`.
-fn exact_ages(
-    starts: &mut StartTimes,
-    now: Micros,
-    before: Option<Micros>,
-    list: &[(&str, Micros)],
-) -> Vec<Micros> {
-    let mut list: Vec<EngineEndpoint> = list.iter().map(|(id, at)| listed(id, *at)).collect();
-    starts.adjust(now, before, &mut list);
-    list.iter().map(|one| now - one.endpoint.started.expect("a start time")).collect()
-}
-
 /// Guards against a clock that makes an engine look warm when it starts while the node watches the list, whatever the
 /// error of the clock.
 #[test]
@@ -156,10 +154,10 @@
 fn new_engines_of_the_first_list_are_never_older_than_they_are() {
     for error_ms in CLOCK_ERRORS_MS {
         for age in LIST_DELAYS {
-            for last_known in [[("old", 0), ("other", 0)], [("old", 0), ("new", TRUE_TIME - 100 * SECOND)]] {
+            for other in [("other", TRUE_TIME - HOUR), ("new", TRUE_TIME - 100 * SECOND)] {
                 let mut starts = StartTimes::new(SLOW_START);
                 let now = node_time(TRUE_TIME, error_ms);
-                let last_known = last_known.map(|(id, at)| (id, if at == 0 { TRUE_TIME - HOUR } else { at }));
+                let last_known = [("old", TRUE_TIME - HOUR), other];
                 ages(&mut starts, now, None, &last_known);
                 let list =
                     [("old", TRUE_TIME - HOUR), ("earlier", TRUE_TIME - HOUR / 2), ("new", TRUE_TIME - age)];
--- a/crates/pintally-kserve-node/src/client_input.rs
+++ b/crates/pintally-kserve-node/src/client_input.rs
@@ -30,14 +30,14 @@
 }
 
 /// Reads the input of a connection behind its request in flight.
-pub(crate) struct ClientInput<'a, 'b> {
+pub(crate) struct ClientInput<'a> {
     /// The reader of the connection's next request.
     pub(crate) reader: &'a mut RequestReader,
     /// The capacity that the request in flight has reserved.
-    pub(crate) capacity: &'a mut BodyCapacity<'b>,
+    pub(crate) capacity: BodyCapacity<'a>,
 }
 
-impl ClientInput<'_, '_> {
+impl ClientInput<'_> {
     /// Reads until no input is left or a limit is reached.
     pub(crate) fn read_ahead(&mut self, stream: &mut TcpStream) -> ClientPresence {
         let mut buffer = [0u8; READ_BUFFER_BYTES];
--- a/crates/pintally-kserve-node/src/connection.rs
+++ b/crates/pintally-kserve-node/src/connection.rs
@@ -68,7 +68,7 @@
         let mut capacity = BodyCapacity::new(shared);
         match next_request(shared, &mut stream, waker, &mut reader, &mut capacity) {
             Ok(Some(request)) => {
-                let input = ClientInput { reader: &mut reader, capacity: &mut capacity };
+                let input = ClientInput { reader: &mut reader, capacity };
                 let connection = serve(shared, &mut stream, waker, &request, input);
                 if connection == ConnectionAction::Close || !request.keep_alive {
                     return;
--- a/crates/pintally-kserve-node/src/request_session.rs
+++ b/crates/pintally-kserve-node/src/request_session.rs
@@ -62,10 +62,10 @@
 }
 
 /// The state of a request in its thread.
-pub(crate) struct RequestSession<'a, 'b> {
+pub(crate) struct RequestSession<'a> {
     pub(crate) shared: &'a Shared,
     pub(crate) client: &'a mut TcpStream,
-    input: ClientInput<'a, 'b>,
+    input: ClientInput<'a>,
     pub(crate) waker: &'a Waker,
     pub(crate) messages: Receiver<RequestMessage>,
     pub(crate) request: &'a ClientRequest,
@@ -132,7 +132,7 @@
     shared.decision_sender.try_send(DecisionMessage::RequestArrived(incoming, mailbox)).is_ok()
 }
 
-impl RequestSession<'_, '_> {
+impl RequestSession<'_> {
     /// Handles messages until the host has finished the request.
     fn serve(&mut self) {
         while !self.finished && !self.shared.is_dead() {
@@ -312,7 +312,7 @@
 
 /// Guards against a thread that ends before its request, for example by a panic: the host would wait for the
 /// request for ever.
-impl Drop for RequestSession<'_, '_> {
+impl Drop for RequestSession<'_> {
     fn drop(&mut self) {
         if self.finished || self.shared.is_dead() {
             return;
--- a/crates/pintally-platform-node/src/arrival_times.rs
+++ b/crates/pintally-platform-node/src/arrival_times.rs
@@ -67,12 +67,7 @@
 
     /// Whether bytes that were sent during a pause have been read, and more of them may follow.
     pub(crate) fn has_backlog(&self, now: Micros) -> bool {
-        self.is_paused(now) && !self.is_stopped()
-    }
-
-    /// Whether nothing has been read since reading was paused.
-    pub(crate) fn is_stopped(&self) -> bool {
-        self.pause.is_some_and(|pause| pause.progress == Progress::Stopped)
+        self.pause.is_some_and(|pause| pause.progress != Progress::Stopped && !pause.is_over(now))
     }
 
     /// Records that no unread bytes have arrived. This ends a pause during which the client has sent nothing.
--- a/crates/pintally-platform-node/src/client_close.rs
+++ b/crates/pintally-platform-node/src/client_close.rs
@@ -2,7 +2,7 @@
 //! the close would lose.
 
 use pintally_guards::{may_close, CloseReason, Denial};
-use pintally_host::Input;
+use pintally_host::{Input, RequestNumber};
 use pintally_platform::RequestError;
 
 use crate::client_connection::ClientState;
@@ -56,14 +56,26 @@
 
     /// Handles a client that has disconnected or cannot be written to: its request is cancelled.
     pub(crate) fn client_disconnected(&mut self, key: ConnectionKey, reason: CloseReason) {
+        let Some(number) = self.close_disconnected_client(key, reason) else { return };
+        self.drain_inputs();
+        self.cancel_attempt(number);
+        self.drain_inputs();
+    }
+
+    /// Closes the connection of a client that has disconnected. Returns its request in flight, of whose client's
+    /// departure the host is notified with the next inputs.
+    pub(crate) fn close_disconnected_client(
+        &mut self,
+        key: ConnectionKey,
+        reason: CloseReason,
+    ) -> Option<RequestNumber> {
         let state = self.client_mut(key).map(|client| client.state);
         self.close_client(key, reason);
-        let Some(ClientState::Active(number)) = state else { return };
+        let Some(ClientState::Active(number)) = state else { return None };
         if let Some(request) = self.requests.get_mut(number) {
             request.client = None;
         }
-        self.handle_input(Input::ClientLeft(number));
-        self.cancel_attempt(number);
-        self.drain_inputs();
+        self.host_queue.push(Input::ClientLeft(number));
+        Some(number)
     }
 }
--- a/crates/pintally-platform-node/src/client_presence.rs
+++ b/crates/pintally-platform-node/src/client_presence.rs
@@ -38,11 +38,7 @@
         match self.client_presence(self.clock.now(), key) {
             ClientPresence::Connected => return true,
             ClientPresence::Disconnected(reason) => {
-                self.close_client(key, reason);
-                if let Some(request) = self.requests.get_mut(number) {
-                    request.client = None;
-                }
-                self.host_queue.push(Input::ClientLeft(number));
+                self.close_disconnected_client(key, reason);
             }
             ClientPresence::Unknown => {
                 tracing::debug!(request = number, "attempt not sent: the client's input is not read");
--- a/crates/pintally-platform-node/src/client_read.rs
+++ b/crates/pintally-platform-node/src/client_read.rs
@@ -139,13 +139,14 @@
     /// flight, so that the arrival time of the next request and the end of the stream are known.
     pub(crate) fn update_client_interest(&mut self, key: ConnectionKey) {
         let is_read = self.max_read_bytes(key) > 0;
+        let now = self.clock.now();
         let Some(Connection::Client(client)) = self.connections.get_mut(key) else { return };
         let mut interest = EventFlags::RDHUP;
         if is_read {
             interest |= EventFlags::IN;
-            client.resume_reading(self.clock.now());
+            client.resume_reading(now);
         } else {
-            client.arrivals.pause(self.clock.now());
+            client.arrivals.pause(now);
         }
         if client.unwritten_bytes() > 0 {
             interest |= EventFlags::OUT;
--- a/crates/pintally-scenario/tests/client_interface.rs
+++ b/crates/pintally-scenario/tests/client_interface.rs
@@ -243,6 +243,12 @@
     }
 }
 
+/// Waits until a read has arrived at its engine.
+fn wait_for_read(rig: &Rig) {
+    let is_read = |event: &AuditEvent| matches!(event, AuditEvent::AttemptArrived { step: Step::Read, .. });
+    rig.fleet.recorder.wait_for(Duration::from_secs(10), is_read).expect("the read");
+}
+
 /// Guards against the write of a request whose client has disconnected behind bytes that the node has not read: its
 /// system keeps the end of the stream back, and no event reports it.
 #[test]
@@ -253,9 +259,7 @@
     let body = r#"{"text_input":"x","parameters":{"class":"hint"}}"#;
     let request = post("/v2/models/default/generate", body);
     stream.write_all(&request).unwrap();
-    let recorder = &rig.fleet.recorder;
-    let is_read = |event: &AuditEvent| matches!(event, AuditEvent::AttemptArrived { step: Step::Read, .. });
-    recorder.wait_for(Duration::from_secs(10), is_read).expect("the read");
+    wait_for_read(&rig);
     fill_connection(&mut stream, &request.repeat(100));
     drop(stream);
     std::thread::sleep(Duration::from_millis(200));
@@ -270,7 +274,8 @@
         std::thread::sleep(Duration::from_millis(2));
     }
     let is_write = |event: &AuditEvent| matches!(event, AuditEvent::AttemptArrived { step: Step::Fetch, .. });
-    assert!(recorder.wait_for(Duration::from_millis(300), is_write).is_none(), "a write started");
+    let write = rig.fleet.recorder.wait_for(Duration::from_millis(300), is_write);
+    assert!(write.is_none(), "a write started");
 }
 
 /// A client that sends its next request early gets both answers: what it has sent is read ahead.
@@ -280,8 +285,7 @@
     rig.engine("r0").unwrap().fault(|f| f.hang = true);
     let mut stream = TcpStream::connect(rig.address()).unwrap();
     stream.write_all(&post("/v2/models/default/infer", &infer("first"))).unwrap();
-    let is_read = |event: &AuditEvent| matches!(event, AuditEvent::AttemptArrived { step: Step::Read, .. });
-    rig.fleet.recorder.wait_for(Duration::from_secs(10), is_read).expect("the read");
+    wait_for_read(&rig);
     let long = format!(r#"{{"text_input":"{}","parameters":{{"max_tokens":4}}}}"#, "x ".repeat(20_000));
     stream.write_all(&post("/v2/models/default/generate", &long)).unwrap();
     stream.write_all(b"GET /v2/health/live HTTP/1.1\r\nconnection: close\r\n\r\n").unwrap();
