--- a/crates/pintally-cells/tests/cells.rs
+++ b/crates/pintally-cells/tests/cells.rs
@@ -30,7 +30,7 @@
         engine_kinds: Vec::new(),
         discovery_mode: DiscoveryMode::Push,
         load_reporting: LoadReporting::Inline,
-        use_registered_weights: true,
+        weight_kind: WeightKind::Nominal,
         writers_read_prompts: false,
         cancellation_allowed: true,
         health_checks_allowed: true,
--- a/crates/pintally-cells/tests/golden.rs
+++ b/crates/pintally-cells/tests/golden.rs
@@ -1,6 +1,6 @@
 //! Golden text of the cells file: later builds must parse what earlier ones have written, cached copies included.
 
-use pintally::interface::{DiscoveryMode, LoadReporting, Settings, Tenant};
+use pintally::interface::{DiscoveryMode, LoadReporting, Settings, Tenant, WeightKind};
 use pintally_cells::{CellSpec, CellsFile, HomeCells, MovePhase, RequiredEngines, TenantHome, TenantMove};
 
 const GOLDEN: &str = include_str!("golden/cells.txt");
@@ -16,7 +16,7 @@
         engine_kinds: Vec::new(),
         discovery_mode: DiscoveryMode::Push,
         load_reporting: LoadReporting::Inline,
-        use_registered_weights: true,
+        weight_kind: WeightKind::Nominal,
         writers_read_prompts: false,
         cancellation_allowed: true,
         health_checks_allowed: true,
--- a/crates/pintally-config/src/router.rs
+++ b/crates/pintally-config/src/router.rs
@@ -1,6 +1,6 @@
 //! The settings of the routing core: `(rules ...)` and some keys of `(node ...)`.
 
-use pintally::interface::{DiscoveryMode, LoadReporting, Settings};
+use pintally::interface::{DiscoveryMode, LoadReporting, Settings, WeightKind};
 
 use crate::form::{millis, Document, Form};
 use crate::{check, ConfigError};
@@ -39,7 +39,7 @@
         engine_kinds: Vec::new(),
         discovery_mode: DiscoveryMode::Push,
         load_reporting: LoadReporting::Inline,
-        use_registered_weights: true,
+        weight_kind: WeightKind::Nominal,
         writers_read_prompts: false,
         cancellation_allowed: true,
         health_checks_allowed: true,
@@ -66,7 +66,7 @@
 /// Fails if a value is invalid or if values are inconsistent with each other.
 pub fn read_rules(form: &Form, settings: &mut Settings) -> Result<(), ConfigError> {
     settings.load_reporting = load_reporting(form, settings.load_reporting)?;
-    settings.use_registered_weights = form.boolean_or("weights", settings.use_registered_weights)?;
+    settings.weight_kind = weight_kind(form, settings.weight_kind)?;
     settings.writers_read_prompts = form.boolean_or("writers-read", settings.writers_read_prompts)?;
     settings.cancellation_allowed = form.boolean_or("cancel", settings.cancellation_allowed)?;
     settings.health_checks_allowed = form.boolean_or("probes", settings.health_checks_allowed)?;
@@ -88,6 +88,22 @@
     check::rules(form, settings)
 }
 
+fn weight_kind(form: &Form, default: WeightKind) -> Result<WeightKind, ConfigError> {
+    let Some(weights) = form.optional_form("weights")? else { return Ok(default) };
+    let kind = match weights.text()?.as_str() {
+        "yes" => WeightKind::Nominal,
+        "rough" => WeightKind::Rough,
+        "live" => WeightKind::Live,
+        "no" => WeightKind::Off,
+        other => {
+            let message = format!("`weights`: must be yes, rough, live or no, not `{other}`");
+            return Err(weights.error(message));
+        }
+    };
+    weights.finish()?;
+    Ok(kind)
+}
+
 fn load_reporting(form: &Form, default: LoadReporting) -> Result<LoadReporting, ConfigError> {
     let default = match default {
         LoadReporting::Inline => "inline",
--- a/crates/pintally-config/tests/golden.rs
+++ b/crates/pintally-config/tests/golden.rs
@@ -4,7 +4,9 @@
 use std::fmt::Write;
 use std::path::Path;
 
-use pintally::interface::{DiscoveryMode, EndpointState, Idempotency, IdempotencyScope, LoadReporting, Role};
+use pintally::interface::{
+    DiscoveryMode, EndpointState, Idempotency, IdempotencyScope, LoadReporting, Role, WeightKind,
+};
 use pintally_config::{outlier_detection_form, EngineList, NodeSettings, QuotaUnit};
 use pintally_quota::Enforcement;
 
@@ -62,12 +64,12 @@
     assert!(matches!(core.discovery_mode, DiscoveryMode::Push));
     assert_eq!(
         (
-            core.use_registered_weights,
+            core.weight_kind == WeightKind::Off,
             core.writers_read_prompts,
             core.cancellation_allowed,
             core.health_checks_allowed
         ),
-        (false, true, false, false)
+        (true, true, false, false)
     );
     assert_eq!(
         (core.health_check_cost, core.clients_honour_retry_after, core.max_retry_after),
@@ -150,7 +152,7 @@
     assert!(matches!(core.load_reporting, LoadReporting::Inline));
     assert_eq!(
         (
-            core.use_registered_weights,
+            core.weight_kind == WeightKind::Nominal,
             core.writers_read_prompts,
             core.cancellation_allowed,
             core.health_checks_allowed
--- a/crates/pintally-wire/src/labels.rs
+++ b/crates/pintally-wire/src/labels.rs
@@ -110,7 +110,7 @@
             kind: self.kind,
             rack: self.rack,
             state: endpoint_state(&self.state),
-            weight: self.weight.unwrap_or(1.0),
+            weight: self.weight.unwrap_or(0.0),
             started: self.started.filter(|at| *at > 0),
         }
     }
--- a/crates/pintally-wire/src/settings/mod.rs
+++ b/crates/pintally-wire/src/settings/mod.rs
@@ -83,7 +83,7 @@
         engine_kinds: kinds,
         discovery_mode: discovery,
         load_reporting: load_reporting(&object.load_reports.source),
-        use_registered_weights: object.weight_kind != "off",
+        weight_kind: weight_kind(&object.weight_kind),
         writers_read_prompts: family.writers_read_prompts,
         cancellation_allowed: permissions.cancellation_allowed,
         health_checks_allowed: permissions.health_checks_allowed,
@@ -181,6 +181,15 @@
     }
 }
 
+fn weight_kind(value: &str) -> WeightKind {
+    match value {
+        "nominal" => WeightKind::Nominal,
+        "rough" => WeightKind::Rough,
+        "live" => WeightKind::Live,
+        _ => WeightKind::Off,
+    }
+}
+
 fn load_reporting(value: &str) -> LoadReporting {
     match value {
         "inline" => LoadReporting::Inline,
--- a/crates/pintally-wire/tests/golden.rs
+++ b/crates/pintally-wire/tests/golden.rs
@@ -1,6 +1,8 @@
 //! A golden settings object with every key and value, and the labels of load reports and endpoint lists.
 
-use pintally::interface::{DiscoveryMode, EndpointState, Idempotency, IdempotencyScope, LoadReporting, Role};
+use pintally::interface::{
+    DiscoveryMode, EndpointState, Idempotency, IdempotencyScope, LoadReporting, Role, WeightKind,
+};
 use pintally_wire::{endpoint_state, parse_settings, ParsedSettings};
 use serde_json::Value;
 
@@ -19,8 +21,13 @@
         (DiscoveryMode::Subscribe, LoadReporting::OnHealthCheck)
     ));
     assert_eq!(
-        (s.use_registered_weights, s.writers_read_prompts, s.cancellation_allowed, s.health_checks_allowed),
-        (false, true, true, true)
+        (
+            s.weight_kind == WeightKind::Off,
+            s.writers_read_prompts,
+            s.cancellation_allowed,
+            s.health_checks_allowed
+        ),
+        (true, true, true, true)
     );
     assert_eq!(
         (s.health_check_cost, s.clients_honour_retry_after, s.max_retry_after),
@@ -68,7 +75,7 @@
     let json = SETTINGS.replace("\"on_request\"", "\"pushed\"").replace("\"on_probe\"", "\"inline\"");
     let s = read(&json.replace("\"off\"", "\"nominal\"")).settings;
     assert!(matches!((s.discovery_mode, s.load_reporting), (DiscoveryMode::Push, LoadReporting::Inline)));
-    assert!(s.use_registered_weights);
+    assert_eq!(s.weight_kind, WeightKind::Nominal);
     assert!(matches!(
         read(&SETTINGS.replace("\"on_probe\"", "\"none\"")).settings.load_reporting,
         LoadReporting::Off
--- a/src/estimates.rs
+++ b/src/estimates.rs
@@ -28,6 +28,10 @@
     pub overloaded_for: Micros,
     /// How long it remains in slow start.
     pub warming_up_for: Micros,
+    /// What it can do when warm, as a multiple of a warm engine of its role on the mean.
+    pub relative_capacity: f64,
+    /// The sends per overload window that this node may make to it while it is in slow start.
+    pub slow_start_budget: f64,
 }
 
 /// A router's estimate of its admission limits and latencies over all requests.
@@ -78,11 +82,17 @@
 
     /// The estimates of all engines that the router knows.
     pub fn engine_estimates(&self, now: Micros) -> Vec<EngineEstimate> {
-        self.engines.iter().map(|engine| engine.estimate(now)).collect()
+        let estimate = |engine: &Engine| EngineEstimate {
+            relative_capacity: self.relative_capacity(engine),
+            slow_start_budget: self.own_slow_start_budget(engine),
+            ..engine.estimate(now)
+        };
+        self.engines.iter().map(estimate).collect()
     }
 }
 
 impl Engine {
+    /// The estimate without what depends on other engines.
     fn estimate(&self, now: Micros) -> EngineEstimate {
         let occupancy = |load: LoadReport| (load.memory.unwrap_or(0.0), load.backlog.unwrap_or(0.0));
         EngineEstimate {
@@ -96,6 +106,8 @@
             ejected_for: self.ejected_until.saturating_sub(now),
             overloaded_for: self.overloaded_until.saturating_sub(now),
             warming_up_for: self.warming_up_until.saturating_sub(now),
+            relative_capacity: 1.0,
+            slow_start_budget: 0.0,
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -110,6 +110,19 @@
     Off,
 }
 
+/// What the registered weights of engines mean. They compare engines of one role and have no unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WeightKind {
+    /// Nothing: they are the same for all engines, or not meant for comparing them.
+    Off,
+    /// The size of the engine.
+    Nominal,
+    /// An estimate of the size of the engine.
+    Rough,
+    /// The size of the engine divided by its load, and so at most its size.
+    Live,
+}
+
 /// The settings with which a node starts.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -129,8 +142,8 @@
     pub discovery_mode: DiscoveryMode,
     /// How load reports reach this node.
     pub load_reporting: LoadReporting,
-    /// Whether the registered weights are meant for comparing engines; the router does not read this setting.
-    pub use_registered_weights: bool,
+    /// What the registered weights mean.
+    pub weight_kind: WeightKind,
     /// Whether a writer that finds no state to fetch reads the prompt itself.
     pub writers_read_prompts: bool,
     /// Whether attempts may be cancelled.
@@ -189,7 +202,7 @@
     pub rack: u64,
     /// Its state.
     pub state: EndpointState,
-    /// Its registered weight.
+    /// Its registered weight; 0 if unknown.
     pub weight: f64,
     /// When it last started, if that was recent.
     pub started: Option<Micros>,
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeSet;
 
+use super::engine_sizes::valid_weight;
 use super::maintenance::MAINTENANCE_INTERVAL_US;
 use super::Router;
 use crate::interface::*;
-use crate::state::{update_racks_and_weights, Engine};
+use crate::state::{update_racks, Engine};
 
 impl Router {
     /// Applies an endpoint list, or notes that none could be obtained.
@@ -36,7 +37,8 @@
                 engine.endpoint_state = EndpointState::Gone;
             }
         }
-        update_racks_and_weights(&mut self.racks, &mut self.engines);
+        update_racks(&mut self.racks, &self.engines);
+        self.update_sizes();
     }
 
     /// Starts the periodic maintenance, at the first list, and subscribes to discovery where it is needed.
@@ -52,14 +54,16 @@
 
     /// Applies one entry and returns the engine's index; an entry of an unknown kind is skipped.
     fn update_endpoint(&mut self, now: Micros, endpoint: &Endpoint) -> Option<usize> {
-        let role = self.settings.engine_kinds.iter().find(|kind| kind.name == endpoint.kind)?.role;
+        let kind = self.settings.engine_kinds.iter().position(|kind| kind.name == endpoint.kind)?;
+        let role = self.settings.engine_kinds[kind].role;
         let index = match self.engine_indices.get(&endpoint.engine) {
             Some(&index) => index,
-            None => self.insert_engine(Engine::new(now, endpoint, role)),
+            None => self.insert_engine(Engine::new(now, endpoint, role, kind)),
         };
         let engine = &mut self.engines[index];
         engine.endpoint_state = endpoint.state;
-        engine.registered_weight = if endpoint.weight > 0.0 { endpoint.weight } else { 1.0 };
+        // An entry without a weight says nothing of it.
+        engine.registered_weight = valid_weight(endpoint.weight).or(engine.registered_weight);
         if let Some(started) = endpoint.started.filter(|_| engine.started_at != endpoint.started) {
             // Guards against overloading an engine that has restarted, and against affinity entries for
             // prefixes that the restart has removed from its cache.
@@ -69,6 +73,8 @@
             engine.cache_valid_from = engine.cache_valid_from.max(started);
             engine.consecutive_failures = 0;
             engine.ejected_until = 0;
+            // Its size before the restart no longer bounds it.
+            engine.size = None;
         }
         Some(index)
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,6 +15,7 @@
 //! | `dispatch.rs` | pending requests and the next step of each |
 //! | `reader_choice.rs`, `prefix_affinity.rs`, `hash_ring.rs`, `spill.rs` | the choice of a reader |
 //! | `writer_choice.rs`, `rack_links.rs`, `overload.rs` | the choice of a writer |
+//! | `engine_sizes.rs` | what registered weights tell of the sizes of engines |
 //! | `slow_start.rs`, `service_rates.rs` | engines that have started recently |
 //! | `outlier_ejection.rs`, `slowdown.rs`, `timeouts.rs` | engines that fail or are slow |
 //! | `attempt_progress.rs`, `attempt_end.rs` | first tokens and outcomes |
@@ -27,6 +28,7 @@
 mod attempt_progress;
 mod dispatch;
 mod endpoints;
+mod engine_sizes;
 mod hash_ring;
 mod health_checks;
 mod maintenance;
@@ -60,6 +62,8 @@
     engine_indices: HashMap<EngineId, usize>,
     /// Measurements, indexed by [`AttemptKind`].
     pools: [Pool; 3],
+    /// Indexed by kind of machine.
+    kind_services: Vec<KindService>,
     pub(crate) racks: BTreeMap<u64, Rack>,
     prefix_affinity: PrefixAffinityTable,
     pub(crate) requests: HashMap<RequestId, RequestState>,
@@ -80,6 +84,7 @@
         let full_bucket = TokenBucket { tokens: 1.0, refilled_at: 0 };
         Router {
             quota_buckets: vec![full_bucket; settings.tenants.len()],
+            kind_services: vec![KindService::default(); settings.engine_kinds.len()],
             settings,
             random: Random(seed),
             engines: Vec::new(),
--- a/src/policy/reader_choice.rs
+++ b/src/policy/reader_choice.rs
@@ -19,6 +19,7 @@
         let preferred = ring.first().copied();
         let start = self.best_match(now, request, &ring);
         ring.rotate_left(start);
+        self.retain_sampled(now, request, &mut ring);
         ring.retain(|&index| self.may_send(now, request, index));
         let usable = self.usable_readers(now, request, &ring, preferred);
         let wait = |&index: &usize| self.expected_wait(now, &request.request, index, preferred);
--- a/src/policy/service_rates.rs
+++ b/src/policy/service_rates.rs
@@ -2,13 +2,17 @@
 
 use super::Router;
 use crate::interface::*;
-use crate::state::{AttemptKind, Pool};
+use crate::state::{AttemptKind, Engine, KindService, Pool};
 
 /// Counts of recent events decay by this factor at each maintenance, which halves them in twelve seconds.
 pub(super) const COUNT_DECAY: f64 = 0.97;
 /// Added to the observed time: rates are underestimated until engines have been observed for about this
 /// many seconds.
 const RATE_WARM_UP_S: f64 = 5.0;
+/// The rate of a kind is the mean of its role until its engines have answered about this often.
+const PRIOR_ANSWERS: f64 = 2.0;
+/// Guards against division by zero where a role has had no warm engine.
+const MIN_ENGINE_TIME_S: f64 = 1e-9;
 
 impl Pool {
     /// The mean number of warm engines over the time in which the answers were counted. Guards against a
@@ -31,23 +35,62 @@
         (pool.answers / pool.mean_warm_engines() / (pool.observed_s + RATE_WARM_UP_S)).max(remembered)
     }
 
-    /// Adds the answers since the last maintenance to the pools of their engines.
+    /// What an engine can do when warm, as a multiple of a warm engine of its role on the mean. A size says
+    /// more than the kind, whose engines may have answered less only because they were sent less.
+    pub(crate) fn relative_capacity(&self, engine: &Engine) -> f64 {
+        let of_kind = self.kind_services[engine.kind].relative_rate;
+        match (self.settings.weight_kind, self.relative_size(engine)) {
+            (WeightKind::Live, Some(upper_bound)) => of_kind.min(upper_bound),
+            (_, Some(relative_size)) => relative_size,
+            (_, None) => of_kind,
+        }
+    }
+
+    /// Adds the answers since the last maintenance to the pools and kinds of their engines.
     pub(super) fn update_service_rates(&mut self, now: Micros) {
         let elapsed_s = now.saturating_sub(self.measurements.service_rates_updated_at) as f64 / 1e6;
         self.measurements.service_rates_updated_at = now;
         let mut warm_engines = [0.0f64; 3];
         for engine in &mut self.engines {
             let answers = f64::from(std::mem::take(&mut engine.answers));
-            if engine.is_serving() && now >= engine.warming_up_until {
-                let pool = AttemptKind::of_role(engine.role).index();
-                warm_engines[pool] += 1.0;
-                self.pools[pool].answers += answers;
+            if !engine.is_serving() || now < engine.warming_up_until {
+                continue;
+            }
+            let pool = AttemptKind::of_role(engine.role).index();
+            warm_engines[pool] += 1.0;
+            self.pools[pool].answers += answers;
+            if let Some(size) = engine.size {
+                self.pools[pool].sized_engine_s += elapsed_s;
+                self.pools[pool].size_s += elapsed_s * size;
             }
+            self.kind_services[engine.kind].answers += answers;
+            self.kind_services[engine.kind].warm_engine_s += elapsed_s;
         }
         for (pool, warm_engines) in self.pools.iter_mut().zip(warm_engines) {
             pool.answers *= COUNT_DECAY;
             pool.observed_s = (pool.observed_s + elapsed_s) * COUNT_DECAY;
             pool.warm_engine_s = (pool.warm_engine_s + elapsed_s * warm_engines.max(1.0)) * COUNT_DECAY;
+            pool.sized_engine_s *= COUNT_DECAY;
+            pool.size_s *= COUNT_DECAY;
+        }
+        self.update_kind_rates();
+    }
+
+    /// Compares the warm engines of each kind with all warm engines of the kind's role.
+    fn update_kind_rates(&mut self) {
+        let mut of_role = [KindService::default(); 3];
+        let role_of = |kind: &EngineKind| AttemptKind::of_role(kind.role).index();
+        for (kind, service) in self.settings.engine_kinds.iter().zip(&mut self.kind_services) {
+            service.answers *= COUNT_DECAY;
+            service.warm_engine_s *= COUNT_DECAY;
+            of_role[role_of(kind)].answers += service.answers;
+            of_role[role_of(kind)].warm_engine_s += service.warm_engine_s;
+        }
+        for (kind, service) in self.settings.engine_kinds.iter().zip(&mut self.kind_services) {
+            let of_role = of_role[role_of(kind)];
+            let time_fraction = service.warm_engine_s / of_role.warm_engine_s.max(MIN_ENGINE_TIME_S);
+            let usual_answers = of_role.answers * time_fraction;
+            service.relative_rate = (service.answers + PRIOR_ANSWERS) / (usual_answers + PRIOR_ANSWERS);
         }
     }
 }
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -4,7 +4,7 @@
 
 use super::Router;
 use crate::interface::*;
-use crate::state::{AttemptKind, RequestState};
+use crate::state::{AttemptKind, Engine, RequestState};
 
 /// The fraction of the budget that is used where nodes sample the reads that they may send.
 const SAMPLED_BUDGET_FRACTION: f64 = 0.8;
@@ -16,21 +16,31 @@
 /// The budget is based on the measured service rate times this, because a warm engine answers fewer
 /// requests on average than it could.
 const SERVICE_RATE_HEADROOM: f64 = 1.2;
+/// The same for engines that are half or twice as large as their peers on the mean, or further from them.
+const SERVICE_RATE_HEADROOM_OTHER_SIZES: f64 = 0.9;
 
 /// Hashes an id to a fraction between 0 and 1, which is the same at all nodes.
 fn hash_fraction(id: &str, seed: u64) -> f64 {
     xxh3_64_with_seed(id.as_bytes(), seed) as f64 / u64::MAX as f64
 }
 
+/// The headroom over the service rate of an engine with this capacity, as a multiple of that of its peers. What
+/// is derived from engines of other sizes gets less.
+fn service_rate_headroom(relative_capacity: f64) -> f64 {
+    let doublings = relative_capacity.log2().abs().min(1.0);
+    SERVICE_RATE_HEADROOM + doublings * (SERVICE_RATE_HEADROOM_OTHER_SIZES - SERVICE_RATE_HEADROOM)
+}
+
 impl Router {
     /// Whether one more send stays within the budget of an engine in slow start.
     ///
     /// The budget is shared by all nodes. Capacities are not known, so it is based on the mean service rate
-    /// of the pool's warm engines: the rate that this node sees, times the number of nodes. In each window
-    /// a node may use an even part of the budget. If that part is less than one send, the node's own rate
-    /// is too low to control. Reads are spread over the engines then, and each node admits the same
-    /// fraction of them by sampling, which adds up to that fraction of the budget. All other sends of the
-    /// nodes go to the same engine at once, so the nodes take turns.
+    /// of the pool's warm engines, which is the rate that this node sees times the number of nodes, and on
+    /// the engine's capacity relative to them. In each window a node may use an even part of the budget. If
+    /// that part is less than one send, the node's own rate is too low to control. Reads are spread over the
+    /// engines then, and each node admits the same fraction of them by sampling (`retain_sampled`), which
+    /// adds up to that fraction of the budget. All other sends of the nodes go to the same engine at once,
+    /// so the nodes take turns.
     pub(super) fn within_slow_start_budget(&self, now: Micros, request: &RequestState, index: usize) -> bool {
         let engine = &self.engines[index];
         if now >= engine.warming_up_until {
@@ -43,9 +53,9 @@
         let settings = &self.settings;
         let window = settings.overload_window;
         let recent_sends = engine.recent_sends.iter().filter(|at| **at + window > now).count();
-        let own_budget = self.own_slow_start_budget(AttemptKind::of_role(engine.role));
-        if own_budget < 1.0 && request.state_reader.is_none() {
-            return recent_sends == 0 && self.is_sampled_for_slow_start(request);
+        let own_budget = self.own_slow_start_budget(engine);
+        if Self::is_sampled(request, own_budget) {
+            return recent_sends == 0;
         }
         let turn_fraction = if own_budget < 1.0 {
             (own_budget * CONTENDED_BUDGET_FRACTION).min(1.0)
@@ -60,26 +70,46 @@
     }
 
     /// This node's even part of the budget of an engine, in sends per overload window.
-    fn own_slow_start_budget(&self, kind: AttemptKind) -> f64 {
+    pub(crate) fn own_slow_start_budget(&self, engine: &Engine) -> f64 {
         let settings = &self.settings;
         let window_us = settings.overload_window.max(1) as f64;
-        let warm_engine_answers = self.service_rate(kind) * window_us / 1e6;
-        let budget = SERVICE_RATE_HEADROOM
+        let rate = self.service_rate(AttemptKind::of_role(engine.role));
+        let relative_capacity = self.relative_capacity(engine);
+        let warm_engine_answers = relative_capacity * rate * window_us / 1e6;
+        let budget = service_rate_headroom(relative_capacity)
             * settings.slow_start_min_capacity
             * settings.overload_factor
             * warm_engine_answers;
         budget.max(1.0 / f64::from(settings.node_count.max(1)))
     }
 
-    /// Whether a read for an engine in slow start is in the sample that one of many nodes may send. The
-    /// result is the same for all such engines: a read that one of them does not get must not go to the
-    /// next one.
-    fn is_sampled_for_slow_start(&self, request: &RequestState) -> bool {
+    /// Whether the sends of such a request to an engine with such a budget are controlled by sampling: reads
+    /// are, where a node's part of the budget is less than one.
+    fn is_sampled(request: &RequestState, own_budget: f64) -> bool {
+        own_budget < 1.0 && request.state_reader.is_none()
+    }
+
+    /// Removes the engines in slow start that may not be sent this read, because it is not in the sample that
+    /// one of many nodes may send. The engines are in the order in which they are preferred: a read that one
+    /// of them does not get must not go to a larger one behind it.
+    pub(super) fn retain_sampled(&self, now: Micros, request: &RequestState, engines: &mut Vec<usize>) {
         let settings = &self.settings;
-        let weighted_sample = hash_fraction(&request.request.id.0, settings.node_index.into())
-            * self.replica_load_factor(&request.request);
-        weighted_sample
-            < SAMPLED_BUDGET_FRACTION * settings.slow_start_min_capacity * settings.overload_factor
+        let mut least_capacity = f64::INFINITY;
+        engines.retain(|&index| {
+            let engine = &self.engines[index];
+            let warm = now >= engine.warming_up_until;
+            if warm || !Self::is_sampled(request, self.own_slow_start_budget(engine)) {
+                return true;
+            }
+            least_capacity = least_capacity.min(self.relative_capacity(engine));
+            let weighted_sample = hash_fraction(&request.request.id.0, settings.node_index.into())
+                * self.replica_load_factor(&request.request);
+            weighted_sample
+                < SAMPLED_BUDGET_FRACTION
+                    * settings.slow_start_min_capacity
+                    * settings.overload_factor
+                    * least_capacity
+        });
     }
 
     /// The load of a preferred replica of this request's prefix, as a multiple of an even share of all
--- a/src/state/engine.rs
+++ b/src/state/engine.rs
@@ -34,10 +34,14 @@
     pub(crate) zone: String,
     pub(crate) rack: u64,
     pub(crate) role: Role,
-    /// The weight in the endpoint list.
-    pub(crate) registered_weight: f64,
-    /// The registered weight divided by the mean of the engine's role.
+    /// Index of its kind in the settings.
+    pub(crate) kind: usize,
+    /// The weight in the endpoint list, if it has a valid one.
+    pub(crate) registered_weight: Option<f64>,
+    /// The registered weight divided by the mean of the engine's role; 1 if it is unknown.
     pub(crate) relative_weight: f64,
+    /// Its size in the unit of the registered weights, as far as these tell it.
+    pub(crate) size: Option<f64>,
     pub(crate) endpoint_state: EndpointState,
     /// In slow start until then, because discovery states a recent start or because the engine answered
     /// again after it had refused connections.
@@ -72,12 +76,14 @@
 }
 
 impl Engine {
-    pub(crate) fn new(now: Micros, endpoint: &Endpoint, role: Role) -> Engine {
+    pub(crate) fn new(now: Micros, endpoint: &Endpoint, role: Role, kind: usize) -> Engine {
         Engine {
             id: endpoint.engine.clone(),
             zone: endpoint.zone.clone(),
             rack: endpoint.rack,
             role,
+            kind,
+            relative_weight: 1.0,
             slowdown: 1.0,
             // Entries of the affinity table for its index may belong to an engine that had the index before.
             cache_valid_from: now,
--- a/src/state/measurements.rs
+++ b/src/state/measurements.rs
@@ -53,6 +53,29 @@
     /// The sum over the pool's warm engines, at least one, of the time for which they were observed, in seconds,
     /// decayed alike.
     pub(crate) warm_engine_s: f64,
+    /// The part of that time in which the size of the engine was known, in seconds, decayed alike.
+    pub(crate) sized_engine_s: f64,
+    /// The sum over that part of the engine's size times the time, decayed alike.
+    pub(crate) size_s: f64,
+    /// The mean size of the listed engines that serve, where any is known.
+    pub(crate) listed_mean_size: Option<f64>,
+}
+
+/// What the warm engines of one kind have answered.
+#[derive(Clone, Copy)]
+pub(crate) struct KindService {
+    /// Answers that this node got from the warm engines, decayed.
+    pub(crate) answers: f64,
+    /// The sum over the warm engines of the time for which they were observed, in seconds, decayed alike.
+    pub(crate) warm_engine_s: f64,
+    /// Answers per second of one warm engine, as a multiple of the mean of the role.
+    pub(crate) relative_rate: f64,
+}
+
+impl Default for KindService {
+    fn default() -> KindService {
+        KindService { answers: 0.0, warm_engine_s: 0.0, relative_rate: 1.0 }
+    }
 }
 
 /// An exponentially weighted mean and when it was last updated.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use affinity::{prefix_keys, CachedPrefix, PrefixAffinityTable, PrefixKey, PromptKey};
 pub(crate) use engine::{Engine, ReceivedReport, TenantRejection, WaitingAttempt};
-pub(crate) use measurements::{AttemptKind, MovingMean, NodeMeasurements, Pool, TokenBucket};
-pub(crate) use rack::{update_racks_and_weights, Rack};
+pub(crate) use measurements::{AttemptKind, KindService, MovingMean, NodeMeasurements, Pool, TokenBucket};
+pub(crate) use rack::{update_racks, Rack};
 pub(crate) use random::Random;
 pub(crate) use request::{FirstExecution, InFlightAttempt, RequestState};
--- a/src/state/rack.rs
+++ b/src/state/rack.rs
@@ -1,8 +1,8 @@
-//! The racks of the endpoint list and the relative weights of their engines.
+//! The racks of the endpoint list.
 
 use std::collections::BTreeMap;
 
-use super::{AttemptKind, Engine, MovingMean};
+use super::{Engine, MovingMean};
 use crate::interface::*;
 
 /// A rack with its engines and its link to other racks.
@@ -18,30 +18,15 @@
     pub(crate) transfers: u32,
 }
 
-/// The registered weights of the serving engines of one role.
-#[derive(Clone, Copy, Default)]
-struct RoleWeights {
-    sum: f64,
-    engines: f64,
-}
-
-/// Recounts the serving engines of each rack, and divides each engine's weight by the mean of its role.
-pub(crate) fn update_racks_and_weights(racks: &mut BTreeMap<u64, Rack>, engines: &mut [Engine]) {
+/// Recounts the serving engines of each rack.
+pub(crate) fn update_racks(racks: &mut BTreeMap<u64, Rack>, engines: &[Engine]) {
     for rack in racks.values_mut() {
         rack.readers = 0.0;
         rack.writers = 0.0;
     }
-    let mut weights = [RoleWeights::default(); 3];
     for engine in engines.iter().filter(|engine| engine.is_serving()) {
         let rack = racks.entry(engine.rack).or_default();
         rack.readers += f64::from(engine.role == Role::Reader);
         rack.writers += f64::from(engine.role != Role::Reader);
-        let role_weights = &mut weights[AttemptKind::of_role(engine.role).index()];
-        role_weights.sum += engine.registered_weight;
-        role_weights.engines += 1.0;
-    }
-    for engine in engines {
-        let RoleWeights { sum, engines } = weights[AttemptKind::of_role(engine.role).index()];
-        engine.relative_weight = if sum > 0.0 { engine.registered_weight * engines / sum } else { 1.0 };
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,7 +41,7 @@
         engine_kinds: vec![kind("r", Role::Reader), kind("w", Role::Writer), kind("m", Role::Mixed)],
         discovery_mode: DiscoveryMode::Push,
         load_reporting: LoadReporting::Inline,
-        use_registered_weights: true,
+        weight_kind: WeightKind::Nominal,
         writers_read_prompts: false,
         cancellation_allowed: true,
         health_checks_allowed: false,
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod endpoints;
+mod engine_sizes;
 mod health_checks;
 mod outlier_ejection;
 mod prefix_affinity;
