Status: the capacity that a node takes an engine to have, and its slow-start budget

The status of a node named neither, so that a wrong budget could only be seen from the engine that fell over. `believed.capacity_ratio` is the engine's capacity as a multiple of a warm engine of its role on the mean, `believed.cold_budget` the sends per overload window that this node may make to it while it warms up; both are in the log line of the estimates too.

--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -14,6 +14,7 @@
 mod resource_guard;
 mod shutdown;
 mod slow_clients;
+mod slow_start;
 mod state_release;
 mod syscall_failures;
 
--- a/crates/pintally-platform-node/src/cleanup.rs
+++ b/crates/pintally-platform-node/src/cleanup.rs
@@ -63,7 +63,8 @@
             tracing::debug!(engine = %estimate.engine.0, state = ?estimate.state, in_flight = estimate.in_flight,
                 streams = estimate.streams, load = ?estimate.load, unreachable = estimate.unreachable,
                 ejected_ms = estimate.ejected_for / 1000, overloaded_ms = estimate.overloaded_for / 1000,
-                warming_up_ms = estimate.warming_up_for / 1000, ?sockets, "engine estimate");
+                warming_up_ms = estimate.warming_up_for / 1000, relative_capacity = estimate.relative_capacity,
+                slow_start_budget = estimate.slow_start_budget, ?sockets, "engine estimate");
         }
     }
 
--- a/crates/pintally-platform-node/src/status.rs
+++ b/crates/pintally-platform-node/src/status.rs
@@ -80,6 +80,8 @@
             "down": estimate.unreachable,
             "shut_ms": estimate.ejected_for / 1000,
             "full_ms": estimate.overloaded_for / 1000,
+            "capacity_ratio": estimate.relative_capacity,
+            "cold_budget": estimate.slow_start_budget,
             "cold_ms": estimate.warming_up_for / 1000,
             "report_age_ms": estimate.report_age.map(|age| age / 1000),
         },
--- a/tests/slow_start_budget/simulation.rs
+++ b/tests/slow_start_budget/simulation.rs
@@ -228,17 +228,21 @@
             node.request_arrived(random_request(&name, scenario, unseen_prefix, &mut rng));
         }
         node.fire_due_timers();
-        while let Some(name) = next_due(&mut in_progress, node.now) {
+        for (_, name) in extract_due(&mut in_progress, node.now) {
             let is_read = node.engine_of(&name).is_some_and(|at| at.starts_with('r'));
             if is_read {
                 node.attempt_ended(&name, Outcome::Read);
-            } else if node.has_first_token(&id(&name)) {
-                node.attempt_ended(&name, Outcome::Served);
-            } else {
+                continue;
+            }
+            if !node.has_first_token(&id(&name)) {
                 node.first_token(&name);
-                let answered_at = node.now + ANSWER_TIME.saturating_sub(scenario.first_token_time);
-                in_progress.push((answered_at, name));
+                let rest = ANSWER_TIME.saturating_sub(scenario.first_token_time);
+                if rest > 0 {
+                    in_progress.push((node.now + rest, name));
+                    continue;
+                }
             }
+            node.attempt_ended(&name, Outcome::Served);
         }
         let new = node.attempts.iter().filter(|(id, all)| !seen.contains(&((*id).clone(), all.len())));
         let new: Vec<_> = new.map(|(id, all)| (id.clone(), all.len(), all[all.len() - 1].clone())).collect();
@@ -260,9 +264,10 @@
     engine.0[1..].parse().expect("a number")
 }
 
-fn next_due(in_progress: &mut Vec<(Micros, String)>, now: Micros) -> Option<String> {
-    let position = in_progress.iter().position(|(at, _)| *at <= now)?;
-    Some(in_progress.remove(position).1)
+fn extract_due(in_progress: &mut Vec<(Micros, String)>, now: Micros) -> Vec<(Micros, String)> {
+    let (due, later) = std::mem::take(in_progress).into_iter().partition(|(at, _)| *at <= now);
+    *in_progress = later;
+    due
 }
 
 /// The sends of all nodes to each engine that starts, by its number.
