--- a/crates/pintally-scenario/tests/cells.rs
+++ b/crates/pintally-scenario/tests/cells.rs
@@ -62,6 +62,22 @@
     counts
 }
 
+/// What the record holds of a tenant's requests that were not served, for the message of a failed check.
+fn unserved(result: &ScenarioResult, tenant: &str) -> String {
+    let tenant_of = tenants(result);
+    let is_served = |request: &str| {
+        result.record.iter().any(|r| {
+            matches!(&r.event, AuditEvent::Answered { request: of, answer: Answer::Served } if of == request)
+        })
+    };
+    let requests = tenant_of.iter().filter(|(_, of)| **of == tenant).map(|(request, _)| *request);
+    let unserved: Vec<String> = requests.filter(|r| !is_served(r)).map(|r| format!("{r:?}")).collect();
+    let concerns = |event: &str| unserved.iter().any(|request| event.contains(request));
+    let lines = result.record.iter().map(|r| (r.at, format!("{:?}", r.event)));
+    let chosen = lines.filter(|(_, event)| concerns(event) || event.starts_with("MachineLate"));
+    chosen.map(|(at, event)| format!("\n{:9.3} s {event}", at as f64 / 1e6)).collect()
+}
+
 /// The tenant of each request.
 fn tenants(result: &ScenarioResult) -> BTreeMap<&str, &str> {
     let tenant_of = result.record.iter().filter_map(|r| match &r.event {
@@ -110,7 +126,11 @@
         assert_confined(&result, |tenant, engine| engine.contains("blue") != (tenant == "east"));
         let counts = served(&result);
         let (sent, served_count) = counts["east"];
-        assert!(served_count * 100 >= sent * 98, "{nodes} nodes: east was served {served_count} of {sent}");
+        assert!(
+            served_count * 100 >= sent * 98,
+            "{nodes} nodes: east was served {served_count} of {sent}:{}",
+            unserved(&result, "east")
+        );
         assert!(counts["north"].0 > 2 * counts["south"].0, "there was no flood: {counts:?}");
     }
 }
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -24,6 +24,12 @@
     xxh3_64_with_seed(id.as_bytes(), seed) as f64 / u64::MAX as f64
 }
 
+/// Whether the sends of a request to an engine with such a budget are controlled by sampling: reads are, where
+/// a node's part of the budget is less than one.
+fn is_sampled(request: &RequestState, own_budget: f64) -> bool {
+    own_budget < 1.0 && request.state_reader.is_none()
+}
+
 /// The headroom over the service rate of an engine with this capacity, as a multiple of that of its peers. What
 /// is derived from engines of other sizes gets less.
 fn service_rate_headroom(relative_capacity: f64) -> f64 {
@@ -54,7 +60,7 @@
         let window = settings.overload_window;
         let recent_sends = engine.recent_sends.iter().filter(|at| **at + window > now).count();
         let own_budget = self.own_slow_start_budget(engine);
-        if Self::is_sampled(request, own_budget) {
+        if is_sampled(request, own_budget) {
             return recent_sends == 0;
         }
         let turn_fraction = if own_budget < 1.0 {
@@ -83,32 +89,27 @@
         budget.max(1.0 / f64::from(settings.node_count.max(1)))
     }
 
-    /// Whether the sends of such a request to an engine with such a budget are controlled by sampling: reads
-    /// are, where a node's part of the budget is less than one.
-    fn is_sampled(request: &RequestState, own_budget: f64) -> bool {
-        own_budget < 1.0 && request.state_reader.is_none()
-    }
-
     /// Removes the engines in slow start that may not be sent this read, because it is not in the sample that
     /// one of many nodes may send. The engines are in the order in which they are preferred: a read that one
     /// of them does not get must not go to a larger one behind it.
     pub(super) fn retain_sampled(&self, now: Micros, request: &RequestState, engines: &mut Vec<usize>) {
+        let is_warm = |index: &usize| now >= self.engines[*index].warming_up_until;
+        if engines.iter().all(is_warm) {
+            return;
+        }
         let settings = &self.settings;
+        let weighted_sample = hash_fraction(&request.request.id.0, settings.node_index.into())
+            * self.replica_load_factor(&request.request);
+        let mean_engine_fraction =
+            SAMPLED_BUDGET_FRACTION * settings.slow_start_min_capacity * settings.overload_factor;
         let mut least_capacity = f64::INFINITY;
-        engines.retain(|&index| {
-            let engine = &self.engines[index];
-            let warm = now >= engine.warming_up_until;
-            if warm || !Self::is_sampled(request, self.own_slow_start_budget(engine)) {
+        engines.retain(|index| {
+            let engine = &self.engines[*index];
+            if is_warm(index) || !is_sampled(request, self.own_slow_start_budget(engine)) {
                 return true;
             }
             least_capacity = least_capacity.min(self.relative_capacity(engine));
-            let weighted_sample = hash_fraction(&request.request.id.0, settings.node_index.into())
-                * self.replica_load_factor(&request.request);
-            weighted_sample
-                < SAMPLED_BUDGET_FRACTION
-                    * settings.slow_start_min_capacity
-                    * settings.overload_factor
-                    * least_capacity
+            weighted_sample < mean_engine_fraction * least_capacity
         });
     }
 
