Test of states held: its engine no longer starts requests whose connection was reset

Traced: the test now records what happens to each request at its engines. In all three failures that were recorded in full, the history is: the release call, up to 1.4 s later a read of the same request that was received after the connection had been reset, the state stored, and nothing more. The node cancels by resetting the connection, before it makes the release call (reset_engine). The engine had vanished and come back: what had arrived before the reset is still readable, and the test's check for a cancelled request took only an orderly close for one (`peek` gives 0), not a reset (`peek` gives an error). So the engine of the test started what its own comment says that it does not start, and blamed the node for the state. No bound changes; the node is untouched.

Change: an error of `peek` other than WouldBlock is a cancelled request; and the check and the start of the attempt are one step under the tracker's lock, so that a release call cannot come between them. A state with a real late release is found as before (state_tracker_finds_overdue_states).

Test: mock_engine_starts_no_request_that_was_cancelled; with the former check its reset case fails.

--- a/crates/pintally-cli/tests/platform/state_release.rs
+++ b/crates/pintally-cli/tests/platform/state_release.rs
@@ -35,9 +35,25 @@
     unattended_since: Option<Instant>,
     /// The longest such time and what ended it.
     longest: (Duration, &'static str),
+    /// What happened at engines, in order.
+    history: Vec<(Instant, &'static str)>,
 }
 
 impl HeldStates {
+    fn record(&mut self, event: &'static str) {
+        self.history.push((Instant::now(), event));
+    }
+
+    /// The history, with times in milliseconds since its first event.
+    fn history(&self) -> String {
+        let first = self.history.first().map(|(at, _)| *at);
+        let line = |(at, event): &(Instant, &str)| {
+            let since = first.map_or(Duration::ZERO, |first| at.duration_since(first));
+            format!("{:.1} {event}", since.as_secs_f64() * 1e3)
+        };
+        self.history.iter().map(line).collect::<Vec<_>>().join(", ")
+    }
+
     fn end_wait(&mut self, why: &'static str) {
         if let Some(since) = self.unattended_since.take() {
             self.longest = self.longest.max((since.elapsed(), why));
@@ -80,17 +96,25 @@
         self.stated_remaining.lock().unwrap().extend(ms.map(|ms| (id.to_string(), ms)));
     }
 
-    /// An attempt has been received completely.
-    fn attempt_started(&self, id: &str) {
+    /// An attempt has been received completely, and starts unless it is cancelled. Returns whether it starts. A
+    /// release call comes either before both or after both, as it takes the same lock.
+    fn start_attempt_unless(&self, id: &str, is_cancelled: impl FnOnce() -> bool) -> bool {
         self.update(id, |h| {
+            if is_cancelled() {
+                h.record("cancelled attempt");
+                return false;
+            }
+            h.record("attempt");
             h.end_wait("an attempt");
             h.attempts_in_flight += 1;
-        });
+            true
+        })
     }
 
     /// An attempt has ended; a release call received meanwhile takes effect now.
     fn attempt_ended(&self, id: &str) {
         self.update(id, |h| {
+            h.record("end of attempt");
             h.attempts_in_flight -= 1;
             if h.release_pending && h.attempts_in_flight == 0 {
                 h.release_all("a call");
@@ -103,7 +127,10 @@
     /// A read has ended and stored a read state.
     fn state_stored(&self, id: &str) {
         self.reads.fetch_add(1, Ordering::Relaxed);
-        self.update(id, |h| h.states += 1);
+        self.update(id, |h| {
+            h.record("state stored");
+            h.states += 1;
+        });
     }
 
     /// Whether there is a read state to fetch.
@@ -114,12 +141,16 @@
     /// A read state is fetched, which also releases all others of the request.
     fn state_fetched(&self, id: &str) {
         self.fetches.fetch_add(1, Ordering::Relaxed);
-        self.update(id, |h| h.release_all("a fetch"));
+        self.update(id, |h| {
+            h.record("fetch");
+            h.release_all("a fetch");
+        });
     }
 
     /// A release call, which takes effect when no attempt is in flight.
     fn release_received(&self, id: &str) {
         self.update(id, |h| {
+            h.record("release call");
             if h.states > 0 {
                 self.released.fetch_add(1, Ordering::Relaxed);
             }
@@ -145,7 +176,7 @@
             h.end_wait("nothing, at the end");
             if h.longest.0 > within {
                 let (longest, why) = h.longest;
-                overdue.push(format!("{id}: {} ms until {why}", longest.as_millis()));
+                overdue.push(format!("{id}: {} ms until {why} ({})", longest.as_millis(), h.history()));
             }
         }
         overdue
@@ -245,18 +276,13 @@
                     let _ = stream.write_all(&response(204, &[], b""));
                     continue;
                 }
-                // The node cancels a request by closing its connection, at any time: a request that was cancelled
-                // while it waited here is not started.
-                stream.set_nonblocking(true).unwrap();
-                let closed = matches!(stream.peek(&mut [0; 1]), Ok(0));
-                stream.set_nonblocking(false).unwrap();
-                if closed {
-                    return;
-                }
                 let id = request.headers.get("x-txn").unwrap_or("").to_string();
                 let stated = request.headers.get("x-remaining-ms").and_then(|ms| ms.trim().parse().ok());
                 self.tracker.record_remaining(&id, stated);
-                self.tracker.attempt_started(&id);
+                // A request that was cancelled while it waited here is not started.
+                if !self.tracker.start_attempt_unless(&id, || is_cancelled(&stream)) {
+                    return;
+                }
                 let keep_open = self.attempt(&mut stream, &id, &mut rng, incarnation);
                 self.tracker.attempt_ended(&id);
                 if !keep_open {
@@ -314,6 +340,18 @@
     }
 }
 
+/// Whether the node has cancelled the request that was read from this connection, which it does at any time: it resets
+/// the connection, or closes it. What had arrived before a reset can still be read after it.
+fn is_cancelled(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let peeked = stream.peek(&mut [0; 1]);
+    stream.set_nonblocking(false).unwrap();
+    match peeked {
+        Ok(bytes) => bytes == 0,
+        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+    }
+}
+
 // ---- runs ----
 
 /// Measures how late the machine wakes threads, so that delays of the test itself are not attributed to nodes.
@@ -523,12 +561,12 @@
 fn state_tracker_finds_overdue_states() {
     let (tracker, wait_limit) = (StateTracker::default(), Duration::from_millis(20));
     for id in ["fetched", "called", "waits", "pinned"] {
-        tracker.attempt_started(id);
+        assert!(tracker.start_attempt_unless(id, || false));
         tracker.state_stored(id);
         tracker.attempt_ended(id);
     }
-    tracker.attempt_started("waits");
-    tracker.attempt_started("fetched");
+    assert!(tracker.start_attempt_unless("waits", || false));
+    assert!(tracker.start_attempt_unless("fetched", || false));
     tracker.state_fetched("fetched");
     tracker.attempt_ended("fetched");
     tracker.release_received("called");
@@ -537,3 +575,23 @@
     assert_eq!(overdue.len(), 1, "{overdue:?}");
     assert!(overdue[0].starts_with("pinned: "), "{overdue:?}");
 }
+
+/// Guards against a test that blames the node for states of requests which it has cancelled: what arrived before a reset
+/// can be read after it, and the mock engine started it.
+#[test]
+fn mock_engine_starts_no_request_that_was_cancelled() {
+    for (resets, closes) in [(false, false), (false, true), (true, true)] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut node = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        node.write_all(b"request").unwrap();
+        let (mut engine, _) = listener.accept().unwrap();
+        engine.read_exact(&mut [0; 7]).unwrap();
+        if resets {
+            socket2::SockRef::from(&node).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+        let open = (!closes).then_some(node);
+        let tracker = StateTracker::default();
+        let starts = tracker.start_attempt_unless("a", || is_cancelled(&engine));
+        assert_eq!(starts, open.is_some(), "reset {resets}");
+    }
+}
