--- a/src/policy/engine_sizes.rs
+++ b/src/policy/engine_sizes.rs
@@ -63,7 +63,7 @@
             let weight = engine.registered_weight.filter(|weight| *weight <= role.max);
             engine.relative_weight = weight.zip(role.mean).map_or(1.0, |(weight, mean)| weight / mean);
             engine.size = match weight_kind {
-                // The size is at least any weight since the start: an engine that has just started has no load.
+                // The size is at least any weight since the start, when the engine had no load.
                 WeightKind::Live => weight.into_iter().chain(engine.size).reduce(f64::max),
                 _ => weight,
             };
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -24,14 +24,14 @@
     xxh3_64_with_seed(id.as_bytes(), seed) as f64 / u64::MAX as f64
 }
 
-/// Whether the sends of a request to an engine with such a budget are controlled by sampling: reads are, where
-/// a node's part of the budget is less than one.
+/// Whether the sends of a request to an engine with such a budget are controlled by sampling: reads are,
+/// where a node's part of the budget is less than one.
 fn is_sampled(request: &RequestState, own_budget: f64) -> bool {
     own_budget < 1.0 && request.state_reader.is_none()
 }
 
-/// The headroom over the service rate of an engine with this capacity, as a multiple of that of its peers. What
-/// is derived from engines of other sizes gets less.
+/// The headroom over the service rate of an engine with this capacity relative to its peers. What is derived
+/// from engines of other sizes gets less.
 fn service_rate_headroom(relative_capacity: f64) -> f64 {
     let doublings = relative_capacity.log2().abs().min(1.0);
     SERVICE_RATE_HEADROOM + doublings * (SERVICE_RATE_HEADROOM_OTHER_SIZES - SERVICE_RATE_HEADROOM)
