Slow start: an engine without a size counts as the smallest of its kind at most

In a fleet of several sizes an engine that starts without a valid size (absent, 0, implausible) got the budget of a mean one, although it may be as small as the smallest.

Cause: Router::relative_capacity fell back to the answers of the engine's kind, whose mean says nothing where one kind has several sizes.

Change: among nominal and rough sizes the smallest listed engine of the same kind is the upper bound. Live weights are left out: the smallest may be the one with the most load. Among equal engines the smallest is the mean, so nothing changes for them.

Test: engine_without_a_size_counts_as_the_smallest_of_its_kind (before: 1 in place of 1/3).

--- a/src/policy/engine_sizes.rs
+++ b/src/policy/engine_sizes.rs
@@ -72,6 +72,18 @@
         for (pool, sizes) in self.pools.iter_mut().zip(&sizes) {
             pool.listed_mean_size = mean(sizes);
         }
+        self.update_least_sizes();
+    }
+
+    /// Finds the least size of each kind of machine among the serving engines.
+    fn update_least_sizes(&mut self) {
+        for service in &mut self.kind_services {
+            service.least_size = None;
+        }
+        for engine in self.engines.iter().filter(|engine| engine.is_serving()) {
+            let least_size = &mut self.kind_services[engine.kind].least_size;
+            *least_size = engine.size.into_iter().chain(*least_size).reduce(f64::min);
+        }
     }
 
     /// A value of the serving engines that have one, by role.
@@ -86,11 +98,26 @@
     /// The size of an engine as a multiple of the warm engines of its role on the mean, where weights tell
     /// it. By live weights it is an upper bound: the load of the others hides how large they are.
     pub(super) fn relative_size(&self, engine: &Engine) -> Option<f64> {
+        self.size_ratio(engine, engine.size?)
+    }
+
+    /// The relative size of the smallest engine of this one's kind. Guards against overloading an engine
+    /// without a size, which may be one of the small ones. It says nothing by live weights, since the
+    /// smallest may be the one with the most load.
+    pub(super) fn least_relative_size(&self, engine: &Engine) -> Option<f64> {
+        if self.settings.weight_kind == WeightKind::Live {
+            return None;
+        }
+        self.size_ratio(engine, self.kind_services[engine.kind].least_size?)
+    }
+
+    /// A size as a multiple of the mean size of the warm engines of this engine's role.
+    fn size_ratio(&self, engine: &Engine, size: f64) -> Option<f64> {
         let pool = self.pool(AttemptKind::of_role(engine.role));
         let observed = pool.sized_engine_s > 0.0;
         let warm_mean_size =
             if observed { Some(pool.size_s / pool.sized_engine_s) } else { pool.listed_mean_size };
-        let ratio = engine.size? / warm_mean_size?;
+        let ratio = size / warm_mean_size?;
         Some(match self.settings.weight_kind {
             WeightKind::Off => 1.0,
             WeightKind::Nominal => ratio,
--- a/src/policy/service_rates.rs
+++ b/src/policy/service_rates.rs
@@ -42,7 +42,7 @@
         match (self.settings.weight_kind, self.relative_size(engine)) {
             (WeightKind::Live, Some(upper_bound)) => of_kind.min(upper_bound),
             (_, Some(relative_size)) => relative_size,
-            (_, None) => of_kind,
+            (_, None) => self.least_relative_size(engine).map_or(of_kind, |least| of_kind.min(least)),
         }
     }
 
--- a/src/state/measurements.rs
+++ b/src/state/measurements.rs
@@ -61,7 +61,7 @@
     pub(crate) listed_mean_size: Option<f64>,
 }
 
-/// What the warm engines of one kind have answered.
+/// What is known of the engines of one kind: their sizes, and what the warm ones have answered.
 #[derive(Clone, Copy)]
 pub(crate) struct KindService {
     /// Answers that this node got from the warm engines, decayed.
@@ -70,11 +70,13 @@
     pub(crate) warm_engine_s: f64,
     /// Answers per second of one warm engine, as a multiple of the mean of the role.
     pub(crate) relative_rate: f64,
+    /// The least size of the listed engines that serve, where any is known.
+    pub(crate) least_size: Option<f64>,
 }
 
 impl Default for KindService {
     fn default() -> KindService {
-        KindService { answers: 0.0, warm_engine_s: 0.0, relative_rate: 1.0 }
+        KindService { answers: 0.0, warm_engine_s: 0.0, relative_rate: 1.0, least_size: None }
     }
 }
 
--- a/tests/policy/engine_sizes.rs
+++ b/tests/policy/engine_sizes.rs
@@ -77,6 +77,32 @@
     }
 }
 
+/// Guards against the budget of a mean engine for one without a size, which may be as small as the smallest of its
+/// kind.
+#[test]
+fn engine_without_a_size_counts_as_the_smallest_of_its_kind() {
+    let cases = [
+        (WeightKind::Nominal, 1.0 / 3.0),
+        (WeightKind::Rough, 1.0 / 3.0 / 1.5),
+        // The engine with the least live weight may be the one with the most load.
+        (WeightKind::Live, 1.0),
+        (WeightKind::Off, 1.0),
+    ];
+    for (weight_kind, expected) in cases {
+        for weight in [0.0, -1.0, f64::NAN, 1e9] {
+            // Under live weights, 1e9 may be the size of an engine without load.
+            if weight == 1e9 && weight_kind == WeightKind::Live {
+                continue;
+            }
+            let mut node = warm_node(weight_kind, &[2.0, 2.0, 0.5]);
+            let starting = Endpoint { started: Some(node.now), ..writer("w9", weight) };
+            node.update_endpoints(ListUpdate::Delta, vec![starting]);
+            let found = relative_capacity(&node, "w9");
+            assert!((found - expected).abs() < 1e-9, "{weight_kind:?} {weight}: {found} is not {expected}");
+        }
+    }
+}
+
 #[test]
 fn live_weight_of_an_engine_under_load_does_not_hide_its_size() {
     let mut node = warm_node(WeightKind::Live, &[2.0, 2.0]);
