Store: records are read without waiting for syncs, and late ones are used

A node that was killed started with its older list file although its store had the newer list, and served an engine that drains; its start number began at 1 again.

Cause: a database that is opened after a kill is repaired with five syncs a copy, ten in all, before the first record is passed on. On a busy disk that takes longer than read-within-ms; what came later was dropped, and the first commit replaced the newer list in the store by the older one.

Change: syncs are deferred until the records have been passed on, then made batch by batch in their order (SyncDeferral). Records that come after the bound are used as far as they can be: the list is merged, reservations are released, and nothing is committed before (Store::late_records). GET /pintally/counters tells commits and the age of what is not committed (store). The fault `slow` delays opening too, so that it still is a disk that does not answer at the start; SlowSyncs is new.

--- a/crates/pintally-cli/tests/fleet/node_processes.rs
+++ b/crates/pintally-cli/tests/fleet/node_processes.rs
@@ -124,6 +124,31 @@
         found.and_then(|p| p["standing"].as_str()).unwrap_or("unknown").to_string()
     }
 
+    /// The number of commits of the node's store.
+    fn commits(&self, node: usize) -> u64 {
+        self.status_document(node, "/pintally/counters")["store"]["commits"].as_u64().unwrap_or(0)
+    }
+
+    /// Waits until the store has committed a record with the text. The file contains it before the commit is complete.
+    fn wait_until_stored(&self, node: usize, text: &str) {
+        wait_until("the record is written", 15, || self.store_contains(node, text));
+        let commits = self.commits(node);
+        let is_idle = |document: Value| document["store"]["uncommitted_ms"] == 0;
+        wait_until("the record is committed", 15, || {
+            self.commits(node) > commits || is_idle(self.status_document(node, "/pintally/counters"))
+        });
+    }
+
+    /// What a node could not load at its start, for the messages of failed checks.
+    fn missing_state(&self, node: usize) -> Value {
+        self.status_document(node, "/pintally/recovery")["lacks"].clone()
+    }
+
+    fn set_storage_fault(&mut self, node: usize, storage_fault: Option<&str>) {
+        let recovery = self.settings[node].recovery.as_mut().unwrap();
+        recovery.storage_fault = storage_fault.map(|name| (name.into(), 7));
+    }
+
     fn serving_engines(&self, node: usize) -> u64 {
         self.status_document(node, "/pintally/counters")["serving_engines"].as_u64().unwrap_or(0)
     }
@@ -176,6 +201,8 @@
 fn nodes_detect_peer_failure_and_return() {
     let mut fleet = NodeProcesses::new(3);
     fleet.start_all();
+    // The first commit has the number of the start. Until it is complete a kill may lose it, as any other change.
+    wait_until("the start is counted", 15, || fleet.commits(2) > 0);
     fleet.kill(2);
     wait_until("the failure is detected", 10, || (0..2).all(|n| fleet.peer_standing(n, "n2") == "Dead"));
     fleet.start(2);
@@ -183,7 +210,7 @@
     let document = fleet.status_document(0, "/pintally/peers");
     let boot =
         document["peers"].as_array().unwrap().iter().find(|p| p["name"] == "n2").unwrap()["boot"].clone();
-    assert_eq!(boot, 2, "the store counts starts: {document}");
+    assert_eq!(boot, 2, "the store counts starts, missing: {}: {document}", fleet.missing_state(2));
     for command in ["peers", "recovery"] {
         let address = fleet.settings[0].listen.to_string();
         let out = Command::new(EXE).args([command, "status", &address]).output().unwrap();
@@ -209,14 +236,14 @@
     (0..3).for_each(|n| fleet.start(n));
     wait_until("all nodes know of the drain", 15, || (0..3).all(|n| fleet.serving_engines(n) == 3));
     // A commit waits for the disk, which on a busy machine can take longer than any fixed pause.
-    wait_until("the list is in each store", 15, || (0..3).all(|n| fleet.store_contains(n, "(version 5)")));
-    std::thread::sleep(Duration::from_millis(300));
+    (0..3).for_each(|n| fleet.wait_until_stored(n, "(version 5)"));
     (0..3).for_each(|n| fleet.kill(n));
     // The other nodes start without node 0, and their list files are still the old ones.
     fleet.start(1);
     // The status counts no engine until the decision thread has applied the first list, which a busy machine delays.
     wait_until("node 1 applies a list", 15, || fleet.serving_engines(1) > 0);
-    assert_eq!(fleet.serving_engines(1), 3, "the store kept the received drain");
+    let missing = fleet.missing_state(1);
+    assert_eq!(fleet.serving_engines(1), 3, "the store kept the received drain, missing: {missing}");
     fs::remove_dir_all(fleet.folder.path().join("state-2")).unwrap();
     fleet.start(2);
     wait_until("the node without a store learns of the drain", 15, || fleet.serving_engines(2) == 3);
@@ -225,6 +252,29 @@
     wait_until("both drains hold at both nodes", 15, || (1..3).all(|n| fleet.serving_engines(n) == 2));
 }
 
+/// Guards against a drain that is undone because the disk returns the stored list only after the start, and against an
+/// older list file that replaces the stored list meanwhile.
+#[test]
+fn drain_survives_restart_with_slow_disk() {
+    use EndpointState::{Draining, Serving};
+    let mut fleet = NodeProcesses::new(1);
+    fleet.write_engine_list(0, &engine_list(5, &[Draining, Serving, Serving, Serving]));
+    fleet.start(0);
+    wait_until("the node knows of the drain", 15, || fleet.serving_engines(0) == 3);
+    fleet.wait_until_stored(0, "(version 5)");
+    fleet.kill(0);
+    fleet.write_engine_list(0, &engine_list(4, &[Serving; 4]));
+    fleet.set_storage_fault(0, Some("slow"));
+    fleet.start(0);
+    wait_until("the node applies the older list", 15, || fleet.serving_engines(0) == 4);
+    wait_until("the node knows of the drain again", 15, || fleet.serving_engines(0) == 3);
+    fleet.kill(0);
+    fleet.set_storage_fault(0, None);
+    fleet.start(0);
+    wait_until("the node applies a list", 15, || fleet.serving_engines(0) > 0);
+    assert_eq!(fleet.serving_engines(0), 3, "the store kept the drain: {}", fleet.missing_state(0));
+}
+
 /// An operator's list with a newer version and no engine takes all engines off, unlike one from discovery of `platform`.
 #[test]
 fn empty_list_takes_all_engines_off() {
--- a/crates/pintally-kserve-node/src/fleet/mod.rs
+++ b/crates/pintally-kserve-node/src/fleet/mod.rs
@@ -43,7 +43,8 @@
 pub(crate) use self::link::{open, FleetLink};
 pub(crate) use self::shared_state::FleetShared;
 pub(crate) use self::startup::{
-    injected_fault, new_recovery, restore_state, start_without_peers, RestoredState, MAX_STORED_RESERVATIONS,
+    injected_fault, new_recovery, restore_late_state, restore_state, start_without_peers, RestoredState,
+    MAX_STORED_RESERVATIONS,
 };
 
 /// Maximum time that one iteration of the thread waits for datagrams, so that other threads' messages are
--- a/crates/pintally-kserve-node/src/fleet/shared_state.rs
+++ b/crates/pintally-kserve-node/src/fleet/shared_state.rs
@@ -8,13 +8,39 @@
 use pintally_quota::{LimitStatus, PoolStatus};
 use pintally_recovery::Answer;
 use pintally_storage::Store;
+use serde::Serialize;
 
 use super::endpoint_list::EndpointListSnapshot;
-use super::startup::RestoredState;
+use super::startup::{LateState, RestoredState};
 use super::topics::RecordKey;
 use crate::failover_leader::DryRunRequest;
 use crate::sync::lock;
 
+/// The status of a store, for the counters document.
+#[derive(Serialize)]
+pub(crate) struct StoreStatus {
+    /// Commits that reached at least one copy.
+    commits: u64,
+    /// Failed commits, counted per copy.
+    failed: u64,
+    /// Changes that were dropped.
+    dropped: u64,
+    /// Age of the oldest change that is not committed.
+    uncommitted_ms: u64,
+}
+
+impl StoreStatus {
+    fn new(store: &Store) -> StoreStatus {
+        let health = store.health();
+        StoreStatus {
+            commits: health.commits,
+            failed: health.failed,
+            dropped: health.dropped,
+            uncommitted_ms: store.uncommitted_age().as_millis() as u64,
+        }
+    }
+}
+
 /// State shared by the fleet thread and the others. Each part has its own lock.
 #[derive(Default)]
 pub(crate) struct FleetShared {
@@ -67,6 +93,12 @@
         lock(&self.offered_list).take()
     }
 
+    /// Takes the state of the previous process, if the disk returned it after the start.
+    pub(super) fn take_late_state(&self) -> Option<LateState> {
+        let loaded = lock(&self.store).as_ref()?.late_records()?;
+        Some(LateState::new(&loaded))
+    }
+
     /// Moves the store out of the restored state; records are stored there from now on.
     pub(crate) fn attach_store(&self, restored: &mut RestoredState) {
         *lock(&self.store) = restored.store.take();
@@ -83,6 +115,11 @@
         *stored = reservations;
     }
 
+    /// The status of the store, if the node has one.
+    pub(crate) fn store_status(&self) -> Option<StoreStatus> {
+        lock(&self.store).as_ref().map(StoreStatus::new)
+    }
+
     /// Stores a record, if the node has a store.
     pub(super) fn store_record(&self, key: RecordKey, payload: Vec<u8>) {
         if let Some(store) = lock(&self.store).as_ref() {
--- a/crates/pintally-kserve-node/src/fleet/startup.rs
+++ b/crates/pintally-kserve-node/src/fleet/startup.rs
@@ -10,7 +10,7 @@
 use pintally_membership::ProcessIncarnation;
 use pintally_recovery::{self as recovery, ClassPriority, Recovery, RememberedState};
 use pintally_storage::{LoadedRecords, StorageFault, Store, StoreSettings};
-use tracing::warn;
+use tracing::{info, warn};
 
 use super::topics::RecordKey;
 use crate::shared::Shared;
@@ -36,15 +36,37 @@
     pub(super) peer_addresses: Vec<SocketAddr>,
 }
 
+/// State of the previous process that the disk returned only after the start.
+pub(super) struct LateState {
+    pub(super) endpoint_list: Option<String>,
+    pub(super) orphaned_reservations: Vec<OrphanedReservation>,
+}
+
+impl LateState {
+    pub(super) fn new(loaded: &LoadedRecords) -> LateState {
+        warn_of_issues(loaded);
+        info!(records = loaded.records.len(), "stored records were read after the start");
+        let records = StoredRecords(loaded);
+        LateState {
+            endpoint_list: records.text(RecordKey::EndpointList),
+            orphaned_reservations: records.orphaned_reservations(),
+        }
+    }
+}
+
+fn warn_of_issues(loaded: &LoadedRecords) {
+    for issue in &loaded.issues {
+        warn!(%issue, "stored records are missing or corrupt");
+    }
+}
+
 /// Opens the store and reads its records, within the timeout of the settings.
 pub(crate) fn restore_state(settings: &NodeSettings, seed: u64) -> RestoredState {
     let (store, loaded) = match &settings.recovery {
         Some(recovery) => open_store(recovery),
         None => (None, LoadedRecords::default()),
     };
-    for issue in &loaded.issues {
-        warn!(%issue, "stored records are missing or corrupt");
-    }
+    warn_of_issues(&loaded);
     let records = StoredRecords(&loaded);
     let mut issues: Vec<String> = loaded.issues.iter().map(ToString::to_string).collect();
     if loaded.is_empty() && store.is_some() {
@@ -179,6 +201,13 @@
     }
 }
 
+/// Restores what the disk returned only after the start, and returns the endpoint list of the previous process.
+pub(crate) fn restore_late_state(shared: &Shared) -> Option<String> {
+    let late = shared.fleet.take_late_state()?;
+    shared.send_input(Input::ReservationsInherited(late.orphaned_reservations));
+    late.endpoint_list
+}
+
 /// Starts recovery at a node without peers, from the store's records alone.
 pub(crate) fn start_without_peers(shared: &Shared, restored: &RestoredState) {
     let loaded = recovery::Input::StateLoaded(restored.remembered.clone());
--- a/crates/pintally-kserve-node/src/status.rs
+++ b/crates/pintally-kserve-node/src/status.rs
@@ -81,6 +81,7 @@
         "releases": h.releases, "releases_by_host": h.releases_by_host,
         "releases_lost": h.releases_lost, "releases_of_left": h.orphaned_releases,
         "inherited": h.reservations_inherited, "stray": h.unmatched_inputs,
+        "store": shared.fleet.store_status(),
     });
     StatusResponse::ok(document.to_string())
 }
--- a/crates/pintally-kserve-node/src/watcher/endpoint_list.rs
+++ b/crates/pintally-kserve-node/src/watcher/endpoint_list.rs
@@ -65,6 +65,16 @@
         }
     }
 
+    /// Applies the stored list of the previous process, which was read late. Guards against a drain that only the
+    /// store knows. Without peers a list of the version in force says nothing new: its source has been read
+    /// since.
+    pub(super) fn update_from_store(&mut self, shared: &Shared, text: &str) {
+        let stored = EngineList::parse(STORED_LIST, text).ok().map(|list| list.version);
+        if shared.settings.membership.is_some() || stored > self.follower.version() {
+            self.update(shared, STORED_LIST, text.as_bytes());
+        }
+    }
+
     /// Applies a list. If the node has peers, the list is first merged with the current one.
     fn merge_and_apply(&mut self, shared: &Shared, name: &str, text: &[u8]) -> bool {
         let merged = shared.settings.membership.as_ref().and_then(|_| self.merged(name, text));
--- a/crates/pintally-kserve-node/src/watcher/mod.rs
+++ b/crates/pintally-kserve-node/src/watcher/mod.rs
@@ -13,6 +13,7 @@
 use pintally_host::Input;
 use tracing::warn;
 
+use crate::fleet;
 use crate::shared::Shared;
 
 use self::files::WatchedFile;
@@ -55,6 +56,9 @@
         if let Some(text) = shared.fleet.take_offered_list() {
             list.update(shared, PEER_LIST, text.as_bytes());
         }
+        if let Some(text) = fleet::restore_late_state(shared) {
+            list.update_from_store(shared, &text);
+        }
         match reload.recv_timeout(interval) {
             Ok(()) | Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
--- a/crates/pintally-storage/src/open.rs
+++ b/crates/pintally-storage/src/open.rs
@@ -8,7 +8,7 @@
 
 use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 
-use crate::disk::{BufferedFile, Disk};
+use crate::disk::{BufferedFile, Disk, SyncDeferral};
 use crate::loaded_records::{LoadIssue, LoadedRecords};
 use crate::record::Record;
 use crate::storage_faults::FaultyFile;
@@ -45,14 +45,18 @@
     bytes: Vec<u8>,
 }
 
-/// Opens all copies and loads the newest record of each key. A copy that cannot be used is `None`.
-pub(crate) fn open_copies(settings: &StoreSettings) -> (Vec<Option<Database>>, LoadedRecords) {
+/// Opens all copies and loads the newest record of each key. A copy that cannot be used is `None`. Syncs of
+/// the copies may be deferred until the records have been passed on.
+pub(crate) fn open_copies(
+    settings: &StoreSettings,
+    deferral: &SyncDeferral,
+) -> (Vec<Option<Database>>, LoadedRecords) {
     let mut loaded = LoadedRecords::default();
     if let Err(error) = fs::create_dir_all(&settings.directory) {
         loaded.issues.push(LoadIssue::Unwritable(error.to_string()));
     }
     let copies: Vec<Option<Database>> =
-        (0..COPIES).map(|copy| open_copy(settings, copy, &mut loaded)).collect();
+        (0..COPIES).map(|copy| open_copy(settings, deferral, copy, &mut loaded)).collect();
     if copies.iter().all(Option::is_none) {
         loaded.issues.push(LoadIssue::Unwritable("no copy can be opened".into()));
     }
@@ -61,9 +65,14 @@
 
 /// Opens one copy and loads its records. A copy that cannot be read is set aside and replaced by an empty
 /// one.
-fn open_copy(settings: &StoreSettings, copy: usize, loaded: &mut LoadedRecords) -> Option<Database> {
+fn open_copy(
+    settings: &StoreSettings,
+    deferral: &SyncDeferral,
+    copy: usize,
+    loaded: &mut LoadedRecords,
+) -> Option<Database> {
     let path = copy_path(&settings.directory, copy);
-    let load_error = match load_copy(settings, &path, copy, loaded) {
+    let load_error = match load_copy(settings, deferral, &path, copy, loaded) {
         Ok(database) => return Some(database),
         Err(error) => error,
     };
@@ -73,7 +82,7 @@
         return None;
     }
     loaded.issues.push(LoadIssue::CopyReplaced { copy, reason: load_error.to_string() });
-    match load_copy(settings, &path, copy, loaded) {
+    match load_copy(settings, deferral, &path, copy, loaded) {
         Ok(database) => Some(database),
         Err(error) => {
             loaded.issues.push(LoadIssue::CopyUnreadable { copy, reason: error.to_string() });
@@ -94,11 +103,12 @@
 
 fn load_copy(
     settings: &StoreSettings,
+    deferral: &SyncDeferral,
     path: &Path,
     copy: usize,
     loaded: &mut LoadedRecords,
 ) -> Result<Database, CopyError> {
-    let disk = open_disk(settings, path, copy)?;
+    let disk = open_disk(settings, deferral, path, copy)?;
     // The database reports damage by errors. If it panics on unexpected bytes, the copy is lost in the same
     // way as after an error.
     let read_result = catch_unwind(AssertUnwindSafe(|| read_database(disk)));
@@ -112,12 +122,19 @@
     Ok(database)
 }
 
-fn open_disk(settings: &StoreSettings, path: &Path, copy: usize) -> io::Result<Disk> {
+fn open_disk(
+    settings: &StoreSettings,
+    deferral: &SyncDeferral,
+    path: &Path,
+    copy: usize,
+) -> io::Result<Disk> {
+    let deferral = deferral.clone();
     if let Some((storage_fault, seed)) = settings.storage_fault {
-        return Ok(Box::new(FaultyFile::open(path, storage_fault, seed ^ copy as u64)?));
+        let file = FaultyFile::with_deferral(path, storage_fault, seed ^ copy as u64, deferral)?;
+        return Ok(Box::new(file));
     }
     let file = File::options().read(true).write(true).create(true).truncate(false).open(path)?;
-    Ok(Box::new(BufferedFile::new(file)))
+    Ok(Box::new(BufferedFile::with_deferral(file, deferral)))
 }
 
 /// Opens a database, checks its integrity and reads all of its entries.
--- a/crates/pintally-storage/src/storage_faults.rs
+++ b/crates/pintally-storage/src/storage_faults.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use redb::StorageBackend;
 
-use crate::disk::{BufferedFile, PendingWrite, PendingWrites};
+use crate::disk::{BufferedFile, PendingWrite, PendingWrites, SyncDeferral};
 
 /// A fault of a disk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,8 +29,10 @@
     Full,
     /// The disk is read-only.
     ReadOnly,
-    /// Each sync takes this long.
+    /// Opening a file and each sync take this long.
     Slow(Duration),
+    /// Each sync takes this long; the disk is read without delay.
+    SlowSyncs(Duration),
     /// One in several reads fails.
     ReadErrors,
 }
@@ -60,17 +62,27 @@
     ///
     /// Any error of the file system.
     pub fn open(path: &Path, storage_fault: StorageFault, seed: u64) -> io::Result<FaultyFile> {
+        FaultyFile::with_deferral(path, storage_fault, seed, SyncDeferral::default())
+    }
+
+    pub(crate) fn with_deferral(
+        path: &Path,
+        storage_fault: StorageFault,
+        seed: u64,
+        deferral: SyncDeferral,
+    ) -> io::Result<FaultyFile> {
         let image_path = image_path(path);
         match storage_fault {
             StorageFault::OlderImage if image_path.exists() => {
                 fs::copy(&image_path, path)?;
             }
             StorageFault::FlippedBit => flip_bit(path, seed)?,
+            StorageFault::Slow(duration) => thread::sleep(duration),
             _ => {}
         }
         let file = File::options().read(true).write(true).create(true).truncate(false).open(path)?;
         Ok(FaultyFile {
-            buffer: BufferedFile::new(file),
+            buffer: BufferedFile::with_deferral(file, deferral),
             image_path,
             path: path.to_path_buf(),
             storage_fault,
@@ -115,7 +127,7 @@
 
 /// Cuts the last write in half, and returns the second half.
 fn tear_last_write(pending: &mut PendingWrites) -> Option<PendingWrite> {
-    let last = pending.writes.last_mut().filter(|write| write.bytes.len() > 1)?;
+    let last = pending.current_writes().last_mut().filter(|write| write.bytes.len() > 1)?;
     let cut = last.bytes.len() / 2;
     let bytes = last.bytes.split_off(cut);
     Some(PendingWrite { offset: last.offset + cut as u64, bytes })
@@ -143,9 +155,12 @@
     fn sync_data(&self) -> io::Result<()> {
         self.check_writable()?;
         let syncs = self.syncs.fetch_add(1, Ordering::Relaxed) + 1;
+        if self.buffer.defer_sync() {
+            return Ok(());
+        }
         match self.storage_fault {
             StorageFault::LostSyncs if !syncs.is_multiple_of(SYNCS_PER_EFFECTIVE_SYNC) => return Ok(()),
-            StorageFault::Slow(duration) => thread::sleep(duration),
+            StorageFault::Slow(duration) | StorageFault::SlowSyncs(duration) => thread::sleep(duration),
             _ => {}
         }
         let mut pending = self.buffer.pending();
@@ -154,7 +169,7 @@
             _ => None,
         };
         pending.sync_to(self.buffer.file())?;
-        pending.writes.extend(torn_off);
+        pending.current_writes().extend(torn_off);
         if self.is_image_due(syncs) {
             fs::copy(&self.path, &self.image_path)?;
         }
--- a/crates/pintally-storage/src/store.rs
+++ b/crates/pintally-storage/src/store.rs
@@ -6,7 +6,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crossbeam_channel::Receiver;
+
 use crate::commit::Committer;
+use crate::disk::SyncDeferral;
 use crate::loaded_records::{LoadIssue, LoadedRecords};
 use crate::open::open_copies;
 use crate::queue::{CommitHealth, CommitQueue};
@@ -25,7 +28,8 @@
     pub directory: PathBuf,
     /// Time between two commits.
     pub commit_interval: Duration,
-    /// How long the start waits for the disk; after that the node continues without its stored state.
+    /// How long the start waits for the disk; after that the node continues without its stored state, which
+    /// [`Store::late_records`] returns once it has been read.
     pub load_timeout: Duration,
     /// An injected fault of the disk, with the seed of its randomness; for scenarios and tests.
     pub storage_fault: Option<(StorageFault, u64)>,
@@ -35,6 +39,8 @@
 pub struct Store {
     queue: Arc<CommitQueue>,
     thread: Option<thread::JoinHandle<()>>,
+    /// Where the records arrive if loading took longer than the timeout.
+    late_records: Option<Receiver<LoadedRecords>>,
 }
 
 impl Store {
@@ -43,23 +49,35 @@
     /// `settings.load_timeout`, whatever the disk does.
     pub fn open(settings: &StoreSettings) -> (Store, LoadedRecords) {
         let queue = Arc::new(CommitQueue::default());
-        let (loaded_sender, loaded_receiver) = crossbeam_channel::bounded(1);
+        let (loaded_sender, loaded_receiver) = crossbeam_channel::bounded(0);
         let thread_queue = queue.clone();
         let thread_settings = settings.clone();
         let run = move || {
-            let (copies, loaded) = open_copies(&thread_settings);
+            let deferral = SyncDeferral::start();
+            let (copies, loaded) = open_copies(&thread_settings, &deferral);
             let committer =
                 Committer::new(thread_queue, thread_settings.commit_interval, copies, loaded.latest());
-            // The receiver has been dropped if loading took longer than the timeout.
+            // Nothing is committed before the records are received, so that a change does not replace a record
+            // of which the caller does not know. There is no receiver if the store has been dropped meanwhile.
             let _ = loaded_sender.send(loaded);
+            deferral.end();
             committer.run();
         };
         let thread = thread::Builder::new().name("store".into()).spawn(run).ok();
-        let loaded = loaded_receiver.recv_timeout(settings.load_timeout).unwrap_or_else(|_| LoadedRecords {
-            issues: vec![LoadIssue::TimedOut],
-            ..LoadedRecords::default()
-        });
-        (Store { queue, thread }, loaded)
+        match loaded_receiver.recv_timeout(settings.load_timeout) {
+            Ok(loaded) => (Store { queue, thread, late_records: None }, loaded),
+            Err(_) => {
+                let issues = vec![LoadIssue::TimedOut];
+                let loaded = LoadedRecords { issues, ..LoadedRecords::default() };
+                (Store { queue, thread, late_records: Some(loaded_receiver) }, loaded)
+            }
+        }
+    }
+
+    /// After [`LoadIssue::TimedOut`], the records once they have been loaded; each call returns them at most
+    /// once. Until then nothing is committed: the caller first puts what is to remain of them.
+    pub fn late_records(&self) -> Option<LoadedRecords> {
+        self.late_records.as_ref()?.try_recv().ok()
     }
 
     /// Stores a payload under a key and replaces an earlier one; an empty payload deletes the record. It does
@@ -95,6 +113,7 @@
 impl Drop for Store {
     fn drop(&mut self) {
         self.queue.close();
+        self.late_records = None;
         let Some(thread) = self.thread.take() else { return };
         let deadline = Instant::now() + MAX_CLOSE_WAIT;
         while !thread.is_finished() && Instant::now() < deadline {
--- a/crates/pintally-storage/tests/storage_faults.rs
+++ b/crates/pintally-storage/tests/storage_faults.rs
@@ -76,6 +76,7 @@
         StorageFault::Full,
         StorageFault::ReadOnly,
         StorageFault::Slow(Duration::from_millis(30)),
+        StorageFault::SlowSyncs(Duration::from_millis(30)),
         StorageFault::ReadErrors,
     ];
     for storage_fault in faults {
@@ -138,6 +139,50 @@
     std::mem::forget(store);
 }
 
+/// Guards against a store whose records are not used after a kill because the disk is busy: the database was repaired
+/// with ten syncs before any record was passed on. What was repaired is still there after one more kill.
+#[test]
+fn slow_syncs_do_not_delay_the_records_of_a_killed_process() {
+    let folder = tempfile::tempdir().unwrap();
+    run_until_power_loss(&settings(folder.path(), None), 5);
+    let slow_syncs = StorageFault::SlowSyncs(Duration::from_millis(400));
+    let slow = StoreSettings {
+        load_timeout: Duration::from_millis(300),
+        ..settings(folder.path(), Some(slow_syncs))
+    };
+    let mut expected = 5;
+    for start in 1..4 {
+        let (loaded, all_committed) = run_until_power_loss(&slow, 1);
+        assert_eq!(loaded.issues, [], "start {start}");
+        assert_eq!(count(&loaded), Some(expected), "start {start}");
+        assert_eq!(loaded.latest().boot, start, "start {start}");
+        assert!(all_committed, "start {start}");
+        // One round was committed.
+        expected = loaded.latest().sequence + 1;
+    }
+}
+
+/// Guards against a change that replaces a record which was read too late for the start: the record is returned before
+/// anything is committed.
+#[test]
+fn late_records_are_returned_before_a_commit() {
+    let folder = tempfile::tempdir().unwrap();
+    run_until_power_loss(&settings(folder.path(), None), 5);
+    let slow = StorageFault::Slow(Duration::from_millis(200));
+    let slow =
+        StoreSettings { load_timeout: Duration::from_millis(50), ..settings(folder.path(), Some(slow)) };
+    let (store, loaded) = Store::open(&slow);
+    assert_eq!((loaded.is_empty(), loaded.issues), (true, vec![LoadIssue::TimedOut]));
+    store.put("count", 1u64.to_le_bytes().to_vec());
+    assert!(!store.flush(Duration::from_millis(800)), "nothing is committed before the records are taken");
+    let late = store.late_records().expect("they have been read");
+    assert_eq!((count(&late), late.issues.as_slice()), (Some(5), [].as_slice()));
+    assert!(store.flush(Duration::from_secs(10)) && store.late_records().is_none());
+    std::mem::forget(store);
+    let (_store, loaded) = Store::open(&settings(folder.path(), None));
+    assert_eq!((count(&loaded), loaded.latest().boot), (Some(1), 2));
+}
+
 #[test]
 fn uncreatable_directory_is_reported() {
     let folder = tempfile::tempdir().unwrap();
