List of engines: an engine without `weight` has no known size

An engine of the list file without `weight` was read as one of weight 1, in whatever unit the others were. Beside writers of weight 0.125 a new one without a weight counted as eight times their capacity and got six times the budget of an equal engine.

Change: an absent weight is 0, which is "unknown" everywhere else already; a list is written without it then.

Left: while nodes of the former build and of this one are in one fleet, they write the same list differently, so that they fetch each other's list again at each exchange. Read in the code, not measured.

--- a/crates/pintally-config/src/endpoint_list.rs
+++ b/crates/pintally-config/src/endpoint_list.rs
@@ -42,7 +42,7 @@
     pub cell: Option<String>,
     /// Whether the engine accepts new requests.
     pub state: EndpointState,
-    /// The registered weight.
+    /// The registered weight; 0 if unknown.
     pub weight: f64,
     /// The time of its last start, in milliseconds since the Unix epoch; `None` if unknown or long ago.
     pub started_unix_ms: Option<u64>,
@@ -80,14 +80,16 @@
             let state = state_name(entry.state);
             let _ = write!(
                 out,
-                "\n  (engine {} (address \"{}\") (zone {}) (kind {}) (rack {}) (state {state}) (weight {})",
+                "\n  (engine {} (address \"{}\") (zone {}) (kind {}) (rack {}) (state {state})",
                 quoted(&entry.id.0),
                 entry.address,
                 quoted(&entry.zone),
                 quoted(&entry.kind),
-                entry.rack,
-                entry.weight
+                entry.rack
             );
+            if entry.weight > 0.0 {
+                let _ = write!(out, " (weight {})", entry.weight);
+            }
             if let Some(cell) = &entry.cell {
                 let _ = write!(out, " (cell {})", quoted(cell));
             }
@@ -119,7 +121,7 @@
             rack: form.count_or("rack", 0, 0, MAX_EXACT_INTEGER)?,
             cell,
             state,
-            weight: form.number_or("weight", 1.0, 0.0, MAX_WEIGHT)?,
+            weight: form.number_or("weight", 0.0, 0.0, MAX_WEIGHT)?,
             started_unix_ms: (started_unix_ms > 0).then_some(started_unix_ms),
         })
     }
