Store: a replica on a slow disk commits, and a close before the records came keeps them

- Nothing is committed before late records are taken, and the replica never takes them: with a disk that takes over 10 s to open it would not have saved its state, and so sent nothing, until the next start.
It gives the records up now (Store::discard_late_records) and recovers its votes, as before.
- A process that ended before the records were read committed its last changes over them.
It commits nothing then.

--- a/crates/pintally-kserve-node/src/replica_thread/state_file.rs
+++ b/crates/pintally-kserve-node/src/replica_thread/state_file.rs
@@ -47,12 +47,14 @@
             let file = StateFile { store: None, unsaved: None };
             return (file, SavedState { bytes: None, clean: false });
         };
-        let (store, loaded) = Store::open(&StoreSettings {
+        let (mut store, loaded) = Store::open(&StoreSettings {
             directory: PathBuf::from(directory).join(DIRECTORY),
             commit_interval: COMMIT_INTERVAL,
             load_timeout: OPEN_TIMEOUT,
             storage_fault: injected_fault(settings),
         });
+        // After the timeout the votes are recovered from the other replicas.
+        store.discard_late_records();
         for issue in &loaded.issues {
             warn!(%issue, "replica state is missing or corrupt: votes are recovered first");
         }
--- a/crates/pintally-storage/src/queue.rs
+++ b/crates/pintally-storage/src/queue.rs
@@ -99,6 +99,10 @@
         self.wake_committer();
     }
 
+    pub(crate) fn is_closing(&self) -> bool {
+        self.lock().is_closing
+    }
+
     /// Waits until there are changes and it is time for a commit, or until the store is closing.
     pub(crate) fn wait_for_batch(&self, not_before: Instant) -> Batch {
         let mut state = self.lock();
--- a/crates/pintally-storage/src/store.rs
+++ b/crates/pintally-storage/src/store.rs
@@ -55,11 +55,18 @@
         let run = move || {
             let deferral = SyncDeferral::start();
             let (copies, loaded) = open_copies(&thread_settings, &deferral);
-            let committer =
-                Committer::new(thread_queue, thread_settings.commit_interval, copies, loaded.latest());
+            let committer = Committer::new(
+                thread_queue.clone(),
+                thread_settings.commit_interval,
+                copies,
+                loaded.latest(),
+            );
             // Nothing is committed before the records are received, so that a change does not replace a record
-            // of which the caller does not know. There is no receiver if the store has been dropped meanwhile.
-            let _ = loaded_sender.send(loaded);
+            // of which the caller does not know.
+            let is_received = loaded_sender.send(loaded).is_ok();
+            if !is_received && thread_queue.is_closing() {
+                return;
+            }
             deferral.end();
             committer.run();
         };
@@ -75,11 +82,18 @@
     }
 
     /// After [`LoadIssue::TimedOut`], the records once they have been loaded; each call returns them at most
-    /// once. Until then nothing is committed: the caller first puts what is to remain of them.
+    /// once. Until then, or until [`Store::discard_late_records`], nothing is committed: the caller first puts what
+    /// is to remain of them.
     pub fn late_records(&self) -> Option<LoadedRecords> {
         self.late_records.as_ref()?.try_recv().ok()
     }
 
+    /// Gives up the records if they were not loaded in time: changes are committed as soon as the disk
+    /// responds.
+    pub fn discard_late_records(&mut self) {
+        self.late_records = None;
+    }
+
     /// Stores a payload under a key and replaces an earlier one; an empty payload deletes the record. It does
     /// not wait for the disk: a power loss before the next commit is complete loses the change.
     pub fn put(&self, key: &str, payload: Vec<u8>) {
@@ -113,7 +127,7 @@
 impl Drop for Store {
     fn drop(&mut self) {
         self.queue.close();
-        self.late_records = None;
+        self.discard_late_records();
         let Some(thread) = self.thread.take() else { return };
         let deadline = Instant::now() + MAX_CLOSE_WAIT;
         while !thread.is_finished() && Instant::now() < deadline {
--- a/crates/pintally-storage/tests/storage_faults.rs
+++ b/crates/pintally-storage/tests/storage_faults.rs
@@ -183,6 +183,38 @@
     assert_eq!((count(&loaded), loaded.latest().boot), (Some(1), 2));
 }
 
+/// Guards against a process that ends before its records were read and replaces them by its last changes.
+#[test]
+fn store_that_is_closed_before_its_records_were_read_keeps_them() {
+    let folder = tempfile::tempdir().unwrap();
+    run_until_power_loss(&settings(folder.path(), None), 5);
+    let slow = StorageFault::Slow(Duration::from_millis(200));
+    let slow =
+        StoreSettings { load_timeout: Duration::from_millis(50), ..settings(folder.path(), Some(slow)) };
+    let (store, loaded) = Store::open(&slow);
+    assert_eq!(loaded.issues, [LoadIssue::TimedOut]);
+    store.put("count", 1u64.to_le_bytes().to_vec());
+    drop(store);
+    let (_store, loaded) = Store::open(&settings(folder.path(), None));
+    assert_eq!(count(&loaded), Some(5));
+}
+
+/// Guards against a store that commits nothing after a slow start because nobody takes its late records.
+#[test]
+fn discarded_late_records_hold_up_no_commit() {
+    let folder = tempfile::tempdir().unwrap();
+    run_until_power_loss(&settings(folder.path(), None), 5);
+    let slow = StorageFault::Slow(Duration::from_millis(200));
+    let slow =
+        StoreSettings { load_timeout: Duration::from_millis(50), ..settings(folder.path(), Some(slow)) };
+    let (mut store, loaded) = Store::open(&slow);
+    assert_eq!(loaded.issues, [LoadIssue::TimedOut]);
+    store.discard_late_records();
+    store.put("count", 1u64.to_le_bytes().to_vec());
+    assert!(store.flush(Duration::from_secs(10)) && store.health().last_error.is_none());
+    assert!(store.late_records().is_none());
+}
+
 #[test]
 fn uncreatable_directory_is_reported() {
     let folder = tempfile::tempdir().unwrap();
