Test of unread requests waits for the reset in place of a second write

Traced: the test wrote once more as soon as it had read the end of the connection, and took a write that succeeds for a request that was read. The node closes the connection without reading (close_when_idle), so the system resets it when the request arrives; but the client sees the end of the connection first, and its next write can come before the reset is handled. The node is right; nothing of it changes.

Change: the test waits for the reset itself. It comes only if the request was not read: a close behind a request that was read sends the end of the connection and no reset. So the check is as strict as before.

--- a/crates/pintally-cli/tests/platform/harness.rs
+++ b/crates/pintally-cli/tests/platform/harness.rs
@@ -13,6 +13,8 @@
     chunk, response, response_head, Part, Request, RequestReader, ResponseReader, LAST_CHUNK,
 };
 use pintally_mock_engine::Port;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::Errno;
 use serde_json::{json, Value};
 
 pub use crate::discovery_service::{member, Discovery};
@@ -601,6 +603,18 @@
         }
     }
 
+    /// Waits until the connection is reset. The end of the node's side alone is no reset.
+    pub fn wait_for_reset(&self) -> bool {
+        let mut reset = [PollFd::new(&self.stream, PollFlags::empty())];
+        let timeout = Timespec { tv_sec: LONG.as_secs() as i64, tv_nsec: 0 };
+        loop {
+            match poll(&mut reset, Some(&timeout)) {
+                Err(Errno::INTR) => {}
+                ready => return ready.is_ok_and(|ready| ready > 0),
+            }
+        }
+    }
+
     /// Waits until the node closes the connection; false if there is an error instead.
     pub fn wait_for_close(&mut self) -> bool {
         let mut buffer = [0; 4096];
