--- a/crates/pintally-cli/tests/platform/main.rs
+++ b/crates/pintally-cli/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod golden;
 mod harness;
 mod hidden_disconnects;
+mod memory_limit;
 mod pipelined_requests;
 mod resource_guard;
 mod shutdown;
--- /dev/null
+++ b/crates/pintally-cli/tests/platform/memory_limit.rs
@@ -0,0 +1,204 @@
+//! Memory of a node under clients and engines that cost it as much as they can: the process and the buffers of its
+//! sockets together stay within three quarters of the limit, and another client gets its answers.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use crate::harness::*;
+
+/// The node of the incident.
+const MEMORY_MB: u64 = 80;
+const SOCKETS: usize = 768;
+/// How long a crowd keeps its connections busy.
+const CROWD_DURATION: Duration = Duration::from_secs(3);
+/// A client that is not part of the crowd is answered within this time: its deadline, and half a second.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(6_500);
+const ENGINES: [&str; 8] = ["r0", "r1", "r2", "r3", "w0", "w1", "w2", "w3"];
+const LARGE_BODY_BYTES: usize = 250_000;
+
+fn harness_with_limits(memory_mb: u64, sockets: usize) -> Harness {
+    let (mock_engines, addresses) = serve_engines(&ENGINES);
+    let mut harness = Harness::with_config(&addresses, sockets, Arc::new(Discovery::default()), |config| {
+        config["limits"]["memory_mb"] = memory_mb.into();
+    });
+    harness.mock_engines = mock_engines;
+    harness
+}
+
+/// Measures a node while it runs, in a thread: its memory, and the time in which a client gets its answers.
+struct Monitor {
+    is_done: Arc<AtomicBool>,
+    memory: JoinHandle<usize>,
+    client: JoinHandle<Duration>,
+}
+
+impl Monitor {
+    fn start(harness: &Harness) -> Monitor {
+        let is_done = Arc::new(AtomicBool::new(false));
+        let (pid, node) = (harness.pid(), harness.node_address);
+        let engines: Vec<u16> = harness.engines.values().map(SocketAddr::port).collect();
+        let done = is_done.clone();
+        let memory = std::thread::spawn(move || {
+            let mut peak = (0, 0, 0);
+            while !done.load(Ordering::SeqCst) {
+                let (resident, queued) = (resident_bytes(pid), queued_bytes(node.port(), &engines));
+                peak = peak.max((resident + queued, resident, queued));
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            println!("peak {} KiB: resident {}, in sockets {}", peak.0 >> 10, peak.1 >> 10, peak.2 >> 10);
+            peak.0
+        });
+        let done = is_done.clone();
+        let client = std::thread::spawn(move || {
+            let mut longest = Duration::ZERO;
+            for n in 0.. {
+                if done.load(Ordering::SeqCst) {
+                    break;
+                }
+                let since = Instant::now();
+                // A new connection may be closed unread when descriptors are short.
+                let _ = answer_of(node, &format!("other{n}"));
+                longest = longest.max(since.elapsed());
+            }
+            longest
+        });
+        Monitor { is_done, memory, client }
+    }
+
+    /// Checks what was measured.
+    fn check(self, memory_mb: u64) {
+        self.is_done.store(true, Ordering::SeqCst);
+        let (peak, longest) = (self.memory.join().unwrap(), self.client.join().unwrap());
+        println!("longest time of an answer to another client: {} ms", longest.as_millis());
+        assert!(peak <= (memory_mb as usize) * (1 << 20) / 4 * 3, "{} KiB of {memory_mb} MB", peak >> 10);
+        assert!(longest <= MAX_ANSWER_TIME, "{longest:?}");
+    }
+}
+
+/// Sends a request on a new connection and waits for the status of its answer.
+fn answer_of(node: SocketAddr, id: &str) -> std::io::Result<u16> {
+    let mut stream = TcpStream::connect(node)?;
+    stream.set_read_timeout(Some(LONG))?;
+    stream.write_all(&request_bytes("safe", id))?;
+    let mut head = [0; 12];
+    stream.read_exact(&mut head)?;
+    Ok(std::str::from_utf8(&head[9..]).ok().and_then(|status| status.parse().ok()).unwrap_or(0))
+}
+
+fn resident_bytes(pid: u32) -> usize {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("0");
+    line.split_whitespace().next().and_then(|kb| kb.parse::<usize>().ok()).unwrap_or(0) << 10
+}
+
+/// Unread and unsent bytes of the node's connections.
+fn queued_bytes(node: u16, engines: &[u16]) -> usize {
+    let hex = |text: &str| usize::from_str_radix(text, 16).unwrap_or(0);
+    let port = |address: &str| address.split_once(':').map_or(0, |(_, port)| hex(port) as u16);
+    let is_listener = |fields: &[&str]| fields[3] == "0A";
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let lines = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
+    lines
+        .filter(|fields| !is_listener(fields))
+        .filter(|fields| port(fields[1]) == node || engines.contains(&port(fields[2])))
+        .filter_map(|fields| fields[4].split_once(':').map(|(unsent, unread)| hex(unsent) + hex(unread)))
+        .sum()
+}
+
+/// What the clients of a crowd do.
+struct Behavior<'a> {
+    /// The bytes of the n-th request or sequence of requests.
+    bytes: &'a dyn Fn(usize) -> Vec<u8>,
+    /// Whether more is sent as soon as the connection takes it.
+    sends_on: bool,
+    /// Whether answers are read. A client that is rejected comes again.
+    reads: bool,
+}
+
+/// A client of a crowd; none of its calls blocks.
+struct CrowdClient {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+    sent: usize,
+}
+
+impl CrowdClient {
+    fn connect(node: SocketAddr, bytes: Vec<u8>) -> Option<CrowdClient> {
+        let stream = TcpStream::connect(node).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some(CrowdClient { stream, bytes, sent: 0 })
+    }
+
+    /// Sends as much as the connection takes; an error if the connection has ended.
+    fn send(&mut self) -> std::io::Result<()> {
+        while self.sent < self.bytes.len() {
+            match self.stream.write(&self.bytes[self.sent..]) {
+                Ok(count) => self.sent += count,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads what has come; whether it is an error response or the end of the connection.
+    fn is_rejected(&mut self) -> bool {
+        let mut buffer = [0; 4096];
+        match self.stream.read(&mut buffer) {
+            Ok(0) => true,
+            Ok(count) => buffer[..count].starts_with(b"HTTP/1.1") && !buffer.starts_with(b"HTTP/1.1 200"),
+            Err(e) => e.kind() != ErrorKind::WouldBlock,
+        }
+    }
+}
+
+/// As many clients as the node accepts, less a few for others, behave this way for a while.
+fn run_crowd(harness: &Harness, sockets: usize, behavior: &Behavior<'_>) {
+    let end = Instant::now() + CROWD_DURATION;
+    let mut numbers = 0..;
+    let mut next_bytes = || (behavior.bytes)(numbers.next().unwrap());
+    let mut clients: Vec<Option<CrowdClient>> = (0..sockets / 2 - 14).map(|_| None).collect();
+    while Instant::now() < end {
+        for place in &mut clients {
+            let is_over = match place {
+                Some(client) => client.send().is_err() || behavior.reads && client.is_rejected(),
+                None => true,
+            };
+            if is_over {
+                *place = CrowdClient::connect(harness.node_address, next_bytes());
+            } else if let Some(client) =
+                place.as_mut().filter(|c| behavior.sends_on && c.sent == c.bytes.len())
+            {
+                (client.bytes, client.sent) = (next_bytes(), 0);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Runs a crowd at a node and checks the node's memory and its answers to others.
+fn check_crowd(name: &str, harness: &Harness, memory_mb: u64, sockets: usize, behavior: &Behavior<'_>) {
+    println!("{name}, {memory_mb} MB, {sockets} descriptors");
+    let monitor = Monitor::start(harness);
+    run_crowd(harness, sockets, behavior);
+    monitor.check(memory_mb);
+}
+
+fn large_request(n: usize) -> Vec<u8> {
+    large_request_bytes("safe", &format!("l{n}"), 6_000, LARGE_BODY_BYTES)
+}
+
+/// Guards against bodies that stay in memory while their streams last, although the budget counts them as free.
+#[test]
+fn streams_of_large_requests_stay_within_memory() {
+    let harness = harness_with_limits(MEMORY_MB, SOCKETS);
+    for writer in &ENGINES[4..] {
+        harness.mock_engines.script(writer, &[EngineAction::Respond(open_stream(&[TOKEN]))]);
+    }
+    let behavior = Behavior { bytes: &large_request, sends_on: false, reads: true };
+    check_crowd("streams of large requests", &harness, MEMORY_MB, SOCKETS, &behavior);
+}
