Bodies of requests are freed once they are written to the engine

Callers saw a node ended by SIGKILL, with no line in its log. Cause: a body is shared by the request, for retries, and by the connection to the engine. `Requests::discard_body` gives up the request's part with the first event and takes its size off the budget, but `EngineConnection::request` kept its own until the end of the stream. So the budget admitted new bodies while the old ones were still there: up to 250 kB for each stream, 92 MB with 370 streams at a node with 80 MB and 20 MB of budget.

`OutgoingRequest::record_written` now frees head and body as soon as the last byte is written; until the first event the request keeps the body, and the budget counts it. Class of the fault: memory that is counted where one of two owners lets go of it. Related places: `return_to_pool` freed it already; on the KServe node the body lives in the thread of its request.

--- a/crates/pintally-platform-node/src/engine_connection.rs
+++ b/crates/pintally-platform-node/src/engine_connection.rs
@@ -43,7 +43,7 @@
 #[derive(Default)]
 pub(crate) struct OutgoingRequest {
     pub(crate) head: Vec<u8>,
-    pub(crate) body: Option<Rc<[u8]>>,
+    body: Option<Rc<[u8]>>,
     written_bytes: usize,
 }
 
@@ -56,10 +56,20 @@
         self.body.as_ref().map_or(0, |body| body.len())
     }
 
+    /// Whether nothing is left to write.
     fn is_written(&self) -> bool {
         self.written_bytes == self.head.len() + self.body_bytes()
     }
 
+    /// Records that bytes were written. Once all are written, frees the request: its body would otherwise stay in
+    /// memory until the end of the response.
+    fn record_written(&mut self, count: usize) {
+        self.written_bytes += count;
+        if self.is_written() {
+            *self = OutgoingRequest::default();
+        }
+    }
+
     /// The parts of the head and of the body that have not been written.
     fn unwritten(&self) -> [IoSlice<'_>; 2] {
         let head = &self.head[self.written_bytes.min(self.head.len())..];
@@ -114,7 +124,7 @@
         while !self.request.is_written() {
             match self.stream.write_vectored(&self.request.unwritten()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => self.request.written_bytes += count,
+                Ok(count) => self.request.record_written(count),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(e) => return Err(e),
