Buffers of a node's sockets are bounded by its memory

Callers saw a node over its memory limit while its process was under it. Cause: the buffers that the system keeps for the node's sockets count as its memory, and nothing bounded them. Linux lets a receive buffer begin at 128 KiB and grow to 32 MiB here, and a send buffer grow to 4 MiB: 370 clients that pipeline requests and read nothing had 61 MB there.

All connections together now get as much as the memory budget, at most a quarter of the memory, in equal parts, half for input and half for output. Input: SO_RCVBUF on the listener, whose connections inherit it, and on connections to engines. Instead the node writes a limited number of bytes at a time and only while the socket is writable under TCP_NOTSENT_LOWAT (`socket_buffers.rs`). With less memory than 30 MB the budget itself is smaller: 16 MB have 2.5 MB where they had 4, because the process alone needs 7.

--- a/crates/pintally-platform-node/src/client_connection.rs
+++ b/crates/pintally-platform-node/src/client_connection.rs
@@ -11,6 +11,7 @@
 
 use crate::arrival_times::ArrivalTimes;
 use crate::poller::EventFlags;
+use crate::socket_buffers::SendLimit;
 
 /// Limit of the output that a slow client has not read: above it, reading of the stream from the engine
 /// pauses, and no further requests of the client are parsed.
@@ -55,6 +56,7 @@
     /// Nothing was unread at `connected_at`, and nothing was read since.
     is_drained: bool,
     pub(crate) output: Vec<u8>,
+    pub(crate) send_limit: SendLimit,
     /// Number of bytes of `output` that have been written.
     pub(crate) written_bytes: usize,
     pub(crate) state: ClientState,
@@ -95,7 +97,12 @@
 
 impl ClientConnection {
     /// A new connection, whose client was connected at `connected_at`.
-    pub(crate) fn new(stream: TcpStream, now: Micros, connected_at: Micros) -> ClientConnection {
+    pub(crate) fn new(
+        stream: TcpStream,
+        send_limit: SendLimit,
+        now: Micros,
+        connected_at: Micros,
+    ) -> ClientConnection {
         ClientConnection {
             stream,
             reader: RequestReader::new(MAX_HEAD_BYTES, MAX_BODY_BYTES),
@@ -103,6 +110,7 @@
             connected_at,
             is_drained: false,
             output: Vec::new(),
+            send_limit,
             written_bytes: 0,
             state: ClientState::Receiving,
             streaming: false,
--- a/crates/pintally-platform-node/src/client_response.rs
+++ b/crates/pintally-platform-node/src/client_response.rs
@@ -158,12 +158,17 @@
 }
 
 impl ClientConnection {
-    /// Writes output until all of it is written or the socket's buffer is full.
+    /// Writes output until all of it is written or the socket takes no more.
     fn write_output(&mut self) -> std::io::Result<()> {
         while self.unwritten_bytes() > 0 {
-            match self.stream.write(&self.output[self.written_bytes..]) {
+            let allowed = self.send_limit.allowed_bytes(&self.stream).min(self.unwritten_bytes());
+            if allowed == 0 {
+                return Ok(());
+            }
+            match self.stream.write(&self.output[self.written_bytes..self.written_bytes + allowed]) {
                 Ok(0) => return Ok(()),
                 Ok(count) => {
+                    self.send_limit.record_written(count);
                     self.written_bytes += count;
                     self.write_blocked_since = None;
                 }
--- a/crates/pintally-platform-node/src/engine_connect.rs
+++ b/crates/pintally-platform-node/src/engine_connect.rs
@@ -84,6 +84,7 @@
             return Err(Outcome::NeverSent);
         }
         let socket = poller::socket(address).map_err(|_| Outcome::NeverSent)?;
+        self.socket_buffers.apply(&socket);
         let is_connected = poller::connect(&socket, address).map_err(|_| Outcome::Unreachable)?;
         let now = self.clock.now();
         let connection = EngineConnection {
@@ -93,6 +94,7 @@
             is_connected,
             connect_deadline: now,
             request: OutgoingRequest::default(),
+            send_limit: self.socket_buffers.send_limit(),
             reader: EngineResponseReader::default(),
             call: None,
             idle_before: None,
--- a/crates/pintally-platform-node/src/engine_connection.rs
+++ b/crates/pintally-platform-node/src/engine_connection.rs
@@ -10,6 +10,7 @@
 use pintally_platform::{EngineResponseReader, Phase};
 
 use crate::poller::EventFlags;
+use crate::socket_buffers::SendLimit;
 
 /// If a reused connection ends within this time of its request, its engine had closed it before the reuse.
 const STALE_CLOSE_WITHIN: Micros = 30_000;
@@ -70,11 +71,13 @@
         }
     }
 
-    /// The parts of the head and of the body that have not been written.
-    fn unwritten(&self) -> [IoSlice<'_>; 2] {
+    /// The first bytes of the head and of the body that have not been written, at most `max_bytes` together.
+    fn unwritten(&self, max_bytes: usize) -> [IoSlice<'_>; 2] {
         let head = &self.head[self.written_bytes.min(self.head.len())..];
+        let head = &head[..head.len().min(max_bytes)];
         let body = self.body.as_deref().unwrap_or(&[]);
         let body = &body[self.written_bytes.saturating_sub(self.head.len())..];
+        let body = &body[..body.len().min(max_bytes - head.len())];
         [IoSlice::new(head), IoSlice::new(body)]
     }
 }
@@ -89,6 +92,7 @@
     /// When the connect timeout expires.
     pub(crate) connect_deadline: Micros,
     pub(crate) request: OutgoingRequest,
+    pub(crate) send_limit: SendLimit,
     pub(crate) reader: EngineResponseReader,
     pub(crate) call: Option<EngineCall>,
     /// How long the connection had been idle before the call; none if it was opened for the call.
@@ -119,12 +123,19 @@
         }
     }
 
-    /// Writes the request until all of it is written or the socket's buffer is full.
+    /// Writes the request until all of it is written or the socket takes no more.
     pub(crate) fn write_request(&mut self) -> std::io::Result<()> {
         while !self.request.is_written() {
-            match self.stream.write_vectored(&self.request.unwritten()) {
+            let allowed = self.send_limit.allowed_bytes(&self.stream);
+            if allowed == 0 {
+                return Ok(());
+            }
+            match self.stream.write_vectored(&self.request.unwritten(allowed)) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => self.request.record_written(count),
+                Ok(count) => {
+                    self.send_limit.record_written(count);
+                    self.request.record_written(count);
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(e) => return Err(e),
--- a/crates/pintally-platform-node/src/eviction.rs
+++ b/crates/pintally-platform-node/src/eviction.rs
@@ -2,14 +2,12 @@
 
 use pintally::interface::Micros;
 use pintally_guards::CloseReason;
+use pintally_platform::RESERVED_DESCRIPTORS;
 
 use crate::client_connection::{ClientConnection, ClientState};
 use crate::connection::{Connection, ConnectionKey};
 use crate::node::Node;
 
-/// Descriptors that are not used by client or engine connections: standard streams, epoll, listener, signals,
-/// watch, and a few for files.
-const RESERVED_DESCRIPTORS: usize = 20;
 /// The limit divided by this number, up to [`MAX_CALL_RESERVE`], is the number of descriptors that are
 /// reserved for release calls and connection probes when clients and attempts use all others.
 const CALL_RESERVE_DIVISOR: usize = 16;
@@ -78,12 +76,12 @@
 
     /// Whether the limit leaves a descriptor for one more client connection or attempt.
     pub(crate) fn has_free_descriptor(&self) -> bool {
-        let sockets = self.config.limits.sockets;
+        let sockets = self.config.usable_descriptors();
         self.has_free_descriptor_beyond((sockets / CALL_RESERVE_DIVISOR).min(MAX_CALL_RESERVE))
     }
 
     fn has_free_descriptor_beyond(&self, reserve: usize) -> bool {
-        self.connections.len() + RESERVED_DESCRIPTORS + reserve < self.config.limits.sockets
+        self.connections.len() + RESERVED_DESCRIPTORS + reserve < self.config.usable_descriptors()
     }
 
     /// Frees a descriptor for one more engine connection if there is none; returns whether one is available.
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -44,6 +44,7 @@
 mod requests;
 mod shutdown;
 mod signals;
+mod socket_buffers;
 mod status;
 mod syscall;
 mod watch_connection;
--- a/crates/pintally-platform-node/src/listener.rs
+++ b/crates/pintally-platform-node/src/listener.rs
@@ -145,7 +145,7 @@
         if stream.set_nonblocking(true).is_err() || stream.set_nodelay(true).is_err() {
             return;
         }
-        let client = ClientConnection::new(stream, now, connected_at);
+        let client = ClientConnection::new(stream, self.socket_buffers.send_limit(), now, connected_at);
         if self.register(Connection::Client(Box::new(client))).is_some() {
             self.clients.count += 1;
         }
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -27,6 +27,7 @@
 use crate::requests::Requests;
 use crate::shutdown::Shutdown;
 use crate::signals::Signals;
+use crate::socket_buffers::SocketBuffers;
 use crate::syscall::retry_during_startup;
 
 /// Maximum number of connections that wait to be accepted.
@@ -89,6 +90,7 @@
     pub(crate) engines: Engines,
     pub(crate) requests: Requests,
     pub(crate) read_buffer: Vec<u8>,
+    pub(crate) socket_buffers: SocketBuffers,
     pub(crate) log_limiter: LogLimiter,
     pub(crate) started_at: Micros,
     /// When the last wait for events returned.
@@ -111,10 +113,11 @@
     let signals = retry_during_startup("setting up signals", Signals::new).map_err(StartError::Signals)?;
     let config = read_configuration(&config_file)?;
     let address = listen.unwrap_or(config.listen);
-    let listener = retry_during_startup("listening", || listen_at(address))
+    let buffers = SocketBuffers::new(config.socket_buffer_bytes());
+    let listener = retry_during_startup("listening", || listen_at(address, buffers))
         .map_err(|error| StartError::Listen { address, error })?;
     let poller = register_sources(&listener, &signals).map_err(StartError::Epoll)?;
-    let mut node = Node::new(config, config_file, poller, listener, signals);
+    let mut node = Node::new(config, config_file, poller, listener, signals, buffers);
     let limits = node.config.limits;
     tracing::info!(name = %node.config.name, %address, sockets = limits.sockets, memory_mb = limits.memory_mb,
         cores = limits.cores, "node started");
@@ -143,11 +146,12 @@
     Ok(poller)
 }
 
-fn listen_at(address: SocketAddr) -> std::io::Result<TcpListener> {
+fn listen_at(address: SocketAddr, buffers: SocketBuffers) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     // A restarted node can bind the address while connections of its killed predecessor remain.
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    buffers.apply(&socket);
     socket.bind(&address.into())?;
     socket.listen(LISTEN_BACKLOG)?;
     Ok(socket.into())
@@ -160,6 +164,7 @@
         poller: Poller,
         listener: TcpListener,
         signals: Signals,
+        socket_buffers: SocketBuffers,
     ) -> Node {
         let settings = Arc::new(config.node_settings());
         let clock = Clock::new();
@@ -182,6 +187,7 @@
             engines: Engines::new(settings.limits.keep_alive),
             requests: Requests::default(),
             read_buffer: vec![0; READ_BUFFER_BYTES],
+            socket_buffers,
             log_limiter: LogLimiter::default(),
             started_at: now,
             last_wait_ended: 0,
--- a/crates/pintally-platform/src/configuration.rs
+++ b/crates/pintally-platform/src/configuration.rs
@@ -15,6 +15,13 @@
 const MIN_SOCKETS: u64 = 64;
 /// Maximum number of file descriptors that a node uses, however high its limit is.
 const MAX_SOCKETS: u64 = 1 << 20;
+/// Descriptors that are not used by client or engine connections: standard streams, epoll, listener, signals, watch, and
+/// a few for files.
+pub const RESERVED_DESCRIPTORS: usize = 20;
+/// Memory of the process besides what it holds for clients and engines.
+const PROCESS_BYTES: usize = 7 << 20;
+/// Minimum memory for the system's buffers of one connection. Smaller buffers cost a system call for every few bytes.
+const MIN_SOCKET_BUFFER_BYTES: usize = 2_560;
 /// Minimum memory that a node needs, in megabytes.
 const MIN_MEMORY_MB: u64 = 16;
 /// Bounds of the timeout of a release call.
@@ -162,12 +169,27 @@
     /// Maximum number of client connections. Clients usually use at most a third of all descriptors, each of
     /// their requests needs one more for its engine, and the rest is for idle clients.
     pub fn max_client_connections(&self) -> usize {
-        self.limits.sockets / 2 - 8
+        self.usable_descriptors() / 2 - 8
     }
 
-    /// Maximum memory for everything that is received and not yet answered: a quarter of the memory, in bytes.
+    /// The number of descriptors that the node uses: fewer than its limit if the memory has no room for the buffers of
+    /// so many connections.
+    pub fn usable_descriptors(&self) -> usize {
+        let max_connections = self.memory_budget() / MIN_SOCKET_BUFFER_BYTES;
+        self.limits.sockets.min(max_connections + RESERVED_DESCRIPTORS)
+    }
+
+    /// Memory for the system's buffers of one connection: all connections together have as much as the memory budget.
+    pub fn socket_buffer_bytes(&self) -> usize {
+        self.memory_budget() / (self.usable_descriptors() - RESERVED_DESCRIPTORS)
+    }
+
+    /// Maximum memory for everything that is received and not yet answered, in bytes: a quarter of the memory, or less
+    /// if the process needs most of that itself.
     pub fn memory_budget(&self) -> usize {
-        (self.limits.memory_mb as usize) << 18
+        let memory = (self.limits.memory_mb as usize) << 20;
+        let shared = (memory / 4 * 3).saturating_sub(PROCESS_BYTES);
+        (shared / 2).min(memory / 4)
     }
 
     /// The settings of the host.
--- a/crates/pintally-platform/src/lib.rs
+++ b/crates/pintally-platform/src/lib.rs
@@ -15,7 +15,7 @@
 mod outcome;
 
 pub use client_request::{parse_client_request, ClientRequest, InferenceRequest, RequestError};
-pub use configuration::{Configuration, ConfigurationError, Limits};
+pub use configuration::{Configuration, ConfigurationError, Limits, RESERVED_DESCRIPTORS};
 pub use encode::{encode_attempt_head, encode_release, encode_watch};
 pub use endpoint_list::{EndpointList, EndpointListError, EndpointListTracker, InvalidList, ListChange};
 pub use endpoint_watch::{ObjectTooLong, WatchDecoder};
