Status and log: the memory of a node's process and its parts

The report's logs end without a reason, because a node that passes its memory limit is killed from outside. `GET /pintally/beliefs` now has `memory`: limit, resident size and its peak, bytes held for requests and for clients, the socket buffers of one connection, and the entries of the three tables that grow with names. A warning tells the same when the peak passes half of the limit, and again with each further eighth, so that the log of a killed node says what it held.

--- a/crates/pintally-host/src/cores.rs
+++ b/crates/pintally-host/src/cores.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use pintally::interface::{Action, Event, Micros};
-use pintally::{AdmissionEstimate, EngineEstimate, Router};
+use pintally::{AdmissionEstimate, EngineEstimate, Router, TableSizes};
 use pintally_cells::CellName;
 use pintally_config::NodeSettings;
 
@@ -82,6 +82,11 @@
         self.routers.values().flat_map(|router| router.engine_estimates(now)).collect()
     }
 
+    /// The sizes of all cores' tables, summed up.
+    pub(crate) fn table_sizes(&self) -> TableSizes {
+        self.routers.values().map(Router::table_sizes).sum()
+    }
+
     /// The admission estimate of each core.
     pub(crate) fn admission_estimates(&self) -> Vec<AdmissionEstimate> {
         self.routers.values().map(Router::admission_estimate).collect()
--- a/crates/pintally-host/src/host/status.rs
+++ b/crates/pintally-host/src/host/status.rs
@@ -68,6 +68,11 @@
         self.cores.engine_estimates(now)
     }
 
+    /// The sizes of the cores' tables, summed up.
+    pub fn table_sizes(&self) -> pintally::TableSizes {
+        self.cores.table_sizes()
+    }
+
     /// The admission estimates of all cores.
     pub fn admission_estimates(&self) -> Vec<pintally::AdmissionEstimate> {
         self.cores.admission_estimates()
--- a/crates/pintally-platform-node/src/cleanup.rs
+++ b/crates/pintally-platform-node/src/cleanup.rs
@@ -20,8 +20,11 @@
         }
         let is_next_second = now / MICROS_PER_SECOND != self.last_cleanup / MICROS_PER_SECOND;
         self.last_cleanup = now;
-        if is_next_second && tracing::enabled!(tracing::Level::DEBUG) {
-            self.log_engine_estimates(now);
+        if is_next_second {
+            self.log_memory();
+            if tracing::enabled!(tracing::Level::DEBUG) {
+                self.log_engine_estimates(now);
+            }
         }
         let listener_expired = self.shutdown.requested_at.is_some_and(|at| now >= at + LISTENER_GRACE);
         if listener_expired && self.acceptor.listener.is_some() {
--- a/crates/pintally-platform-node/src/lib.rs
+++ b/crates/pintally-platform-node/src/lib.rs
@@ -40,6 +40,7 @@
 mod pending_watches;
 mod poller;
 mod pool;
+mod process_memory;
 mod reload;
 mod requests;
 mod shutdown;
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -23,6 +23,7 @@
 use crate::listener::Acceptor;
 use crate::log_limiter::LogLimiter;
 use crate::poller::{EventFlags, Poller};
+use crate::process_memory::MemoryLog;
 use crate::reload::Reload;
 use crate::requests::Requests;
 use crate::shutdown::Shutdown;
@@ -92,6 +93,7 @@
     pub(crate) read_buffer: Vec<u8>,
     pub(crate) socket_buffers: SocketBuffers,
     pub(crate) log_limiter: LogLimiter,
+    pub(crate) memory_log: MemoryLog,
     pub(crate) started_at: Micros,
     /// When the last wait for events returned.
     pub(crate) last_wait_ended: Micros,
@@ -189,6 +191,7 @@
             read_buffer: vec![0; READ_BUFFER_BYTES],
             socket_buffers,
             log_limiter: LogLimiter::default(),
+            memory_log: MemoryLog::default(),
             started_at: now,
             last_wait_ended: 0,
             events_since: 0,
--- a/crates/pintally-platform-node/src/status.rs
+++ b/crates/pintally-platform-node/src/status.rs
@@ -27,6 +27,7 @@
             "connections": self.connections.len(),
             "bytes": self.held_bytes(),
             "bytes_limit": self.config.memory_budget(),
+            "memory": self.memory_status(),
             "paused_reads": self.paused_reads().count(),
             "pace": admission_text(&self.host.admission_estimates()),
             "counters": counters_text(&self.host.counters()),
--- a/src/estimates.rs
+++ b/src/estimates.rs
@@ -1,6 +1,8 @@
 //! A router's estimates of engines and of its own admission, for operators and for comparison with
 //! what engines measure themselves.
 
+use std::iter::Sum;
+
 use crate::interface::*;
 use crate::state::{AttemptKind, Engine};
 use crate::Router;
@@ -54,7 +56,37 @@
     pub racks: Vec<(u64, Micros, u32)>,
 }
 
+/// The number of entries in each table of a router that grows with the names in requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TableSizes {
+    /// Prefixes and sessions in the prefix affinity table.
+    pub prefixes: usize,
+    /// Shared prefixes whose arrivals are counted.
+    pub prefix_arrivals: usize,
+    /// Prompts that were rejected lately.
+    pub rejected_prompts: usize,
+}
+
+impl Sum for TableSizes {
+    fn sum<I: Iterator<Item = TableSizes>>(sizes: I) -> TableSizes {
+        sizes.fold(TableSizes::default(), |sum, size| TableSizes {
+            prefixes: sum.prefixes + size.prefixes,
+            prefix_arrivals: sum.prefix_arrivals + size.prefix_arrivals,
+            rejected_prompts: sum.rejected_prompts + size.rejected_prompts,
+        })
+    }
+}
+
 impl Router {
+    /// The sizes of the tables that grow with the names in requests.
+    pub fn table_sizes(&self) -> TableSizes {
+        TableSizes {
+            prefixes: self.prefix_affinity.len(),
+            prefix_arrivals: self.prefix_arrivals.len(),
+            rejected_prompts: self.rejected_prompts.len(),
+        }
+    }
+
     /// The current estimate over all requests.
     pub fn admission_estimate(&self) -> AdmissionEstimate {
         let measurements = &self.measurements;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -65,14 +65,14 @@
     /// Indexed by kind of machine.
     kind_services: Vec<KindService>,
     pub(crate) racks: BTreeMap<u64, Rack>,
-    prefix_affinity: PrefixAffinityTable,
+    pub(crate) prefix_affinity: PrefixAffinityTable,
     pub(crate) requests: HashMap<RequestId, RequestState>,
     /// Requests that may be waiting to be dispatched; those that are have `pending` set.
     pending_requests: Vec<RequestId>,
     /// Prompts rejected lately, with the time of their first arrival.
-    rejected_prompts: HashMap<PromptKey, Micros>,
+    pub(crate) rejected_prompts: HashMap<PromptKey, Micros>,
     /// Arrivals of each shared prefix lately, decayed.
-    prefix_arrivals: HashMap<u64, f64>,
+    pub(crate) prefix_arrivals: HashMap<u64, f64>,
     /// Indexed by tenant.
     quota_buckets: Vec<TokenBucket>,
     pub(crate) measurements: NodeMeasurements,
--- a/src/state/affinity.rs
+++ b/src/state/affinity.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// The number of prefixes.
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// The engines that had a prefix in their cache.
     pub(crate) fn holders(&self, key: PrefixKey) -> impl Iterator<Item = &CachedPrefix> {
         self.0.get(&key).into_iter().flatten()
