Failing test: tables of the policy grow with every new name

100,000 requests under new sessions and prefixes within 3 s, every second one rejected: 200,000 entries in the prefix affinity table, 75,999 counted prefixes, 50,000 rejected prompts, where the test allows 32,768 each.

--- a/tests/policy/prefix_affinity.rs
+++ b/tests/policy/prefix_affinity.rs
@@ -198,3 +198,40 @@
     assert!((2..=4).contains(&replicas[0].len()), "{replicas:?}");
     assert_eq!(replicas[1].len(), 1, "{replicas:?}");
 }
+
+/// Guards against memory that grows with the number of sessions, prefixes and rejected prompts.
+#[test]
+fn new_names_do_not_grow_tables_without_bound() {
+    const REQUESTS: u64 = 100_000;
+    const MAX_ENTRIES: usize = 1 << 15;
+    let mut router = pintally::Router::new(settings(), 1);
+    let mut actions = Vec::new();
+    let mut now = SECOND;
+    let mut handle = |event| {
+        now += 10;
+        actions.clear();
+        router.handle(now, event, &mut actions);
+    };
+    handle(Event::EndpointList(ListUpdate::Full, fleet()));
+    for n in 0..REQUESTS {
+        let id = id(&format!("n{n}"));
+        handle(Event::RequestArrived(Request { id: id.clone(), prefix: Some(n + 1), ..request("", 0, n) }));
+        // Every second request ends with a rejection.
+        handle(if n % 2 == 0 { Event::Shed(id.clone()) } else { Event::ClientLeft(id.clone()) });
+        handle(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt: 0,
+            outcome: Outcome::Cancelled,
+            is_final: true,
+            cached_tokens: 0,
+            load: None,
+        }));
+        if n % 1_000 == 0 {
+            handle(Event::TimerFired(Timer::Maintenance));
+        }
+    }
+    let sizes = router.table_sizes();
+    for entries in [sizes.prefixes, sizes.prefix_arrivals, sizes.rejected_prompts] {
+        assert!((1..=MAX_ENTRIES).contains(&entries), "{sizes:?}");
+    }
+}
