Policy: the tables that grow with names are bounded

Callers saw memory that grows while clients use ever new sessions and prefixes. Cause: the prefix affinity table removes only entries of more than 120 s, counted prefixes go after 38 s, and rejected prompts after 30 s, however many there are; an entry of the affinity table also reserved place for four engines, 96 bytes, where most prefixes have one.

Each table now has a bound, 28,000 prefixes and sessions, 14,000 counted prefixes, 14,000 rejected prompts, about 3 MB together; over it, the half that was seen least recently or least often is removed (`prune`), whatever the order of the table, so that the same events still give the same actions.

Test before and after: 200,000, 75,999 and 50,000 entries; after at most 32,768 each. In the crowd of the memory tests it is not what costs: 569 prefixes in three seconds, since few requests get through.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -5,7 +5,7 @@
 use super::slowdown::SAMPLE_WEIGHT;
 use super::Router;
 use crate::interface::*;
-use crate::state::{AttemptKind, InFlightAttempt, PromptKey, RequestState};
+use crate::state::{prune, AttemptKind, InFlightAttempt, PromptKey, RequestState};
 
 /// The target for first tokens, as a fraction of the latency objective. The rest of the objective is left
 /// for waiting at the node, where the dispatch order can still change, and not in an engine's queue.
@@ -28,6 +28,8 @@
 const MAX_IN_FLIGHT_PER_OVERLOADED_WRITER: f64 = 2.5;
 /// A first token that comes later than this after the last one counts as several samples.
 const SAMPLE_INTERVAL_US: f64 = 100_000.0;
+/// The maximum number of shared prefixes whose arrivals are counted; of more, the rarer half is forgotten.
+const MAX_COUNTED_PREFIXES: usize = 14_000;
 /// The maximum number of samples as which one first token counts.
 const MAX_SAMPLES_AT_ONCE: f64 = 5.0;
 
@@ -82,6 +84,7 @@
         self.measurements.arrivals += 1.0;
         if let Some(prefix) = request.prefix {
             *self.prefix_arrivals.entry(prefix).or_default() += 1.0;
+            prune(&mut self.prefix_arrivals, MAX_COUNTED_PREFIXES, |arrivals| arrivals.to_bits());
             self.measurements.shared_prefix_arrivals += 1.0;
         }
         let id = request.id.clone();
--- a/src/policy/releases.rs
+++ b/src/policy/releases.rs
@@ -2,17 +2,21 @@
 
 use super::Router;
 use crate::interface::*;
-use crate::state::{PromptKey, RequestState};
+use crate::state::{prune, PromptKey, RequestState};
 
 /// The shortest Retry-After is the longest that clients honour divided by this; the jitter added to it is
 /// less than the same amount.
 const RETRY_AFTER_DIVISOR: Micros = 4;
 
+/// The maximum number of rejected prompts that are recognised; of more, the half that arrived first is forgotten.
+const MAX_REJECTED_PROMPTS: usize = 14_000;
+
 impl Router {
     /// Ends a request that cannot be served: it is rejected if the client may repeat it, else it fails.
     pub(super) fn give_up(&mut self, id: &RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(id) else { return };
         self.rejected_prompts.insert(PromptKey::of(&request.request), request.first_arrived_at);
+        prune(&mut self.rejected_prompts, MAX_REJECTED_PROMPTS, |first_arrived_at| *first_arrived_at);
         let answer = if is_safe_to_repeat(request) {
             Action::Reject(id.clone(), self.retry_after())
         } else {
--- a/src/state/affinity.rs
+++ b/src/state/affinity.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::prune;
 use crate::interface::*;
 
 /// The maximum number of engines that are recorded for one prefix.
@@ -9,6 +10,10 @@
 /// Old prefixes are purged only once the table has more prefixes than this.
 const MAX_PREFIXES_BEFORE_PURGE: usize = 20_000;
 
+/// The maximum number of prefixes. Guards against clients that send ever new sessions and prefixes: the least recently
+/// seen half is removed.
+const MAX_PREFIXES: usize = 28_000;
+
 /// The key of a prefix that a prompt may have in common with earlier prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum PrefixKey {
@@ -56,12 +61,14 @@
 impl PrefixAffinityTable {
     /// Records that an engine has a prefix in its cache.
     pub(crate) fn record(&mut self, key: PrefixKey, cached: CachedPrefix) {
-        let entries = self.0.entry(key).or_default();
+        // Most prefixes have one holder.
+        let entries = self.0.entry(key).or_insert_with(|| Vec::with_capacity(1));
         entries.retain(|entry| entry.engine != cached.engine);
         entries.push(cached);
         if entries.len() > MAX_ENGINES_PER_PREFIX {
             entries.remove(0);
         }
+        prune(&mut self.0, MAX_PREFIXES, |entries| entries.last().map_or(0, |newest| newest.seen_at));
     }
 
     /// The number of prefixes.
