Memory budget: spare capacity of buffers and parsed heads count

Callers saw a process three times as large as the budget that it counts. Cause: `count_held_bytes` counted bytes, while buffers double when they are full, so up to as much again was allocated and, after moves, fragmented; the parsed head of a request whose body is still coming (up to 64 fields, two allocations each) was not counted at all, and output that was written stayed in its buffer up to 32 KiB. The log line of the memory shows it: clients_bytes=10,899,024 where the process has 41,484 KiB.

Buffers of clients now grow by a quarter (`append`), written output is removed as it goes, idle connections keep 1 KiB of output (8 before), and the budget counts what is allocated, heads included.

--- a/crates/pintally-http/src/framing.rs
+++ b/crates/pintally-http/src/framing.rs
@@ -1,5 +1,6 @@
 //! The framing of the body of a message: by length, in chunks, or until the end of the connection.
 
+use crate::receive_buffer::append;
 use crate::{Headers, HttpError};
 
 /// The maximum length of a chunk size line, and the maximum total size of the trailers.
@@ -148,7 +149,7 @@
     if out.len() + part.len() > max_bytes {
         return Err(HttpError::BodyTooLarge);
     }
-    out.extend_from_slice(part);
+    append(out, part);
     Ok(())
 }
 
--- a/crates/pintally-http/src/lib.rs
+++ b/crates/pintally-http/src/lib.rs
@@ -32,6 +32,14 @@
         self.0.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
+    /// The memory of the headers, with what an allocator needs for each text.
+    pub(crate) fn held_bytes(&self) -> usize {
+        const ALLOCATION_BYTES: usize = 16;
+        let texts =
+            self.0.iter().map(|(name, value)| name.capacity() + value.capacity() + 2 * ALLOCATION_BYTES);
+        self.0.capacity() * size_of::<(String, String)>() + texts.sum::<usize>()
+    }
+
     pub(crate) fn from_parsed(parsed: &[httparse::Header<'_>]) -> Headers {
         let text = |v: &[u8]| String::from_utf8_lossy(v).trim().to_string();
         Headers(parsed.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect())
--- a/crates/pintally-http/src/receive_buffer.rs
+++ b/crates/pintally-http/src/receive_buffer.rs
@@ -18,7 +18,15 @@
 impl ReceiveBuffer {
     /// Adds bytes at the end.
     pub(crate) fn push(&mut self, bytes: &[u8]) {
-        self.bytes.extend_from_slice(bytes);
+        append(&mut self.bytes, bytes);
+    }
+
+    /// The memory of the bytes. An empty buffer counts as none, although it may keep a little.
+    pub(crate) fn held_bytes(&self) -> usize {
+        if self.is_empty() {
+            return 0;
+        }
+        self.bytes.capacity()
     }
 
     /// Removes bytes from the front.
@@ -33,6 +41,14 @@
     }
 }
 
+/// Appends bytes to a buffer that may become large and stay so: it grows by a quarter, and not to twice its size.
+pub(crate) fn append(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    if buffer.capacity() - buffer.len() < bytes.len() {
+        buffer.reserve_exact(bytes.len().max(buffer.len() / 4));
+    }
+    buffer.extend_from_slice(bytes);
+}
+
 impl Deref for ReceiveBuffer {
     type Target = [u8];
 
--- a/crates/pintally-http/src/request.rs
+++ b/crates/pintally-http/src/request.rs
@@ -19,6 +19,13 @@
     pub keep_alive: bool,
 }
 
+impl Request {
+    /// The memory of its parts.
+    fn held_bytes(&self) -> usize {
+        self.method.capacity() + self.target.capacity() + self.headers.held_bytes() + self.body.capacity()
+    }
+}
+
 /// Turns bytes into requests.
 pub struct RequestReader {
     max_head_bytes: usize,
@@ -57,6 +64,12 @@
         self.buffer.len() + self.incoming.as_ref().map_or(0, |(request, _)| request.body.len())
     }
 
+    /// The memory of the buffered bytes and of the head of the request that is being received.
+    pub fn held_bytes(&self) -> usize {
+        let incoming = self.incoming.as_ref();
+        self.buffer.held_bytes() + incoming.map_or(0, |(request, _)| request.held_bytes())
+    }
+
     /// Whether the client waits for `100 Continue`; returns true at most once for each request.
     pub fn take_expects_continue(&mut self) -> bool {
         std::mem::take(&mut self.expects_continue)
--- a/crates/pintally-platform-node/src/client_connection.rs
+++ b/crates/pintally-platform-node/src/client_connection.rs
@@ -18,6 +18,8 @@
 pub(crate) const MAX_OUTPUT_BYTES: usize = 32 << 10;
 /// Reading of the stream and parsing of requests resume below this amount of unwritten output.
 pub(crate) const RESUME_OUTPUT_BYTES: usize = 8 << 10;
+/// An idle connection keeps a buffer of at most this size for its next response.
+pub(crate) const MAX_SPARE_OUTPUT_BYTES: usize = 1 << 10;
 /// After the write side of a connection is shut down, its input is read and dropped for this time.
 const LINGER_TIMEOUT: Micros = 400_000;
 
@@ -129,9 +131,9 @@
 
     /// The memory for input that has not been parsed, its arrival times, and output that has not been written.
     pub(crate) fn count_held_bytes(&mut self) -> usize {
-        let buffered = self.reader.buffered_bytes();
-        self.arrivals.discard_before(buffered);
-        buffered + self.arrivals.held_bytes() + self.unwritten_bytes()
+        self.arrivals.discard_before(self.reader.buffered_bytes());
+        let output = if self.unwritten_bytes() > 0 { self.output.capacity() } else { 0 };
+        self.reader.held_bytes() + self.arrivals.held_bytes() + output
     }
 
     /// Records that input is read which has arrived after `events_since`: until then nothing was unread.
--- a/crates/pintally-platform-node/src/client_response.rs
+++ b/crates/pintally-platform-node/src/client_response.rs
@@ -9,7 +9,9 @@
 use pintally_http::{chunk, response, response_head, LAST_CHUNK};
 use pintally_platform::RequestError;
 
-use crate::client_connection::{ClientConnection, ClientState, MAX_OUTPUT_BYTES, RESUME_OUTPUT_BYTES};
+use crate::client_connection::{
+    ClientConnection, ClientState, MAX_OUTPUT_BYTES, MAX_SPARE_OUTPUT_BYTES, RESUME_OUTPUT_BYTES,
+};
 use crate::connection::ConnectionKey;
 use crate::node::Node;
 
@@ -185,15 +187,17 @@
     fn after_write(&mut self, now: Micros) {
         if self.unwritten_bytes() > 0 {
             self.write_blocked_since = self.write_blocked_since.or(Some(now));
-            if self.written_bytes > MAX_OUTPUT_BYTES {
+            // Moving the rest only when it is not larger than what was written bounds the cost per byte.
+            if self.written_bytes >= self.unwritten_bytes() {
                 self.output.drain(..self.written_bytes);
                 self.written_bytes = 0;
+                self.output.shrink_to(self.output.len() + MAX_SPARE_OUTPUT_BYTES);
             }
             return;
         }
         self.output.clear();
         self.written_bytes = 0;
-        self.output.shrink_to(RESUME_OUTPUT_BYTES);
+        self.output.shrink_to(MAX_SPARE_OUTPUT_BYTES);
         self.write_blocked_since = None;
         if self.state == ClientState::Closing && !std::mem::replace(&mut self.write_shut_down, true) {
             self.last_active = now;
