Memory budget: what engines send counts, and an event that never ends fails its attempt

Callers saw a node with 16 MB at 17.9 MB while its engines sent events that never end. Cause: what `EngineResponseReader` holds, up to 64 KiB of an event and 16 KiB of a head for each connection, was in no count, and idle connections kept the buffers of their last response.

It is counted now (`engines` beside `clients` and `requests` in the status document). An incomplete event or head of more than 8 KiB that does not fit into the free part of half of the budget fails its attempt, like one over 64 KiB does: the stream is cut or the request retried, and the memory is free at once. A pause of reading was weighed and not taken; it would hold the memory until the stream's time-out, and the time-out of a paused stream blames the client.

--- a/crates/pintally-http/src/response.rs
+++ b/crates/pintally-http/src/response.rs
@@ -1,6 +1,7 @@
 //! Parsing of responses by a client: the head, then the parts of the body as they arrive.
 
 use crate::framing::Framing;
+use crate::receive_buffer::append;
 use crate::{Headers, HttpError, MAX_HEADERS};
 
 /// The maximum number of body bytes that one call returns.
@@ -55,7 +56,7 @@
 
     /// Adds received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        append(&mut self.buffer, bytes);
     }
 
     /// Whether any byte of the response has been received.
@@ -68,6 +69,11 @@
         self.buffer.len()
     }
 
+    /// The memory of the received bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Takes the bytes received after the response, which are the start of the next one.
     pub fn take_leftover(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.buffer)
--- a/crates/pintally-platform-node/src/engine_connect.rs
+++ b/crates/pintally-platform-node/src/engine_connect.rs
@@ -103,6 +103,7 @@
             last_progress: now,
             interest: if is_connected { EventFlags::IN | EventFlags::RDHUP } else { EventFlags::OUT },
             deadline: Micros::MAX,
+            held_bytes: 0,
         };
         let key = self.register(Connection::Engine(Box::new(connection))).ok_or(Outcome::NeverSent)?;
         self.engines.counters_of(engine).connections += 1;
@@ -125,8 +126,10 @@
         connection.last_active = now;
         connection.is_paused = false;
         connection.request = OutgoingRequest::default();
+        connection.reader = EngineResponseReader::default();
         let address = connection.address;
         self.engines.pool.put(now, address, key);
+        self.update_engine_held_bytes(key);
         self.schedule_deadline(key);
         self.update_engine_interest(key);
     }
@@ -144,6 +147,7 @@
 
     pub(crate) fn close_engine(&mut self, key: ConnectionKey) {
         if let Some(Connection::Engine(connection)) = self.connections.remove(key) {
+            self.engines.held_bytes -= connection.held_bytes;
             self.engines.pool.remove(connection.address, key);
             self.engines.remove_deadline(connection.deadline, key);
         }
--- a/crates/pintally-platform-node/src/engine_connection.rs
+++ b/crates/pintally-platform-node/src/engine_connection.rs
@@ -106,6 +106,8 @@
     pub(crate) interest: EventFlags,
     /// When the timeout of the connection is checked next.
     pub(crate) deadline: Micros,
+    /// Number of bytes of this connection that the node's memory budget includes.
+    pub(crate) held_bytes: usize,
 }
 
 impl EngineConnection {
--- a/crates/pintally-platform-node/src/engine_io.rs
+++ b/crates/pintally-platform-node/src/engine_io.rs
@@ -7,6 +7,7 @@
 
 use crate::connection::{Connection, ConnectionKey};
 use crate::engine_connection::EngineCall;
+use crate::event_source::EventSource;
 use crate::node::Node;
 use crate::poller::EventFlags;
 
@@ -116,6 +117,14 @@
             for event in events.drain(..) {
                 self.handle_response_event(key, event);
             }
+            self.update_engine_held_bytes(key);
+            if self.exceeds_memory(key) {
+                tracing::debug!(
+                    connection = EventSource::Connection(key).token(),
+                    "response abandoned: no memory"
+                );
+                return self.connection_failed(key);
+            }
             // Guards against memory that fills up with output that a slow client has not read.
             let is_paused = self.engine_mut(key).is_none_or(|connection| connection.is_paused);
             if progress == ReadProgress::Drained || is_paused {
--- a/crates/pintally-platform-node/src/engines.rs
+++ b/crates/pintally-platform-node/src/engines.rs
@@ -28,6 +28,8 @@
     /// The time at which each connection has to be checked, in order.
     deadlines: BTreeSet<(Micros, ConnectionKey)>,
     pub(crate) counters: HashMap<EngineId, EngineCounters>,
+    /// Number of bytes that are held for responses of engines.
+    pub(crate) held_bytes: usize,
 }
 
 impl Engines {
@@ -38,6 +40,7 @@
             idle_limit: IdleLimit::new(max_idle),
             deadlines: BTreeSet::new(),
             counters: HashMap::new(),
+            held_bytes: 0,
         }
     }
 
--- a/crates/pintally-platform-node/src/memory_budget.rs
+++ b/crates/pintally-platform-node/src/memory_budget.rs
@@ -1,5 +1,5 @@
 //! The memory budget: one limit for everything that has been received from clients and not been answered, and for
-//! output that clients have not read.
+//! output that clients have not read, and for incomplete events of engines.
 //!
 //! Requests may use the whole budget. Half of it is shared with buffers that the node can do without: input behind
 //! the request in flight, and output of streams beyond a minimum. Each such buffer may grow to the part of this half
@@ -11,13 +11,15 @@
 
 /// The part of the budget that optional buffers may use, as a divisor.
 const OPTIONAL_DIVISOR: usize = 2;
+/// An engine's response may always hold this much, which exceeds ordinary events.
+const MIN_RESPONSE_BYTES: usize = 8 << 10;
 /// A connection whose buffer may grow by less than this is not read. Guards against many small reads.
 const MIN_READ_BYTES: usize = 4 << 10;
 
 impl Node {
-    /// Bytes held for clients.
+    /// Bytes held for clients and engines.
     pub(crate) fn held_bytes(&self) -> usize {
-        self.requests.held_bytes() + self.clients.held_bytes
+        self.requests.held_bytes() + self.clients.held_bytes + self.engines.held_bytes
     }
 
     /// Whether this number of further bytes is within the budget.
@@ -56,6 +58,23 @@
         self.clients.held_bytes = self.clients.held_bytes + client.held_bytes - before;
     }
 
+    /// Updates the number of bytes that are held for an engine's response.
+    pub(crate) fn update_engine_held_bytes(&mut self, key: ConnectionKey) {
+        let Some(Connection::Engine(connection)) = self.connections.get_mut(key) else { return };
+        let before = connection.held_bytes;
+        connection.held_bytes = connection.reader.held_bytes();
+        self.engines.held_bytes = self.engines.held_bytes + connection.held_bytes - before;
+    }
+
+    /// Whether a response has an incomplete event for which the budget has no room. Guards against engines that fill
+    /// the memory with events that never end.
+    pub(crate) fn exceeds_memory(&self, key: ConnectionKey) -> bool {
+        let Some(Connection::Engine(connection)) = self.connections.get(key) else { return false };
+        let others = self.held_bytes() - connection.held_bytes;
+        let optional = (self.config.memory_budget() / OPTIONAL_DIVISOR).saturating_sub(others);
+        connection.held_bytes > optional.max(MIN_RESPONSE_BYTES)
+    }
+
     /// The connections of which reading is paused, or that have unread bytes of a pause.
     pub(crate) fn paused_reads(&self) -> impl Iterator<Item = ConnectionKey> + '_ {
         let now = self.clock.now();
--- a/crates/pintally-platform-node/src/process_memory.rs
+++ b/crates/pintally-platform-node/src/process_memory.rs
@@ -55,6 +55,7 @@
             "peak": process.map(|memory| memory.peak_bytes),
             "requests": self.requests.held_bytes(),
             "clients": self.clients.held_bytes,
+            "engines": self.engines.held_bytes,
             "socket_buffers_each": self.config.socket_buffer_bytes(),
             "prefixes": tables.prefixes,
             "prefix_arrivals": tables.prefix_arrivals,
@@ -73,7 +74,7 @@
         self.memory_log.logged_part = part;
         tracing::warn!(peak_kb = memory.peak_bytes >> 10, resident_kb = memory.resident_bytes >> 10,
             limit_kb = self.memory_limit() >> 10, requests_bytes = self.requests.held_bytes(),
-            clients_bytes = self.clients.held_bytes, clients = self.clients.count,
+            clients_bytes = self.clients.held_bytes, engines_bytes = self.engines.held_bytes, clients = self.clients.count,
             connections = self.connections.len(), in_flight = self.host.open_requests(),
             tables = ?self.table_sizes(), "memory of the process is over half of its limit");
     }
--- a/crates/pintally-platform/src/engine_response.rs
+++ b/crates/pintally-platform/src/engine_response.rs
@@ -81,6 +81,11 @@
         !self.response.has_started()
     }
 
+    /// The memory of what has been received and not been forwarded.
+    pub fn held_bytes(&self) -> usize {
+        self.response.held_bytes() + self.body.capacity()
+    }
+
     /// Whether the status is 2xx.
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
