Engine responses give up the spare capacity of their buffers

`ResponseReader` uses `ReceiveBuffer`, as requests do, which gives spare capacity back; a response may always hold 16 KiB, a complete head, in place of 8.

--- a/crates/pintally-http/src/response.rs
+++ b/crates/pintally-http/src/response.rs
@@ -1,7 +1,7 @@
 //! Parsing of responses by a client: the head, then the parts of the body as they arrive.
 
 use crate::framing::Framing;
-use crate::receive_buffer::append;
+use crate::receive_buffer::ReceiveBuffer;
 use crate::{Headers, HttpError, MAX_HEADERS};
 
 /// The maximum number of body bytes that one call returns.
@@ -22,7 +22,7 @@
 pub struct ResponseReader {
     max_head_bytes: usize,
     max_chunk_bytes: u64,
-    buffer: Vec<u8>,
+    buffer: ReceiveBuffer,
     framing: Option<Framing>,
     keep_alive: bool,
     chunked: bool,
@@ -35,7 +35,7 @@
         ResponseReader {
             max_head_bytes,
             max_chunk_bytes: u64::MAX,
-            buffer: Vec::new(),
+            buffer: ReceiveBuffer::default(),
             framing: None,
             keep_alive: true,
             chunked: false,
@@ -56,7 +56,7 @@
 
     /// Adds received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
-        append(&mut self.buffer, bytes);
+        self.buffer.push(bytes);
     }
 
     /// Whether any byte of the response has been received.
@@ -71,12 +71,12 @@
 
     /// The memory of the received bytes.
     pub fn held_bytes(&self) -> usize {
-        self.buffer.capacity()
+        self.buffer.held_bytes()
     }
 
     /// Takes the bytes received after the response, which are the start of the next one.
     pub fn take_leftover(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.buffer)
+        std::mem::take(&mut self.buffer).to_vec()
     }
 
     /// Handles the close of the connection by the peer: a body that extends to the end of the connection is now
@@ -108,7 +108,7 @@
         let mut body = Vec::new();
         let end = self.buffer.len().min(MAX_PART_BYTES);
         let consumed = framing.decode(&self.buffer[..end], &mut body, MAX_PART_BYTES)?;
-        self.buffer.drain(..consumed);
+        self.buffer.consume(consumed);
         if matches!(framing, Framing::Chunk(remaining) if *remaining > self.max_chunk_bytes) {
             return Err(HttpError::BodyTooLarge);
         }
@@ -138,7 +138,7 @@
                 Some(1) => !headers.has_token("connection", "close"),
                 _ => headers.has_token("connection", "keep-alive"),
             };
-            self.buffer.drain(..length);
+            self.buffer.consume(length);
             if (100..200).contains(&status) {
                 continue;
             }
--- a/crates/pintally-platform-node/src/memory_budget.rs
+++ b/crates/pintally-platform-node/src/memory_budget.rs
@@ -5,14 +5,16 @@
 //! the request in flight, and output of streams beyond a minimum. Each such buffer may grow to the part of this half
 //! that is free. Many buffers thereby get equal shares, and the largest stop growing first.
 
+use pintally_platform::MAX_HEAD_BYTES;
+
 use crate::client_connection::ClientState;
 use crate::connection::{Connection, ConnectionKey};
 use crate::node::Node;
 
 /// The part of the budget that optional buffers may use, as a divisor.
 const OPTIONAL_DIVISOR: usize = 2;
-/// An engine's response may always hold this much, which exceeds ordinary events.
-const MIN_RESPONSE_BYTES: usize = 8 << 10;
+/// An engine's response may always hold this much: a complete head, which is more than ordinary events.
+const MIN_RESPONSE_BYTES: usize = MAX_HEAD_BYTES;
 /// A connection whose buffer may grow by less than this is not read. Guards against many small reads.
 const MIN_READ_BYTES: usize = 4 << 10;
 
