Memory budget: a node with 16 MB leaves 8 MB to its process

Half bodies from 116 clients took a node with 16 MB to 12,442 to 13,011 KiB, where three quarters are 12,288: the process alone needs 5.6 MB at rest and 7.4 MB with 120 busy clients, and buffers cost a quarter more than they hold. The budget of nodes under 32 MB is what three quarters leave beside 8 MB, in equal parts for requests and socket buffers: 2 MB with 16 MB.

--- a/crates/pintally-platform/src/configuration.rs
+++ b/crates/pintally-platform/src/configuration.rs
@@ -19,7 +19,7 @@
 /// a few for files.
 pub const RESERVED_DESCRIPTORS: usize = 20;
 /// Memory of the process besides what it holds for clients and engines.
-const PROCESS_BYTES: usize = 7 << 20;
+const PROCESS_BYTES: usize = 8 << 20;
 /// Minimum memory for the system's buffers of one connection. Smaller buffers cost a system call for every few bytes.
 const MIN_SOCKET_BUFFER_BYTES: usize = 2_560;
 /// Minimum memory that a node needs, in megabytes.
