--- a/crates/pintally-cli/tests/platform/memory_limit.rs
+++ b/crates/pintally-cli/tests/platform/memory_limit.rs
@@ -18,8 +18,9 @@
 const SIZES: [(u64, usize); 4] = [(16, 256), (32, 256), (MEMORY_MB, SOCKETS), (192, 1_024)];
 /// How long a crowd keeps its connections busy.
 const CROWD_DURATION: Duration = Duration::from_millis(2_500);
-/// A client that is not part of the crowd is answered within this time: its deadline, and half a second.
-const MAX_ANSWER_TIME: Duration = Duration::from_millis(6_500);
+/// A client that is not part of the crowd is answered within this time: the latency objective of its class is 4 s. A
+/// later answer is worth less.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(4);
 const ENGINES: [&str; 8] = ["r0", "r1", "r2", "r3", "w0", "w1", "w2", "w3"];
 const LARGE_BODY_BYTES: usize = 250_000;
 /// More than the system keeps for a socket. A connection that is just being set up is listed with random numbers.
@@ -38,7 +39,7 @@
 struct Monitor {
     is_done: Arc<AtomicBool>,
     memory: JoinHandle<usize>,
-    client: JoinHandle<Duration>,
+    client: JoinHandle<OtherClient>,
 }
 
 impl Monitor {
@@ -59,17 +60,11 @@
         });
         let done = is_done.clone();
         let client = std::thread::spawn(move || {
-            let mut longest = Duration::ZERO;
-            for n in 0.. {
-                if done.load(Ordering::SeqCst) {
-                    break;
-                }
-                let since = Instant::now();
-                // A new connection may be closed unread when descriptors are short.
-                let _ = answer_of(node, &format!("other{n}"));
-                longest = longest.max(since.elapsed());
+            let mut other = OtherClient::default();
+            while !done.load(Ordering::SeqCst) {
+                other.send_request(node);
             }
-            longest
+            other
         });
         Monitor { is_done, memory, client }
     }
@@ -77,12 +72,39 @@
     /// What was exceeded.
     fn finish(self, memory_mb: u64) -> Vec<String> {
         self.is_done.store(true, Ordering::SeqCst);
-        let (peak, longest) = (self.memory.join().unwrap(), self.client.join().unwrap());
-        println!("longest time of an answer to another client: {} ms", longest.as_millis());
+        let (peak, other) = (self.memory.join().unwrap(), self.client.join().unwrap());
+        println!("another client: {other:?}");
         let memory = (peak > (memory_mb as usize) * (1 << 20) / 4 * 3)
             .then(|| format!("{} KiB of {memory_mb} MB", peak >> 10));
-        let answer = (longest > MAX_ANSWER_TIME).then(|| format!("an answer after {longest:?}"));
-        memory.into_iter().chain(answer).collect()
+        let is_served = other.served > 0 && other.failed == 0 && other.longest <= MAX_ANSWER_TIME;
+        let answers = (!is_served).then(|| format!("another client: {other:?}"));
+        memory.into_iter().chain(answers).collect()
+    }
+}
+
+/// A client that is not part of the crowd, and its answers.
+#[derive(Debug, Default)]
+struct OtherClient {
+    served: usize,
+    rejected: usize,
+    /// Answers that say that the request may have run.
+    failed: usize,
+    /// New connections that were closed unread, which is allowed while descriptors are short.
+    closed: usize,
+    longest: Duration,
+}
+
+impl OtherClient {
+    fn send_request(&mut self, node: SocketAddr) {
+        let since = Instant::now();
+        let number = self.served + self.rejected + self.failed + self.closed;
+        match answer_of(node, &format!("other{number}")) {
+            Ok(200) => self.served += 1,
+            Ok(429 | 503) => self.rejected += 1,
+            Ok(_) => self.failed += 1,
+            Err(_) => self.closed += 1,
+        }
+        self.longest = self.longest.max(since.elapsed());
     }
 }
 
@@ -282,3 +304,79 @@
         }
     });
 }
+
+/// Lets a process run for 20 ms of every 100.
+struct Slowdown {
+    is_done: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Slowdown {
+    fn start(pid: u32) -> Slowdown {
+        let is_done = Arc::new(AtomicBool::new(false));
+        let done = is_done.clone();
+        let pid = rustix::process::Pid::from_raw(pid as i32).expect("a process id");
+        let thread = std::thread::spawn(move || {
+            use rustix::process::{kill_process, Signal};
+            while !done.load(Ordering::SeqCst) {
+                let _ = kill_process(pid, Signal::STOP);
+                std::thread::sleep(Duration::from_millis(80));
+                let _ = kill_process(pid, Signal::CONT);
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        });
+        Slowdown { is_done, thread: Some(thread) }
+    }
+}
+
+impl Drop for Slowdown {
+    fn drop(&mut self) {
+        self.is_done.store(true, Ordering::SeqCst);
+        let _ = self.thread.take().map(JoinHandle::join);
+    }
+}
+
+/// Guards against other clients that get their answers late or never while a crowd keeps a slow process busy.
+#[test]
+fn crowds_do_not_delay_other_clients_of_a_slow_process() {
+    let floods =
+        [large_request as fn(usize) -> Vec<u8>, half_request, head_of_many_fields, one_byte_chunks, junk];
+    let reading = floods.iter().map(|bytes| Behavior { bytes, sends_on: false, reads: true });
+    let unreading = Behavior { bytes: &small_requests, sends_on: true, reads: false };
+    let mut exceeded = Vec::new();
+    for behavior in reading.chain([unreading]) {
+        let harness = harness_with_limits(MEMORY_MB, SOCKETS);
+        let _slowdown = Slowdown::start(harness.pid());
+        exceeded.extend(violations(&harness, MEMORY_MB, SOCKETS, &behavior));
+    }
+    assert_eq!(exceeded, Vec::<String>::new());
+}
+
+/// Guards against memory that grows without end while one client sends the smallest requests at full speed and reads its
+/// answers.
+#[test]
+fn smallest_requests_at_full_speed_stay_within_memory() {
+    for (memory_mb, sockets) in SIZES {
+        let harness = harness_with_limits(memory_mb, sockets);
+        let monitor = Monitor::start(&harness);
+        let mut client = Client::new(&harness);
+        let mut answers = client.stream.try_clone().unwrap();
+        let reader = std::thread::spawn(move || {
+            let mut buffer = vec![0; 1 << 16];
+            while answers.read(&mut buffer).is_ok_and(|count| count > 0) {}
+        });
+        let requests = b"GET /up HTTP/1.1\r\n\r\n".repeat(1_000);
+        let end = Instant::now() + CROWD_DURATION;
+        client.stream.set_write_timeout(Some(Duration::from_millis(100))).unwrap();
+        while Instant::now() < end {
+            match client.stream.write(&requests) {
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) => panic!("the connection has ended: {e}"),
+            }
+        }
+        assert_eq!(monitor.finish(memory_mb), Vec::<String>::new());
+        drop(client);
+        reader.join().unwrap();
+    }
+}
