A connection with complete requests in its buffer is not read for more of them

Callers saw one client, with small requests at full speed on one connection, take a node over its memory, and all others rejected for want of room. Cause: `max_read_bytes` lets a connection that accepts requests be read whatever the budget says, 4 KiB at a time, so that an incomplete request can be answered. Such a connection may have hundreds of complete requests in its buffer: of each read at most eight requests are parsed, 160 bytes of `GET /up`, and the rest is added to what waits. Only the budget's count grew with it; nothing stopped the reads.

Now only a connection that needs input to go on is read without room (`awaits_input`); one that is queued for parsing is not. Class: a bound that is checked everywhere but on the path that was meant as its exception.

The test sent the rest of a partial write from the start of its bytes and so lost its place, in plays of over 2.5 s ("not a request that can be read", in the node's log); it goes on where the write ended.

--- a/crates/pintally-cli/tests/platform/memory_limit.rs
+++ b/crates/pintally-cli/tests/platform/memory_limit.rs
@@ -368,9 +368,10 @@
         let requests = b"GET /up HTTP/1.1\r\n\r\n".repeat(1_000);
         let end = Instant::now() + CROWD_DURATION;
         client.stream.set_write_timeout(Some(Duration::from_millis(100))).unwrap();
+        let mut sent = 0;
         while Instant::now() < end {
-            match client.stream.write(&requests) {
-                Ok(_) => {}
+            match client.stream.write(&requests[sent % requests.len()..]) {
+                Ok(count) => sent += count,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 Err(e) => panic!("the connection has ended: {e}"),
             }
--- a/crates/pintally-platform-node/src/client_connection.rs
+++ b/crates/pintally-platform-node/src/client_connection.rs
@@ -174,6 +174,11 @@
         self.state == ClientState::Receiving && self.accepts_responses()
     }
 
+    /// Whether no request can be parsed without further input.
+    pub(crate) fn awaits_input(&self) -> bool {
+        self.accepts_requests() && !self.is_queued
+    }
+
     /// Whether an event shows that the client has disconnected. A half-closed connection counts as
     /// disconnected even if it has unread bytes: a request among them must not start, because nobody waits
     /// for its response. Only in the closing state is the rest of a response still written.
--- a/crates/pintally-platform-node/src/memory_budget.rs
+++ b/crates/pintally-platform-node/src/memory_budget.rs
@@ -36,8 +36,8 @@
 
     /// The maximum number of bytes of the next read of a client connection; 0 if it is not read now.
     ///
-    /// While no request is in flight, a connection is always read, so that its request can be answered; the request
-    /// is rejected if the budget has no room for it.
+    /// A connection whose request is incomplete is always read, so that the request can be answered; it is rejected if
+    /// the budget has no room for it. One that may have received a complete request is not read for more of them.
     pub(crate) fn max_read_bytes(&self, key: ConnectionKey) -> usize {
         let Some(Connection::Client(client)) = self.connections.get(key) else { return 0 };
         let limit = self.read_buffer.len();
@@ -47,7 +47,7 @@
         let optional = self.max_optional_bytes().saturating_sub(client.held_bytes);
         match optional {
             MIN_READ_BYTES.. => optional.min(limit),
-            _ if client.accepts_requests() => MIN_READ_BYTES,
+            _ if client.awaits_input() => MIN_READ_BYTES,
             _ => 0,
         }
     }
