Clients that send at full speed get limited turns in each iteration of the loop

Callers saw other clients' answers late while hundreds of clients sent small requests or bodies in one-byte chunks, at a process slowed to a fifth of a core. Cause: one iteration read every connection that had input, 256 at once and up to 64 KiB each, and parsed up to eight requests of each, before anyone else had a turn; a request needs about five iterations (accept, read, answer of the reader, answer of the writer, last chunk), and each of them took 0.2 to 0.6 s there.

An iteration now handles all events of engines, discovery, listener and signals, and then reads 16 connections that begin a request and 16 that send more of one, the longest waiting first, and parses 16 requests that wait behind others (`MAX_TURNS_PER_ITERATION`). A wait returns the events of all sources: with 256 at most, some could be older than the node took them for when it judged since when a client is known to be connected.

--- a/crates/pintally-cli/tests/platform/memory_limit.rs
+++ b/crates/pintally-cli/tests/platform/memory_limit.rs
@@ -18,9 +18,8 @@
 const SIZES: [(u64, usize); 4] = [(16, 256), (32, 256), (MEMORY_MB, SOCKETS), (192, 1_024)];
 /// How long a crowd keeps its connections busy.
 const CROWD_DURATION: Duration = Duration::from_millis(2_500);
-/// A client that is not part of the crowd is answered within this time: the latency objective of its class is 4 s. A
-/// later answer is worth less.
-const MAX_ANSWER_TIME: Duration = Duration::from_secs(4);
+/// Another client is answered within the latency objective of the platform's requests that may not be repeated.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(1_500);
 const ENGINES: [&str; 8] = ["r0", "r1", "r2", "r3", "w0", "w1", "w2", "w3"];
 const LARGE_BODY_BYTES: usize = 250_000;
 /// More than the system keeps for a socket. A connection that is just being set up is listed with random numbers.
--- a/crates/pintally-platform-node/src/client_connection.rs
+++ b/crates/pintally-platform-node/src/client_connection.rs
@@ -34,6 +34,15 @@
     Closing,
 }
 
+/// How much of a request has been received when more input of its connection arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestProgress {
+    /// Nothing: a new request begins.
+    New,
+    /// A part, or the request before is in flight.
+    Partial,
+}
+
 /// What the receive buffer of a client's socket contains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UnreadInput {
@@ -55,6 +64,8 @@
     /// When the client was last known to be connected: all of its input was read, and the end of the stream was not
     /// among it.
     pub(crate) connected_at: Micros,
+    /// The connection is scheduled to be read: its input has arrived after this time.
+    pub(crate) input_since: Option<Micros>,
     /// Nothing was unread at `connected_at`, and nothing was read since.
     is_drained: bool,
     pub(crate) output: Vec<u8>,
@@ -110,6 +121,7 @@
             reader: RequestReader::new(MAX_HEAD_BYTES, MAX_BODY_BYTES),
             arrivals: ArrivalTimes::default(),
             connected_at,
+            input_since: None,
             is_drained: false,
             output: Vec::new(),
             send_limit,
@@ -179,6 +191,14 @@
         self.accepts_requests() && !self.is_queued
     }
 
+    /// How much of a request has been received.
+    pub(crate) fn read_progress(&self) -> RequestProgress {
+        match self.state {
+            ClientState::Receiving if !self.reader.is_partial() => RequestProgress::New,
+            _ => RequestProgress::Partial,
+        }
+    }
+
     /// Whether an event shows that the client has disconnected. A half-closed connection counts as
     /// disconnected even if it has unread bytes: a request among them must not start, because nobody waits
     /// for its response. Only in the closing state is the rest of a response still written.
--- a/crates/pintally-platform-node/src/client_read.rs
+++ b/crates/pintally-platform-node/src/client_read.rs
@@ -6,14 +6,16 @@
 use pintally_http::HttpError;
 use pintally_platform::RequestError;
 
-use crate::client_connection::ClientState;
+use crate::client_connection::{ClientState, RequestProgress};
 use crate::connection::{Connection, ConnectionKey};
 use crate::node::Node;
 use crate::poller::EventFlags;
 use crate::syscall::is_retryable;
 
-/// Maximum number of requests of one connection that are parsed in one iteration.
-const MAX_REQUESTS_PER_ITERATION: usize = 8;
+/// Maximum number of connections that are read in one iteration, each for new requests and for the rest of others, and of
+/// requests that are parsed behind others. Guards against other clients and engines that wait while hundreds of clients
+/// send at full speed.
+const MAX_TURNS_PER_ITERATION: usize = 16;
 
 /// The result of one read of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,20 +31,40 @@
 }
 
 impl Node {
-    /// Handles an event of a client that has not disconnected, as [`Node::handle_disconnected_clients`] has
-    /// checked.
-    pub(crate) fn handle_client_event(&mut self, key: ConnectionKey, events: EventFlags) {
+    /// Schedules what an event of a client requires. The client has not disconnected, as
+    /// [`Node::handle_disconnected_clients`] has checked.
+    pub(crate) fn queue_client_event(&mut self, key: ConnectionKey, events: EventFlags) {
         if events.contains(EventFlags::OUT) {
             self.clients.queue_write(key);
         }
-        if events.intersects(EventFlags::IN | EventFlags::RDHUP) {
-            self.read_client(key);
+        if !events.intersects(EventFlags::IN | EventFlags::RDHUP) {
+            return;
+        }
+        let events_since = self.events_since;
+        let Some(client) = self.client_mut(key) else { return };
+        if client.input_since.is_none() {
+            client.input_since = Some(events_since);
+            let progress = client.read_progress();
+            self.clients.queue_read(key, progress);
+        }
+    }
+
+    /// Reads the scheduled connections: those that begin a request before those that send more of one.
+    pub(crate) fn read_pending_clients(&mut self) {
+        for progress in [RequestProgress::New, RequestProgress::Partial] {
+            for key in self.clients.take_pending_reads(progress, MAX_TURNS_PER_ITERATION) {
+                self.read_client(key);
+            }
         }
     }
 
     fn read_client(&mut self, key: ConnectionKey) {
-        match self.receive_input(key) {
-            ReceiveResult::Bytes => self.process_requests(key),
+        let result = self.receive_input(key);
+        if let Some(client) = self.client_mut(key) {
+            client.input_since = None;
+        }
+        match result {
+            ReceiveResult::Bytes => self.process_next_request(key),
             ReceiveResult::Disconnected(reason) => self.client_disconnected(key, reason),
             ReceiveResult::NoBytes | ReceiveResult::NoMemory => {}
         }
@@ -59,13 +81,14 @@
         let Some(Connection::Client(client)) = self.connections.get_mut(key) else {
             return ReceiveResult::NoBytes;
         };
+        let input_since = client.input_since.take().unwrap_or(self.events_since);
         let count = match client.stream.read(&mut self.read_buffer[..max_bytes]) {
             Ok(0) => return ReceiveResult::Disconnected(CloseReason::ClientLeft),
             Ok(count) => count,
             Err(e) if is_retryable(&e) => return ReceiveResult::NoBytes,
             Err(_) => return ReceiveResult::Disconnected(CloseReason::IoError),
         };
-        client.record_new_input(now, self.events_since);
+        client.record_new_input(now, input_since);
         // Input of a closing connection is read and dropped: unread bytes at the close would cause a reset,
         // which the client could get before it has read its response.
         if client.state == ClientState::Closing {
@@ -80,10 +103,9 @@
         ReceiveResult::Bytes
     }
 
-    /// Parses the received requests until one of them is in flight.
-    pub(crate) fn process_requests(&mut self, key: ConnectionKey) {
-        for _ in 0..MAX_REQUESTS_PER_ITERATION {
-            let Some(client) = self.client_mut(key).filter(|client| client.accepts_requests()) else { break };
+    /// Parses the next request if none is in flight; those behind it have to wait for their turn.
+    pub(crate) fn process_next_request(&mut self, key: ConnectionKey) {
+        if let Some(client) = self.client_mut(key).filter(|client| client.accepts_requests()) {
             match client.reader.next_request() {
                 Ok(Some(request)) => {
                     client.close_after_response |= !request.keep_alive;
@@ -127,11 +149,11 @@
 
     /// Parses the requests of the scheduled connections.
     pub(crate) fn process_pending_requests(&mut self) {
-        for key in self.clients.take_pending_requests() {
+        for key in self.clients.take_pending_requests(MAX_TURNS_PER_ITERATION) {
             if let Some(client) = self.client_mut(key) {
                 client.is_queued = false;
             }
-            self.process_requests(key);
+            self.process_next_request(key);
         }
     }
 
--- a/crates/pintally-platform-node/src/clients.rs
+++ b/crates/pintally-platform-node/src/clients.rs
@@ -1,7 +1,10 @@
 //! Data about all client connections of the node.
 
+use std::collections::VecDeque;
+
 use pintally_guards::{CloseReason, Counts, Denials};
 
+use crate::client_connection::RequestProgress;
 use crate::connection::ConnectionKey;
 
 /// Data about all client connections: their number, queued writes and requests, and counts of closes.
@@ -12,8 +15,11 @@
     pub(crate) held_bytes: usize,
     /// Connections with output to write.
     pending_writes: Vec<ConnectionKey>,
+    /// Connections with input that begins a request, and with more input of one.
+    pending_new_reads: VecDeque<ConnectionKey>,
+    pending_partial_reads: VecDeque<ConnectionKey>,
     /// Connections that may have received another complete request.
-    pending_requests: Vec<ConnectionKey>,
+    pending_requests: VecDeque<ConnectionKey>,
     /// Number of closed connections, by reason.
     pub(crate) closes: Counts<CloseReason>,
     /// Number of closes that the guard prevented.
@@ -32,14 +38,39 @@
 
     /// Schedules the requests of a connection to be parsed.
     pub(crate) fn queue_requests(&mut self, key: ConnectionKey) {
-        self.pending_requests.push(key);
+        self.pending_requests.push_back(key);
+    }
+
+    /// Takes up to `max` connections whose requests are to be parsed, the longest waiting first.
+    pub(crate) fn take_pending_requests(&mut self, max: usize) -> Vec<ConnectionKey> {
+        take_first(&mut self.pending_requests, max)
+    }
+
+    /// Schedules a connection to be read.
+    pub(crate) fn queue_read(&mut self, key: ConnectionKey, progress: RequestProgress) {
+        self.pending_reads(progress).push_back(key);
     }
 
-    pub(crate) fn take_pending_requests(&mut self) -> Vec<ConnectionKey> {
-        std::mem::take(&mut self.pending_requests)
+    /// Takes up to `max` connections that are to be read, the longest waiting first.
+    pub(crate) fn take_pending_reads(&mut self, progress: RequestProgress, max: usize) -> Vec<ConnectionKey> {
+        take_first(self.pending_reads(progress), max)
     }
 
-    pub(crate) fn has_pending_requests(&self) -> bool {
-        !self.pending_requests.is_empty()
+    fn pending_reads(&mut self, progress: RequestProgress) -> &mut VecDeque<ConnectionKey> {
+        match progress {
+            RequestProgress::New => &mut self.pending_new_reads,
+            RequestProgress::Partial => &mut self.pending_partial_reads,
+        }
     }
+
+    /// Whether connections wait to be read, or requests to be parsed.
+    pub(crate) fn has_pending_work(&self) -> bool {
+        [&self.pending_requests, &self.pending_new_reads, &self.pending_partial_reads]
+            .iter()
+            .any(|queue| !queue.is_empty())
+    }
+}
+
+fn take_first(queue: &mut VecDeque<ConnectionKey>, max: usize) -> Vec<ConnectionKey> {
+    queue.drain(..max.min(queue.len())).collect()
 }
--- a/crates/pintally-platform-node/src/event_loop.rs
+++ b/crates/pintally-platform-node/src/event_loop.rs
@@ -40,6 +40,7 @@
         for event in events.iter() {
             self.handle_event(*event);
         }
+        self.read_pending_clients();
         self.run_timers();
         self.process_pending_requests();
         self.flush_pending_clients();
@@ -54,10 +55,10 @@
         self.last_wait_ended = ended;
     }
 
-    /// How long the poller may wait: until the next timer expires, or 0 if requests wait to be parsed.
+    /// How long the poller may wait: until the next timer expires, or 0 if clients wait to be read.
     fn poll_timeout(&self) -> Micros {
         let now = self.clock.now();
-        if self.clients.has_pending_requests() {
+        if self.clients.has_pending_work() {
             return 0;
         }
         let timers = [
@@ -89,7 +90,7 @@
             EventSource::Signals => self.handle_signals(),
             EventSource::EndpointWatch(id) => self.handle_watch_event(id, event.flags),
             EventSource::Connection(key) => match self.connections.get(key) {
-                Some(Connection::Client(_)) => self.handle_client_event(key, event.flags),
+                Some(Connection::Client(_)) => self.queue_client_event(key, event.flags),
                 Some(Connection::Engine(_)) => self.handle_engine_event(key, event.flags),
                 None => {}
             },
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -118,7 +118,8 @@
     let buffers = SocketBuffers::new(config.socket_buffer_bytes());
     let listener = retry_during_startup("listening", || listen_at(address, buffers))
         .map_err(|error| StartError::Listen { address, error })?;
-    let poller = register_sources(&listener, &signals).map_err(StartError::Epoll)?;
+    let poller =
+        register_sources(&listener, &signals, config.usable_descriptors()).map_err(StartError::Epoll)?;
     let mut node = Node::new(config, config_file, poller, listener, signals, buffers);
     let limits = node.config.limits;
     tracing::info!(name = %node.config.name, %address, sockets = limits.sockets, memory_mb = limits.memory_mb,
@@ -136,8 +137,13 @@
 }
 
 /// Creates a poller, and registers the listener and both signal sockets.
-fn register_sources(listener: &TcpListener, signals: &Signals) -> std::io::Result<Poller> {
-    let poller = retry_during_startup("epoll", Poller::new)?;
+fn register_sources(
+    listener: &TcpListener,
+    signals: &Signals,
+    max_sources: usize,
+) -> std::io::Result<Poller> {
+    // One wait returns the events of all sources: what it does not return has not occurred before.
+    let poller = retry_during_startup("epoll", || Poller::new(max_sources))?;
     for (fd, source) in [
         (listener.as_fd(), EventSource::Listener),
         (signals.stop_fd(), EventSource::Signals),
--- a/crates/pintally-platform-node/src/poller.rs
+++ b/crates/pintally-platform-node/src/poller.rs
@@ -12,8 +12,6 @@
 use rustix::io::Errno;
 use socket2::{Domain, Protocol, Socket, Type};
 
-/// Maximum number of events of one wait.
-const MAX_EVENTS: usize = 256;
 /// Maximum timeout of one wait.
 const MAX_TIMEOUT_MS: u128 = 60_000;
 
@@ -49,9 +47,10 @@
 }
 
 impl Poller {
-    pub(crate) fn new() -> io::Result<Poller> {
+    /// A poller whose waits return up to `max_events` events.
+    pub(crate) fn new(max_events: usize) -> io::Result<Poller> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
-        Ok(Poller { epoll, events: Vec::with_capacity(MAX_EVENTS) })
+        Ok(Poller { epoll, events: Vec::with_capacity(max_events) })
     }
 
     pub(crate) fn add(&self, source: impl AsFd, token: u64, interest: EventFlags) -> io::Result<()> {
