Failing test: an id runs twice when it comes again after its client has left

The client of a request that must not be repeated leaves while a writer has it. The same id comes on a new connection, is answered 200, and the writer has it twice.

--- a/crates/pintally-cli/tests/platform/client_disconnects.rs
+++ b/crates/pintally-cli/tests/platform/client_disconnects.rs
@@ -167,3 +167,26 @@
         received.iter().filter(|c| c.3.starts_with('f')).map(|c| c.3.as_str()).collect();
     assert_eq!(forwarded.into_iter().collect::<Vec<_>>(), ["f0"]);
 }
+
+/// Guards against an effect that happens twice: the client of a request that must not be repeated leaves while a writer
+/// has it, and the same id comes again.
+#[test]
+fn id_of_a_client_that_left_does_not_run_again() {
+    let harness = Harness::new(&["r0", "w0"], 256);
+    harness.mock_engines.script("w0", &[EngineAction::Hang, EngineAction::stream_response()]);
+    for (id, class, runs) in [("a", "once", 1), ("b", "safe", 2)] {
+        let mut client = Client::new(&harness);
+        client.send_request(class, id);
+        let is_written = |received: &[ReceivedRequest]| requests_for(received, id).contains(&("w0", "POST"));
+        harness.mock_engines.wait_until("the write", is_written);
+        drop(client);
+        harness.wait_until_status("nothing is held", |b| b["held"] == 0);
+        let mut again = Client::new(&harness);
+        again.send_request(class, id);
+        assert_eq!(again.receive_response().0, if runs == 1 { 502 } else { 200 }, "{id}");
+        let received = harness.mock_engines.received();
+        let writes = requests_for(&received, id).into_iter().filter(|call| *call == ("w0", "POST")).count();
+        assert_eq!(writes, runs, "{id}");
+        harness.mock_engines.script("w0", &[EngineAction::Hang, EngineAction::stream_response()]);
+    }
+}
