A request that may have run and must not run twice is not run again under its name

Callers saw an id run twice when it came again after its client had left. Cause: a node refuses an id only while its request is open (409); when the client leaves, the attempt is cancelled and 2 ms later the name is forgotten, although the writer may have run it.

One that comes again is answered as failed, before any check that could reject it, since a rejection promises that a retry is harmless; `withheld` counts it as `may_run_twice`'s kind. Names whose attempts never ran are free. Not covered: a node that restarts knows no names; requests with an idempotency key, whose repeats the engines drop. Class: an effect outlives the record that guards it.

--- a/crates/pintally-host/src/host.rs
+++ b/crates/pintally-host/src/host.rs
@@ -14,7 +14,7 @@
 
 use std::sync::Arc;
 
-use pintally::interface::{Action, EngineId, Event, LoadReport, Micros, RequestId};
+use pintally::interface::{Action, EngineId, Event, Idempotency, LoadReport, Micros, RequestId};
 use pintally_cells::CellName;
 use pintally_config::NodeSettings;
 use pintally_guards::{may_start, Denial, Denials};
@@ -25,6 +25,7 @@
 use crate::cores::DecisionCores;
 use crate::counters::Counters;
 use crate::endpoint_directory::EndpointDirectory;
+use crate::executed_requests::ExecutedRequests;
 use crate::input::{Input, ReleaseScope, RequestNumber};
 use crate::ledger::RequestLedger;
 use crate::orphaned_reservations::OrphanedReservations;
@@ -57,6 +58,7 @@
     /// Prefix of the names that this incarnation generates for requests without a name.
     request_id_prefix: String,
     requests: RequestLedger,
+    executed: ExecutedRequests,
     timers: Timers,
     cores: DecisionCores,
     endpoints: EndpointDirectory,
@@ -89,6 +91,7 @@
             release_scope: ReleaseScope::default(),
             request_id_prefix: format!("{}-{:08x}", settings.name, seed as u32),
             requests: RequestLedger::default(),
+            executed: ExecutedRequests::default(),
             timers: Timers::default(),
             cores: DecisionCores::new(settings.clone(), seed),
             endpoints: EndpointDirectory::default(),
@@ -332,6 +335,9 @@
             self.update_reservation_deadline(number);
             return;
         };
+        if record.idempotency == Idempotency::NotIdempotent && record.may_have_run.is_some() {
+            self.executed.record(self.now, &record.id);
+        }
         let tenant = record.tenant.and_then(|tenant| self.settings.core.tenants.get(tenant));
         self.cells.release(&record.cell, tenant.map(|tenant| tenant.name.as_str()), record.body_bytes);
         self.timers.cancel(record.overdue_timer);
--- a/crates/pintally-host/src/host/admission.rs
+++ b/crates/pintally-host/src/host/admission.rs
@@ -28,6 +28,8 @@
 enum NotAdmitted {
     /// A request with its number is open already: the input is a repetition.
     DuplicateNumber,
+    /// A request of its name may have run and must not run twice.
+    MayHaveRun,
     Rejected(Rejection),
 }
 
@@ -59,6 +61,7 @@
         match self.admit(&arrival, out) {
             Ok(admitted) => self.start_request(&arrival, admitted, out),
             Err(NotAdmitted::DuplicateNumber) => self.counters.unmatched_inputs += 1,
+            Err(NotAdmitted::MayHaveRun) => self.fail_before_dispatch(arrival.number, out),
             Err(NotAdmitted::Rejected(rejection)) => {
                 self.reject_before_dispatch(arrival.number, rejection, out);
             }
@@ -70,6 +73,10 @@
         arrival: &IncomingRequest,
         out: &mut Vec<Command>,
     ) -> Result<AdmittedRequest, NotAdmitted> {
+        // Before all else: a rejection would promise that a retry is harmless.
+        if arrival.name.as_ref().is_some_and(|name| self.may_have_run(name)) {
+            return Err(NotAdmitted::MayHaveRun);
+        }
         let budget = self.request_budget(arrival);
         self.check_node_limits(&budget)?;
         if self.requests.contains(arrival.number) {
--- a/crates/pintally-host/src/host/final_answers.rs
+++ b/crates/pintally-host/src/host/final_answers.rs
@@ -75,6 +75,15 @@
         out.push(Command::RequestComplete(number));
     }
 
+    /// Answers a request as failed before any core sees it: it has run under the same name, and a rejection would
+    /// promise that a retry is harmless.
+    pub(super) fn fail_before_dispatch(&mut self, number: RequestNumber, out: &mut Vec<Command>) {
+        self.withheld.add(Denial::MayRunTwice);
+        self.counters.failed += 1;
+        out.push(Command::Answer(number, FinalAnswer::Failed));
+        out.push(Command::RequestComplete(number));
+    }
+
     /// The time to advertise in Retry-After; `None` if clients do not honour it.
     pub(super) fn advertised_retry_after(&self, after: Micros) -> Option<Micros> {
         let core = &self.settings.core;
--- a/crates/pintally-host/src/host/status.rs
+++ b/crates/pintally-host/src/host/status.rs
@@ -68,6 +68,11 @@
         self.cores.engine_estimates(now)
     }
 
+    /// Whether a request of this name has ended that may have run and must not run twice.
+    pub fn may_have_run(&self, name: &RequestId) -> bool {
+        self.executed.contains(name)
+    }
+
     /// The sizes of the cores' tables, summed up.
     pub fn table_sizes(&self) -> pintally::TableSizes {
         self.cores.table_sizes()
--- a/crates/pintally-host/src/lib.rs
+++ b/crates/pintally-host/src/lib.rs
@@ -23,6 +23,7 @@
 mod counters;
 mod endpoint_directory;
 mod endpoint_list;
+mod executed_requests;
 mod host;
 mod input;
 mod ledger;
--- a/crates/pintally-platform-node/src/client_requests.rs
+++ b/crates/pintally-platform-node/src/client_requests.rs
@@ -37,7 +37,8 @@
             return self.reject(key, RequestError { status: 409, message: "this id is in use" });
         }
         if !self.has_memory_for(head.len() + body.len()) || self.has_unread_input(key) {
-            return self.respond(key, response(503, &[], b"no room\n"));
+            let may_have_run = arrival.name.as_ref().is_some_and(|name| self.host.may_have_run(name));
+            return self.respond(key, response(if may_have_run { 502 } else { 503 }, &[], b"no room\n"));
         }
         self.requests.insert(key, head, body);
         let Some(client) = self.client_mut(key) else { return };
