Failing test: a node stops when the pipe of its log is full

A node with a verbose log whose pipe nobody reads: it waits in a write for ever, and no client is answered within 20 s. The case of a closed log stands behind it in the test and was not reached.

--- a/crates/pintally-cli/tests/platform/harness.rs
+++ b/crates/pintally-cli/tests/platform/harness.rs
@@ -385,6 +385,15 @@
         self.wait_until_ready();
     }
 
+    /// Kills the node and starts it again with a verbose log that goes to this pipe.
+    pub fn restart_with_verbose_log(&mut self, log: std::io::PipeWriter) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let mut command = node_command("debug", &self.config_file, self.node_address, &self.env);
+        self.child = command.stderr(log).spawn().expect("the node starts");
+        self.wait_until_ready();
+    }
+
     /// Kills the node and starts it again; the connections of the returned clients are the first that it accepts.
     pub fn restart_with_first_clients(&mut self, many: usize) -> Vec<Client> {
         let _ = self.child.kill();
@@ -500,14 +509,24 @@
 }
 
 fn start_node(config_file: &std::path::Path, listen: SocketAddr, env: &[(String, String)]) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_pintally"))
-        .args(["--log-level", &std::env::var("PINTALLY_TEST_LOG").unwrap_or("warn".into()), "platform"])
+    let level = std::env::var("PINTALLY_TEST_LOG").unwrap_or("warn".into());
+    let mut command = node_command(&level, config_file, listen, env);
+    command.stderr(Stdio::inherit()).spawn().expect("the node starts")
+}
+
+fn node_command(
+    level: &str,
+    config_file: &std::path::Path,
+    listen: SocketAddr,
+    env: &[(String, String)],
+) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pintally"));
+    command
+        .args(["--log-level", level, "platform"])
         .env("BALANCER_CONFIG", config_file)
         .env("BALANCER_LISTEN", listen.to_string())
-        .envs(env.iter().cloned())
-        .stderr(Stdio::inherit())
-        .spawn()
-        .expect("the node starts")
+        .envs(env.iter().cloned());
+    command
 }
 
 fn configuration(listen: SocketAddr, discovery: SocketAddr, sockets: usize) -> Value {
--- a/crates/pintally-cli/tests/platform/syscall_failures.rs
+++ b/crates/pintally-cli/tests/platform/syscall_failures.rs
@@ -95,3 +95,21 @@
         }
     }
 }
+
+/// Guards against a log that ends the process or stops it: nobody reads it and its pipe is full, or it is closed.
+#[test]
+fn full_or_closed_log_does_not_stop_node() {
+    const REQUESTS: usize = 300;
+    let mut harness = Harness::new(&["r0", "w0"], 256);
+    for is_closed in [false, true] {
+        let (reader, writer) = std::io::pipe().unwrap();
+        let reader = (!is_closed).then_some(reader);
+        harness.restart_with_verbose_log(writer);
+        for n in 0..REQUESTS {
+            let mut client = Client::new(&harness);
+            client.send_request("safe", &format!("a{n}"));
+            assert!(client.receive_response().2, "closed: {is_closed}, request {n}");
+        }
+        drop(reader);
+    }
+}
