--- a/crates/pintally-cli/src/main.rs
+++ b/crates/pintally-cli/src/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod lab;
 mod log;
+mod log_writer;
 mod measure;
 mod mock_engines;
 mod plan;
@@ -18,6 +19,7 @@
 mod soak;
 mod status;
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -101,7 +103,7 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     if let Err(e) = log::set_up(cli.log, &cli.log_level) {
-        eprintln!("pintally: {e}");
+        let _ = writeln!(std::io::stderr(), "pintally: {e}");
         return ExitCode::from(2);
     }
     let result = match cli.command {
@@ -126,7 +128,8 @@
     match result {
         Ok(code) => code,
         Err(failure) => {
-            eprintln!("pintally: {}", failure.message);
+            // `eprintln!` would panic on a closed standard error.
+            let _ = writeln!(std::io::stderr(), "pintally: {}", failure.message);
             ExitCode::from(failure.code)
         }
     }
--- a/crates/pintally-cli/src/serve.rs
+++ b/crates/pintally-cli/src/serve.rs
@@ -1,5 +1,6 @@
 //! `pintally serve`: one node until a signal stops it.
 
+use std::io::Write;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -26,7 +27,7 @@
     let clock_ns = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(Failure::failed)?;
     let node = Node::start(Arc::new(settings), args.seed.unwrap_or(clock_ns)).map_err(Failure::failed)?;
-    eprintln!("pintally: listening on {}", node.address());
+    let _ = writeln!(std::io::stderr(), "pintally: listening on {}", node.address());
     // The first signal starts a graceful shutdown, the second one exits immediately.
     signals.forever().next();
     std::thread::spawn(move || {
@@ -34,6 +35,6 @@
         std::process::exit(1);
     });
     let counters = node.stop();
-    eprintln!("pintally: stopped; {counters:?}");
+    let _ = writeln!(std::io::stderr(), "pintally: stopped; {counters:?}");
     Ok(ExitCode::SUCCESS)
 }
