Event loop: a failed wait is made again before the node gives up

A look for every way in which the process can end: `run` returned any error of `epoll_wait` but EINTR, which ends the node with all its requests. No such error was seen. It is logged and made again now, 1 ms later, and ends the node only after 1,000 in a row, with its reason on standard error as before. The other ways that were found: an invalid configuration and calls of the start that fail for over 4 s (exit code 2, with the reason; as before), a panic and a failed allocation; no `unwrap`, `expect` or `panic!` stands in the node's packages outside tests. No test: the library that makes calls fail does not know `epoll_wait`.

--- a/crates/pintally-platform-node/src/event_loop.rs
+++ b/crates/pintally-platform-node/src/event_loop.rs
@@ -14,6 +14,10 @@
 
 /// Maximum time of one wait for events.
 const MAX_WAIT: Micros = 100_000;
+/// The event loop ends after this many waits in a row have failed.
+const MAX_FAILED_WAITS: u32 = 1_000;
+/// Time between a failed wait and the next one.
+const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(1);
 /// A wait that takes at least this long has found no event when it began.
 const MIN_BLOCKED_WAIT: Micros = 1_000;
 
@@ -31,7 +35,7 @@
         let timeout = self.poll_timeout();
         events.clear();
         let wait_began = self.clock.now();
-        self.poller.wait(Duration::from_micros(timeout), events)?;
+        self.wait_for_events(Duration::from_micros(timeout), events)?;
         self.record_wait(wait_began);
         self.handle_disconnected_clients(events);
         if self.signals.is_pending() {
@@ -47,6 +51,23 @@
         Ok(self.is_shutdown_complete())
     }
 
+    /// Waits for events. A wait that fails is made again for a while: one failed call must not end all requests.
+    fn wait_for_events(&mut self, timeout: Duration, events: &mut Vec<ReadyEvent>) -> io::Result<()> {
+        let Err(error) = self.poller.wait(timeout, events) else {
+            self.failed_waits = 0;
+            return Ok(());
+        };
+        self.failed_waits += 1;
+        if self.failed_waits > MAX_FAILED_WAITS {
+            return Err(error);
+        }
+        if self.log_limiter.allows(self.clock.now()) {
+            tracing::error!(%error, failed_waits = self.failed_waits, "wait for events failed and is retried");
+        }
+        std::thread::sleep(FAILED_WAIT_PAUSE);
+        Ok(())
+    }
+
     /// Records the time after which the events of a wait have occurred. A wait that took time was ended by its first
     /// event; the others may have occurred at any time since the wait before.
     fn record_wait(&mut self, began: Micros) {
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -99,6 +99,8 @@
     pub(crate) last_wait_ended: Micros,
     /// The events that are being handled have occurred after this time.
     pub(crate) events_since: Micros,
+    /// Number of waits in a row that have failed.
+    pub(crate) failed_waits: u32,
     pub(crate) last_cleanup: Micros,
     pub(crate) reload: Reload,
     pub(crate) shutdown: Shutdown,
@@ -201,6 +203,7 @@
             started_at: now,
             last_wait_ended: 0,
             events_since: 0,
+            failed_waits: 0,
             last_cleanup: now,
             reload: Reload::default(),
             shutdown: Shutdown::default(),
