--- a/crates/pintally-cli/tests/platform/slow_clients.rs
+++ b/crates/pintally-cli/tests/platform/slow_clients.rs
@@ -201,3 +201,20 @@
     assert!(peak < 16 << 20, "peak memory of {} MB; the node may use 32 MB", peak >> 20);
     assert_all_complete(clients);
 }
+
+/// Guards against a node that reads without end what clients send behind a rejection: the connection is closed once the
+/// largest request would have been read.
+#[test]
+fn input_behind_a_rejection_is_bounded() {
+    // The largest request, and what the buffers of both systems hold.
+    const MAX_INPUT_BYTES: usize = 16 << 20;
+    let harness = Harness::new(&["r0", "w0"], 256);
+    let mut client = Client::new(&harness);
+    client.send(b"no request\r\n\r\n");
+    assert_eq!(client.receive_response().0, 400);
+    let (junk, mut sent) = (vec![b'x'; 1 << 16], 0);
+    while let Ok(count) = std::io::Write::write(&mut client.stream, &junk) {
+        sent += count;
+        assert!(sent <= MAX_INPUT_BYTES, "{sent} bytes were taken");
+    }
+}
