A closing connection is closed after as much input as the largest request

Callers saw 19 GB taken from one client within 8 s behind rejections. Cause: input of a closing connection is read and dropped for 0.4 s, so that unread bytes do not reset the connection before the client has its answer, however much comes.

It is read up to 272 KiB, the largest head and body, which a client may have been sending when it was answered; then the connection is closed, with a reset if more is there. A client that sends 60 MB gets its error or this close.

Test before and after: over 16 MiB taken; the connection ends. Crowd of unreadable bytes at a slow process: as before, another client gets its answers within 298 ms.

--- a/crates/pintally-platform-node/src/client_connection.rs
+++ b/crates/pintally-platform-node/src/client_connection.rs
@@ -20,6 +20,9 @@
 pub(crate) const RESUME_OUTPUT_BYTES: usize = 8 << 10;
 /// An idle connection keeps a buffer of at most this size for its next response.
 pub(crate) const MAX_SPARE_OUTPUT_BYTES: usize = 1 << 10;
+/// After this much input behind a complete response, a closing connection is closed: more than the largest request,
+/// which a client may have been sending when it was answered.
+const MAX_DROPPED_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES;
 /// After the write side of a connection is shut down, its input is read and dropped for this time.
 const LINGER_TIMEOUT: Micros = 400_000;
 
@@ -79,6 +82,8 @@
     pub(crate) close_after_response: bool,
     /// Nothing more is written; input is dropped until the client closes.
     pub(crate) write_shut_down: bool,
+    /// Number of input bytes that were read and dropped in the closing state.
+    dropped_bytes: usize,
     /// The connection is closed once no output is pending and no request is partly received.
     pub(crate) close_when_idle: bool,
     /// The connection is in the queue of those that may have received another complete request.
@@ -130,6 +135,7 @@
             streaming: false,
             close_after_response: false,
             write_shut_down: false,
+            dropped_bytes: 0,
             close_when_idle: false,
             is_queued: false,
             request_count: 0,
@@ -156,6 +162,12 @@
         }
     }
 
+    /// Counts input of a closing connection that is dropped; returns whether the connection is to be closed.
+    pub(crate) fn drop_input(&mut self, count: usize) -> bool {
+        self.dropped_bytes += count;
+        self.write_shut_down && self.dropped_bytes > MAX_DROPPED_BYTES
+    }
+
     /// Records that nothing is unread and the connection is open.
     pub(crate) fn record_connected(&mut self, now: Micros) {
         self.connected_at = now;
--- a/crates/pintally-platform-node/src/client_read.rs
+++ b/crates/pintally-platform-node/src/client_read.rs
@@ -92,6 +92,9 @@
         // Input of a closing connection is read and dropped: unread bytes at the close would cause a reset,
         // which the client could get before it has read its response.
         if client.state == ClientState::Closing {
+            if client.drop_input(count) {
+                return ReceiveResult::Disconnected(CloseReason::ResponseDelivered);
+            }
             return ReceiveResult::NoBytes;
         }
         if !client.reader.is_partial() && client.request_count > 0 {
