Soak: SIGKILL at the platform's earliest, and signals in series

SIGKILL may come as early as the longest deadline plus 0.7 s after SIGTERM; the soak always gave 3.2 s, also to runs whose clients wait for 0.9 s. It now takes each run's own deadline, and sends SIGTERM, SIGHUP and SIGTERM again.

--- a/crates/pintally-soak/src/node.rs
+++ b/crates/pintally-soak/src/node.rs
@@ -165,7 +165,10 @@
         let now = self.record.now();
         self.update_incarnation(|incarnation| incarnation.stop_requested_at = Some(now));
         self.stopping.store(true, Ordering::SeqCst);
-        self.signal("-TERM");
+        // Signals come in series: the later ones must change nothing.
+        for name in ["-TERM", "-HUP", "-TERM"] {
+            self.signal(name);
+        }
         let deadline = Instant::now() + grace;
         while Instant::now() < deadline {
             let ended = self.lock().as_mut().map(Child::try_wait);
--- a/crates/pintally-soak/src/run.rs
+++ b/crates/pintally-soak/src/run.rs
@@ -25,8 +25,6 @@
 const HOUR_SECONDS: i64 = 3_600;
 /// The stack size of a run's threads. A run has hundreds of threads, and each needs little stack.
 const THREAD_STACK_BYTES: usize = 256 << 10;
-/// The time between SIGTERM and SIGKILL: the longest deadline, of which the platform counts at most 3 s, plus 0.7 s.
-const STOP_GRACE: Duration = Duration::from_millis(2_500 + 700);
 /// How long after the last request the run waits for open_attempts answers and for held states to be released.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(4_500);
 /// How far a recorded time may lag behind the event, even on an idle machine.
@@ -93,6 +91,8 @@
     /// The number of the last replacement engine; the number of engines before the first replacement.
     next_engine: Mutex<usize>,
     readers: usize,
+    /// The time between SIGTERM and SIGKILL.
+    stop_grace: Duration,
     /// Nodes with a stop, kill or reload in progress.
     reserved_nodes: Mutex<Vec<usize>>,
 }
@@ -153,6 +153,7 @@
         readers: options.readers,
         engines: Mutex::new(engines),
         open_attempts,
+        stop_grace: launch.timing.stop_grace(),
         reserved_nodes: Mutex::default(),
     });
     run.nodes.iter().for_each(|node| node.wait_until_ready());
@@ -361,7 +362,7 @@
         let Some(reserved) = self.reserve(node) else { return };
         let node = &self.nodes[reserved.node];
         match down_after_kill {
-            None => node.stop(STOP_GRACE),
+            None => node.stop(self.stop_grace),
             Some(down) => {
                 node.kill();
                 std::thread::sleep(down);
--- a/crates/pintally-soak/src/timing.rs
+++ b/crates/pintally-soak/src/timing.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// The shortest time between SIGTERM and SIGKILL on the platform: the longest deadline, of which at most 3 s count,
+    /// and 0.7 s.
+    pub(crate) fn stop_grace(&self) -> Duration {
+        const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+        self.client_timeout.min(MAX_COUNTED_DEADLINE) + Duration::from_millis(700)
+    }
+
     /// The durations of a typical deployment.
     pub(crate) fn typical() -> Timing {
         Timing {
