Receive buffers of engine connections hold a stream that waits for its client

A connection to an engine now has room for a whole short stream: all streams together as much as the memory budget, 56 KB each at a node with 80 MB, as far as system buffers go what a stream had before its window grew.

--- a/crates/pintally-platform-node/src/engine_connect.rs
+++ b/crates/pintally-platform-node/src/engine_connect.rs
@@ -84,7 +84,7 @@
             return Err(Outcome::NeverSent);
         }
         let socket = poller::socket(address).map_err(|_| Outcome::NeverSent)?;
-        self.socket_buffers.apply(&socket);
+        self.socket_buffers.apply_to_engine(&socket);
         let is_connected = poller::connect(&socket, address).map_err(|_| Outcome::Unreachable)?;
         let now = self.clock.now();
         let connection = EngineConnection {
--- a/crates/pintally-platform-node/src/node.rs
+++ b/crates/pintally-platform-node/src/node.rs
@@ -117,7 +117,7 @@
     let signals = retry_during_startup("setting up signals", Signals::new).map_err(StartError::Signals)?;
     let config = read_configuration(&config_file)?;
     let address = listen.unwrap_or(config.listen);
-    let buffers = SocketBuffers::new(config.socket_buffer_bytes());
+    let buffers = SocketBuffers::new(config.socket_buffer_bytes(), config.stream_buffer_bytes());
     let listener = retry_during_startup("listening", || listen_at(address, buffers))
         .map_err(|error| StartError::Listen { address, error })?;
     let poller =
@@ -161,7 +161,7 @@
     // A restarted node can bind the address while connections of its killed predecessor remain.
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
-    buffers.apply(&socket);
+    buffers.apply_to_listener(&socket);
     socket.bind(&address.into())?;
     socket.listen(LISTEN_BACKLOG)?;
     Ok(socket.into())
--- a/crates/pintally-platform-node/src/socket_buffers.rs
+++ b/crates/pintally-platform-node/src/socket_buffers.rs
@@ -17,26 +17,40 @@
 /// The sizes of a connection's buffers.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SocketBuffers {
-    receive_bytes: usize,
+    /// Input of a client.
+    client_receive_bytes: usize,
+    /// Input of an engine: a stream that has to wait for a slow client, and its last chunk, should fit in.
+    engine_receive_bytes: usize,
     /// Maximum number of unsent bytes with which a socket is writable, and of bytes that are written then.
     send_bytes: usize,
 }
 
 impl SocketBuffers {
-    /// Buffers that hold at most `total_bytes` for one connection: half of it input, half of it output.
-    pub(crate) fn new(total_bytes: usize) -> SocketBuffers {
+    /// Buffers that hold at most `total_bytes` for one connection, half of it input and half of it output, and
+    /// `stream_bytes` of input for an engine's.
+    pub(crate) fn new(total_bytes: usize, stream_bytes: usize) -> SocketBuffers {
         SocketBuffers {
-            receive_bytes: total_bytes / 2 / RECEIVE_BUFFER_FACTOR,
+            client_receive_bytes: total_bytes / 2 / RECEIVE_BUFFER_FACTOR,
+            engine_receive_bytes: stream_bytes / RECEIVE_BUFFER_FACTOR,
             send_bytes: total_bytes / 2 / 2,
         }
     }
 
-    /// Sets the sizes of a socket that is not connected yet; connections that a listener accepts inherit its sizes. A
-    /// system that refuses them keeps its own.
-    pub(crate) fn apply(self, socket: impl AsFd) {
+    /// Sets the sizes of a listener; the connections that it accepts inherit them.
+    pub(crate) fn apply_to_listener(self, listener: impl AsFd) {
+        self.apply(listener, self.client_receive_bytes);
+    }
+
+    /// Sets the sizes of a socket that is not connected yet.
+    pub(crate) fn apply_to_engine(self, socket: impl AsFd) {
+        self.apply(socket, self.engine_receive_bytes);
+    }
+
+    /// A system that refuses the sizes keeps its own.
+    fn apply(self, socket: impl AsFd, receive_bytes: usize) {
         let socket = socket.as_fd();
         let socket = SockRef::from(&socket);
-        let _ = socket.set_recv_buffer_size(self.receive_bytes);
+        let _ = socket.set_recv_buffer_size(receive_bytes);
         let _ = socket.set_tcp_notsent_lowat((self.send_bytes * UNSENT_LIMIT_FACTOR) as u32);
     }
 
--- a/crates/pintally-platform/src/configuration.rs
+++ b/crates/pintally-platform/src/configuration.rs
@@ -18,8 +18,9 @@
 /// Descriptors that are not used by client or engine connections: standard streams, epoll, listener, signals, watch, and
 /// a few for files.
 pub const RESERVED_DESCRIPTORS: usize = 20;
-/// Memory of the process besides what it holds for clients and engines.
-const PROCESS_BYTES: usize = 8 << 20;
+/// With less than 32 MB the budget is seven sixteenths of the memory less this, since the process itself needs most of a
+/// small memory.
+const SMALL_MEMORY_OFFSET_BYTES: usize = 6 << 20;
 /// Minimum memory for the system's buffers of one connection. Smaller buffers cost a system call for every few bytes.
 const MIN_SOCKET_BUFFER_BYTES: usize = 2_560;
 /// Minimum memory that a node needs, in megabytes.
@@ -184,12 +185,17 @@
         self.memory_budget() / (self.usable_descriptors() - RESERVED_DESCRIPTORS)
     }
 
-    /// Maximum memory for everything that is received and not yet answered, in bytes: a quarter of the memory, or less
-    /// if the process needs most of that itself.
+    /// Memory for the system's buffer of a stream that waits for its client: all streams together have as much as the
+    /// memory budget.
+    pub fn stream_buffer_bytes(&self) -> usize {
+        self.memory_budget() / self.max_client_connections()
+    }
+
+    /// Maximum memory for everything that is received and not yet answered, in bytes: a quarter of the memory, less with
+    /// under 32 MB.
     pub fn memory_budget(&self) -> usize {
         let memory = (self.limits.memory_mb as usize) << 20;
-        let shared = (memory / 4 * 3).saturating_sub(PROCESS_BYTES);
-        (shared / 2).min(memory / 4)
+        (memory / 16 * 7 - SMALL_MEMORY_OFFSET_BYTES).min(memory / 4)
     }
 
     /// The settings of the host.
