A stream that its engine has written is read ahead of a slow client

Before, the node read at most 32 KiB ahead as well, but the system's send buffer took megabytes from it.

A stream may now be read up to 256 KiB ahead of its client, as far as the free part of half of the budget goes; all of it counts.

--- a/crates/pintally-cli/tests/platform/slow_clients.rs
+++ b/crates/pintally-cli/tests/platform/slow_clients.rs
@@ -218,3 +218,20 @@
         assert!(sent <= MAX_INPUT_BYTES, "{sent} bytes were taken");
     }
 }
+
+/// Guards against a stream that is cut because its engine ends, long after it has written the last chunk: the client reads
+/// slowly, and the rest was still in the engine's system.
+#[test]
+fn stream_survives_the_end_of_its_engine() {
+    const STREAM_BYTES: usize = 200 << 10;
+    let harness = Harness::new(&["r0", "w0"], 256);
+    let EngineAction::Respond(stream) = long_stream(STREAM_BYTES) else { panic!("a response") };
+    harness.mock_engines.script("w0", &[EngineAction::RespondAndReset(stream)]);
+    let mut client = small_buffer_client(harness.node_address);
+    client.send_request("safe", "a");
+    // The engine resets its connection behind a stream that is written completely; the client has read nothing yet.
+    std::thread::sleep(UNREAD_DURATION);
+    harness.mock_engines.resume_and_wait();
+    let (status, body, is_complete) = client.receive_response();
+    assert!(status == 200 && is_complete && body.len() >= STREAM_BYTES, "{status}, {} bytes", body.len());
+}
--- a/crates/pintally-platform-node/src/client_connection.rs
+++ b/crates/pintally-platform-node/src/client_connection.rs
@@ -13,9 +13,11 @@
 use crate::poller::EventFlags;
 use crate::socket_buffers::SendLimit;
 
-/// Limit of the output that a slow client has not read: above it, reading of the stream from the engine
-/// pauses, and no further requests of the client are parsed.
+/// Limit of the output that a slow client has not read: above it, no further requests of the client are parsed.
 pub(crate) const MAX_OUTPUT_BYTES: usize = 32 << 10;
+/// Limit of the output of a stream, as far as the memory budget has room: above it, reading from the engine pauses. What
+/// the node has not read is lost when the engine ends.
+pub(crate) const MAX_STREAM_OUTPUT_BYTES: usize = 256 << 10;
 /// Reading of the stream and parsing of requests resume below this amount of unwritten output.
 pub(crate) const RESUME_OUTPUT_BYTES: usize = 8 << 10;
 /// An idle connection keeps a buffer of at most this size for its next response.
--- a/crates/pintally-platform-node/src/client_response.rs
+++ b/crates/pintally-platform-node/src/client_response.rs
@@ -10,7 +10,7 @@
 use pintally_platform::RequestError;
 
 use crate::client_connection::{
-    ClientConnection, ClientState, MAX_OUTPUT_BYTES, MAX_SPARE_OUTPUT_BYTES, RESUME_OUTPUT_BYTES,
+    ClientConnection, ClientState, MAX_SPARE_OUTPUT_BYTES, MAX_STREAM_OUTPUT_BYTES, RESUME_OUTPUT_BYTES,
 };
 use crate::connection::ConnectionKey;
 use crate::node::Node;
@@ -117,7 +117,7 @@
         client.output.extend_from_slice(&chunk(events));
         let unwritten = client.unwritten_bytes();
         self.update_held_bytes(key);
-        let max_unwritten = self.max_optional_bytes().clamp(RESUME_OUTPUT_BYTES, MAX_OUTPUT_BYTES);
+        let max_unwritten = self.max_optional_bytes().clamp(RESUME_OUTPUT_BYTES, MAX_STREAM_OUTPUT_BYTES);
         let is_slow = unwritten > max_unwritten;
         self.clients.queue_write(key);
         Some(if is_slow { ClientPace::Slow } else { ClientPace::KeepsUp })
