--- a/crates/pintally-platform-node/src/event_loop.rs
+++ b/crates/pintally-platform-node/src/event_loop.rs
@@ -35,8 +35,9 @@
         let timeout = self.poll_timeout();
         events.clear();
         let wait_began = self.clock.now();
-        self.wait_for_events(Duration::from_micros(timeout), events)?;
-        self.record_wait(wait_began);
+        if self.wait_for_events(Duration::from_micros(timeout), events)? {
+            self.record_wait(wait_began);
+        }
         self.handle_disconnected_clients(events);
         if self.signals.is_pending() {
             self.handle_signals();
@@ -51,11 +52,12 @@
         Ok(self.is_shutdown_complete())
     }
 
-    /// Waits for events. A wait that fails is made again for a while: one failed call must not end all requests.
-    fn wait_for_events(&mut self, timeout: Duration, events: &mut Vec<ReadyEvent>) -> io::Result<()> {
+    /// Waits for events; returns whether the wait succeeded. One that fails is made again for a while: one failed call must
+    /// not end all requests.
+    fn wait_for_events(&mut self, timeout: Duration, events: &mut Vec<ReadyEvent>) -> io::Result<bool> {
         let Err(error) = self.poller.wait(timeout, events) else {
             self.failed_waits = 0;
-            return Ok(());
+            return Ok(true);
         };
         self.failed_waits += 1;
         if self.failed_waits > MAX_FAILED_WAITS {
@@ -65,7 +67,7 @@
             tracing::error!(%error, failed_waits = self.failed_waits, "wait for events failed and is retried");
         }
         std::thread::sleep(FAILED_WAIT_PAUSE);
-        Ok(())
+        Ok(false)
     }
 
     /// Records the time after which the events of a wait have occurred. A wait that took time was ended by its first
--- a/src/policy/releases.rs
+++ b/src/policy/releases.rs
@@ -8,7 +8,8 @@
 /// less than the same amount.
 const RETRY_AFTER_DIVISOR: Micros = 4;
 
-/// The maximum number of rejected prompts that are recognised; of more, the half that arrived first is forgotten.
+/// The maximum number of rejected prompts that are recognised; of more, the half that arrived first is
+/// forgotten.
 const MAX_REJECTED_PROMPTS: usize = 14_000;
 
 impl Router {
