Memory budget: one expression for the part that optional buffers may use

`exceeds_memory` computed the free part of the optional budget a second time, beside `max_optional_bytes`: a response has no room if it holds more than it may always hold and all together hold more than that part, which is the same condition. A method that only called the host is gone. In the tests, the two readers of a process's memory are one, and a comment named the former 32 KiB of a stream.

--- a/crates/pintally-cli/tests/platform/harness.rs
+++ b/crates/pintally-cli/tests/platform/harness.rs
@@ -691,8 +691,13 @@
 
 /// The peak of a process's resident memory, in bytes.
 pub fn peak_memory(pid: u32) -> usize {
+    process_memory(pid, "VmHWM:")
+}
+
+/// One of the sizes that the system states for a process, in bytes.
+pub fn process_memory(pid: u32, field: &str) -> usize {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("the peak memory");
+    let line = status.lines().find(|line| line.starts_with(field)).expect("a size");
     let kilobytes: usize = line.split_whitespace().nth(1).unwrap().parse().unwrap();
     kilobytes << 10
 }
--- a/crates/pintally-cli/tests/platform/memory_limit.rs
+++ b/crates/pintally-cli/tests/platform/memory_limit.rs
@@ -50,7 +50,7 @@
         let memory = std::thread::spawn(move || {
             let mut peak = (0, 0, 0);
             while !done.load(Ordering::SeqCst) {
-                let (resident, queued) = (resident_bytes(pid), queued_bytes(node.port(), &engines));
+                let (resident, queued) = (process_memory(pid, "VmRSS:"), queued_bytes(node.port(), &engines));
                 peak = peak.max((resident + queued, resident, queued));
                 std::thread::sleep(Duration::from_millis(10));
             }
@@ -117,12 +117,6 @@
     Ok(std::str::from_utf8(&head[9..]).ok().and_then(|status| status.parse().ok()).unwrap_or(0))
 }
 
-fn resident_bytes(pid: u32) -> usize {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("0");
-    line.split_whitespace().next().and_then(|kb| kb.parse::<usize>().ok()).unwrap_or(0) << 10
-}
-
 /// Unread and unsent bytes of the node's connections.
 fn queued_bytes(node: u16, engines: &[u16]) -> usize {
     let hex = |text: &str| usize::from_str_radix(text, 16).unwrap_or(0);
--- a/crates/pintally-cli/tests/platform/slow_clients.rs
+++ b/crates/pintally-cli/tests/platform/slow_clients.rs
@@ -12,7 +12,7 @@
 /// The size of a stream that exceeds all socket buffers.
 const OVERSIZED_STREAM_BYTES: usize = 24 << 20;
 /// The difference in length between streams. The shortest fits into the socket buffers, and some of the longer ones
-/// end while their last part is still in the node, which buffers 32 KiB plus one read.
+/// end while their last part is still in the node, which buffers 256 KiB plus one read.
 const LENGTH_STEP_BYTES: usize = 8 << 10;
 /// How much shorter than the capacity of the socket buffers the shortest stream is.
 const SHORTEST_MARGIN_BYTES: usize = 48 << 10;
--- a/crates/pintally-platform-node/src/memory_budget.rs
+++ b/crates/pintally-platform-node/src/memory_budget.rs
@@ -29,9 +29,14 @@
         self.held_bytes() + bytes <= self.config.memory_budget()
     }
 
+    /// The part of the budget that optional buffers may use.
+    fn optional_budget(&self) -> usize {
+        self.config.memory_budget() / OPTIONAL_DIVISOR
+    }
+
     /// The size up to which an optional buffer may grow.
     pub(crate) fn max_optional_bytes(&self) -> usize {
-        (self.config.memory_budget() / OPTIONAL_DIVISOR).saturating_sub(self.held_bytes())
+        self.optional_budget().saturating_sub(self.held_bytes())
     }
 
     /// The maximum number of bytes of the next read of a client connection; 0 if it is not read now.
@@ -72,9 +77,7 @@
     /// the memory with events that never end.
     pub(crate) fn exceeds_memory(&self, key: ConnectionKey) -> bool {
         let Some(Connection::Engine(connection)) = self.connections.get(key) else { return false };
-        let others = self.held_bytes() - connection.held_bytes;
-        let optional = (self.config.memory_budget() / OPTIONAL_DIVISOR).saturating_sub(others);
-        connection.held_bytes > optional.max(MIN_RESPONSE_BYTES)
+        connection.held_bytes > MIN_RESPONSE_BYTES && self.held_bytes() > self.optional_budget()
     }
 
     /// The connections of which reading is paused, or that have unread bytes of a pause.
--- a/crates/pintally-platform-node/src/process_memory.rs
+++ b/crates/pintally-platform-node/src/process_memory.rs
@@ -1,6 +1,5 @@
 //! The memory of the node's process, and its parts as far as the node counts them, for status and log.
 
-use pintally::TableSizes;
 use serde_json::{json, Value};
 
 use crate::node::Node;
@@ -41,14 +40,10 @@
         (self.config.limits.memory_mb as usize) << 20
     }
 
-    fn table_sizes(&self) -> TableSizes {
-        self.host.table_sizes()
-    }
-
     /// The memory of the process, and its parts.
     pub(crate) fn memory_status(&self) -> Value {
         let process = ProcessMemory::read();
-        let tables = self.table_sizes();
+        let tables = self.host.table_sizes();
         json!({
             "limit": self.memory_limit(),
             "resident": process.map(|memory| memory.resident_bytes),
@@ -76,6 +71,6 @@
             limit_kb = self.memory_limit() >> 10, requests_bytes = self.requests.held_bytes(),
             clients_bytes = self.clients.held_bytes, engines_bytes = self.engines.held_bytes, clients = self.clients.count,
             connections = self.connections.len(), in_flight = self.host.open_requests(),
-            tables = ?self.table_sizes(), "memory of the process is over half of its limit");
+            tables = ?self.host.table_sizes(), "memory of the process is over half of its limit");
     }
 }
